--- /dev/null
+++ b/core/src/main/java/org/heatherspread/core/config/ModelVersion.java
@@ -0,0 +1,17 @@
+package org.heatherspread.core.config;
+
+import java.util.List;
+
+/**
+ * One version of a model service and the adapters it is loaded with. Immutable.
+ *
+ * @param version the version's name, unique within the service
+ * @param adapters names of the adapters that callers may ask for
+ * @param state where the version is in its life
+ */
+public record ModelVersion(String version, List<String> adapters, VersionState state) {
+  /** Copies the list, so that the record stays immutable. */
+  public ModelVersion {
+    adapters = List.copyOf(adapters);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/heatherspread/core/membership/MembershipSnapshot.java
@@ -0,0 +1,44 @@
+package org.heatherspread.core.membership;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.heatherspread.core.model.InstanceKind;
+
+/**
+ * What one daemon believes of all instances at one moment. Immutable.
+ *
+ * @param version grows with each change of this daemon's belief
+ * @param members members by instance id
+ */
+public record MembershipSnapshot(long version, Map<String, Member> members) {
+  /** Copies the map, so that the record stays immutable. */
+  public MembershipSnapshot {
+    members = Map.copyOf(members);
+  }
+
+  /** Returns the belief of a daemon that knows nobody. */
+  public static MembershipSnapshot empty() {
+    return new MembershipSnapshot(0, Map.of());
+  }
+
+  /** Finds a member by instance id. */
+  public Optional<Member> member(String instanceId) {
+    return Optional.ofNullable(members.get(instanceId));
+  }
+
+  /** Returns all daemons, whatever their health. */
+  public List<Member> daemons() {
+    return members.values().stream()
+        .filter(m -> m.instance().kind() == InstanceKind.DAEMON)
+        .toList();
+  }
+
+  /** Returns all endpoints of a service, whatever their health. */
+  public List<Member> endpoints(String service) {
+    return members.values().stream()
+        .filter(m -> m.instance().kind() != InstanceKind.DAEMON)
+        .filter(m -> m.instance().service().equals(service))
+        .toList();
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/heatherspread/core/model/FailureDomain.java
@@ -0,0 +1,9 @@
+package org.heatherspread.core.model;
+
+/** A failure domain, such as {@code kadikoy}, and the region that holds it. Immutable. */
+public record FailureDomain(String region, String name) {
+  @Override
+  public String toString() {
+    return region + "/" + name;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/heatherspread/core/store/RowKey.java
@@ -0,0 +1,4 @@
+package org.heatherspread.core.store;
+
+/** The key of a row in the platform's table service: a partition and a sort key within it. */
+public record RowKey(String partition, String sort) {}
