--- /dev/null
+++ b/settings/src/main/java/org/heatherspread/settings/impl/Durations.java
@@ -0,0 +1,40 @@
+package org.heatherspread.settings.impl;
+
+import java.time.Duration;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** Intervals as settings write them: a whole number and one of ms, s, m, h. Stateless. */
+public final class Durations {
+  private static final Pattern FORM = Pattern.compile("(\\d{1,9})(ms|s|m|h)");
+
+  private Durations() {}
+
+  /** Parses an interval; fails with an IllegalArgumentException that tells the right form. */
+  public static Duration parse(String text) {
+    Matcher matcher = FORM.matcher(text);
+    if (!matcher.matches()) {
+      throw new IllegalArgumentException(
+          "\"" + text + "\" is not an interval; write a number and ms, s, m or h, such as \"4s\"");
+    }
+    long number = Long.parseLong(matcher.group(1));
+    return switch (matcher.group(2)) {
+      case "ms" -> Duration.ofMillis(number);
+      case "s" -> Duration.ofSeconds(number);
+      case "m" -> Duration.ofMinutes(number);
+      default -> Duration.ofHours(number);
+    };
+  }
+
+  /** Prints an interval in the largest unit that is exact. */
+  public static String print(Duration value) {
+    long millis = value.toMillis();
+    if (millis % 3_600_000 == 0 && millis > 0) {
+      return millis / 3_600_000 + "h";
+    }
+    if (millis % 60_000 == 0 && millis > 0) {
+      return millis / 60_000 + "m";
+    }
+    return millis % 1_000 == 0 ? millis / 1_000 + "s" : millis + "ms";
+  }
+}
