Add the interfaces between requests, records, routing and limits

Cause: the request path, the replicated records, routing and limits are written side by side and need fixed seams.

--- /dev/null
+++ b/daemon/src/main/java/org/heatherspread/daemon/record/RequestRecords.java
@@ -0,0 +1,24 @@
+package org.heatherspread.daemon.record;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * The records of requests in progress, each kept at this daemon and at one in another failure
+ * domain.
+ *
+ * <p>Implementations are safe for use by any thread.
+ */
+public interface RequestRecords {
+  /**
+   * Opens a record. The future completes when another daemon keeps it, which is what makes the
+   * request accepted; it fails with a {@link org.heatherspread.core.error.ServingException}.
+   */
+  CompletableFuture<RecordHandle> open(RecordDraft draft);
+
+  /** Finds a record here or at the daemon that its id names. */
+  CompletableFuture<Optional<RequestRecord>> find(String requestId);
+
+  /** Makes this daemon the owner of a record; empty if no daemon keeps it. */
+  CompletableFuture<Optional<TakenOver>> takeOver(String requestId);
+}
