--- /dev/null
+++ b/daemon/src/main/java/org/heatherspread/daemon/http/AccountAuth.java
@@ -0,0 +1,67 @@
+package org.heatherspread.daemon.http;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Supplier;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.heatherspread.core.config.AccountSpec;
+import org.heatherspread.core.config.Configuration;
+import org.heatherspread.core.error.ErrorKind;
+import org.heatherspread.core.error.ServingException;
+
+/**
+ * Finds the client account of a request by its key. Only hashes of keys are known here, and the
+ * last comparison takes constant time.
+ *
+ * <p>Safe for use by any thread; the index is rebuilt when the configuration changes.
+ */
+public final class AccountAuth {
+  private final Supplier<Configuration> configuration;
+  private volatile Index index = new Index(null, Map.of());
+
+  private AccountAuth(Supplier<Configuration> configuration) {
+    this.configuration = configuration;
+  }
+
+  /** Creates the lookup over the configuration in force. */
+  public static AccountAuth create(Supplier<Configuration> configuration) {
+    return new AccountAuth(configuration);
+  }
+
+  /**
+   * Returns the account that a request's key names.
+   *
+   * @throws ServingException of kind {@code UNAUTHENTICATED}
+   */
+  public AccountSpec authenticate(HttpRequest request) {
+    String key =
+        BearerKey.of(request)
+            .orElseThrow(
+                () ->
+                    ServingException.of(
+                        ErrorKind.UNAUTHENTICATED, "Send the header Authorization: Bearer KEY"));
+    String hash = KeyHash.of(key);
+    AccountSpec account = current().byHash().get(hash);
+    if (account == null || !KeyHash.matches(hash, account.keyHash())) {
+      throw ServingException.of(ErrorKind.UNAUTHENTICATED, "The key belongs to no client account");
+    }
+    return account;
+  }
+
+  private Index current() {
+    Configuration latest = configuration.get();
+    Index seen = index;
+    if (seen.source() == latest) {
+      return seen;
+    }
+    Map<String, AccountSpec> byHash = new HashMap<>();
+    for (AccountSpec account : latest.accounts().values()) {
+      byHash.put(account.keyHash(), account);
+    }
+    Index rebuilt = new Index(latest, Map.copyOf(byHash));
+    index = rebuilt;
+    return rebuilt;
+  }
+
+  private record Index(Configuration source, Map<String, AccountSpec> byHash) {}
+}
