--- a/daemon/src/main/java/org/heatherspread/daemon/http/HealthComponent.java
+++ b/daemon/src/main/java/org/heatherspread/daemon/http/HealthComponent.java
@@ -4,7 +4,7 @@
 import static org.apache.pekko.http.javadsl.server.Directives.concat;
 import static org.apache.pekko.http.javadsl.server.Directives.get;
 import static org.apache.pekko.http.javadsl.server.Directives.path;
-import static org.apache.pekko.http.javadsl.server.Directives.pathPrefix;
+import static org.apache.pekko.http.javadsl.server.PathMatchers.segment;
 
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.util.List;
@@ -41,16 +41,10 @@
   @Override
   public Optional<Route> routes() {
     return Optional.of(
-        get(
-            () ->
-                concat(
-                    pathPrefix(
-                        "health",
-                        () ->
-                            concat(
-                                path("live", () -> complete(text(OK, "live\n"))),
-                                path("ready", () -> complete(readiness())))),
-                    path("metrics", () -> complete(text(OK, meters.scrape()))))));
+        concat(
+            path(segment("health").slash("live"), () -> get(() -> complete(text(OK, "live\n")))),
+            path(segment("health").slash("ready"), () -> get(() -> complete(readiness()))),
+            path("metrics", () -> get(() -> complete(text(OK, meters.scrape()))))));
   }
 
   private HttpResponse readiness() {
--- /dev/null
+++ b/daemon/src/main/java/org/heatherspread/daemon/http/HttpFrontend.java
@@ -0,0 +1,114 @@
+package org.heatherspread.daemon.http;
+
+import static org.apache.pekko.http.javadsl.server.Directives.complete;
+import static org.apache.pekko.http.javadsl.server.Directives.concat;
+import static org.apache.pekko.http.javadsl.server.Directives.handleExceptions;
+import static org.apache.pekko.http.javadsl.server.Directives.handleRejections;
+
+import com.typesafe.config.Config;
+import com.typesafe.config.ConfigFactory;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletionStage;
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.http.javadsl.Http;
+import org.apache.pekko.http.javadsl.ServerBinding;
+import org.apache.pekko.http.javadsl.server.ExceptionHandler;
+import org.apache.pekko.http.javadsl.server.MethodRejection;
+import org.apache.pekko.http.javadsl.server.RejectionHandler;
+import org.apache.pekko.http.javadsl.server.Route;
+import org.apache.pekko.http.scaladsl.model.EntityStreamSizeException;
+import org.heatherspread.core.error.ErrorKind;
+import org.heatherspread.core.error.ServingException;
+import org.heatherspread.daemon.settings.HttpSettings;
+
+/**
+ * The HTTP server for callers and operators. Whatever a route throws or rejects becomes a problem
+ * answer, so that no error leaves in another form.
+ *
+ * <p>Stateless; the returned binding is safe for use by any thread.
+ */
+public final class HttpFrontend {
+  private HttpFrontend() {}
+
+  /** Returns the settings that the actor system needs for the server. */
+  public static Config serverConfig(HttpSettings settings) {
+    return ConfigFactory.parseMap(
+        Map.of(
+            "pekko.http.server.request-timeout",
+            "infinite",
+            "pekko.http.server.idle-timeout",
+            settings.idleTimeout().toMillis() + "ms",
+            "pekko.http.server.max-connections",
+            settings.maxConnections(),
+            "pekko.http.server.parsing.max-content-length",
+            settings.maxBodyBytes(),
+            "pekko.http.server.server-header",
+            "heatherspread",
+            "pekko.http.server.raw-request-uri-header",
+            "off",
+            "pekko.http.server.backlog",
+            1_024));
+  }
+
+  /** Binds the routes to an address. */
+  public static CompletionStage<ServerBinding> bind(
+      ActorSystem<?> system, String host, int port, List<Route> routes, ProblemAnswers problems) {
+    return Http.get(system).newServerAt(host, port).bind(seal(routes, problems));
+  }
+
+  /** Joins the routes and answers everything they leave over. */
+  static Route seal(List<Route> routes, ProblemAnswers problems) {
+    Route first = routes.get(0);
+    Route joined = concat(first, routes.subList(1, routes.size()).toArray(Route[]::new));
+    ExceptionHandler exceptions =
+        ExceptionHandler.newBuilder()
+            .match(
+                EntityStreamSizeException.class,
+                e ->
+                    complete(
+                        problems.answer(
+                            ServingException.of(
+                                ErrorKind.BODY_TOO_LARGE, "The body is over the limit"))))
+            .matchAny(e -> complete(problems.answer(e)))
+            .build();
+    RejectionHandler rejections =
+        RejectionHandler.newBuilder()
+            .handleAll(
+                MethodRejection.class,
+                all ->
+                    complete(
+                        problems.answer(
+                            ServingException.of(
+                                ErrorKind.METHOD_NOT_ALLOWED, "This path takes " + methods(all)))))
+            .handle(
+                Rejection.class,
+                rejection ->
+                    complete(
+                        problems.answer(
+                            ServingException.of(
+                                ErrorKind.MALFORMED_REQUEST, "Request not understood"))))
+            .handleNotFound(
+                extractRequest(
+                    request ->
+                        complete(
+                            problems.answer(
+                                ServingException.of(ErrorKind.NOT_FOUND, "No such path")))))
+            .build();
+    return handleExceptions(exceptions, () -> handleRejections(rejections, () -> joined));
+  }
+
+  /** Stops accepting and waits for the answers in progress. */
+  public static CompletionStage<?> stop(ServerBinding binding, Duration bound) {
+    return binding.terminate(bound);
+  }
+
+  private static String methods(List<MethodRejection> rejections) {
+    StringBuilder names = new StringBuilder();
+    for (MethodRejection rejection : rejections) {
+      names.append(names.isEmpty() ? "" : ", ").append(rejection.supported().name());
+    }
+    return names.toString();
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/heatherspread/daemon/peer/PeerServer.java
@@ -0,0 +1,52 @@
+package org.heatherspread.daemon.peer;
+
+import io.grpc.BindableService;
+import io.grpc.Server;
+import io.grpc.ServerInterceptor;
+import io.grpc.netty.shaded.io.grpc.netty.NettyServerBuilder;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The gRPC server that other daemons call. Life cycle: {@link #start} once, {@link #close} once.
+ *
+ * <p>Safe for use by any thread.
+ */
+public final class PeerServer implements AutoCloseable {
+  private static final long SHORTEST_PING_INTERVAL_MILLIS = 500;
+  private static final long STOP_TIMEOUT_MILLIS = 500;
+
+  private final Server server;
+
+  private PeerServer(Server server) {
+    this.server = server;
+  }
+
+  /** Starts a server for the services; the interceptors see each call first. */
+  public static PeerServer start(
+      String host, int port, List<BindableService> services, List<ServerInterceptor> interceptors)
+      throws IOException {
+    NettyServerBuilder builder =
+        NettyServerBuilder.forAddress(new InetSocketAddress(host, port))
+            .permitKeepAliveTime(SHORTEST_PING_INTERVAL_MILLIS, TimeUnit.MILLISECONDS)
+            .permitKeepAliveWithoutCalls(true);
+    services.forEach(builder::addService);
+    interceptors.forEach(builder::intercept);
+    return new PeerServer(builder.build().start());
+  }
+
+  @Override
+  public void close() {
+    server.shutdown();
+    try {
+      if (!server.awaitTermination(STOP_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)) {
+        server.shutdownNow();
+      }
+    } catch (InterruptedException e) {
+      server.shutdownNow();
+      Thread.currentThread().interrupt();
+    }
+  }
+}
