--- a/daemon/src/main/java/org/heatherspread/daemon/http/HttpFrontend.java
+++ b/daemon/src/main/java/org/heatherspread/daemon/http/HttpFrontend.java
@@ -2,6 +2,7 @@
 
 import static org.apache.pekko.http.javadsl.server.Directives.complete;
 import static org.apache.pekko.http.javadsl.server.Directives.concat;
+import static org.apache.pekko.http.javadsl.server.Directives.extractRequest;
 import static org.apache.pekko.http.javadsl.server.Directives.handleExceptions;
 import static org.apache.pekko.http.javadsl.server.Directives.handleRejections;
 
@@ -16,6 +17,7 @@
 import org.apache.pekko.http.javadsl.ServerBinding;
 import org.apache.pekko.http.javadsl.server.ExceptionHandler;
 import org.apache.pekko.http.javadsl.server.MethodRejection;
+import org.apache.pekko.http.javadsl.server.Rejection;
 import org.apache.pekko.http.javadsl.server.RejectionHandler;
 import org.apache.pekko.http.javadsl.server.Route;
 import org.apache.pekko.http.scaladsl.model.EntityStreamSizeException;
