--- /dev/null
+++ b/core/src/main/java/org/heatherspread/core/routing/CacheEventFeed.java
@@ -0,0 +1,73 @@
+package org.heatherspread.core.routing;
+
+/**
+ * Applies the cache events of one endpoint to the index in the order of their numbers.
+ *
+ * <p>A missing number or a new incarnation drops all that the index holds of the endpoint, since an
+ * eviction may have been among what was missed. Events already applied are ignored. Not safe for
+ * use by several threads: one poller feeds one endpoint.
+ */
+public final class CacheEventFeed {
+  private static final long NONE = -1;
+
+  private final PrefixIndex index;
+  private final int slot;
+  private long incarnation = NONE;
+  private long last = NONE;
+  private long gaps;
+
+  private CacheEventFeed(PrefixIndex index, int slot) {
+    this.index = index;
+    this.slot = slot;
+  }
+
+  /** Creates the feed of an endpoint that has published nothing yet. */
+  public static CacheEventFeed create(PrefixIndex index, int slot) {
+    return new CacheEventFeed(index, slot);
+  }
+
+  /** Returns the number of the last event applied, or -1; the next poll asks for what follows. */
+  public long last() {
+    return last;
+  }
+
+  /** Returns how often events were missing. */
+  public long gaps() {
+    return gaps;
+  }
+
+  /** Notes which process publishes; a new one starts with an empty cache. */
+  public void incarnation(long current, long nowMillis) {
+    if (incarnation == current) {
+      return;
+    }
+    if (incarnation != NONE) {
+      index.drop(slot, nowMillis);
+    }
+    incarnation = current;
+    last = NONE;
+  }
+
+  /** Applies one event; returns whether it was new. */
+  public boolean apply(CacheEvent event, long nowMillis) {
+    if (last != NONE && event.seq() <= last) {
+      return false;
+    }
+    if (last != NONE && event.seq() != last + 1) {
+      gaps++;
+      index.drop(slot, nowMillis);
+    }
+    last = event.seq();
+    switch (event.kind()) {
+      case STORED -> index.add(event.hashes(), event.hashes().length, slot, nowMillis);
+      case EVICTED -> {
+        for (long hash : event.hashes()) {
+          index.remove(hash, slot);
+        }
+      }
+      case CLEARED -> index.drop(slot, nowMillis);
+      default -> throw new IllegalStateException("unknown kind " + event.kind());
+    }
+    return true;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/heatherspread/core/routing/HealthPolicy.java
@@ -0,0 +1,30 @@
+package org.heatherspread.core.routing;
+
+import java.time.Duration;
+
+/**
+ * When an endpoint is ejected and how it returns. Immutable.
+ *
+ * @param failures consecutive failures that eject
+ * @param slowRatio moving average of observed over expected time to the first token that ejects
+ * @param slowSamples answers needed before an endpoint can be called slow
+ * @param firstPause length of the first ejection; doubles with each further one
+ * @param longestPause bound of the pause
+ * @param rampUp time over which a returned endpoint comes back to its full share
+ * @param maxEjected largest share of a service's endpoints that may stay ejected, 0 to 1
+ */
+public record HealthPolicy(
+    int failures,
+    double slowRatio,
+    int slowSamples,
+    Duration firstPause,
+    Duration longestPause,
+    Duration rampUp,
+    double maxEjected) {
+
+  /** Returns the policy used when the settings give none. */
+  public static HealthPolicy defaults() {
+    return new HealthPolicy(
+        3, 5.0, 20, Duration.ofSeconds(2), Duration.ofSeconds(60), Duration.ofSeconds(10), 0.5);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/heatherspread/core/routing/PrefixMatch.java
@@ -0,0 +1,64 @@
+package org.heatherspread.core.routing;
+
+/**
+ * Endpoints that hold a prefix of one prompt, longest prefix first. Reusable buffer of fixed size.
+ *
+ * <p>Not safe for use by several threads; each call has its own.
+ */
+public final class PrefixMatch {
+  private final int[] slots;
+  private final int[] blocks;
+  private int size;
+
+  private PrefixMatch(int limit) {
+    slots = new int[limit];
+    blocks = new int[limit];
+  }
+
+  /** Creates an empty match of at most {@code limit} endpoints. */
+  public static PrefixMatch ofSize(int limit) {
+    return new PrefixMatch(limit);
+  }
+
+  /** Returns how many endpoints were found. */
+  public int size() {
+    return size;
+  }
+
+  /** Returns the slot of a found endpoint. */
+  public int slot(int index) {
+    return slots[index];
+  }
+
+  /** Returns how many blocks from the start of the prompt a found endpoint holds. */
+  public int blocks(int index) {
+    return blocks[index];
+  }
+
+  /** Returns how many blocks the endpoint of a slot holds; 0 if it was not found. */
+  public int blocksOf(int slot) {
+    for (int i = 0; i < size; i++) {
+      if (slots[i] == slot) {
+        return blocks[i];
+      }
+    }
+    return 0;
+  }
+
+  boolean full() {
+    return size == slots.length;
+  }
+
+  void clear() {
+    size = 0;
+  }
+
+  void add(int slot, int count) {
+    if (full() || blocksOf(slot) > 0) {
+      return;
+    }
+    slots[size] = slot;
+    blocks[size] = count;
+    size++;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/heatherspread/core/routing/Rendezvous.java
@@ -0,0 +1,29 @@
+package org.heatherspread.core.routing;
+
+/**
+ * Scores of highest random weight hashing (Thaler and Ravishankar, 1998), by which daemons agree on
+ * the homes of a prefix without talking. The mixing step is the finaliser of SplitMix64.
+ */
+public final class Rendezvous {
+  private Rendezvous() {}
+
+  /** Returns the fixed part of an endpoint's score. */
+  public static long seed(String id) {
+    long hash = 0xCBF29CE484222325L;
+    for (int i = 0; i < id.length(); i++) {
+      hash = (hash ^ id.charAt(i)) * 0x100000001B3L;
+    }
+    return mix(hash);
+  }
+
+  /** Returns the score of an endpoint for a key, as an unsigned number shifted to be positive. */
+  public static long score(long seed, long key) {
+    return mix(seed ^ key) >>> 1;
+  }
+
+  private static long mix(long value) {
+    long mixed = (value ^ (value >>> 30)) * 0xBF58476D1CE4E5B9L;
+    mixed = (mixed ^ (mixed >>> 27)) * 0x94D049BB133111EBL;
+    return mixed ^ (mixed >>> 31);
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/heatherspread/core/routing/PrefixIndexTest.java
@@ -0,0 +1,120 @@
+package org.heatherspread.core.routing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.HashSet;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.LongRange;
+import org.heatherspread.core.routing.CacheEvent.Kind;
+import org.junit.jupiter.api.Test;
+
+class PrefixIndexTest {
+  private static final int LIFETIME_SECONDS = 600;
+  private static final long NOW = 10_000_000;
+
+  private final PrefixIndex index = PrefixIndex.create(1 << 20, LIFETIME_SECONDS);
+  private final PrefixMatch match = PrefixMatch.ofSize(16);
+
+  @Test
+  void longestHolderComesFirst() {
+    long[] hashes = {11, 12, 13, 14};
+    index.add(hashes, 2, 5, NOW);
+    index.add(hashes, 4, 9, NOW);
+
+    index.lookup(hashes, match, NOW);
+
+    assertThat(match.size()).isEqualTo(2);
+    assertThat(match.slot(0)).isEqualTo(9);
+    assertThat(match.blocks(0)).isEqualTo(4);
+    assertThat(match.blocksOf(5)).isEqualTo(2);
+    assertThat(match.blocksOf(7)).isZero();
+  }
+
+  @Test
+  void entriesExpireUnlessConfirmed() {
+    long[] hashes = {1, 2};
+    index.add(hashes, 2, 1, NOW);
+    index.add(hashes, 1, 2, NOW);
+    long later = NOW + LIFETIME_SECONDS * 1_000L + 1_000;
+    index.add(hashes, 1, 2, later - 2_000);
+
+    index.lookup(hashes, match, later);
+
+    assertThat(match.blocksOf(1)).isZero();
+    assertThat(match.blocksOf(2)).isEqualTo(1);
+  }
+
+  @Test
+  void sweptEntriesStayAwayWhenTheirStampComesRoundAgain() {
+    long[] hashes = {1};
+    index.add(hashes, 1, 1, NOW);
+    index.sweep(Integer.MAX_VALUE, NOW + 2_000_000);
+    long oneRound = 65_536_000;
+
+    index.lookup(hashes, match, NOW + oneRound);
+
+    assertThat(match.size()).isZero();
+  }
+
+  @Test
+  void gapInEventsDropsTheEndpoint() {
+    CacheEventFeed feed = CacheEventFeed.create(index, 3);
+    feed.incarnation(1, NOW);
+    feed.apply(new CacheEvent(7, Kind.STORED, new long[] {21, 22}), NOW);
+    index.add(21, 4, NOW);
+
+    feed.apply(new CacheEvent(9, Kind.STORED, new long[] {31}), NOW + 5_000);
+
+    index.lookup(new long[] {21, 22}, match, NOW + 6_000);
+    assertThat(match.blocksOf(3)).isZero();
+    assertThat(match.blocksOf(4)).isEqualTo(1);
+    assertThat(feed.gaps()).isEqualTo(1);
+  }
+
+  @Test
+  void oldEventsAreIgnoredAndNewIncarnationsStartEmpty() {
+    CacheEventFeed feed = CacheEventFeed.create(index, 3);
+    feed.incarnation(1, NOW);
+    feed.apply(new CacheEvent(1, Kind.STORED, new long[] {21}), NOW);
+    feed.apply(new CacheEvent(2, Kind.EVICTED, new long[] {21}), NOW);
+
+    assertThat(feed.apply(new CacheEvent(1, Kind.STORED, new long[] {21}), NOW)).isFalse();
+    index.lookup(new long[] {21}, match, NOW);
+    assertThat(match.size()).isZero();
+
+    index.add(21, 3, NOW);
+    feed.incarnation(2, NOW + 5_000);
+    index.lookup(new long[] {21}, match, NOW + 5_000);
+    assertThat(match.size()).isZero();
+    assertThat(feed.last()).isEqualTo(-1);
+  }
+
+  @Property(seed = "71", tries = 200)
+  void matchHoldsOnlyWhatWasAdded(
+      @ForAll @LongRange(min = 1, max = 1_000) long base,
+      @ForAll @IntRange(min = 1, max = 64) int blocks,
+      @ForAll @IntRange(min = 0, max = 1_332) int slot) {
+    PrefixIndex small = PrefixIndex.create(PrefixIndex.BYTES_PER_BLOCK * 64L, LIFETIME_SECONDS);
+    Set<Long> added = new HashSet<>();
+    long[] hashes = new long[64];
+    for (int i = 0; i < hashes.length; i++) {
+      hashes[i] = base * 64 + i;
+      if (i < blocks) {
+        added.add(hashes[i]);
+      }
+    }
+    small.add(hashes, blocks, slot, NOW);
+
+    small.lookup(hashes, match, NOW);
+
+    assertThat(match.size()).isLessThanOrEqualTo(1);
+    assertThat(match.blocksOf(slot)).isLessThanOrEqualTo(blocks);
+    if (match.size() == 1) {
+      assertThat(added).contains(hashes[match.blocks(0) - 1]);
+    }
+    assertThat(small.capacity()).isEqualTo(64);
+  }
+}
