Add permits and the two keepers of calls that may not be repeated

Cause: a call that may not be repeated must run at most once without a store write per request and without trusting that endpoints check fencing. Change: the request id names owner and witness with their incarnations; tables for both, sealed records of a stopped witness, claims of idempotency keys over conditional writes, and permits signed with HMAC.

--- /dev/null
+++ b/core/src/main/java/org/heatherspread/core/record/RecordCounts.java
@@ -0,0 +1,11 @@
+package org.heatherspread.core.record;
+
+/**
+ * How full a table of records is and what it gave up. Immutable.
+ *
+ * @param records records kept now
+ * @param answerBytes bytes of answers kept now
+ * @param forgotten records forgotten after their retention, since the start
+ * @param droppedAnswers answers not kept because they were over a limit, since the start
+ */
+public record RecordCounts(int records, long answerBytes, long forgotten, long droppedAnswers) {}
--- /dev/null
+++ b/core/src/test/java/org/heatherspread/core/record/AtMostOnceTest.java
@@ -0,0 +1,70 @@
+package org.heatherspread.core.record;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.EnumSet;
+import java.util.Set;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.LongRange;
+import org.heatherspread.core.record.CallWorld.Mutation;
+
+/** A call that may not be repeated runs at most once, whatever is lost, late, doubled or killed. */
+class AtMostOnceTest {
+  private static final int STEPS = 160;
+  private static final int SEEDS_FOR_MUTATIONS = 3_000;
+
+  @Property(tries = 6_000, seed = "4711")
+  void holdsUnderRandomSchedules(@ForAll @LongRange(min = 0, max = 1L << 40) long seed) {
+    assertThat(violation(seed, Mutation.NONE)).as("seed %d", seed).isEmpty();
+  }
+
+  @Example
+  void checkFindsEveryMutation() {
+    for (Mutation mutation : Mutation.values()) {
+      long found = 0;
+      for (long seed = 0; seed < SEEDS_FOR_MUTATIONS; seed++) {
+        found += violation(seed, mutation).isEmpty() ? 0 : 1;
+      }
+      if (mutation == Mutation.NONE) {
+        assertThat(found).isZero();
+      } else {
+        assertThat(found).as("violations found of %s", mutation).isPositive();
+      }
+    }
+  }
+
+  @Example
+  void schedulesReachEveryAnswer() {
+    Set<CallState> reached = EnumSet.noneOf(CallState.class);
+    for (long seed = 0; seed < 500; seed++) {
+      CallWorld world = new CallWorld(seed, Mutation.NONE);
+      world.play(STEPS);
+      reached.addAll(world.told.keySet());
+    }
+    assertThat(reached)
+        .contains(
+            CallState.ANSWERED,
+            CallState.NOT_RUN,
+            CallState.UNKNOWN,
+            CallState.IN_PROGRESS,
+            CallState.NOT_HELD);
+  }
+
+  private static String violation(long seed, Mutation mutation) {
+    CallWorld world = new CallWorld(seed, mutation);
+    world.play(STEPS);
+    for (var run : world.runs.entrySet()) {
+      if (run.getValue() > 1) {
+        return "ran " + run.getValue() + " times: " + run.getKey();
+      }
+    }
+    for (RequestId id : world.toldNotRun) {
+      if (world.runs.containsKey(id)) {
+        return "told not run but ran: " + id;
+      }
+    }
+    return world.wrongAnswers.isEmpty() ? "" : world.wrongAnswers.get(0);
+  }
+}
