--- /dev/null
+++ b/cli/src/main/java/org/heatherspread/cli/impl/KeyCommands.java
@@ -0,0 +1,91 @@
+package org.heatherspread.cli.impl;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.security.SecureRandom;
+import java.util.Base64;
+import java.util.HexFormat;
+import java.util.List;
+import joptsimple.OptionSet;
+import org.heatherspread.cli.ExitStatus;
+
+/** The commands that make keys and their hashes; no daemon is asked. Stateless. */
+final class KeyCommands {
+  private static final int KEY_BYTES = 24;
+
+  private KeyCommands() {}
+
+  static List<Command> all() {
+    return List.of(new Hash(), new New());
+  }
+
+  private static ExitStatus print(String key, boolean show, Printer printer) {
+    if (printer.forPrograms()) {
+      ObjectNode tree = JsonNodeFactory.instance.objectNode();
+      if (show) {
+        tree.put("key", key);
+      }
+      printer.json(tree.put("key_hash", hash(key)));
+      return ExitStatus.OK;
+    }
+    if (show) {
+      printer.line("key       " + key);
+      printer.line("key hash  " + hash(key));
+    } else {
+      printer.line(hash(key));
+    }
+    return ExitStatus.OK;
+  }
+
+  private static String hash(String key) {
+    try {
+      MessageDigest digest = MessageDigest.getInstance("SHA-256");
+      return HexFormat.of().formatHex(digest.digest(key.getBytes(StandardCharsets.UTF_8)));
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException("SHA-256 is part of every Java platform", e);
+    }
+  }
+
+  /** Prints the hash of a key. */
+  private static final class Hash implements Command {
+    @Override
+    public String name() {
+      return "key hash";
+    }
+
+    @Override
+    public String summary() {
+      return "KEY: print the hash that settings and accounts keep";
+    }
+
+    @Override
+    public ExitStatus run(OptionSet options, CliContext context) {
+      return print(Arguments.only(options, name() + " takes KEY"), false, context.printer());
+    }
+  }
+
+  /** Makes a random key. */
+  private static final class New implements Command {
+    @Override
+    public String name() {
+      return "key new";
+    }
+
+    @Override
+    public String summary() {
+      return "make a random key and print it with its hash";
+    }
+
+    @Override
+    public ExitStatus run(OptionSet options, CliContext context) {
+      Arguments.none(options, name() + " takes no arguments");
+      byte[] bytes = new byte[KEY_BYTES];
+      new SecureRandom().nextBytes(bytes);
+      String key = Base64.getUrlEncoder().withoutPadding().encodeToString(bytes);
+      return print(key, true, context.printer());
+    }
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/org/heatherspread/cli/impl/Printer.java
@@ -0,0 +1,117 @@
+package org.heatherspread.cli.impl;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Prints answers as JSON for programs or as tables for people.
+ *
+ * <p>Confined to the tool's main thread.
+ */
+public final class Printer {
+  private static final ObjectMapper JSON = new ObjectMapper();
+  private static final String GAP = "  ";
+
+  private final PrintStream out;
+  private final boolean json;
+
+  private Printer(PrintStream out, boolean json) {
+    this.out = out;
+    this.json = json;
+  }
+
+  /** Creates a printer. */
+  public static Printer create(PrintStream out, boolean json) {
+    return new Printer(out, json);
+  }
+
+  /** Tells whether programs read the output. */
+  public boolean forPrograms() {
+    return json;
+  }
+
+  /** Prints one line for people; programs do not see it. */
+  public void line(String text) {
+    if (!json) {
+      out.println(text);
+    }
+  }
+
+  /** Prints a whole answer as JSON in one line. */
+  public void json(JsonNode tree) {
+    try {
+      out.println(JSON.writeValueAsString(tree));
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("a JSON tree could not be written", e);
+    }
+  }
+
+  /** Prints the rows of an array, with one column for each path into a row. */
+  public void table(JsonNode rows, List<Column> columns) {
+    List<List<String>> cells = new ArrayList<>();
+    cells.add(columns.stream().map(Column::title).toList());
+    for (JsonNode row : rows) {
+      cells.add(columns.stream().map(column -> cell(row.at(column.pointer()))).toList());
+    }
+    int[] widths = widths(cells, columns.size());
+    for (List<String> row : cells) {
+      out.println(join(row, widths));
+    }
+  }
+
+  /** Prints the members of an object, one a line, nested ones indented. */
+  public void object(JsonNode tree, String indent) {
+    for (Map.Entry<String, JsonNode> member : tree.properties()) {
+      JsonNode value = member.getValue();
+      if (value.isValueNode()) {
+        out.println(indent + member.getKey() + ": " + value.asText());
+        continue;
+      }
+      if (value.isEmpty()) {
+        continue;
+      }
+      out.println(indent + member.getKey() + ":");
+      if (value.isObject()) {
+        object(value, indent + GAP);
+        continue;
+      }
+      for (JsonNode item : value) {
+        out.println(indent + GAP + "- " + cell(item));
+      }
+    }
+  }
+
+  private static String cell(JsonNode value) {
+    if (value.isMissingNode() || value.isNull()) {
+      return "-";
+    }
+    return value.isValueNode() ? value.asText() : value.toString();
+  }
+
+  private static int[] widths(List<List<String>> cells, int columns) {
+    int[] widths = new int[columns];
+    for (List<String> row : cells) {
+      for (int i = 0; i < columns; i++) {
+        widths[i] = Math.max(widths[i], row.get(i).length());
+      }
+    }
+    return widths;
+  }
+
+  private static String join(List<String> row, int[] widths) {
+    StringBuilder line = new StringBuilder();
+    for (int i = 0; i < widths.length; i++) {
+      String text = row.get(i);
+      line.append(text).append(" ".repeat(widths[i] - text.length())).append(GAP);
+    }
+    return line.toString().stripTrailing();
+  }
+
+  /** A column of a table: its title and the JSON pointer (RFC 6901) of its cells in a row. */
+  public record Column(String title, String pointer) {}
+}
