--- /dev/null
+++ b/daemon/src/main/java/org/heatherspread/daemon/DaemonMain.java
@@ -0,0 +1,77 @@
+package org.heatherspread.daemon;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import joptsimple.OptionException;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import org.heatherspread.daemon.settings.DaemonFile;
+import org.heatherspread.settings.SettingsException;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Starts one daemon: {@code heatherspread-daemon --config FILE}. A stop signal drains it.
+ *
+ * <p>Stateless.
+ */
+public final class DaemonMain {
+  private static final Logger logger = LoggerFactory.getLogger(DaemonMain.class);
+  private static final int START_FAILED = 1;
+  private static final int USAGE_ERROR = 2;
+
+  private DaemonMain() {}
+
+  /** Runs the daemon until it is stopped; exits with 2 for wrong settings. */
+  public static void main(String[] args) throws IOException {
+    OptionParser parser = new OptionParser();
+    parser.accepts("config", "settings file (TOML)").withRequiredArg();
+    parser.accepts("check", "check the settings, print every fault, and exit");
+    parser.accepts("help", "show this help").forHelp();
+    OptionSet options;
+    try {
+      options = parser.parse(args);
+    } catch (OptionException e) {
+      System.err.println(e.getMessage());
+      System.exit(USAGE_ERROR);
+      return;
+    }
+    if (options.has("help") || !options.has("config")) {
+      parser.printHelpOn(options.has("help") ? System.out : System.err);
+      System.exit(options.has("help") ? 0 : USAGE_ERROR);
+    }
+    DaemonFile file = load(Path.of(options.valueOf("config").toString()));
+    if (options.has("check")) {
+      System.out.println("the settings are right");
+      System.exit(0);
+    }
+    run(file);
+  }
+
+  private static DaemonFile load(Path path) {
+    try {
+      return DaemonFile.load(path);
+    } catch (SettingsException e) {
+      System.err.println(e.getMessage());
+      System.exit(USAGE_ERROR);
+      throw e;
+    }
+  }
+
+  private static void run(DaemonFile file) {
+    try {
+      DaemonRuntime runtime = DaemonRuntime.start(file);
+      Runtime.getRuntime().addShutdownHook(new Thread(runtime::stop, "drain"));
+      logger
+          .atInfo()
+          .addKeyValue("daemon", file.daemon().id())
+          .addKeyValue("domain", file.daemon().domain().toString())
+          .addKeyValue("http_port", file.daemon().httpPort())
+          .addKeyValue("peer_port", file.daemon().peerPort())
+          .log("daemon started");
+    } catch (IOException | RuntimeException e) {
+      logger.atError().setCause(e).log("the daemon could not start");
+      System.exit(START_FAILED);
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/heatherspread/daemon/settings/DaemonFile.java
@@ -0,0 +1,47 @@
+package org.heatherspread.daemon.settings;
+
+import java.nio.file.Path;
+import java.util.Map;
+import org.heatherspread.settings.SettingsReader;
+
+/**
+ * All settings of a daemon, from one TOML file. Immutable.
+ *
+ * @param daemon who the daemon is
+ * @param http bounds of the HTTP interface
+ * @param platform where the platform's services are
+ * @param operators who may operate the deployment
+ */
+public record DaemonFile(
+    DaemonSettings daemon,
+    HttpSettings http,
+    PlatformSettings platform,
+    OperatorSettings operators) {
+
+  /**
+   * Loads a file.
+   *
+   * @throws org.heatherspread.settings.SettingsException with every fault of the file
+   */
+  public static DaemonFile load(Path file) {
+    SettingsReader reader = SettingsReader.load(file);
+    DaemonFile settings = read(reader);
+    reader.finish();
+    return settings;
+  }
+
+  /** Returns every key a file may have, with its type, range and default in words. */
+  public static Map<String, String> keys() {
+    SettingsReader reader = SettingsReader.parse("", "");
+    read(reader);
+    return reader.declaredKeys();
+  }
+
+  private static DaemonFile read(SettingsReader reader) {
+    return new DaemonFile(
+        DaemonSettings.read(reader.section("daemon")),
+        HttpSettings.read(reader.section("http")),
+        PlatformSettings.read(reader.section("platform")),
+        OperatorSettings.read(reader.section("operators")));
+  }
+}
