Add the stand-ins for engines, plain services, table service and cloud

Nothing could be run end to end without the other side of each interface. Four stand-ins run as processes of their own (StandinMain KIND): an engine that batches continuously with a limited prefix cache, priorities, KV export and import, fencing that is checked or ignored, late cache events and lagging load; a plain service; a table service over DynamoDB's JSON protocol; a cloud with a lagging list and notices. Answers are pure functions of the request, so that callers can verify them whole, and endpoints keep a ledger of what truly ran.

--- /dev/null
+++ b/standin/src/main/java/org/heatherspread/standin/cloud/CloudInstance.java
@@ -0,0 +1,59 @@
+package org.heatherspread.standin.cloud;
+
+import com.fasterxml.jackson.annotation.JsonInclude;
+import java.util.Locale;
+
+/**
+ * An instance as the instance list and the cloud API give it; see section 4 of docs/INTERFACES.md.
+ * Immutable.
+ */
+@JsonInclude(JsonInclude.Include.NON_NULL)
+record CloudInstance(
+    String id,
+    long incarnation,
+    String kind,
+    String service,
+    String region,
+    String domain,
+    String host,
+    int port,
+    int peerPort,
+    String machineClass,
+    String market,
+    double pricePerHour,
+    String state,
+    Long leavingAt) {
+
+  boolean reclaimable() {
+    return "reclaimable".equals(market);
+  }
+
+  boolean leaving() {
+    return "leaving".equals(state);
+  }
+
+  CloudInstance withState(State next, Long at) {
+    return new CloudInstance(
+        id,
+        incarnation,
+        kind,
+        service,
+        region,
+        domain,
+        host,
+        port,
+        peerPort,
+        machineClass,
+        market,
+        pricePerHour,
+        next.name().toLowerCase(Locale.ROOT),
+        at);
+  }
+
+  /** States of an instance. */
+  enum State {
+    STARTING,
+    LIVE,
+    LEAVING
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/heatherspread/standin/engine/ChatCall.java
@@ -0,0 +1,88 @@
+package org.heatherspread.standin.engine;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.List;
+import org.heatherspread.core.routing.PrefixHashes;
+import org.heatherspread.standin.http.BadRequestException;
+
+/**
+ * A chat completion as the engine was asked for it. Immutable; the prompt must not be changed.
+ *
+ * @param requestId id of the request
+ * @param attempt number of the attempt
+ * @param idempotencyKey key of the request, or null
+ * @param priority higher goes first
+ * @param model the model asked for
+ * @param prompt the rendered prompt
+ * @param maxTokens length of the whole answer, tokens already delivered included
+ * @param continueText answer text already delivered
+ * @param continueOffset tokens already delivered
+ * @param kvId imported KV cache to go on from, or empty
+ */
+@SuppressWarnings("ArrayRecordComponent")
+record ChatCall(
+    String requestId,
+    long attempt,
+    String idempotencyKey,
+    long priority,
+    String model,
+    byte[] prompt,
+    int maxTokens,
+    String continueText,
+    int continueOffset,
+    String kvId) {
+  private static final int DEFAULT_MAX_TOKENS = 128;
+
+  /** Reads the body of a chat completion. */
+  static ChatCall parse(
+      String requestId, long attempt, String idempotencyKey, long priority, JsonNode body) {
+    if (!body.path("stream").asBoolean(false)) {
+      throw new BadRequestException("this engine answers only with a stream");
+    }
+    JsonNode from = body.path("continue_from");
+    int maxTokens = body.path("max_tokens").asInt(DEFAULT_MAX_TOKENS);
+    maxTokens = body.path("max_completion_tokens").asInt(maxTokens);
+    if (maxTokens < 1) {
+      throw new BadRequestException("max_tokens must be positive");
+    }
+    return new ChatCall(
+        requestId,
+        attempt,
+        idempotencyKey,
+        priority,
+        body.path("model").asText(),
+        PrefixHashes.render(messages(body.path("messages"))),
+        maxTokens,
+        from.path("text").asText(""),
+        from.path("offset").asInt(0),
+        from.path("kv_id").asText(""));
+  }
+
+  private static List<PrefixHashes.Message> messages(JsonNode array) {
+    if (!array.isArray() || array.isEmpty()) {
+      throw new BadRequestException("messages must be a list that is not empty");
+    }
+    List<PrefixHashes.Message> messages = new ArrayList<>();
+    for (JsonNode m : array) {
+      messages.add(new PrefixHashes.Message(m.path("role").asText(), content(m.path("content"))));
+    }
+    return messages;
+  }
+
+  private static String content(JsonNode content) {
+    if (!content.isArray()) {
+      return content.asText();
+    }
+    StringBuilder text = new StringBuilder();
+    for (JsonNode part : content) {
+      text.append(part.path("text").asText());
+    }
+    return text.toString();
+  }
+
+  /** Tells whether this attempt goes on where another ended. */
+  boolean continues() {
+    return attempt > 1 || continueOffset > 0;
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/heatherspread/standin/engine/EngineLoad.java
@@ -0,0 +1,40 @@
+package org.heatherspread.standin.engine;
+
+/**
+ * The load figures of one moment. Immutable.
+ *
+ * @param running requests in the batch
+ * @param waiting requests that wait for a place in the batch
+ * @param waitingPromptTokens tokens still to be computed before the first answer token
+ * @param kvUsedRatio share of the KV memory in use, 0 to 1
+ * @param decodeTokensPerSecond speed of one stream
+ * @param prefillTokensPerSecond speed of the whole engine
+ * @param reportTimeMillis when the figures were taken, in milliseconds since the epoch
+ */
+record EngineLoad(
+    int running,
+    int waiting,
+    long waitingPromptTokens,
+    double kvUsedRatio,
+    double decodeTokensPerSecond,
+    double prefillTokensPerSecond,
+    long reportTimeMillis) {
+
+  /** Returns the figures as Prometheus text. */
+  String prometheus() {
+    StringBuilder text = new StringBuilder();
+    gauge(text, "engine_running_requests", running);
+    gauge(text, "engine_waiting_requests", waiting);
+    gauge(text, "engine_waiting_prompt_tokens", waitingPromptTokens);
+    gauge(text, "engine_kv_used_ratio", kvUsedRatio);
+    gauge(text, "engine_decode_tokens_per_second", decodeTokensPerSecond);
+    gauge(text, "engine_prefill_tokens_per_second", prefillTokensPerSecond);
+    gauge(text, "engine_report_time_ms", reportTimeMillis);
+    return text.toString();
+  }
+
+  private static void gauge(StringBuilder text, String name, Number value) {
+    text.append("# TYPE ").append(name).append(" gauge\n");
+    text.append(name).append(' ').append(value).append('\n');
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/heatherspread/standin/engine/KvTransfer.java
@@ -0,0 +1,55 @@
+package org.heatherspread.standin.engine;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
+import org.heatherspread.standin.http.BadRequestException;
+import org.heatherspread.standin.http.JsonHttp;
+
+/**
+ * Fetches exported KV caches from other engines. The descriptor stands for the bytes, which take
+ * their size divided by the bandwidth to arrive.
+ *
+ * <p>Safe for use by any thread.
+ */
+final class KvTransfer {
+  private static final Duration TIMEOUT = Duration.ofSeconds(5);
+
+  private final HttpClient client = HttpClient.newBuilder().connectTimeout(TIMEOUT).build();
+  private final long bytesPerSecond;
+
+  KvTransfer(long bytesPerSecond) {
+    this.bytesPerSecond = bytesPerSecond;
+  }
+
+  /** Fetches a KV cache; fails if the source does not hold it or cannot be reached. */
+  CompletableFuture<KvStore.Kv> fetch(String kvId, String source) {
+    HttpRequest request;
+    try {
+      request =
+          HttpRequest.newBuilder(URI.create(source + "/v1/kv/" + kvId)).timeout(TIMEOUT).build();
+    } catch (IllegalArgumentException e) {
+      throw new BadRequestException("bad source: " + source);
+    }
+    return client
+        .sendAsync(request, BodyHandlers.ofByteArray())
+        .thenCompose(answer -> arrive(answer.statusCode(), answer.body()));
+  }
+
+  private CompletableFuture<KvStore.Kv> arrive(int status, byte[] body) {
+    if (status != 200) {
+      throw new CompletionException(new BadRequestException("source answered " + status));
+    }
+    JsonNode descriptor = JsonHttp.parse(body);
+    KvStore.Kv kv = JsonHttp.value(descriptor, KvStore.Kv.class);
+    long millis = kv.bytes() * 1_000 / bytesPerSecond;
+    return CompletableFuture.supplyAsync(
+        () -> kv, CompletableFuture.delayedExecutor(millis, TimeUnit.MILLISECONDS));
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/heatherspread/standin/engine/ModelTable.java
@@ -0,0 +1,163 @@
+package org.heatherspread.standin.engine;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.heatherspread.standin.http.BadRequestException;
+import org.heatherspread.standin.http.JsonHttp;
+
+/**
+ * The model versions that an engine holds, the orders that change them and the fencing numbers of
+ * these orders. Versions load one after another, each in a fixed time.
+ *
+ * <p>Safe for use by any thread.
+ */
+final class ModelTable {
+  private static final String ANY = "*";
+
+  private final EngineSettings settings;
+  private final Map<String, Model> loaded = new LinkedHashMap<>();
+  private final Deque<Model> loading = new ArrayDeque<>();
+  private String role = "general";
+  private long highestFencing;
+  private long loadEndsMillis;
+  private long staleOrders;
+
+  ModelTable(EngineSettings settings) {
+    this.settings = settings;
+    for (String name : settings.models()) {
+      int at = name.indexOf('@');
+      String service = at < 0 ? name : name.substring(0, at);
+      String version = at < 0 ? ANY : name.substring(at + 1);
+      Model model = new Model(service, version, List.of());
+      loaded.put(model.key(), model);
+    }
+  }
+
+  /** A model version with its adapters. Immutable. */
+  record Model(String service, String version, List<String> adapters) {
+    Model {
+      adapters = adapters == null ? List.of() : List.copyOf(adapters);
+      if (service == null || version == null) {
+        throw new BadRequestException("a model needs service and version");
+      }
+    }
+
+    String key() {
+      return service + "@" + version;
+    }
+  }
+
+  /** The state as {@code GET /v1/state} gives it. */
+  record State(
+      String instanceId,
+      long incarnation,
+      List<Model> models,
+      String role,
+      long highestFencing,
+      List<Model> loading) {}
+
+  /** Tells whether a model name can be served: SERVICE, SERVICE@VERSION, each with :ADAPTER. */
+  synchronized boolean serves(String name) {
+    finishLoads();
+    int colon = name.indexOf(':');
+    String adapter = colon < 0 ? "" : name.substring(colon + 1);
+    String base = colon < 0 ? name : name.substring(0, colon);
+    int at = base.indexOf('@');
+    String service = at < 0 ? base : base.substring(0, at);
+    String version = at < 0 ? "" : base.substring(at + 1);
+    for (Model m : loaded.values()) {
+      if (matches(m, service, version, adapter)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private static boolean matches(Model m, String service, String version, String adapter) {
+    if (m.service().equals(ANY)) {
+      return true;
+    }
+    boolean sameVersion =
+        version.isEmpty() || m.version().equals(ANY) || m.version().equals(version);
+    boolean hasAdapter =
+        adapter.isEmpty() || m.version().equals(ANY) || m.adapters().contains(adapter);
+    return m.service().equals(service) && sameVersion && hasAdapter;
+  }
+
+  /** Takes an order; returns false where its fencing number is refused. */
+  synchronized boolean order(JsonNode order) {
+    long fencing = order.path("fencing").asLong(-1);
+    JsonNode desired = order.path("desired");
+    if (fencing < 0 || !desired.isObject()) {
+      throw new BadRequestException("an order needs fencing and desired");
+    }
+    if (fencing < highestFencing) {
+      staleOrders++;
+      if (settings.checksFencing()) {
+        return false;
+      }
+    }
+    highestFencing = Math.max(highestFencing, fencing);
+    finishLoads();
+    role = desired.path("role").asText(role);
+    if (desired.path("models").isArray()) {
+      apply(desired.path("models"));
+    }
+    return true;
+  }
+
+  private void apply(JsonNode models) {
+    Map<String, Model> wanted = new LinkedHashMap<>();
+    for (JsonNode node : models) {
+      Model m = JsonHttp.value(node, Model.class);
+      wanted.put(m.key(), m);
+    }
+    loaded.keySet().retainAll(wanted.keySet());
+    loading.removeIf(m -> !m.equals(wanted.get(m.key())));
+    for (Model m : wanted.values()) {
+      if (loaded.containsKey(m.key())) {
+        loaded.put(m.key(), m);
+      } else if (!loading.contains(m)) {
+        startLoad(m);
+      }
+    }
+    finishLoads();
+  }
+
+  private void startLoad(Model m) {
+    if (loading.isEmpty()) {
+      loadEndsMillis = System.currentTimeMillis() + settings.loadMillis();
+    }
+    loading.add(m);
+  }
+
+  private void finishLoads() {
+    long now = System.currentTimeMillis();
+    while (!loading.isEmpty() && loadEndsMillis <= now) {
+      Model m = loading.remove();
+      loaded.put(m.key(), m);
+      loadEndsMillis += settings.loadMillis();
+    }
+  }
+
+  synchronized State state() {
+    finishLoads();
+    return new State(
+        settings.id(),
+        settings.incarnation(),
+        new ArrayList<>(loaded.values()),
+        role,
+        highestFencing,
+        new ArrayList<>(loading));
+  }
+
+  /** Returns how many orders came with an old fencing number. */
+  synchronized long staleOrders() {
+    return staleOrders;
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/heatherspread/standin/http/JsonHttp.java
@@ -0,0 +1,133 @@
+package org.heatherspread.standin.http;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.ObjectReader;
+import com.fasterxml.jackson.databind.PropertyNamingStrategies;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
+import java.io.IOException;
+import java.util.concurrent.CompletionStage;
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.http.javadsl.model.ContentTypes;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.model.headers.RawHeader;
+
+/**
+ * JSON in and out of the stand-ins' HTTP interfaces. Member names are in snake case.
+ *
+ * <p>Stateless; safe for use by any thread.
+ */
+public final class JsonHttp {
+  private static final ObjectMapper MAPPER =
+      JsonMapper.builder()
+          .addModule(new Jdk8Module())
+          .propertyNamingStrategy(PropertyNamingStrategies.SNAKE_CASE)
+          .enable(com.fasterxml.jackson.databind.MapperFeature.ACCEPT_CASE_INSENSITIVE_ENUMS)
+          .build();
+  private static final ObjectReader TREE =
+      MAPPER.readerFor(JsonNode.class).with(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
+  private static final long MAX_BODY_BYTES = 64L << 20;
+  private static final long BODY_TIMEOUT_MILLIS = 10_000;
+
+  private JsonHttp() {}
+
+  /** Returns an empty object to fill. */
+  public static ObjectNode object() {
+    return MAPPER.createObjectNode();
+  }
+
+  /** Returns a value as JSON text. */
+  public static String text(Object value) {
+    try {
+      return MAPPER.writeValueAsString(value);
+    } catch (JsonProcessingException e) {
+      throw new IllegalArgumentException("Not representable as JSON: " + value, e);
+    }
+  }
+
+  /** Parses a JSON text; fails with {@link BadRequestException}. */
+  public static JsonNode parse(byte[] body) {
+    try {
+      JsonNode node = TREE.readValue(body);
+      if (node == null || node.isMissingNode()) {
+        throw new BadRequestException("empty body");
+      }
+      return node;
+    } catch (IOException e) {
+      throw new BadRequestException(e.getMessage());
+    }
+  }
+
+  /** Reads a value of a type from JSON; fails with {@link BadRequestException}. */
+  public static <T> T value(JsonNode node, Class<T> type) {
+    try {
+      return MAPPER.treeToValue(node, type);
+    } catch (JsonProcessingException | IllegalArgumentException e) {
+      throw new BadRequestException(e.getMessage());
+    }
+  }
+
+  /** Returns a copy of a record with the members of a patch replaced. */
+  public static <T> T patched(T value, JsonNode patch, Class<T> type) {
+    if (!(patch instanceof ObjectNode changes)) {
+      throw new BadRequestException("an object is expected");
+    }
+    ObjectNode merged = MAPPER.valueToTree(value);
+    merged.setAll(changes);
+    return value(merged, type);
+  }
+
+  /** Builds an answer with a JSON body. */
+  public static HttpResponse answer(int status, Object body) {
+    return HttpResponse.create()
+        .withStatus(status)
+        .withEntity(ContentTypes.APPLICATION_JSON, text(body));
+  }
+
+  /** Builds an error answer. */
+  public static HttpResponse error(int status, String reason) {
+    return answer(status, object().put("error", reason));
+  }
+
+  /** Builds the answer of an endpoint that refuses a request before running it. */
+  public static HttpResponse notRun(String reason) {
+    return error(503, reason).addHeader(RawHeader.create("X-Not-Run", "true"));
+  }
+
+  /** Reads the whole body. */
+  public static CompletionStage<byte[]> body(HttpRequest request, ActorSystem<?> system) {
+    return request
+        .entity()
+        .withSizeLimit(MAX_BODY_BYTES)
+        .toStrict(BODY_TIMEOUT_MILLIS, system)
+        .thenApply(e -> e.getData().toArray());
+  }
+
+  /** Returns the value of a request header, or the fallback. */
+  public static String header(HttpRequest request, String name, String fallback) {
+    return request.getHeader(name).map(h -> h.value()).orElse(fallback);
+  }
+
+  /** Returns the value of a numeric request header, or the fallback. */
+  public static long header(HttpRequest request, String name, long fallback) {
+    return number(header(request, name, Long.toString(fallback)));
+  }
+
+  /** Returns a numeric query parameter, or the fallback. */
+  public static long query(HttpRequest request, String name, long fallback) {
+    return request.getUri().query().get(name).map(JsonHttp::number).orElse(fallback);
+  }
+
+  private static long number(String text) {
+    try {
+      return Long.parseLong(text.strip());
+    } catch (NumberFormatException e) {
+      throw new BadRequestException("not a number: " + text);
+    }
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/heatherspread/standin/http/StandinServer.java
@@ -0,0 +1,92 @@
+package org.heatherspread.standin.http;
+
+import com.typesafe.config.Config;
+import com.typesafe.config.ConfigFactory;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Function;
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.actor.typed.javadsl.Behaviors;
+import org.apache.pekko.http.javadsl.Http;
+import org.apache.pekko.http.javadsl.ServerBinding;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+
+/**
+ * The HTTP server of one stand-in. Life cycle: {@link #start}, any number of requests, {@link
+ * #close} once.
+ *
+ * <p>Safe for use by any thread.
+ */
+public final class StandinServer implements AutoCloseable {
+  private static final String OVERRIDES =
+      """
+      pekko.loglevel = WARNING
+      pekko.daemonic = off
+      pekko.actor.default-dispatcher.fork-join-executor.parallelism-min = 2
+      pekko.actor.default-dispatcher.fork-join-executor.parallelism-max = 4
+      pekko.http.server.idle-timeout = 600s
+      pekko.http.server.request-timeout = infinite
+      pekko.http.server.max-connections = 8192
+      pekko.http.server.backlog = 1024
+      pekko.http.server.server-header = ""
+      """;
+
+  private final ActorSystem<Void> system;
+  private final Standin standin;
+  private final ServerBinding binding;
+
+  private StandinServer(ActorSystem<Void> system, Standin standin, ServerBinding binding) {
+    this.system = system;
+    this.standin = standin;
+    this.binding = binding;
+  }
+
+  /** Starts a server; port 0 takes any free port. */
+  public static StandinServer start(
+      String host, int port, Function<ActorSystem<Void>, Standin> factory) {
+    Config config = ConfigFactory.parseString(OVERRIDES).withFallback(ConfigFactory.load());
+    ActorSystem<Void> system = ActorSystem.create(Behaviors.empty(), "standin", config);
+    try {
+      Standin standin = factory.apply(system);
+      org.apache.pekko.japi.function.Function<HttpRequest, CompletionStage<HttpResponse>> handler =
+          request -> guarded(standin, request, system);
+      ServerBinding binding =
+          Http.get(system).newServerAt(host, port).bind(handler).toCompletableFuture().join();
+      return new StandinServer(system, standin, binding);
+    } catch (RuntimeException e) {
+      system.terminate();
+      throw e;
+    }
+  }
+
+  /** Returns the port that the server listens on. */
+  public int port() {
+    return binding.localAddress().getPort();
+  }
+
+  private static CompletionStage<HttpResponse> guarded(
+      Standin standin, HttpRequest request, ActorSystem<Void> system) {
+    CompletionStage<HttpResponse> answer;
+    try {
+      answer = standin.handle(request);
+    } catch (RuntimeException e) {
+      request.discardEntityBytes(system);
+      return CompletableFuture.completedFuture(failure(e));
+    }
+    return answer.exceptionally(StandinServer::failure);
+  }
+
+  private static HttpResponse failure(Throwable thrown) {
+    Throwable cause = thrown instanceof CompletionException ? thrown.getCause() : thrown;
+    int status = cause instanceof BadRequestException ? 400 : 500;
+    return JsonHttp.error(status, String.valueOf(cause.getMessage()));
+  }
+
+  @Override
+  public void close() {
+    standin.close();
+    system.terminate();
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/heatherspread/standin/table/TableCounters.java
@@ -0,0 +1,36 @@
+package org.heatherspread.standin.table;
+
+/**
+ * How often the table service was used since its start. Immutable.
+ *
+ * @param reads GetItem and Query calls served
+ * @param writes PutItem and DeleteItem calls served, conflicts included
+ * @param conflicts writes whose condition did not hold
+ * @param lost answers lost on purpose
+ * @param refused calls refused by an outage
+ */
+record TableCounters(long reads, long writes, long conflicts, long lost, long refused) {
+  static TableCounters zero() {
+    return new TableCounters(0, 0, 0, 0, 0);
+  }
+
+  TableCounters plusRead() {
+    return new TableCounters(reads + 1, writes, conflicts, lost, refused);
+  }
+
+  TableCounters plusWrite() {
+    return new TableCounters(reads, writes + 1, conflicts, lost, refused);
+  }
+
+  TableCounters plusConflict() {
+    return new TableCounters(reads, writes, conflicts + 1, lost, refused);
+  }
+
+  TableCounters plusLost() {
+    return new TableCounters(reads, writes, conflicts, lost + 1, refused);
+  }
+
+  TableCounters plusRefused() {
+    return new TableCounters(reads, writes, conflicts, lost, refused + 1);
+  }
+}
--- /dev/null
+++ b/standin/src/test/java/org/heatherspread/standin/CloudStandinTest.java
@@ -0,0 +1,77 @@
+package org.heatherspread.standin;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.heatherspread.standin.cloud.CloudSettings;
+import org.heatherspread.standin.cloud.CloudStandin;
+import org.heatherspread.standin.http.StandinServer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class CloudStandinTest {
+  private static final String INSTANCE =
+      """
+      {"id":"%s","incarnation":1,"kind":"engine","service":"assistant","region":"marmara",
+       "domain":"%s","host":"127.0.0.1","port":9,"peer_port":0,"machine_class":"gpu-small",
+       "market":"%s","price_per_hour":1.5,"state":"live"}
+      """;
+
+  private StandinServer server;
+  private StandinClient client;
+
+  @BeforeEach
+  void start() throws Exception {
+    server =
+        StandinServer.start(
+            "127.0.0.1", 0, s -> CloudStandin.create(s, new CloudSettings(0, 0, 1)));
+    client = new StandinClient(server.port());
+    client.json(
+        "POST",
+        "/standin/instances",
+        "{\"instances\":["
+            + INSTANCE.formatted("a", "kadikoy", "reclaimable")
+            + ","
+            + INSTANCE.formatted("b", "kadikoy", "on_demand")
+            + ","
+            + INSTANCE.formatted("c", "bursa", "reclaimable")
+            + "]}");
+  }
+
+  @AfterEach
+  void stop() {
+    server.close();
+  }
+
+  @Test
+  void reclaimOfDomainTakesItsReclaimableInstances() throws Exception {
+    JsonNode taken =
+        client.json("POST", "/standin/reclaim", "{\"domain\":\"kadikoy\",\"notice_ms\":60000}");
+    assertThat(taken.path("instances").toString()).isEqualTo("[\"a\"]");
+    JsonNode notices = client.json("GET", "/v1/notices?after=0", "");
+    assertThat(notices.at("/notices/0/instance_id").asText()).isEqualTo("a");
+    assertThat(notices.path("next").asInt()).isEqualTo(1);
+    JsonNode listed = client.json("GET", "/v1/instances", "");
+    assertThat(listed.at("/instances/0/state").asText()).isEqualTo("leaving");
+    assertThat(listed.at("/instances/0/leaving_at")).isEqualTo(taken.path("ends_at"));
+    assertThat(listed.at("/instances/1").has("leaving_at")).isFalse();
+  }
+
+  @Test
+  void startIsRefusedWithoutCapacityAndRepeatedByToken() throws Exception {
+    String call =
+        """
+        {"kind":"engine","service":"assistant","machine_class":"gpu-small","market":"reclaimable",
+         "region":"marmara","domain":"bursa","client_token":"t1"}
+        """;
+    assertThat(client.send("POST", "/v1/instances", call).statusCode()).isEqualTo(409);
+    client.json(
+        "POST",
+        "/standin/pool",
+        "{\"instances\":[" + INSTANCE.formatted("d", "bursa", "reclaimable") + "]}");
+    assertThat(client.send("POST", "/v1/instances", call).statusCode()).isEqualTo(201);
+    assertThat(client.json("POST", "/v1/instances", call).path("id").asText()).isEqualTo("d");
+    assertThat(client.json("GET", "/v1/instances", "").path("instances")).hasSize(4);
+  }
+}
