--- /dev/null
+++ b/daemon/src/main/java/org/heatherspread/daemon/DaemonRuntime.java
@@ -0,0 +1,150 @@
+package org.heatherspread.daemon;
+
+import com.typesafe.config.Config;
+import com.typesafe.config.ConfigFactory;
+import io.grpc.BindableService;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.actor.typed.javadsl.Behaviors;
+import org.apache.pekko.http.javadsl.ServerBinding;
+import org.apache.pekko.http.javadsl.server.Route;
+import org.heatherspread.daemon.http.HealthComponent;
+import org.heatherspread.daemon.http.HttpFrontend;
+import org.heatherspread.daemon.http.ProblemAnswers;
+import org.heatherspread.daemon.peer.PeerServer;
+import org.heatherspread.daemon.settings.DaemonFile;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * One running daemon: builds the components, starts the servers, and stops both in order. Life
+ * cycle: {@link #start} once, {@link #stop} once.
+ *
+ * <p>Safe for use by any thread.
+ */
+public final class DaemonRuntime {
+  private static final Logger logger = LoggerFactory.getLogger(DaemonRuntime.class);
+  private static final Duration START_TIMEOUT = Duration.ofSeconds(20);
+  private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(2);
+
+  private final DaemonFile file;
+  private final ActorSystem<Void> system;
+  private final List<DaemonComponent> components;
+  private final PeerServer peers;
+  private final ServerBinding binding;
+
+  private DaemonRuntime(
+      DaemonFile file,
+      ActorSystem<Void> system,
+      List<DaemonComponent> components,
+      PeerServer peers,
+      ServerBinding binding) {
+    this.file = file;
+    this.system = system;
+    this.components = components;
+    this.peers = peers;
+    this.binding = binding;
+  }
+
+  // ---------------------------------------------------------------------------------------------
+  // Start
+  // ---------------------------------------------------------------------------------------------
+
+  /** Starts a daemon and returns once it accepts connections. */
+  public static DaemonRuntime start(DaemonFile file) throws IOException {
+    ActorSystem<Void> system =
+        ActorSystem.create(Behaviors.empty(), "heatherspread", actorConfig(file));
+    PrometheusMeterRegistry meters = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    ProblemAnswers problems = ProblemAnswers.create(meters);
+    List<DaemonComponent> components = new ArrayList<>();
+    components.add(HealthComponent.create(meters, List.of()));
+    components.forEach(DaemonComponent::start);
+    PeerServer peers = startPeerServer(file, components);
+    ServerBinding binding = bind(file, system, components, problems);
+    return new DaemonRuntime(file, system, components, peers, binding);
+  }
+
+  private static Config actorConfig(DaemonFile file) {
+    Config own =
+        ConfigFactory.parseString(
+            """
+            pekko.loggers = ["org.apache.pekko.event.slf4j.Slf4jLogger"]
+            pekko.logging-filter = "org.apache.pekko.event.slf4j.Slf4jLoggingFilter"
+            pekko.loglevel = WARNING
+            pekko.coordinated-shutdown.run-by-jvm-shutdown-hook = off
+            """);
+    return HttpFrontend.serverConfig(file.http()).withFallback(own).withFallback(defaults());
+  }
+
+  private static Config defaults() {
+    return ConfigFactory.load();
+  }
+
+  private static PeerServer startPeerServer(DaemonFile file, List<DaemonComponent> components)
+      throws IOException {
+    List<BindableService> services = new ArrayList<>();
+    components.forEach(component -> services.addAll(component.peerServices()));
+    return PeerServer.start(file.daemon().host(), file.daemon().peerPort(), services, List.of());
+  }
+
+  private static ServerBinding bind(
+      DaemonFile file,
+      ActorSystem<Void> system,
+      List<DaemonComponent> components,
+      ProblemAnswers problems)
+      throws IOException {
+    List<Route> routes = new ArrayList<>();
+    components.forEach(component -> component.routes().ifPresent(routes::add));
+    try {
+      return HttpFrontend.bind(
+              system, file.daemon().host(), file.daemon().httpPort(), routes, problems)
+          .toCompletableFuture()
+          .get(START_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+    } catch (ExecutionException | TimeoutException e) {
+      throw new IOException("the HTTP port cannot be bound", e);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IOException("interrupted while binding the HTTP port", e);
+    }
+  }
+
+  // ---------------------------------------------------------------------------------------------
+  // Stop
+  // ---------------------------------------------------------------------------------------------
+
+  /** Drains the components, then stops the servers; returns when all has ended. */
+  public void stop() {
+    Duration bound = file.daemon().drainTimeout();
+    logger.atInfo().addKeyValue("bound_ms", bound.toMillis()).log("draining");
+    CompletableFuture<?>[] drains =
+        components.stream().map(c -> c.drain(bound)).toArray(CompletableFuture[]::new);
+    await(CompletableFuture.allOf(drains), bound, "work in progress did not end in time");
+    await(
+        HttpFrontend.stop(binding, CLOSE_TIMEOUT).toCompletableFuture(),
+        CLOSE_TIMEOUT,
+        "connections did not end in time");
+    peers.close();
+    components.forEach(DaemonComponent::close);
+    system.terminate();
+    logger.atInfo().log("daemon stopped");
+  }
+
+  private static void await(CompletableFuture<?> work, Duration bound, String failure) {
+    try {
+      work.get(bound.toMillis(), TimeUnit.MILLISECONDS);
+    } catch (TimeoutException | ExecutionException e) {
+      logger.atWarn().setCause(e).log(failure);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
