--- a/core/src/main/java/org/heatherspread/core/config/AccountSpec.java
+++ b/core/src/main/java/org/heatherspread/core/config/AccountSpec.java
@@ -14,9 +14,9 @@
 public record AccountSpec(
     String name, String keyHash, AccountLimits limits, int priority, List<String> services) {
 
-  /** Copies the list, so that the record stays immutable. */
+  /** Copies the list, where absent as empty, so that the record stays immutable. */
   public AccountSpec {
-    services = List.copyOf(services);
+    services = services == null ? List.of() : List.copyOf(services);
   }
 
   /** Tells whether the account may call a service. */
--- /dev/null
+++ b/core/src/main/java/org/heatherspread/core/config/IntentCheck.java
@@ -0,0 +1,75 @@
+package org.heatherspread.core.config;
+
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.regex.Pattern;
+import org.heatherspread.core.error.ErrorKind;
+import org.heatherspread.core.error.ServingException;
+
+/** Checks of what operators send. Stateless; methods throw kind {@code MALFORMED_REQUEST}. */
+final class IntentCheck {
+  private static final Pattern NAME = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,62}");
+  private static final Pattern KEY_HASH = Pattern.compile("[0-9a-f]{64}");
+
+  private IntentCheck() {}
+
+  static void name(String name, String what) {
+    require(
+        name != null && NAME.matcher(name).matches(),
+        what + " must be 1 to 63 letters, digits, dots, dashes or underscores");
+  }
+
+  static void service(ServiceSpec spec) {
+    require(spec != null, "service is missing");
+    name(spec.name(), "service name");
+    require(spec.kind() != null, "service kind is missing");
+    require(spec.target() != null, "latency target is missing");
+    require(positive(spec.target().firstToken()), "latency target must be positive");
+    if (spec.kind() == ServiceKind.PLAIN) {
+      require(spec.versions().isEmpty(), "a plain service has no versions");
+    } else {
+      require(positive(spec.target().interToken()), "latency target must be positive");
+      require(spec.rules().isEmpty(), "a model service has no method rules");
+    }
+    Set<String> seen = new HashSet<>();
+    for (ModelVersion version : spec.versions()) {
+      name(version.version(), "version");
+      require(seen.add(version.version()), "version " + version.version() + " stands twice");
+    }
+    for (String domain : spec.domains()) {
+      name(domain, "domain");
+    }
+  }
+
+  static void account(AccountSpec account, Configuration base) {
+    require(account != null, "account is missing");
+    name(account.name(), "account name");
+    require(
+        account.keyHash() != null && KEY_HASH.matcher(account.keyHash()).matches(),
+        "key hash must be the lower-case hex SHA-256 of the key");
+    AccountLimits limits = account.limits();
+    require(limits != null, "limits are missing");
+    require(
+        limits.requestsPerSecond() > 0 && limits.tokensPerSecond() > 0 && limits.concurrency() > 0,
+        "limits must be positive");
+    for (String service : account.services()) {
+      require(base.services().containsKey(service), "there is no service " + service);
+    }
+    for (AccountSpec other : base.accounts().values()) {
+      require(
+          other.name().equals(account.name()) || !other.keyHash().equals(account.keyHash()),
+          "the key is another account's");
+    }
+  }
+
+  private static boolean positive(Duration interval) {
+    return interval != null && !interval.isNegative() && !interval.isZero();
+  }
+
+  private static void require(boolean holds, String detail) {
+    if (!holds) {
+      throw ServingException.of(ErrorKind.MALFORMED_REQUEST, detail);
+    }
+  }
+}
--- a/core/src/main/java/org/heatherspread/core/config/ModelVersion.java
+++ b/core/src/main/java/org/heatherspread/core/config/ModelVersion.java
@@ -10,8 +10,9 @@
  * @param state where the version is in its life
  */
 public record ModelVersion(String version, List<String> adapters, VersionState state) {
-  /** Copies the list, so that the record stays immutable. */
+  /** Copies the list, where absent as empty, so that the record stays immutable. */
   public ModelVersion {
-    adapters = List.copyOf(adapters);
+    adapters = adapters == null ? List.of() : List.copyOf(adapters);
+    state = state == null ? VersionState.ACTIVE : state;
   }
 }
--- a/core/src/main/java/org/heatherspread/core/config/ServiceSpec.java
+++ b/core/src/main/java/org/heatherspread/core/config/ServiceSpec.java
@@ -1,6 +1,8 @@
 package org.heatherspread.core.config;
 
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * A service as operators confirmed it. Immutable.
@@ -20,11 +22,11 @@
     List<MethodRule> rules,
     List<String> domains) {
 
-  /** Copies the lists, so that the record stays immutable. */
+  /** Copies the lists, where absent as empty, so that the record stays immutable. */
   public ServiceSpec {
-    versions = List.copyOf(versions);
-    rules = List.copyOf(rules);
-    domains = List.copyOf(domains);
+    versions = versions == null ? List.of() : List.copyOf(versions);
+    rules = rules == null ? List.of() : List.copyOf(rules);
+    domains = domains == null ? List.of() : List.copyOf(domains);
   }
 
   /** Tells whether a call that may have run may be sent again; unknown calls may not. */
@@ -36,4 +38,46 @@
     }
     return false;
   }
+
+  /** Finds a version by name. */
+  public Optional<ModelVersion> version(String name) {
+    for (ModelVersion version : versions) {
+      if (version.version().equals(name)) {
+        return Optional.of(version);
+      }
+    }
+    return Optional.empty();
+  }
+
+  /** Returns a copy with a version added at the end, or replaced where the name is known. */
+  public ServiceSpec withVersion(ModelVersion version) {
+    List<ModelVersion> next = new ArrayList<>();
+    boolean replaced = false;
+    for (ModelVersion old : versions) {
+      boolean same = old.version().equals(version.version());
+      next.add(same ? version : old);
+      replaced |= same;
+    }
+    if (!replaced) {
+      next.add(version);
+    }
+    return new ServiceSpec(name, kind, target, next, rules, domains);
+  }
+
+  /** Returns a copy that also keeps its target in a failure domain. */
+  public ServiceSpec withDomain(String domain) {
+    if (domains.contains(domain)) {
+      return this;
+    }
+    List<String> next = new ArrayList<>(domains);
+    next.add(domain);
+    return new ServiceSpec(name, kind, target, versions, rules, next);
+  }
+
+  /** Returns a copy that no longer keeps its target in a failure domain. */
+  public ServiceSpec withoutDomain(String domain) {
+    List<String> next = new ArrayList<>(domains);
+    next.remove(domain);
+    return new ServiceSpec(name, kind, target, versions, rules, next);
+  }
 }
