Decide membership and the exchange between daemons in core

Cause: daemons must agree on who lives, who leaves and which configuration holds without a coordination service.

--- /dev/null
+++ b/core/src/main/java/org/heatherspread/core/membership/ExchangeBuilder.java
@@ -0,0 +1,78 @@
+package org.heatherspread.core.membership;
+
+import java.util.List;
+import java.util.Map;
+import org.heatherspread.core.config.LogEntry;
+
+/** Builds one message; confined to the call that makes it. */
+public final class ExchangeBuilder {
+  private final String senderId;
+  private final long senderIncarnation;
+  private final long configVersion;
+  private long root;
+  private int[] sums = {};
+  private Map<Integer, long[]> buckets = Map.of();
+  private long[] wants = {};
+  private List<MemberRecord> members = List.of();
+  private List<SharedEntry> entries = List.of();
+  private List<LogEntry> log = List.of();
+
+  /** Starts an empty message of a daemon. */
+  public ExchangeBuilder(String senderId, long senderIncarnation, long configVersion) {
+    this.senderId = senderId;
+    this.senderIncarnation = senderIncarnation;
+    this.configVersion = configVersion;
+  }
+
+  /** Asks to compare all items. */
+  public ExchangeBuilder root(long value) {
+    root = value;
+    return this;
+  }
+
+  /** Tells the sums of all buckets. */
+  public ExchangeBuilder sums(int[] value) {
+    sums = value;
+    return this;
+  }
+
+  /** Asks to compare some buckets item by item. */
+  public ExchangeBuilder buckets(Map<Integer, long[]> value) {
+    buckets = Map.copyOf(value);
+    return this;
+  }
+
+  /** Asks for items by fingerprint. */
+  public ExchangeBuilder wants(long[] value) {
+    wants = value;
+    return this;
+  }
+
+  /** Sends items to take over. */
+  public ExchangeBuilder items(List<MemberRecord> records, List<SharedEntry> shared) {
+    members = List.copyOf(records);
+    entries = List.copyOf(shared);
+    return this;
+  }
+
+  /** Sends entries of the configuration log. */
+  public ExchangeBuilder log(List<LogEntry> value) {
+    log = List.copyOf(value);
+    return this;
+  }
+
+  /** Returns the message. */
+  public ExchangeMessage build() {
+    return new ExchangeMessage(
+        senderId,
+        senderIncarnation,
+        configVersion,
+        root,
+        sums,
+        buckets,
+        wants,
+        members,
+        entries,
+        log);
+  }
+}
--- a/core/src/main/java/org/heatherspread/core/model/Instance.java
+++ b/core/src/main/java/org/heatherspread/core/model/Instance.java
@@ -56,4 +56,40 @@
         next,
         leavingAtMillis);
   }
+
+  /** Returns a copy that is leaving and ends at a time in milliseconds since the epoch. */
+  public Instance withLeavingAt(long endsAtMillis) {
+    return new Instance(
+        id,
+        incarnation,
+        kind,
+        service,
+        domain,
+        host,
+        port,
+        peerPort,
+        machineClass,
+        market,
+        pricePerHour,
+        InstanceState.LEAVING,
+        Optional.of(endsAtMillis));
+  }
+
+  /** Returns a copy for a later start of the process. */
+  public Instance withIncarnation(long next) {
+    return new Instance(
+        id,
+        next,
+        kind,
+        service,
+        domain,
+        host,
+        port,
+        peerPort,
+        machineClass,
+        market,
+        pricePerHour,
+        state,
+        leavingAtMillis);
+  }
 }
