Drive membership over gRPC and give operators plans and confirmations

Cause: daemons need the exchange on the wire, the configuration log read, and the operators' interface served. Adds the membership component (one thread, gRPC exchange, endpoint probes, shared-rate polling of list and notices), the configuration component (log reads with jitter and back-off, readiness), and /operator/v1 with plans kept in the table service. Conclusion: confirm answers committed with the version, then in force or who is missing.

--- /dev/null
+++ b/daemon/src/main/java/org/heatherspread/daemon/control/MemberView.java
@@ -0,0 +1,66 @@
+package org.heatherspread.daemon.control;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import org.heatherspread.core.membership.Member;
+import org.heatherspread.core.membership.MembershipSnapshot;
+import org.heatherspread.core.model.Instance;
+
+/**
+ * One instance as operators see it. Immutable; the members are those of the instance list, with
+ * {@code health} in place of {@code state}.
+ */
+record MemberView(
+    String id,
+    long incarnation,
+    String kind,
+    String service,
+    String region,
+    String domain,
+    String host,
+    int port,
+    int peerPort,
+    String machineClass,
+    String market,
+    double pricePerHour,
+    String health,
+    Optional<Long> leavingAtMillis) {
+
+  /** The belief of one daemon, ordered by id. Immutable. */
+  record Members(long version, List<MemberView> members) {}
+
+  static Members of(MembershipSnapshot snapshot) {
+    List<MemberView> views = new ArrayList<>();
+    for (Member member : snapshot.members().values()) {
+      views.add(of(member));
+    }
+    views.sort(Comparator.comparing(MemberView::id));
+    return new Members(snapshot.version(), views);
+  }
+
+  private static MemberView of(Member member) {
+    Instance instance = member.instance();
+    return new MemberView(
+        instance.id(),
+        instance.incarnation(),
+        lower(instance.kind()),
+        instance.service(),
+        instance.domain().region(),
+        instance.domain().name(),
+        instance.host(),
+        instance.port(),
+        instance.peerPort(),
+        instance.machineClass(),
+        lower(instance.market()),
+        instance.pricePerHour(),
+        lower(member.health()),
+        instance.leavingAtMillis());
+  }
+
+  private static String lower(Enum<?> constant) {
+    return constant.name().toLowerCase(Locale.ROOT);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/heatherspread/daemon/membership/MembershipCodec.java
@@ -0,0 +1,226 @@
+package org.heatherspread.daemon.membership;
+
+import com.google.protobuf.ByteString;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.heatherspread.core.config.ConfigurationFormat;
+import org.heatherspread.core.config.LogEntry;
+import org.heatherspread.core.membership.ExchangeBuilder;
+import org.heatherspread.core.membership.Health;
+import org.heatherspread.core.membership.MemberRecord;
+import org.heatherspread.core.membership.SharedEntry;
+import org.heatherspread.core.model.FailureDomain;
+import org.heatherspread.core.model.Instance;
+import org.heatherspread.core.model.InstanceKind;
+import org.heatherspread.core.model.InstanceState;
+import org.heatherspread.core.model.Market;
+import org.heatherspread.protocol.generated.membership.Bucket;
+import org.heatherspread.protocol.generated.membership.Description;
+import org.heatherspread.protocol.generated.membership.ExchangeMessage;
+
+/**
+ * Turns the exchange's messages into protocol buffers and back.
+ *
+ * <p>Immutable and safe for use by any thread. Methods that read throw {@link
+ * IllegalArgumentException} for a message that this release does not understand.
+ */
+public final class MembershipCodec {
+  private static final Health[] HEALTHS = Health.values();
+  private static final InstanceKind[] KINDS = InstanceKind.values();
+  private static final InstanceState[] STATES = InstanceState.values();
+  private static final Market[] MARKETS = Market.values();
+
+  private final ConfigurationFormat format;
+
+  private MembershipCodec(ConfigurationFormat format) {
+    this.format = format;
+  }
+
+  /** Creates a codec that writes configuration entries in a format. */
+  public static MembershipCodec create(ConfigurationFormat format) {
+    return new MembershipCodec(format);
+  }
+
+  // ---------------------------------------------------------------------------------------------
+  // Messages
+  // ---------------------------------------------------------------------------------------------
+
+  /** Writes a message. */
+  public ExchangeMessage write(org.heatherspread.core.membership.ExchangeMessage message) {
+    ExchangeMessage.Builder out =
+        ExchangeMessage.newBuilder()
+            .setSenderId(message.senderId())
+            .setSenderIncarnation(message.senderIncarnation())
+            .setConfigVersion(message.configVersion())
+            .setRoot(message.root());
+    for (int sum : message.sums()) {
+      out.addSums(sum);
+    }
+    for (Map.Entry<Integer, long[]> entry : message.buckets().entrySet()) {
+      Bucket.Builder bucket = Bucket.newBuilder().setIndex(entry.getKey());
+      for (long fingerprint : entry.getValue()) {
+        bucket.addFingerprints(fingerprint);
+      }
+      out.addBuckets(bucket);
+    }
+    for (long fingerprint : message.wants()) {
+      out.addWants(fingerprint);
+    }
+    for (MemberRecord record : message.members()) {
+      out.addMembers(writeMember(record));
+    }
+    for (SharedEntry entry : message.entries()) {
+      out.addEntries(writeShared(entry));
+    }
+    return out.addAllLog(writeLog(message.log())).build();
+  }
+
+  /** Reads a message. */
+  public org.heatherspread.core.membership.ExchangeMessage read(ExchangeMessage in) {
+    Map<Integer, long[]> buckets = new HashMap<>();
+    for (Bucket bucket : in.getBucketsList()) {
+      buckets.put(bucket.getIndex(), longs(bucket.getFingerprintsList()));
+    }
+    List<MemberRecord> members = new ArrayList<>();
+    for (var record : in.getMembersList()) {
+      members.add(readMember(record));
+    }
+    List<SharedEntry> entries = new ArrayList<>();
+    for (var entry : in.getEntriesList()) {
+      entries.add(readShared(entry));
+    }
+    return new ExchangeBuilder(in.getSenderId(), in.getSenderIncarnation(), in.getConfigVersion())
+        .root(in.getRoot())
+        .sums(in.getSumsList().stream().mapToInt(Integer::intValue).toArray())
+        .buckets(buckets)
+        .wants(longs(in.getWantsList()))
+        .items(members, entries)
+        .log(readLog(in.getLogList()))
+        .build();
+  }
+
+  private static long[] longs(List<Long> values) {
+    return values.stream().mapToLong(Long::longValue).toArray();
+  }
+
+  // ---------------------------------------------------------------------------------------------
+  // Configuration
+  // ---------------------------------------------------------------------------------------------
+
+  /** Writes entries of the configuration log. */
+  public List<ByteString> writeLog(List<LogEntry> log) {
+    List<ByteString> texts = new ArrayList<>();
+    for (LogEntry entry : log) {
+      texts.add(ByteString.copyFromUtf8(format.writeEntry(entry)));
+    }
+    return texts;
+  }
+
+  /** Reads entries of the configuration log. */
+  public List<LogEntry> readLog(List<ByteString> texts) {
+    List<LogEntry> log = new ArrayList<>();
+    for (ByteString text : texts) {
+      log.add(format.readEntry(text.toStringUtf8()));
+    }
+    return log;
+  }
+
+  // ---------------------------------------------------------------------------------------------
+  // Items
+  // ---------------------------------------------------------------------------------------------
+
+  private static org.heatherspread.protocol.generated.membership.SharedEntry writeShared(
+      SharedEntry entry) {
+    return org.heatherspread.protocol.generated.membership.SharedEntry.newBuilder()
+        .setTopic(entry.topic())
+        .setKey(entry.key())
+        .setVersion(entry.version())
+        .setOrigin(entry.origin())
+        .setValue(ByteString.copyFrom(entry.value()))
+        .setExpiresAtMillis(entry.expiresAtMillis())
+        .build();
+  }
+
+  private static SharedEntry readShared(
+      org.heatherspread.protocol.generated.membership.SharedEntry in) {
+    return new SharedEntry(
+        in.getTopic(),
+        in.getKey(),
+        in.getVersion(),
+        in.getOrigin(),
+        in.getValue().toByteArray(),
+        in.getExpiresAtMillis());
+  }
+
+  private static org.heatherspread.protocol.generated.membership.MemberRecord writeMember(
+      MemberRecord record) {
+    var out =
+        org.heatherspread.protocol.generated.membership.MemberRecord.newBuilder()
+            .setId(record.id())
+            .setIncarnation(record.incarnation())
+            .setRefutation(record.refutation())
+            .setHealth(record.health().ordinal())
+            .setLeavingAtMillis(record.leavingAtMillis());
+    record.instance().ifPresent(instance -> out.setDescription(describe(instance)));
+    return out.build();
+  }
+
+  private static Description describe(Instance instance) {
+    return Description.newBuilder()
+        .setKind(instance.kind().ordinal())
+        .setService(instance.service())
+        .setRegion(instance.domain().region())
+        .setDomain(instance.domain().name())
+        .setHost(instance.host())
+        .setPort(instance.port())
+        .setPeerPort(instance.peerPort())
+        .setMachineClass(instance.machineClass())
+        .setMarket(instance.market().ordinal())
+        .setPricePerHour(instance.pricePerHour())
+        .setState(instance.state().ordinal())
+        .build();
+  }
+
+  private static MemberRecord readMember(
+      org.heatherspread.protocol.generated.membership.MemberRecord in) {
+    Optional<Instance> instance =
+        in.hasDescription() ? Optional.of(readInstance(in)) : Optional.empty();
+    return new MemberRecord(
+        in.getId(),
+        in.getIncarnation(),
+        in.getRefutation(),
+        constant(HEALTHS, in.getHealth()),
+        in.getLeavingAtMillis(),
+        instance);
+  }
+
+  private static Instance readInstance(
+      org.heatherspread.protocol.generated.membership.MemberRecord in) {
+    Description description = in.getDescription();
+    long leavingAt = in.getLeavingAtMillis();
+    return new Instance(
+        in.getId(),
+        in.getIncarnation(),
+        constant(KINDS, description.getKind()),
+        description.getService(),
+        new FailureDomain(description.getRegion(), description.getDomain()),
+        description.getHost(),
+        description.getPort(),
+        description.getPeerPort(),
+        description.getMachineClass(),
+        constant(MARKETS, description.getMarket()),
+        description.getPricePerHour(),
+        constant(STATES, description.getState()),
+        leavingAt == 0 ? Optional.empty() : Optional.of(leavingAt));
+  }
+
+  private static <E> E constant(E[] constants, int number) {
+    if (number < 0 || number >= constants.length) {
+      throw new IllegalArgumentException("unknown constant " + number);
+    }
+    return constants[number];
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/heatherspread/daemon/membership/MembershipService.java
@@ -0,0 +1,150 @@
+package org.heatherspread.daemon.membership;
+
+import com.google.protobuf.ByteString;
+import io.grpc.Status;
+import io.grpc.stub.StreamObserver;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.heatherspread.core.config.Configuration;
+import org.heatherspread.core.config.ConfigurationFormat;
+import org.heatherspread.core.config.ConfigurationInForce;
+import org.heatherspread.core.config.LogEntry;
+import org.heatherspread.core.membership.Member;
+import org.heatherspread.core.model.Instance;
+import org.heatherspread.protocol.generated.membership.ConfigurationReply;
+import org.heatherspread.protocol.generated.membership.ConfigurationRequest;
+import org.heatherspread.protocol.generated.membership.DaemonVersion;
+import org.heatherspread.protocol.generated.membership.ExchangeMessage;
+import org.heatherspread.protocol.generated.membership.MembershipGrpc;
+import org.heatherspread.protocol.generated.membership.ProbeReply;
+import org.heatherspread.protocol.generated.membership.ProbeRequest;
+import org.heatherspread.protocol.generated.membership.VersionReply;
+import org.heatherspread.protocol.generated.membership.VersionRequest;
+
+/** Answers the membership protocol. Immutable and safe for use by any thread; no call blocks. */
+final class MembershipService extends MembershipGrpc.MembershipImplBase {
+  private static final Duration DOMAIN_TIMEOUT = Duration.ofMillis(400);
+
+  private final Instance self;
+  private final MembershipComponent membership;
+  private final PeerCalls calls;
+  private final MembershipCodec codec;
+  private final ConfigurationFormat format;
+  private final ConfigurationInForce config;
+  private final MembershipMetrics metrics;
+
+  MembershipService(
+      Instance self,
+      MembershipComponent membership,
+      PeerCalls calls,
+      MembershipCodec codec,
+      ConfigurationFormat format,
+      ConfigurationInForce config,
+      MembershipMetrics metrics) {
+    this.self = self;
+    this.membership = membership;
+    this.calls = calls;
+    this.codec = codec;
+    this.format = format;
+    this.config = config;
+    this.metrics = metrics;
+  }
+
+  @Override
+  public void exchange(ExchangeMessage request, StreamObserver<ExchangeMessage> out) {
+    metrics.received(request.getSerializedSize());
+    org.heatherspread.core.membership.ExchangeMessage message;
+    try {
+      message = codec.read(request);
+    } catch (IllegalArgumentException e) {
+      metrics.malformed();
+      out.onError(Status.INVALID_ARGUMENT.withDescription(e.getMessage()).asException());
+      return;
+    }
+    membership
+        .onRequest(message)
+        .thenApply(codec::write)
+        .whenComplete(
+            (reply, failure) -> {
+              if (failure == null) {
+                metrics.sent(reply.getSerializedSize());
+              }
+              finish(out, reply, failure);
+            });
+  }
+
+  @Override
+  public void probe(ProbeRequest request, StreamObserver<ProbeReply> out) {
+    Optional<Member> target = membership.get().member(request.getInstanceId());
+    CompletableFuture<Boolean> answered =
+        target.isEmpty()
+            ? CompletableFuture.completedFuture(false)
+            : calls.reaches(target.get().instance());
+    answered
+        .thenApply(yes -> ProbeReply.newBuilder().setAnswered(yes).build())
+        .whenComplete((reply, failure) -> finish(out, reply, failure));
+  }
+
+  @Override
+  public void fetchConfiguration(
+      ConfigurationRequest request, StreamObserver<ConfigurationReply> out) {
+    Configuration current = config.get();
+    Optional<List<LogEntry>> log = config.entriesAfter(request.getAfterVersion());
+    ConfigurationReply.Builder reply =
+        ConfigurationReply.newBuilder().setVersion(current.version()).setKnown(config.known());
+    if (log.isPresent() && request.getAfterVersion() > 0) {
+      reply.addAllLog(codec.writeLog(log.get()));
+    } else {
+      reply.setConfiguration(ByteString.copyFromUtf8(format.writeConfiguration(current)));
+    }
+    finish(out, reply.build(), null);
+  }
+
+  @Override
+  public void versions(VersionRequest request, StreamObserver<VersionReply> out) {
+    if (!request.getWholeDomain()) {
+      finish(out, reply(Map.of()), null);
+      return;
+    }
+    List<CompletableFuture<Map<String, Long>>> answers = new ArrayList<>();
+    for (Member member : membership.get().daemons()) {
+      Instance peer = member.instance();
+      if (peer.domain().equals(self.domain()) && !peer.id().equals(self.id())) {
+        answers.add(calls.versions(peer, false, DOMAIN_TIMEOUT).exceptionally(failure -> Map.of()));
+      }
+    }
+    CompletableFuture.allOf(answers.toArray(CompletableFuture[]::new))
+        .thenApply(
+            nothing -> {
+              Map<String, Long> all = new HashMap<>();
+              answers.forEach(answer -> all.putAll(answer.join()));
+              return reply(all);
+            })
+        .whenComplete((reply, failure) -> finish(out, reply, failure));
+  }
+
+  private VersionReply reply(Map<String, Long> others) {
+    VersionReply.Builder reply = VersionReply.newBuilder();
+    reply.addVersions(version(self.id(), config.get().version()));
+    others.forEach((id, version) -> reply.addVersions(version(id, version)));
+    return reply.build();
+  }
+
+  private static DaemonVersion version(String id, long version) {
+    return DaemonVersion.newBuilder().setInstanceId(id).setConfigVersion(version).build();
+  }
+
+  private static <T> void finish(StreamObserver<T> out, T reply, Throwable failure) {
+    if (failure != null) {
+      out.onError(Status.UNAVAILABLE.withCause(failure).asException());
+      return;
+    }
+    out.onNext(reply);
+    out.onCompleted();
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/heatherspread/daemon/membership/PeerCalls.java
@@ -0,0 +1,135 @@
+package org.heatherspread.daemon.membership;
+
+import com.google.common.util.concurrent.FutureCallback;
+import com.google.common.util.concurrent.Futures;
+import com.google.common.util.concurrent.ListenableFuture;
+import com.google.common.util.concurrent.MoreExecutors;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.heatherspread.core.config.ConfigurationFormat;
+import org.heatherspread.core.config.ConfigurationInForce;
+import org.heatherspread.core.membership.ExchangeMessage;
+import org.heatherspread.core.model.Instance;
+import org.heatherspread.daemon.peer.PeerChannels;
+import org.heatherspread.protocol.generated.membership.ConfigurationReply;
+import org.heatherspread.protocol.generated.membership.ConfigurationRequest;
+import org.heatherspread.protocol.generated.membership.DaemonVersion;
+import org.heatherspread.protocol.generated.membership.MembershipGrpc;
+import org.heatherspread.protocol.generated.membership.ProbeReply;
+import org.heatherspread.protocol.generated.membership.ProbeRequest;
+import org.heatherspread.protocol.generated.membership.VersionReply;
+import org.heatherspread.protocol.generated.membership.VersionRequest;
+
+/**
+ * Calls of the membership protocol to other daemons.
+ *
+ * <p>Immutable and safe for use by any thread; a future fails where no answer came in time.
+ */
+public final class PeerCalls {
+  private static final Duration EXCHANGE_TIMEOUT = Duration.ofMillis(1_000);
+  private static final Duration PROBE_TIMEOUT = Duration.ofMillis(800);
+  private static final Duration FETCH_TIMEOUT = Duration.ofMillis(2_000);
+
+  private final PeerChannels peers;
+  private final MembershipCodec codec;
+  private final ConfigurationFormat format;
+  private final ConfigurationInForce config;
+  private final MembershipMetrics metrics;
+
+  PeerCalls(
+      PeerChannels peers,
+      MembershipCodec codec,
+      ConfigurationFormat format,
+      ConfigurationInForce config,
+      MembershipMetrics metrics) {
+    this.peers = peers;
+    this.codec = codec;
+    this.format = format;
+    this.config = config;
+    this.metrics = metrics;
+  }
+
+  CompletableFuture<ExchangeMessage> exchange(Instance peer, ExchangeMessage message) {
+    var encoded = codec.write(message);
+    metrics.sent(encoded.getSerializedSize());
+    return future(stub(peer, EXCHANGE_TIMEOUT).exchange(encoded))
+        .thenApply(
+            reply -> {
+              metrics.received(reply.getSerializedSize());
+              return codec.read(reply);
+            });
+  }
+
+  CompletableFuture<Boolean> probe(Instance via, Instance target) {
+    ProbeRequest request = ProbeRequest.newBuilder().setInstanceId(target.id()).build();
+    return future(stub(via, EXCHANGE_TIMEOUT).probe(request)).thenApply(ProbeReply::getAnswered);
+  }
+
+  /** Tells whether a daemon answers at all. */
+  CompletableFuture<Boolean> reaches(Instance target) {
+    VersionRequest request = VersionRequest.getDefaultInstance();
+    return future(stub(target, PROBE_TIMEOUT).versions(request))
+        .handle((reply, failure) -> failure == null);
+  }
+
+  /** Fetches what is newer at another daemon; completes with whether that daemon knew anything. */
+  public CompletableFuture<Boolean> fetchConfiguration(Instance from) {
+    ConfigurationRequest request =
+        ConfigurationRequest.newBuilder().setAfterVersion(config.get().version()).build();
+    return future(stub(from, FETCH_TIMEOUT).fetchConfiguration(request)).thenApply(this::take);
+  }
+
+  private boolean take(ConfigurationReply reply) {
+    if (!reply.getKnown()) {
+      return false;
+    }
+    if (!reply.getConfiguration().isEmpty()) {
+      config.offer(format.readConfiguration(reply.getConfiguration().toStringUtf8()));
+    } else {
+      config.offer(codec.readLog(reply.getLogList()));
+    }
+    return true;
+  }
+
+  /** Asks a daemon, and on its behalf the others of its failure domain, for their versions. */
+  public CompletableFuture<Map<String, Long>> versions(
+      Instance peer, boolean wholeDomain, Duration timeout) {
+    VersionRequest request = VersionRequest.newBuilder().setWholeDomain(wholeDomain).build();
+    return future(stub(peer, timeout).versions(request)).thenApply(PeerCalls::byId);
+  }
+
+  private static Map<String, Long> byId(VersionReply reply) {
+    Map<String, Long> versions = new HashMap<>();
+    for (DaemonVersion version : reply.getVersionsList()) {
+      versions.put(version.getInstanceId(), version.getConfigVersion());
+    }
+    return versions;
+  }
+
+  private MembershipGrpc.MembershipFutureStub stub(Instance peer, Duration timeout) {
+    return MembershipGrpc.newFutureStub(peers.channel(peer))
+        .withDeadlineAfter(timeout.toMillis(), TimeUnit.MILLISECONDS);
+  }
+
+  private static <T> CompletableFuture<T> future(ListenableFuture<T> call) {
+    CompletableFuture<T> future = new CompletableFuture<>();
+    Futures.addCallback(
+        call,
+        new FutureCallback<T>() {
+          @Override
+          public void onSuccess(T result) {
+            future.complete(result);
+          }
+
+          @Override
+          public void onFailure(Throwable failure) {
+            future.completeExceptionally(failure);
+          }
+        },
+        MoreExecutors.directExecutor());
+    return future;
+  }
+}
