--- a/standin/src/main/java/org/heatherspread/standin/http/StandinServer.java
+++ b/standin/src/main/java/org/heatherspread/standin/http/StandinServer.java
@@ -31,6 +31,7 @@
       pekko.http.server.max-connections = 8192
       pekko.http.server.backlog = 1024
       pekko.http.server.server-header = ""
+      pekko.http.server.parsing.illegal-header-warnings = off
       """;
 
   private final ActorSystem<Void> system;
--- a/standin/src/test/java/org/heatherspread/standin/CloudStandinTest.java
+++ b/standin/src/test/java/org/heatherspread/standin/CloudStandinTest.java
@@ -3,6 +3,16 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.net.URI;
+import java.time.Duration;
+import org.heatherspread.core.model.FailureDomain;
+import org.heatherspread.core.model.InstanceKind;
+import org.heatherspread.core.model.InstanceState;
+import org.heatherspread.core.model.Market;
+import org.heatherspread.platform.cloud.CloudApi;
+import org.heatherspread.platform.cloud.HttpCloudApi;
+import org.heatherspread.platform.instances.HttpInstanceListClient;
+import org.heatherspread.platform.instances.InstanceListing;
 import org.heatherspread.standin.cloud.CloudSettings;
 import org.heatherspread.standin.cloud.CloudStandin;
 import org.heatherspread.standin.http.StandinServer;
@@ -58,6 +68,38 @@
     assertThat(listed.at("/instances/1").has("leaving_at")).isFalse();
   }
 
+  @Test
+  void platformClientsReadListOffersAndNotices() throws Exception {
+    client.json(
+        "POST",
+        "/standin/offers",
+        """
+        {"offers":[{"machine_class":"gpu-small","market":"reclaimable","region":"marmara",
+         "domain":"bursa","price_per_hour":0.4}]}
+        """);
+    CloudApi cloud = HttpCloudApi.create(URI.create(client.base()), Duration.ofSeconds(10));
+    FailureDomain bursa = new FailureDomain("marmara", "bursa");
+    assertThat(cloud.offers().join())
+        .containsExactly(new CloudApi.Offer("gpu-small", Market.RECLAIMABLE, bursa, 0.4));
+    CloudApi.StartOrder order =
+        new CloudApi.StartOrder(
+            InstanceKind.ENGINE, "assistant", "gpu-small", Market.RECLAIMABLE, bursa, "t");
+    assertThat(cloud.start(order).join().refusal()).isEqualTo("no_capacity_in_domain");
+    client.json("POST", "/standin/reclaim", "{\"instance_ids\":[\"c\"],\"notice_ms\":60000}");
+    assertThat(cloud.notices(0).join())
+        .extracting(CloudApi.Notice::instanceId)
+        .containsExactly("c");
+    assertThat(cloud.notices(1).join()).isEmpty();
+    InstanceListing listing =
+        HttpInstanceListClient.create(URI.create(client.base()), Duration.ofSeconds(10))
+            .fetch()
+            .join();
+    assertThat(listing.instances())
+        .extracting(i -> i.state())
+        .containsExactly(InstanceState.LIVE, InstanceState.LIVE, InstanceState.LEAVING);
+    cloud.delete("nobody").join();
+  }
+
   @Test
   void startIsRefusedWithoutCapacityAndRepeatedByToken() throws Exception {
     String call =
