Serve chat completions, models, resume and cancel

Cause: callers need the OpenAI-compatible interface, with bad input refused before it reaches an engine.

--- /dev/null
+++ b/daemon/src/main/java/org/heatherspread/daemon/chat/AnswerEvents.java
@@ -0,0 +1,156 @@
+package org.heatherspread.daemon.chat;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.databind.util.RawValue;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.Locale;
+import org.apache.pekko.util.ByteString;
+import org.heatherspread.core.error.ErrorKind;
+import org.heatherspread.core.error.ServingException;
+import org.heatherspread.core.request.FrameKind;
+import org.heatherspread.daemon.record.RecordProgress;
+
+/**
+ * Makes the caller's events from the frames of an answer, and keeps the answer's text so that
+ * another engine can go on with it.
+ *
+ * <p>Not safe for use by several threads; guarded by the session.
+ */
+final class AnswerEvents {
+  private static final ObjectMapper JSON = new ObjectMapper();
+  private static final byte[] END = "[DONE]".getBytes(StandardCharsets.US_ASCII);
+  private static final byte[] NOTHING = new byte[0];
+
+  private final String requestId;
+  private final ChatCall call;
+  private final long callerOffset;
+  private final AnswerText text;
+  private final EventBuffer buffer = new EventBuffer();
+  private byte[] finish = NOTHING;
+  private byte[] usage = NOTHING;
+
+  private AnswerEvents(String requestId, ChatCall call, String prefix, long callerOffset) {
+    this.requestId = requestId;
+    this.call = call;
+    this.callerOffset = callerOffset;
+    this.text = AnswerText.of(prefix);
+  }
+
+  static AnswerEvents create(
+      String requestId, ChatCall call, RecordProgress progress, long callerOffset) {
+    AnswerEvents events = new AnswerEvents(requestId, call, progress.prefix(), callerOffset);
+    if (callerOffset == 0 && progress.baseOffset() > 0) {
+      byte[] chunk = events.chunk(progress.prefix());
+      events.buffer.event(progress.baseOffset(), chunk, 0, chunk.length);
+    }
+    return events;
+  }
+
+  /** Passes a frame on, unless the caller holds it already. */
+  void deliver(long offset, byte[] bytes, int from, int to, int textFrom) {
+    if (textFrom >= 0) {
+      text.append(bytes, textFrom, to);
+    }
+    if (offset > callerOffset || callerOffset == 0) {
+      buffer.event(offset, bytes, from, to);
+    }
+  }
+
+  /** Keeps a frame of the answer's end until the end marker has come. */
+  void hold(long offset, FrameKind kind, byte[] bytes, int from, int to) {
+    byte[] copy = Arrays.copyOfRange(bytes, from, to);
+    if (kind == FrameKind.FINISH) {
+      finish = copy;
+    } else {
+      usage = copy;
+    }
+  }
+
+  /** Forgets what was held, as the connection it came from was replaced. */
+  void forgetHeld() {
+    finish = NOTHING;
+    usage = NOTHING;
+  }
+
+  /** Passes on what was held, and the end marker. */
+  void complete(long offset) {
+    buffer.event(offset, finish, 0, finish.length);
+    if (usage.length > 0 && (call.includeUsage() || !call.stream())) {
+      buffer.event(offset, usage, 0, usage.length);
+    }
+    buffer.event(offset, END, 0, END.length);
+  }
+
+  void heartbeat() {
+    buffer.heartbeat();
+  }
+
+  /** Returns what goes to the caller next. */
+  ByteString take() {
+    return buffer.take();
+  }
+
+  /** Returns the answer's text so far as the inside of a JSON string. */
+  String text() {
+    return text.escaped();
+  }
+
+  /** Returns the cached prompt tokens that the engine reported at the end; 0 if it did not. */
+  long cachedTokens() {
+    if (usage.length == 0) {
+      return 0;
+    }
+    try {
+      return JSON.readTree(usage)
+          .path("usage")
+          .path("prompt_tokens_details")
+          .path("cached_tokens")
+          .asLong(0);
+    } catch (IOException e) {
+      return 0;
+    }
+  }
+
+  /** Returns the event that tells of an error; a whole answer has no events. */
+  ByteString error(ServingException failure) {
+    if (!call.stream()) {
+      return ByteString.emptyByteString();
+    }
+    ErrorKind kind = failure.kind();
+    ObjectNode event = JSON.createObjectNode();
+    ObjectNode error = event.putObject("error");
+    error.put("message", failure.getMessage());
+    error.put("type", kind.code());
+    error.put("code", kind.status());
+    error.put("execution", kind.execution().name().toLowerCase(Locale.ROOT));
+    error.put("retry", kind.retry().name().toLowerCase(Locale.ROOT));
+    error.put("request_id", requestId);
+    EventBuffer last = new EventBuffer();
+    last.error(write(event));
+    return last.take();
+  }
+
+  private byte[] chunk(String escaped) {
+    ObjectNode chunk = JSON.createObjectNode();
+    chunk.put("id", "chatcmpl-" + requestId);
+    chunk.put("object", "chat.completion.chunk");
+    chunk.put("model", call.modelName());
+    ObjectNode choice = chunk.putArray("choices").addObject();
+    choice.put("index", 0);
+    choice.putObject("delta").putRawValue("content", new RawValue('"' + escaped + '"'));
+    choice.putNull("finish_reason");
+    return write(chunk);
+  }
+
+  private static byte[] write(ObjectNode node) {
+    try {
+      return JSON.writeValueAsBytes(node);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("a JSON tree could not be written", e);
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/heatherspread/daemon/chat/ChatAnswers.java
@@ -0,0 +1,145 @@
+package org.heatherspread.daemon.chat;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Locale;
+import java.util.Optional;
+import org.apache.pekko.http.javadsl.model.ContentType;
+import org.apache.pekko.http.javadsl.model.ContentTypes;
+import org.apache.pekko.http.javadsl.model.HttpEntities;
+import org.apache.pekko.http.javadsl.model.HttpHeader;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.model.MediaTypes;
+import org.apache.pekko.http.javadsl.model.headers.RawHeader;
+import org.apache.pekko.stream.javadsl.Source;
+import org.apache.pekko.util.ByteString;
+import org.heatherspread.core.config.AccountSpec;
+import org.heatherspread.core.config.Configuration;
+import org.heatherspread.core.config.ModelVersion;
+import org.heatherspread.core.config.ServiceKind;
+import org.heatherspread.core.config.ServiceSpec;
+import org.heatherspread.core.config.VersionState;
+import org.heatherspread.core.error.ErrorKind;
+import org.heatherspread.core.error.ServingException;
+import org.heatherspread.core.request.RequestPhase;
+import org.heatherspread.daemon.record.Outcome;
+import org.heatherspread.daemon.record.RequestRecord;
+
+/** Builds the answers of the callers' interface. Stateless; safe for use by any thread. */
+final class ChatAnswers {
+  private static final ObjectMapper JSON = new ObjectMapper();
+  private static final ContentType EVENTS = ContentTypes.create(MediaTypes.TEXT_EVENT_STREAM);
+
+  private ChatAnswers() {}
+
+  static HttpResponse stream(String requestId, Source<ByteString, ?> events) {
+    return HttpResponse.create()
+        .addHeader(requestId(requestId))
+        .addHeader(RawHeader.create("Cache-Control", "no-store"))
+        .withEntity(HttpEntities.createChunked(EVENTS, events));
+  }
+
+  static HttpResponse whole(String requestId, byte[] json) {
+    return HttpResponse.create()
+        .addHeader(requestId(requestId))
+        .withEntity(ContentTypes.APPLICATION_JSON, json);
+  }
+
+  static HttpResponse models(Configuration configuration, AccountSpec account) {
+    ObjectNode answer = JSON.createObjectNode();
+    answer.put("object", "list");
+    ArrayNode data = answer.putArray("data");
+    for (ServiceSpec service : configuration.services().values()) {
+      if (service.kind() == ServiceKind.MODEL && account.mayCall(service.name())) {
+        addModels(data, service);
+      }
+    }
+    return json(answer);
+  }
+
+  private static void addModels(ArrayNode data, ServiceSpec service) {
+    boolean active = false;
+    for (ModelVersion version : service.versions()) {
+      if (version.state() != VersionState.ACTIVE) {
+        continue;
+      }
+      active = true;
+      addModel(data, service.name() + "@" + version.version());
+      for (String adapter : version.adapters()) {
+        addModel(data, service.name() + "@" + version.version() + ":" + adapter);
+      }
+    }
+    if (active) {
+      addModel(data, service.name());
+    }
+  }
+
+  private static void addModel(ArrayNode data, String id) {
+    data.addObject()
+        .put("id", id)
+        .put("object", "model")
+        .put("created", 0)
+        .put("owned_by", "heatherspread");
+  }
+
+  static HttpResponse running(String id, RequestPhase phase) {
+    ObjectNode answer = JSON.createObjectNode();
+    answer.put("request_id", id);
+    answer.put("state", "running");
+    answer.put("phase", phase.name().toLowerCase(Locale.ROOT));
+    return json(answer).addHeader(requestId(id));
+  }
+
+  static HttpResponse outcome(RequestRecord record) {
+    if (record.outcome().isEmpty()) {
+      return running(record.requestId(), record.progress().phase());
+    }
+    Outcome outcome = record.outcome().get();
+    ObjectNode answer = JSON.createObjectNode();
+    answer.put("request_id", record.requestId());
+    if (outcome.error().isEmpty()) {
+      answer.put("state", "answered");
+    } else {
+      answer.put("state", outcome.execution().name().toLowerCase(Locale.ROOT));
+      answer.put("kind", outcome.error().get().code());
+    }
+    return json(answer).addHeader(requestId(record.requestId()));
+  }
+
+  static HttpResponse cancelled(String id) {
+    ObjectNode answer = JSON.createObjectNode();
+    answer.put("request_id", id);
+    answer.put("state", "cancelled");
+    return json(answer).addHeader(requestId(id));
+  }
+
+  /** Reads the last event id that a caller holds; 0 if it holds none. */
+  static long lastEventId(HttpRequest request) {
+    Optional<HttpHeader> header = request.getHeader("Last-Event-ID");
+    if (header.isEmpty() || header.get().value().isBlank()) {
+      return 0;
+    }
+    try {
+      return Long.parseUnsignedLong(header.get().value().trim());
+    } catch (NumberFormatException e) {
+      throw ServingException.of(
+          ErrorKind.MALFORMED_REQUEST, "Last-Event-ID must be the id of an event");
+    }
+  }
+
+  private static HttpHeader requestId(String id) {
+    return RawHeader.create("X-Request-Id", id);
+  }
+
+  private static HttpResponse json(ObjectNode body) {
+    try {
+      return HttpResponse.create()
+          .withEntity(ContentTypes.APPLICATION_JSON, JSON.writeValueAsBytes(body));
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("a JSON tree could not be written", e);
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/heatherspread/daemon/chat/ChatCallReader.java
@@ -0,0 +1,223 @@
+package org.heatherspread.daemon.chat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.apache.pekko.http.javadsl.model.HttpHeader;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.heatherspread.core.config.AccountSpec;
+import org.heatherspread.core.config.Configuration;
+import org.heatherspread.core.config.ModelVersion;
+import org.heatherspread.core.config.ServiceKind;
+import org.heatherspread.core.config.ServiceSpec;
+import org.heatherspread.core.config.VersionState;
+import org.heatherspread.core.error.ErrorKind;
+import org.heatherspread.core.error.ServingException;
+import org.heatherspread.core.routing.PrefixHashes;
+
+/**
+ * Checks the body and headers of a chat completion, so that bad input never reaches an engine.
+ *
+ * <p>Immutable and safe for use by any thread.
+ */
+final class ChatCallReader {
+  private static final ObjectMapper JSON = new ObjectMapper();
+
+  private final ChatSettings settings;
+
+  private ChatCallReader(ChatSettings settings) {
+    this.settings = settings;
+  }
+
+  static ChatCallReader create(ChatSettings settings) {
+    return new ChatCallReader(settings);
+  }
+
+  /**
+   * Reads a call that a caller makes now.
+   *
+   * @throws ServingException of the kind that tells what is wrong
+   */
+  ChatCall read(
+      HttpRequest request, byte[] body, AccountSpec account, Configuration configuration) {
+    int priority = Math.min(account.priority(), number(request, "X-Priority", account.priority()));
+    int asked = number(request, "X-Deadline-Ms", (int) settings.deadline().toMillis());
+    if (asked <= 0) {
+      throw malformed("X-Deadline-Ms must be positive");
+    }
+    long millis = Math.min(asked, settings.longestDeadline().toMillis());
+    Optional<String> domain = request.getHeader("X-Failure-Domain").map(HttpHeader::value);
+    return read(body, account, configuration, priority, Duration.ofMillis(millis), domain);
+  }
+
+  /** Reads a call from the body kept in its record. */
+  ChatCall read(
+      byte[] body,
+      AccountSpec account,
+      Configuration configuration,
+      int priority,
+      Duration remaining,
+      Optional<String> domain) {
+    ObjectNode tree = parse(body);
+    String modelName = text(tree, "model");
+    ModelName name = ModelName.parse(modelName);
+    ServiceSpec service = service(configuration, name, account);
+    ModelVersion version = version(service, name);
+    final boolean stream = flag(tree, "stream");
+    final boolean includeUsage = tree.path("stream_options").path("include_usage").asBoolean(false);
+    final byte[] prompt = PrefixHashes.render(messages(tree.path("messages")));
+    int maxTokens = maxTokens(tree);
+    rewrite(tree, service.name() + "@" + version.version() + name.adapterSuffix(), maxTokens);
+    return new ChatCall(
+        service.name(),
+        version.version(),
+        name.adapter(),
+        modelName,
+        stream,
+        includeUsage,
+        maxTokens,
+        priority,
+        remaining,
+        domain,
+        prompt,
+        body,
+        tree);
+  }
+
+  /** Makes the tree what an engine is to get: always a stream, with the token counts. */
+  private static void rewrite(ObjectNode tree, String model, int maxTokens) {
+    tree.put("model", model);
+    tree.put("stream", true);
+    tree.putObject("stream_options").put("include_usage", true);
+    tree.put("max_tokens", maxTokens);
+    tree.remove("max_completion_tokens");
+    tree.remove("continue_from");
+  }
+
+  // ---- model ----
+
+  private static ServiceSpec service(
+      Configuration configuration, ModelName name, AccountSpec account) {
+    ServiceSpec service = configuration.services().get(name.service());
+    if (service == null || service.kind() != ServiceKind.MODEL) {
+      throw ServingException.of(
+          ErrorKind.UNKNOWN_MODEL, "no model service is named " + name.service());
+    }
+    if (!account.mayCall(service.name())) {
+      throw ServingException.of(
+          ErrorKind.FORBIDDEN, "the client account may not call " + service.name());
+    }
+    return service;
+  }
+
+  private static ModelVersion version(ServiceSpec service, ModelName name) {
+    List<ModelVersion> versions = service.versions();
+    for (int i = versions.size() - 1; i >= 0; i--) {
+      ModelVersion candidate = versions.get(i);
+      if (candidate.state() == VersionState.ACTIVE && name.allows(candidate)) {
+        return candidate;
+      }
+    }
+    throw ServingException.of(
+        ErrorKind.UNKNOWN_MODEL, "the service has no active version and adapter as asked for");
+  }
+
+  // ---- fields ----
+
+  private static ObjectNode parse(byte[] body) {
+    try {
+      JsonNode tree = JSON.readTree(body);
+      if (tree instanceof ObjectNode object) {
+        return object;
+      }
+    } catch (IOException e) {
+      throw malformed("the body is not JSON");
+    }
+    throw malformed("the body must be a JSON object");
+  }
+
+  private static String text(JsonNode tree, String field) {
+    JsonNode value = tree.path(field);
+    if (!value.isTextual() || value.textValue().isEmpty()) {
+      throw malformed(field + " must be a text that is not empty");
+    }
+    return value.textValue();
+  }
+
+  private static boolean flag(JsonNode tree, String field) {
+    JsonNode value = tree.path(field);
+    if (value.isMissingNode() || value.isNull()) {
+      return false;
+    }
+    if (!value.isBoolean()) {
+      throw malformed(field + " must be true or false");
+    }
+    return value.booleanValue();
+  }
+
+  private int maxTokens(JsonNode tree) {
+    JsonNode value = tree.path("max_completion_tokens");
+    if (value.isMissingNode() || value.isNull()) {
+      value = tree.path("max_tokens");
+    }
+    if (value.isMissingNode() || value.isNull()) {
+      return settings.defaultMaxTokens();
+    }
+    if (!value.isIntegralNumber() || !value.canConvertToInt() || value.intValue() < 1) {
+      throw malformed("max_tokens must be a positive whole number");
+    }
+    return value.intValue();
+  }
+
+  private static List<PrefixHashes.Message> messages(JsonNode array) {
+    if (!array.isArray() || array.isEmpty()) {
+      throw malformed("messages must be a list that is not empty");
+    }
+    List<PrefixHashes.Message> messages = new ArrayList<>();
+    for (JsonNode m : array) {
+      if (!m.isObject()) {
+        throw malformed("each message must be an object");
+      }
+      messages.add(new PrefixHashes.Message(text(m, "role"), content(m.path("content"))));
+    }
+    return messages;
+  }
+
+  private static String content(JsonNode content) {
+    if (content.isTextual()) {
+      return content.textValue();
+    }
+    if (content.isMissingNode() || content.isNull()) {
+      return "";
+    }
+    if (!content.isArray()) {
+      throw malformed("content must be a text or a list of parts");
+    }
+    StringBuilder joined = new StringBuilder();
+    for (JsonNode part : content) {
+      joined.append(part.path("text").asText(""));
+    }
+    return joined.toString();
+  }
+
+  private static int number(HttpRequest request, String header, int fallback) {
+    Optional<HttpHeader> found = request.getHeader(header);
+    if (found.isEmpty()) {
+      return fallback;
+    }
+    try {
+      return Integer.parseInt(found.get().value().trim());
+    } catch (NumberFormatException e) {
+      throw malformed(header + " must be a whole number");
+    }
+  }
+
+  private static ServingException malformed(String detail) {
+    return ServingException.of(ErrorKind.MALFORMED_REQUEST, detail);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/heatherspread/daemon/chat/ChatTools.java
@@ -0,0 +1,27 @@
+package org.heatherspread.daemon.chat;
+
+import java.util.random.RandomGenerator;
+import org.heatherspread.core.retry.RetryBudget;
+import org.heatherspread.core.time.MonotonicClock;
+import org.heatherspread.daemon.engine.EngineClient;
+import org.heatherspread.daemon.routing.EndpointSelector;
+
+/**
+ * What every session of a daemon shares. Immutable; all members are safe for use by any thread.
+ *
+ * @param settings bounds
+ * @param engines calls engines
+ * @param selector chooses endpoints
+ * @param budget retry budget of the session's service
+ * @param metrics counters
+ * @param clock for intervals
+ * @param random for jitter
+ */
+record ChatTools(
+    ChatSettings settings,
+    EngineClient engines,
+    EndpointSelector selector,
+    RetryBudget budget,
+    ChatMetrics metrics,
+    MonotonicClock clock,
+    RandomGenerator random) {}
--- /dev/null
+++ b/daemon/src/main/java/org/heatherspread/daemon/chat/ModelName.java
@@ -0,0 +1,32 @@
+package org.heatherspread.daemon.chat;
+
+import org.heatherspread.core.config.ModelVersion;
+
+/**
+ * The {@code model} of a call: {@code SERVICE}, {@code SERVICE@VERSION}, either with {@code
+ * :ADAPTER} after it. Immutable.
+ *
+ * @param service name of the service
+ * @param version the version asked for, or empty for the newest active one
+ * @param adapter the adapter asked for, or empty
+ */
+record ModelName(String service, String version, String adapter) {
+  static ModelName parse(String name) {
+    int colon = name.indexOf(':');
+    String model = colon < 0 ? name : name.substring(0, colon);
+    String adapter = colon < 0 ? "" : name.substring(colon + 1);
+    int at = model.indexOf('@');
+    String service = at < 0 ? model : model.substring(0, at);
+    String version = at < 0 ? "" : model.substring(at + 1);
+    return new ModelName(service, version, adapter);
+  }
+
+  String adapterSuffix() {
+    return adapter.isEmpty() ? "" : ":" + adapter;
+  }
+
+  boolean allows(ModelVersion candidate) {
+    boolean rightVersion = version.isEmpty() || version.equals(candidate.version());
+    return rightVersion && (adapter.isEmpty() || candidate.adapters().contains(adapter));
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/heatherspread/daemon/chat/RequestFailure.java
@@ -0,0 +1,46 @@
+package org.heatherspread.daemon.chat;
+
+import java.util.Optional;
+import java.util.concurrent.CompletionException;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.scaladsl.model.EntityStreamSizeException;
+import org.heatherspread.core.error.ErrorKind;
+import org.heatherspread.core.error.ServingException;
+import org.heatherspread.daemon.http.ProblemAnswers;
+
+/** The failure of a request that has an id, so that the answer can carry it. Immutable. */
+final class RequestFailure extends RuntimeException {
+  private static final long serialVersionUID = 1L;
+
+  private final String requestId;
+
+  private RequestFailure(String requestId, Throwable cause) {
+    super(cause.getMessage(), cause, false, false);
+    this.requestId = requestId;
+  }
+
+  static RequestFailure of(String requestId, Throwable failure) {
+    return new RequestFailure(requestId, unwrap(failure));
+  }
+
+  /** Answers a failure, with the request's id if it is known. */
+  static HttpResponse answer(Throwable failure, ProblemAnswers problems) {
+    Throwable cause = unwrap(failure);
+    if (cause instanceof RequestFailure known) {
+      return problems.answer(known.getCause(), Optional.of(known.requestId));
+    }
+    if (cause instanceof EntityStreamSizeException) {
+      return problems.answer(
+          ServingException.of(ErrorKind.BODY_TOO_LARGE, "the body is over the limit"));
+    }
+    return problems.answer(cause);
+  }
+
+  private static Throwable unwrap(Throwable failure) {
+    Throwable cause = failure;
+    while (cause instanceof CompletionException && cause.getCause() != null) {
+      cause = cause.getCause();
+    }
+    return cause;
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/heatherspread/daemon/chat/SessionFailures.java
@@ -0,0 +1,20 @@
+package org.heatherspread.daemon.chat;
+
+import org.heatherspread.core.retry.RetryReason;
+import org.heatherspread.daemon.routing.EndpointFailure;
+
+/** Tells the selector why an attempt failed. Stateless. */
+final class SessionFailures {
+  private SessionFailures() {}
+
+  static EndpointFailure endpointFailure(RetryReason reason) {
+    return switch (reason) {
+      case REFUSED -> EndpointFailure.REFUSED;
+      case UNREACHABLE -> EndpointFailure.UNREACHABLE;
+      case SILENT, STALLED -> EndpointFailure.SILENT;
+      case CONNECTION_LOST, NOT_HELD, FRAME_GAP -> EndpointFailure.BROKEN;
+      case ENDPOINT_ERROR -> EndpointFailure.ERROR;
+      case ENDPOINT_LEAVING, DAEMON_LEFT -> EndpointFailure.LEFT;
+    };
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/heatherspread/daemon/engine/EngineClient.java
@@ -0,0 +1,222 @@
+package org.heatherspread.daemon.engine;
+
+import com.fasterxml.jackson.annotation.JsonIgnoreProperties;
+import com.fasterxml.jackson.annotation.JsonProperty;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.http.javadsl.Http;
+import org.apache.pekko.http.javadsl.model.ContentTypes;
+import org.apache.pekko.http.javadsl.model.HttpEntities;
+import org.apache.pekko.http.javadsl.model.HttpHeader;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.model.headers.RawHeader;
+import org.apache.pekko.http.javadsl.settings.ConnectionPoolSettings;
+import org.apache.pekko.stream.StreamTcpException;
+import org.apache.pekko.stream.javadsl.Sink;
+import org.heatherspread.core.error.ErrorKind;
+import org.heatherspread.core.retry.RetryReason;
+
+/**
+ * Calls model engines over pooled connections; section 2 of {@code docs/INTERFACES.md}. Nothing is
+ * retried here. A stream that is cancelled closes its connection, so that a connection under
+ * suspicion is never used again.
+ *
+ * <p>Safe for use by any thread. Failures are {@link EngineException}s.
+ */
+public final class EngineClient {
+  private static final int OK = 200;
+  private static final int NOT_FOUND = 404;
+  private static final int CONTENT_TOO_LARGE = 413;
+  private static final int UNAVAILABLE = 503;
+  private static final int SERVER_ERROR = 500;
+  private static final long STRICT_MILLIS = 2_000;
+  private static final int MOST_BYTES = 65_536;
+  private static final ObjectMapper JSON = new ObjectMapper();
+
+  private final ActorSystem<?> system;
+  private final Http http;
+  private final ConnectionPoolSettings pool;
+
+  private EngineClient(ActorSystem<?> system, ConnectionPoolSettings pool) {
+    this.system = system;
+    this.http = Http.get(system);
+    this.pool = pool;
+  }
+
+  /** Creates a client; connections are opened on first use. */
+  public static EngineClient create(ActorSystem<?> system, EngineClientSettings settings) {
+    ConnectionPoolSettings defaults = ConnectionPoolSettings.create(system.classicSystem());
+    ConnectionPoolSettings pool =
+        defaults
+            .withMaxConnections(settings.connectionsPerEndpoint())
+            .withMaxOpenRequests(Integer.highestOneBit(settings.connectionsPerEndpoint()) * 2)
+            .withMaxRetries(0)
+            .withConnectionSettings(
+                defaults
+                    .getConnectionSettings()
+                    .withConnectingTimeout(
+                        scala.concurrent.duration.Duration.fromNanos(settings.connect().toNanos()))
+                    .withIdleTimeout(
+                        scala.concurrent.duration.Duration.fromNanos(settings.idle().toNanos())));
+    return new EngineClient(system, pool);
+  }
+
+  // ---- streams ----
+
+  /** Sends an attempt; completes when the engine took or refused it. */
+  public CompletableFuture<EngineReply> start(String baseUrl, EngineCall call) {
+    HttpRequest request =
+        HttpRequest.POST(baseUrl + "/v1/chat/completions")
+            .withEntity(HttpEntities.create(ContentTypes.APPLICATION_JSON, call.body()))
+            .addHeaders(
+                List.of(
+                    header("X-Request-Id", call.requestId()),
+                    header("X-Attempt", Integer.toString(call.attempt())),
+                    header("X-Priority", Integer.toString(call.priority())),
+                    header("X-Deadline-Ms", Long.toString(call.remainingMillis()))));
+    return send(request).thenCompose(this::reply);
+  }
+
+  /** Opens the stream of an attempt anew, after an offset. */
+  public CompletableFuture<EngineReply> resume(
+      String baseUrl, String requestId, int attempt, long offset) {
+    String path = "/v1/streams/" + requestId + "?attempt=" + attempt + "&offset=" + offset;
+    return send(HttpRequest.GET(baseUrl + path)).thenCompose(this::reply);
+  }
+
+  /** Frees an attempt; the answer only tells that the engine got it. */
+  public CompletableFuture<Void> cancel(String baseUrl, String requestId, int attempt) {
+    String path = "/v1/streams/" + requestId + "?attempt=" + attempt;
+    return send(HttpRequest.DELETE(baseUrl + path)).thenAccept(this::discard);
+  }
+
+  // ---- KV cache ----
+
+  /** Stops a stream and keeps its KV cache for another engine; returns the cache's id. */
+  public CompletableFuture<String> exportKv(String baseUrl, String requestId) {
+    return post(baseUrl + "/v1/kv/export", new ExportCall(requestId));
+  }
+
+  /** Fetches a KV cache from another engine; returns the id that it has here. */
+  public CompletableFuture<String> importKv(String baseUrl, String kvId, String sourceUrl) {
+    return post(baseUrl + "/v1/kv/import", new ImportCall(kvId, sourceUrl));
+  }
+
+  private CompletableFuture<String> post(String url, Object body) {
+    byte[] bytes;
+    try {
+      bytes = JSON.writeValueAsBytes(body);
+    } catch (IOException e) {
+      return CompletableFuture.failedFuture(e);
+    }
+    HttpRequest request =
+        HttpRequest.POST(url).withEntity(HttpEntities.create(ContentTypes.APPLICATION_JSON, bytes));
+    return send(request)
+        .thenCompose(
+            response ->
+                text(response)
+                    .thenApply(
+                        content -> {
+                          if (response.status().intValue() != OK) {
+                            throw EngineException.of(RetryReason.ENDPOINT_ERROR, content);
+                          }
+                          return kvId(content);
+                        }));
+  }
+
+  private static String kvId(String content) {
+    try {
+      return JSON.readValue(content, KvAnswer.class).kvId();
+    } catch (IOException e) {
+      throw EngineException.of(RetryReason.ENDPOINT_ERROR, e);
+    }
+  }
+
+  // ---- answers ----
+
+  private CompletableFuture<EngineReply> reply(HttpResponse response) {
+    int status = response.status().intValue();
+    if (status == OK) {
+      return CompletableFuture.completedFuture(
+          new EngineReply.Stream(response.entity().getDataBytes()));
+    }
+    boolean notRun = status == UNAVAILABLE && response.getHeader("X-Not-Run").isPresent();
+    return text(response).thenApply(content -> refusal(status, notRun, content));
+  }
+
+  private static EngineReply refusal(int status, boolean notRun, String content) {
+    if (notRun) {
+      throw EngineException.of(RetryReason.REFUSED, content);
+    }
+    if (status == NOT_FOUND) {
+      throw EngineException.of(RetryReason.NOT_HELD, content);
+    }
+    if (status >= SERVER_ERROR) {
+      throw EngineException.of(RetryReason.ENDPOINT_ERROR, content);
+    }
+    ErrorKind kind =
+        status == CONTENT_TOO_LARGE || content.contains("context_too_long")
+            ? ErrorKind.CONTEXT_TOO_LONG
+            : ErrorKind.ENDPOINT_ERROR;
+    return new EngineReply.Rejected(kind, "the engine answered " + status + ": " + content);
+  }
+
+  private CompletableFuture<String> text(HttpResponse response) {
+    return response
+        .entity()
+        .toStrict(
+            STRICT_MILLIS, MOST_BYTES, org.apache.pekko.stream.Materializer.matFromSystem(system))
+        .thenApply(strict -> strict.getData().utf8String())
+        .toCompletableFuture();
+  }
+
+  /** Lets go of a stream that is no longer wanted, and of its connection. */
+  public void discard(EngineReply reply) {
+    if (reply instanceof EngineReply.Stream stream) {
+      stream.body().runWith(Sink.cancelled(), system);
+    }
+  }
+
+  private void discard(HttpResponse response) {
+    response.discardEntityBytes(system);
+  }
+
+  // ---- connections ----
+
+  private CompletableFuture<HttpResponse> send(HttpRequest request) {
+    return http.singleRequest(
+            request, http.defaultClientHttpsContext(), pool, system.classicSystem().log())
+        .toCompletableFuture()
+        .handle(
+            (response, e) -> {
+              if (e == null) {
+                return response;
+              }
+              throw EngineException.of(reason(e), e);
+            });
+  }
+
+  private static RetryReason reason(Throwable failure) {
+    Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+    boolean connecting =
+        cause instanceof StreamTcpException
+            && String.valueOf(cause.getMessage()).contains("Connect");
+    return connecting ? RetryReason.UNREACHABLE : RetryReason.CONNECTION_LOST;
+  }
+
+  private static HttpHeader header(String name, String value) {
+    return RawHeader.create(name, value);
+  }
+
+  private record ExportCall(@JsonProperty("request_id") String requestId) {}
+
+  private record ImportCall(@JsonProperty("kv_id") String kvId, String source) {}
+
+  @JsonIgnoreProperties(ignoreUnknown = true)
+  private record KvAnswer(@JsonProperty("kv_id") String kvId) {}
+}
--- /dev/null
+++ b/daemon/src/main/java/org/heatherspread/daemon/engine/EngineClientSettings.java
@@ -0,0 +1,34 @@
+package org.heatherspread.daemon.engine;
+
+import java.time.Duration;
+import org.heatherspread.settings.Section;
+
+/**
+ * Connections to model engines. Immutable.
+ *
+ * @param connectionsPerEndpoint most connections to one endpoint; each open stream holds one
+ * @param connect longest wait for a connection
+ * @param idle time without any byte after which a connection is closed; longer than the silence
+ *     bound of a stream
+ */
+public record EngineClientSettings(int connectionsPerEndpoint, Duration connect, Duration idle) {
+  private static final int DEFAULT_CONNECTIONS = 1_024;
+  private static final int MAX_CONNECTIONS = 16_384;
+  private static final Duration DEFAULT_CONNECT = Duration.ofSeconds(1);
+  private static final Duration DEFAULT_IDLE = Duration.ofSeconds(10);
+  private static final Duration LEAST = Duration.ofMillis(10);
+  private static final Duration MOST = Duration.ofMinutes(10);
+
+  /** Returns the settings of a deployment that states none. */
+  public static EngineClientSettings defaults() {
+    return new EngineClientSettings(DEFAULT_CONNECTIONS, DEFAULT_CONNECT, DEFAULT_IDLE);
+  }
+
+  /** Reads the settings from the section {@code engines}. */
+  public static EngineClientSettings read(Section section) {
+    return new EngineClientSettings(
+        section.integer("connections_per_endpoint", DEFAULT_CONNECTIONS, 1, MAX_CONNECTIONS),
+        section.duration("connect", DEFAULT_CONNECT, LEAST, MOST),
+        section.duration("idle", DEFAULT_IDLE, LEAST, MOST));
+  }
+}
