Serve plain services, addresses and permits

Cause: calls of plain services, some of which may not be repeated, had no path. Change: ANY /v1/services/{service}/{path} passes calls on whole; repeatable ones are retried under the service's budget, others run at most once by permit, by idempotency key claimed in the table service, or under an id made here, with the witness's acknowledgement over gRPC before dispatch. GET /v1/addresses orders the live daemons and gives signed permits.

--- a/core/src/main/java/org/heatherspread/core/permit/PermitIssuer.java
+++ b/core/src/main/java/org/heatherspread/core/permit/PermitIssuer.java
@@ -51,6 +51,11 @@
         .map(witness -> RequestId.create(reference(owner), reference(witness), random));
   }
 
+  /** Returns a new id for a call of which no record is kept; it names the daemon twice. */
+  public RequestId soleId(Instance owner) {
+    return RequestId.create(reference(owner), reference(owner), random);
+  }
+
   /** Chooses a live daemon in another failure domain, or in the same one if there is no other. */
   private Optional<Instance> witness(Instance owner, List<Member> daemons) {
     List<Instance> elsewhere = new ArrayList<>();
--- /dev/null
+++ b/daemon/src/main/java/org/heatherspread/daemon/address/AddressComponent.java
@@ -0,0 +1,137 @@
+package org.heatherspread.daemon.address;
+
+import static org.apache.pekko.http.javadsl.server.Directives.complete;
+import static org.apache.pekko.http.javadsl.server.Directives.extractRequest;
+import static org.apache.pekko.http.javadsl.server.Directives.get;
+import static org.apache.pekko.http.javadsl.server.Directives.path;
+import static org.apache.pekko.http.javadsl.server.PathMatchers.segment;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
+import org.apache.pekko.http.javadsl.model.ContentTypes;
+import org.apache.pekko.http.javadsl.model.HttpHeader;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.model.headers.RawHeader;
+import org.apache.pekko.http.javadsl.server.Route;
+import org.heatherspread.core.address.AddressOrder;
+import org.heatherspread.core.config.AccountSpec;
+import org.heatherspread.core.error.ServingException;
+import org.heatherspread.core.model.Instance;
+import org.heatherspread.daemon.DaemonComponent;
+import org.heatherspread.daemon.DaemonContext;
+import org.heatherspread.daemon.http.AccountAuth;
+import org.heatherspread.daemon.http.ProblemAnswers;
+import org.heatherspread.daemon.permit.PermitDesk;
+import org.heatherspread.daemon.permit.PermitDesk.SignedPermit;
+
+/**
+ * {@code GET /v1/addresses}: which daemons a caller should use, in order, for how long, with
+ * permits for calls that may not be repeated. The header {@code X-Failure-Domain} names the domain
+ * to prefer, else it is this daemon's own.
+ *
+ * <p>Safe for use by any thread.
+ */
+public final class AddressComponent implements DaemonComponent {
+  private static final String DOMAIN = "X-Failure-Domain";
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+
+  private final DaemonContext context;
+  private final AddressSettings settings;
+  private final PermitDesk permits;
+  private final AccountAuth auth;
+  private final ProblemAnswers problems;
+
+  private AddressComponent(
+      DaemonContext context,
+      AddressSettings settings,
+      PermitDesk permits,
+      AccountAuth auth,
+      ProblemAnswers problems) {
+    this.context = context;
+    this.settings = settings;
+    this.permits = permits;
+    this.auth = auth;
+    this.problems = problems;
+  }
+
+  /** Creates the component. */
+  public static AddressComponent create(
+      DaemonContext context,
+      AddressSettings settings,
+      PermitDesk permits,
+      AccountAuth auth,
+      ProblemAnswers problems) {
+    return new AddressComponent(context, settings, permits, auth, problems);
+  }
+
+  @Override
+  public Optional<Route> routes() {
+    return Optional.of(
+        path(
+            segment("v1").slash("addresses"),
+            () -> get(() -> extractRequest(request -> complete(answer(request))))));
+  }
+
+  private HttpResponse answer(HttpRequest request) {
+    try {
+      AccountSpec account = auth.authenticate(request);
+      String domain =
+          request.getHeader(DOMAIN).map(HttpHeader::value).orElse(context.self().domain().name());
+      return json(body(account, domain));
+    } catch (ServingException e) {
+      return problems.answer(e);
+    }
+  }
+
+  private Addresses body(AccountSpec account, String domain) {
+    List<Instance> daemons =
+        AddressOrder.of(
+            context.membership().get().daemons(),
+            domain,
+            context.self().domain().region(),
+            ThreadLocalRandom.current().nextLong(),
+            settings.count());
+    List<Address> addresses = new ArrayList<>();
+    for (Instance each : daemons) {
+      addresses.add(
+          new Address(each.id(), each.baseUrl(), each.domain().region(), each.domain().name()));
+    }
+    List<Permit> batch = new ArrayList<>();
+    for (SignedPermit each : permits.issue(account.name(), daemons)) {
+      batch.add(
+          new Permit(
+              each.text(),
+              each.permit().id().toString(),
+              each.permit().id().owner().id(),
+              each.permit().expiresAtMillis()));
+    }
+    return new Addresses(addresses, settings.validity().toMillis(), batch);
+  }
+
+  private static HttpResponse json(Addresses body) {
+    try {
+      return HttpResponse.create()
+          .withEntity(ContentTypes.APPLICATION_JSON, MAPPER.writeValueAsBytes(body))
+          .addHeader(RawHeader.create("Cache-Control", "no-store"));
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("addresses could not be written", e);
+    }
+  }
+
+  private record Addresses(
+      List<Address> addresses, @JsonProperty("valid_ms") long validMillis, List<Permit> permits) {}
+
+  private record Address(String id, String url, String region, String domain) {}
+
+  private record Permit(
+      String permit,
+      @JsonProperty("request_id") String requestId,
+      String owner,
+      @JsonProperty("expires_at") long expiresAt) {}
+}
--- /dev/null
+++ b/daemon/src/main/java/org/heatherspread/daemon/plain/AnswerWriter.java
@@ -0,0 +1,42 @@
+package org.heatherspread.daemon.plain;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.apache.pekko.http.javadsl.model.ContentType;
+import org.apache.pekko.http.javadsl.model.ContentTypes;
+import org.apache.pekko.http.javadsl.model.HttpEntities;
+import org.apache.pekko.http.javadsl.model.HttpHeader;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.model.StatusCode;
+import org.apache.pekko.http.javadsl.model.StatusCodes;
+import org.apache.pekko.http.javadsl.model.headers.RawHeader;
+import org.heatherspread.core.record.CallAnswer;
+import org.heatherspread.core.record.CallAnswer.Header;
+
+/** Writes an endpoint's answer as the answer to the caller. Stateless. */
+final class AnswerWriter {
+  private static final String CONTENT_TYPE = "Content-Type";
+
+  private AnswerWriter() {}
+
+  static HttpResponse write(CallAnswer answer) {
+    List<HttpHeader> headers = new ArrayList<>();
+    ContentType type = ContentTypes.NO_CONTENT_TYPE;
+    for (Header header : answer.headers()) {
+      if (header.name().equalsIgnoreCase(CONTENT_TYPE)) {
+        type = ContentTypes.parse(header.value());
+      } else {
+        headers.add(RawHeader.create(header.name(), header.value()));
+      }
+    }
+    return HttpResponse.create()
+        .withStatus(status(answer.status()))
+        .withHeaders(headers)
+        .withEntity(HttpEntities.create(type, answer.body()));
+  }
+
+  private static StatusCode status(int code) {
+    return StatusCodes.lookup(code)
+        .orElseGet(() -> StatusCodes.custom(code, "", "", code < 400, code != 204 && code != 304));
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/heatherspread/daemon/plain/KeyedCalls.java
@@ -0,0 +1,102 @@
+package org.heatherspread.daemon.plain;
+
+import io.micrometer.core.instrument.MeterRegistry;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import org.heatherspread.core.error.Execution;
+import org.heatherspread.core.record.CallAnswer;
+import org.heatherspread.core.record.CallDraft;
+import org.heatherspread.core.record.CallOutcome;
+import org.heatherspread.core.record.CallState;
+import org.heatherspread.core.record.ClaimResult;
+import org.heatherspread.core.record.KeyClaims;
+import org.heatherspread.core.store.RowKey;
+import org.heatherspread.core.store.TableStore;
+import org.heatherspread.daemon.http.ProblemAnswers;
+import org.heatherspread.daemon.record.CallLookup;
+import org.heatherspread.daemon.record.CallRunner;
+
+/**
+ * Runs calls that carry an idempotency key: the key is claimed in the table service before
+ * dispatch, and a repeated call gets the outcome of the one that holds the key.
+ *
+ * <p>Immutable; safe for use by any thread.
+ */
+final class KeyedCalls {
+  /** An answer above this size is not written to the table service, whose rows are small. */
+  private static final int MAX_STORED_BYTES = 128 * 1024;
+
+  private final KeyClaims claims;
+  private final CallRunner runner;
+  private final CallLookup lookup;
+  private final MeterRegistry meters;
+
+  KeyedCalls(TableStore store, CallRunner runner, CallLookup lookup, MeterRegistry meters) {
+    this.claims = KeyClaims.create(store, new ClaimJson(), () -> UUID.randomUUID().toString());
+    this.runner = runner;
+    this.lookup = lookup;
+    this.meters = meters;
+  }
+
+  /** One call and how to dispatch it. */
+  private record Work(
+      RowKey key, CallDraft draft, Supplier<CompletableFuture<CallAnswer>> dispatch) {}
+
+  /** Runs a call under its key, or answers from the call that holds the key. */
+  CompletableFuture<CallAnswer> run(
+      RowKey key, CallDraft draft, Supplier<CompletableFuture<CallAnswer>> dispatch) {
+    Work work = new Work(key, draft, dispatch);
+    return claims.claim(key, draft).thenCompose(result -> afterClaim(work, result));
+  }
+
+  private CompletableFuture<CallAnswer> afterClaim(Work work, ClaimResult result) {
+    if (result instanceof ClaimResult.Won won) {
+      count("won");
+      return runner
+          .run(work.draft(), work.dispatch())
+          .whenComplete((answer, failure) -> settle(work, won.version(), answer, failure));
+    }
+    ClaimResult.Taken taken = (ClaimResult.Taken) result;
+    count("taken");
+    CallOutcome known = taken.claim().outcome();
+    if (known.state() != CallState.IN_PROGRESS) {
+      return afterLookup(work, taken, known);
+    }
+    return lookup
+        .resolve(taken.claim().draft())
+        .thenCompose(outcome -> afterLookup(work, taken, outcome));
+  }
+
+  /** A key whose call was closed without having run is free for the repeated call. */
+  private CompletableFuture<CallAnswer> afterLookup(
+      Work work, ClaimResult.Taken taken, CallOutcome outcome) {
+    if (outcome.state() != CallState.NOT_RUN) {
+      return CallRunner.answer(outcome);
+    }
+    return claims
+        .replace(work.key(), taken.version(), work.draft())
+        .thenCompose(result -> afterClaim(work, result));
+  }
+
+  private void settle(Work work, long version, CallAnswer answer, Throwable failure) {
+    claims
+        .settle(work.key(), version, work.draft(), outcome(answer, failure))
+        .whenComplete(
+            (written, lost) -> count(lost == null && written ? "settled" : "settle_failed"));
+  }
+
+  private static CallOutcome outcome(CallAnswer answer, Throwable failure) {
+    if (failure == null) {
+      return answer.body().length <= MAX_STORED_BYTES
+          ? CallOutcome.answered(answer)
+          : CallOutcome.unknown();
+    }
+    boolean notRun = ProblemAnswers.unwrap(failure).kind().execution() == Execution.NOT_RUN;
+    return notRun ? CallOutcome.notRun() : CallOutcome.unknown();
+  }
+
+  private void count(String event) {
+    meters.counter("heatherspread.claims", "event", event).increment();
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/heatherspread/daemon/record/CallCodec.java
@@ -0,0 +1,99 @@
+package org.heatherspread.daemon.record;
+
+import com.google.protobuf.UnsafeByteOperations;
+import java.util.ArrayList;
+import java.util.List;
+import org.heatherspread.core.record.Admittance;
+import org.heatherspread.core.record.CallAnswer;
+import org.heatherspread.core.record.CallDraft;
+import org.heatherspread.core.record.CallOutcome;
+import org.heatherspread.core.record.RequestId;
+import org.heatherspread.protocol.generated.records.Admission;
+import org.heatherspread.protocol.generated.records.Answer;
+import org.heatherspread.protocol.generated.records.Draft;
+import org.heatherspread.protocol.generated.records.Header;
+import org.heatherspread.protocol.generated.records.Outcome;
+import org.heatherspread.protocol.generated.records.State;
+
+/** Translates the records of calls between core and the inner protocol. Stateless. */
+final class CallCodec {
+  private static final String ADMISSION_PREFIX = "ADMISSION_";
+  private static final String STATE_PREFIX = "STATE_";
+
+  private CallCodec() {}
+
+  static RequestId requestId(String text) {
+    return RequestId.parse(text)
+        .orElseThrow(() -> new IllegalArgumentException("not a request id: " + text));
+  }
+
+  static Draft encodeDraft(CallDraft draft) {
+    return Draft.newBuilder()
+        .setRequestId(draft.id().toString())
+        .setAccount(draft.account())
+        .setDigest(draft.digest())
+        .setExpiresAtMs(draft.expiresAtMillis())
+        .build();
+  }
+
+  static CallDraft decodeDraft(Draft message) {
+    return new CallDraft(
+        requestId(message.getRequestId()),
+        message.getAccount(),
+        message.getDigest(),
+        message.getExpiresAtMs());
+  }
+
+  static Admission encodeAdmittance(Admittance admittance) {
+    return Admission.valueOf(ADMISSION_PREFIX + admittance.name());
+  }
+
+  /** Reads an admission; one of a later version that is not known here is a refusal. */
+  static Admittance decodeAdmittance(Admission message) {
+    for (Admittance each : Admittance.values()) {
+      if (message.name().equals(ADMISSION_PREFIX + each.name())) {
+        return each;
+      }
+    }
+    return Admittance.NOT_KEEPER;
+  }
+
+  static Outcome encodeOutcome(CallOutcome outcome) {
+    Outcome.Builder builder =
+        Outcome.newBuilder().setState(State.valueOf(STATE_PREFIX + outcome.state().name()));
+    outcome.answer().ifPresent(answer -> builder.setAnswer(encodeAnswer(answer)));
+    return builder.build();
+  }
+
+  static CallOutcome decodeOutcome(Outcome message) {
+    if (message.getState() == State.STATE_ANSWERED) {
+      return CallOutcome.answered(decodeAnswer(message.getAnswer()));
+    }
+    return switch (message.getState()) {
+      case STATE_IN_PROGRESS -> CallOutcome.inProgress();
+      case STATE_NOT_RUN -> CallOutcome.notRun();
+      case STATE_OTHER_REQUEST -> CallOutcome.otherRequest();
+      case STATE_NOT_HELD -> CallOutcome.notHeld();
+      default -> CallOutcome.unknown();
+    };
+  }
+
+  private static Answer encodeAnswer(CallAnswer answer) {
+    Answer.Builder builder =
+        Answer.newBuilder()
+            .setStatus(answer.status())
+            .setBody(UnsafeByteOperations.unsafeWrap(answer.body()));
+    for (CallAnswer.Header header : answer.headers()) {
+      builder.addHeaders(Header.newBuilder().setName(header.name()).setValue(header.value()));
+    }
+    return builder.build();
+  }
+
+  private static CallAnswer decodeAnswer(Answer message) {
+    List<CallAnswer.Header> headers = new ArrayList<>();
+    for (Header header : message.getHeadersList()) {
+      headers.add(new CallAnswer.Header(header.getName(), header.getValue()));
+    }
+    return new CallAnswer(message.getStatus(), headers, message.getBody().toByteArray());
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/heatherspread/daemon/record/CallRunner.java
@@ -0,0 +1,166 @@
+package org.heatherspread.daemon.record;
+
+import io.micrometer.core.instrument.MeterRegistry;
+import java.util.Locale;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import org.heatherspread.core.error.ErrorKind;
+import org.heatherspread.core.error.Execution;
+import org.heatherspread.core.error.ServingException;
+import org.heatherspread.core.record.Admittance;
+import org.heatherspread.core.record.CallAnswer;
+import org.heatherspread.core.record.CallDraft;
+import org.heatherspread.core.record.CallOutcome;
+import org.heatherspread.daemon.http.ProblemAnswers;
+
+/**
+ * Runs calls that may not be repeated, each at most once, as their owner: record here, have the
+ * witness acknowledge, dispatch, report the outcome.
+ *
+ * <p>Immutable; safe for use by any thread.
+ */
+public final class CallRunner {
+  private final CallTables tables;
+  private final CallRecordsClient client;
+  private final MeterRegistry meters;
+
+  CallRunner(CallTables tables, CallRecordsClient client, MeterRegistry meters) {
+    this.tables = tables;
+    this.client = client;
+    this.meters = meters;
+  }
+
+  /**
+   * Runs a call whose id names this daemon as owner, unless it was begun before; then its outcome
+   * is given.
+   *
+   * @param dispatch called at most once; its future fails with a {@link ServingException} whose
+   *     kind says {@code NOT_RUN} only if no endpoint ran the call
+   * @return the whole answer, or a {@link ServingException}
+   */
+  public CompletableFuture<CallAnswer> run(
+      CallDraft draft, Supplier<CompletableFuture<CallAnswer>> dispatch) {
+    Admittance admittance = tables.owner().begin(draft);
+    count("owner", admittance);
+    if (admittance == Admittance.KNOWN) {
+      return answer(tables.owner().resolve(draft));
+    }
+    if (admittance != Admittance.ADMITTED) {
+      return CompletableFuture.failedFuture(refusal(admittance));
+    }
+    return client
+        .dispatching(draft)
+        .handle((reply, failure) -> failure == null ? reply : null)
+        .thenCompose(reply -> afterWitness(draft, reply, dispatch));
+  }
+
+  private CompletableFuture<CallAnswer> afterWitness(
+      CallDraft draft, Admittance reply, Supplier<CompletableFuture<CallAnswer>> dispatch) {
+    if (reply != null) {
+      count("witness", reply);
+    }
+    if (reply != Admittance.ADMITTED) {
+      return closeBeforeDispatch(draft, reply);
+    }
+    if (!tables.owner().mayDispatch(draft.id())) {
+      return answer(tables.owner().resolve(draft));
+    }
+    return start(dispatch)
+        .handle((answer, failure) -> end(draft, answer, failure))
+        .thenCompose(ended -> ended);
+  }
+
+  private static CompletableFuture<CallAnswer> start(
+      Supplier<CompletableFuture<CallAnswer>> dispatch) {
+    try {
+      return dispatch.get();
+    } catch (ServingException e) {
+      return CompletableFuture.failedFuture(e);
+    }
+  }
+
+  private CompletableFuture<CallAnswer> closeBeforeDispatch(CallDraft draft, Admittance reply) {
+    if (!tables.owner().closeBeforeDispatch(draft.id())) {
+      return answer(tables.owner().resolve(draft));
+    }
+    report(draft, CallOutcome.notRun());
+    ServingException refusal =
+        reply == null
+            ? ServingException.of(ErrorKind.WITNESS_UNAVAILABLE, "the witness did not answer")
+            : refusal(reply);
+    return CompletableFuture.failedFuture(refusal);
+  }
+
+  private CompletableFuture<CallAnswer> end(CallDraft draft, CallAnswer answer, Throwable failure) {
+    if (failure == null) {
+      CallOutcome outcome = CallOutcome.answered(answer);
+      tables.owner().finish(draft.id(), outcome);
+      report(draft, outcome);
+      return CompletableFuture.completedFuture(answer);
+    }
+    ServingException error = ProblemAnswers.unwrap(failure);
+    boolean notRun = error.kind().execution() == Execution.NOT_RUN;
+    CallOutcome outcome = notRun ? CallOutcome.notRun() : CallOutcome.unknown();
+    tables.owner().finish(draft.id(), outcome);
+    report(draft, outcome);
+    return CompletableFuture.failedFuture(error);
+  }
+
+  /** Tells the witness; nobody waits, since without it the witness says unknown, which is true. */
+  private void report(CallDraft draft, CallOutcome outcome) {
+    client
+        .report(draft, outcome)
+        .whenComplete(
+            (done, failure) -> {
+              if (failure != null) {
+                meters.counter("heatherspread.records.reports.lost").increment();
+              }
+            });
+  }
+
+  /** Turns a call's outcome into its answer or error. */
+  public static CompletableFuture<CallAnswer> answer(CallOutcome outcome) {
+    if (outcome.answer().isPresent()) {
+      return CompletableFuture.completedFuture(outcome.answer().get());
+    }
+    return CompletableFuture.failedFuture(error(outcome));
+  }
+
+  private static ServingException error(CallOutcome outcome) {
+    return switch (outcome.state()) {
+      case IN_PROGRESS ->
+          ServingException.of(ErrorKind.IN_PROGRESS, "the request is still running");
+      case NOT_RUN ->
+          ServingException.of(
+              ErrorKind.REQUEST_CLOSED, "the request did not run and never will under this id");
+      case OTHER_REQUEST ->
+          ServingException.of(ErrorKind.KEY_REUSED, "the id was used with another request");
+      default ->
+          ServingException.of(ErrorKind.OUTCOME_UNKNOWN, "the request may have run; do not repeat");
+    };
+  }
+
+  private static ServingException refusal(Admittance admittance) {
+    return switch (admittance) {
+      case EXPIRED -> ServingException.of(ErrorKind.PERMIT_REJECTED, "the permit has expired");
+      case FULL -> ServingException.of(ErrorKind.OVERLOADED, "no room for the request's record");
+      case SEALED -> ServingException.of(ErrorKind.DAEMON_LEAVING, "a keeper is stopping");
+      case CLOSED ->
+          ServingException.of(ErrorKind.REQUEST_CLOSED, "the request was closed before it ran");
+      default ->
+          ServingException.of(
+              ErrorKind.PERMIT_REJECTED, "the permit names another life of its keepers");
+    };
+  }
+
+  private void count(String keeper, Admittance admittance) {
+    meters
+        .counter(
+            "heatherspread.records.admittance",
+            "keeper",
+            keeper,
+            "answer",
+            admittance.name().toLowerCase(Locale.ROOT))
+        .increment();
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/heatherspread/daemon/record/CallTables.java
@@ -0,0 +1,22 @@
+package org.heatherspread.daemon.record;
+
+import java.time.InstantSource;
+import org.heatherspread.core.record.DaemonRef;
+import org.heatherspread.core.record.OwnerTable;
+import org.heatherspread.core.record.RecordLimits;
+import org.heatherspread.core.record.SealedArchive;
+import org.heatherspread.core.record.WitnessTable;
+
+/**
+ * The three places where this incarnation of the daemon keeps records of calls. Immutable; its
+ * members are safe for use by any thread.
+ */
+record CallTables(DaemonRef self, OwnerTable owner, WitnessTable witness, SealedArchive archive) {
+  static CallTables create(DaemonRef self, InstantSource clock, RecordLimits limits) {
+    return new CallTables(
+        self,
+        OwnerTable.create(self, clock, limits),
+        WitnessTable.create(self, clock, limits),
+        SealedArchive.create(clock, limits));
+  }
+}
