Wire the daemon: membership, configuration, operators, chat

Cause: the parts were there but no process served a request. Change: DaemonAssembly builds the parts in the order of their dependencies, PlatformClients counts each access to the table service, the settings file takes the sections of chat and engines. Conclusion: the whole path stands in thin form; records, routing and limits are still the simple ones.

--- /dev/null
+++ b/daemon/src/main/java/org/heatherspread/daemon/DaemonAssembly.java
@@ -0,0 +1,202 @@
+package org.heatherspread.daemon;
+
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.heatherspread.core.config.ConfigurationInForce;
+import org.heatherspread.core.config.ConfigurationLog;
+import org.heatherspread.core.config.Freshness;
+import org.heatherspread.core.membership.MembershipSettings;
+import org.heatherspread.core.model.Instance;
+import org.heatherspread.core.model.InstanceKind;
+import org.heatherspread.core.model.InstanceState;
+import org.heatherspread.core.model.Market;
+import org.heatherspread.core.time.MonotonicClock;
+import org.heatherspread.daemon.chat.ChatComponent;
+import org.heatherspread.daemon.config.ConfigurationCodec;
+import org.heatherspread.daemon.config.ConfigurationComponent;
+import org.heatherspread.daemon.control.ControlFactory;
+import org.heatherspread.daemon.engine.EngineClient;
+import org.heatherspread.daemon.http.AccountAuth;
+import org.heatherspread.daemon.http.HealthComponent;
+import org.heatherspread.daemon.http.ProblemAnswers;
+import org.heatherspread.daemon.limit.AdmitAll;
+import org.heatherspread.daemon.membership.HttpEndpointProber;
+import org.heatherspread.daemon.membership.MembershipComponent;
+import org.heatherspread.daemon.peer.PeerChannels;
+import org.heatherspread.daemon.platform.PlatformClients;
+import org.heatherspread.daemon.record.LocalRequestRecords;
+import org.heatherspread.daemon.routing.LeastInFlightSelector;
+import org.heatherspread.daemon.settings.DaemonFile;
+
+/**
+ * Builds the parts of one daemon in the order of their dependencies.
+ *
+ * <p>Confined to the thread that starts the daemon; the parts are safe for use by any thread.
+ */
+final class DaemonAssembly {
+  private static final Duration PROBE_TIMEOUT = Duration.ofSeconds(1);
+
+  private final DaemonFile file;
+  private final ActorSystem<Void> system;
+  private final PrometheusMeterRegistry meters;
+  private final ProblemAnswers problems;
+  private final PlatformClients platform;
+  private final PeerChannels channels = PeerChannels.create();
+  private final MonotonicClock clock = MonotonicClock.system();
+  private final InstantSource wallClock = InstantSource.system();
+  private final AtomicBoolean draining = new AtomicBoolean();
+  private final List<DaemonComponent> components = new ArrayList<>();
+
+  private DaemonAssembly(DaemonFile file, ActorSystem<Void> system) {
+    this.file = file;
+    this.system = system;
+    meters = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    problems = ProblemAnswers.create(meters);
+    platform = PlatformClients.create(file.platform(), meters);
+  }
+
+  /**
+   * Builds all parts.
+   *
+   * @param stop starts the planned stop of the daemon
+   */
+  static DaemonAssembly create(DaemonFile file, ActorSystem<Void> system, Runnable stop) {
+    DaemonAssembly assembly = new DaemonAssembly(file, system);
+    assembly.build(stop);
+    return assembly;
+  }
+
+  /** Returns the components in the order in which they start. */
+  List<DaemonComponent> components() {
+    return List.copyOf(components);
+  }
+
+  /** Returns what turns failures into answers. */
+  ProblemAnswers problems() {
+    return problems;
+  }
+
+  /** From now on the daemon tells that it is not ready. */
+  void markDraining() {
+    draining.set(true);
+  }
+
+  /** Closes the connections to other daemons and to the platform. */
+  void close() {
+    channels.close();
+    platform.close();
+  }
+
+  // ---------------------------------------------------------------------------------------------
+  // Parts
+  // ---------------------------------------------------------------------------------------------
+
+  private void build(Runnable stop) {
+    Instance self = self();
+    ConfigurationInForce inForce = ConfigurationInForce.create();
+    MembershipComponent membership = membership(self, inForce);
+    ConfigurationLog log =
+        ConfigurationLog.create(
+            platform.store(), ConfigurationCodec.shared(), wallClock, ControlFactory::randomId);
+    ConfigurationComponent configuration =
+        ConfigurationComponent.create(
+            log,
+            inForce,
+            Freshness.defaults(),
+            membership,
+            membership::silence,
+            clock,
+            new SplittableRandom(),
+            meters);
+    DaemonContext context =
+        new DaemonContext(
+            self,
+            system,
+            meters,
+            clock,
+            wallClock,
+            membership,
+            configuration,
+            membership,
+            platform.store(),
+            channels);
+    components.add(membership);
+    components.add(configuration);
+    components.add(
+        ControlFactory.create(
+            context,
+            file.operators(),
+            log,
+            inForce,
+            membership.calls(),
+            List::of,
+            () -> notReady(configuration),
+            stop,
+            problems));
+    components.add(chat(context));
+    components.add(
+        HealthComponent.create(
+            meters, List.of(this::drainingReason, configuration::notReadyBecause)));
+  }
+
+  private MembershipComponent membership(Instance self, ConfigurationInForce inForce) {
+    return MembershipComponent.create(
+        self,
+        MembershipSettings.defaults(),
+        inForce,
+        ConfigurationCodec.shared(),
+        platform,
+        HttpEndpointProber.create(system, PROBE_TIMEOUT),
+        channels,
+        clock,
+        wallClock,
+        new SplittableRandom(),
+        meters);
+  }
+
+  private ChatComponent chat(DaemonContext context) {
+    return ChatComponent.create(
+        context,
+        file.chat(),
+        AccountAuth.create(context.configuration()),
+        problems,
+        EngineClient.create(system, file.engines()),
+        LeastInFlightSelector.create(context.membership()),
+        AdmitAll.create(),
+        LocalRequestRecords.create());
+  }
+
+  private Instance self() {
+    return new Instance(
+        file.daemon().id(),
+        wallClock.millis(),
+        InstanceKind.DAEMON,
+        "",
+        file.daemon().domain(),
+        file.daemon().host(),
+        file.daemon().httpPort(),
+        file.daemon().peerPort(),
+        "",
+        Market.RECLAIMABLE,
+        0,
+        InstanceState.LIVE,
+        Optional.empty());
+  }
+
+  private Optional<String> drainingReason() {
+    return draining.get() ? Optional.of("the daemon is leaving") : Optional.empty();
+  }
+
+  private Optional<String> notReady(ConfigurationComponent configuration) {
+    Optional<String> reason = drainingReason();
+    return reason.isPresent() ? reason : configuration.notReadyBecause();
+  }
+}
--- a/daemon/src/main/java/org/heatherspread/daemon/DaemonRuntime.java
+++ b/daemon/src/main/java/org/heatherspread/daemon/DaemonRuntime.java
@@ -3,8 +3,6 @@
 import com.typesafe.config.Config;
 import com.typesafe.config.ConfigFactory;
 import io.grpc.BindableService;
-import io.micrometer.prometheusmetrics.PrometheusConfig;
-import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -17,7 +15,6 @@
 import org.apache.pekko.actor.typed.javadsl.Behaviors;
 import org.apache.pekko.http.javadsl.ServerBinding;
 import org.apache.pekko.http.javadsl.server.Route;
-import org.heatherspread.daemon.http.HealthComponent;
 import org.heatherspread.daemon.http.HttpFrontend;
 import org.heatherspread.daemon.http.ProblemAnswers;
 import org.heatherspread.daemon.peer.PeerServer;
@@ -38,19 +35,19 @@
 
   private final DaemonFile file;
   private final ActorSystem<Void> system;
-  private final List<DaemonComponent> components;
+  private final DaemonAssembly assembly;
   private final PeerServer peers;
   private final ServerBinding binding;
 
   private DaemonRuntime(
       DaemonFile file,
       ActorSystem<Void> system,
-      List<DaemonComponent> components,
+      DaemonAssembly assembly,
       PeerServer peers,
       ServerBinding binding) {
     this.file = file;
     this.system = system;
-    this.components = components;
+    this.assembly = assembly;
     this.peers = peers;
     this.binding = binding;
   }
@@ -63,14 +60,18 @@
   public static DaemonRuntime start(DaemonFile file) throws IOException {
     ActorSystem<Void> system =
         ActorSystem.create(Behaviors.empty(), "heatherspread", actorConfig(file));
-    PrometheusMeterRegistry meters = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
-    ProblemAnswers problems = ProblemAnswers.create(meters);
-    List<DaemonComponent> components = new ArrayList<>();
-    components.add(HealthComponent.create(meters, List.of()));
+    DaemonAssembly assembly =
+        DaemonAssembly.create(file, system, () -> new Thread(DaemonRuntime::exit, "stop").start());
+    List<DaemonComponent> components = assembly.components();
     components.forEach(DaemonComponent::start);
     PeerServer peers = startPeerServer(file, components);
-    ServerBinding binding = bind(file, system, components, problems);
-    return new DaemonRuntime(file, system, components, peers, binding);
+    ServerBinding binding = bind(file, system, components, assembly.problems());
+    return new DaemonRuntime(file, system, assembly, peers, binding);
+  }
+
+  /** Ends the process; its shutdown hook drains the daemon. */
+  private static void exit() {
+    System.exit(0);
   }
 
   private static Config actorConfig(DaemonFile file) {
@@ -125,6 +126,8 @@
   public void stop() {
     Duration bound = file.daemon().drainTimeout();
     logger.atInfo().addKeyValue("bound_ms", bound.toMillis()).log("draining");
+    assembly.markDraining();
+    List<DaemonComponent> components = assembly.components();
     CompletableFuture<?>[] drains =
         components.stream().map(c -> c.drain(bound)).toArray(CompletableFuture[]::new);
     await(CompletableFuture.allOf(drains), bound, "work in progress did not end in time");
@@ -134,6 +137,7 @@
         "connections did not end in time");
     peers.close();
     components.forEach(DaemonComponent::close);
+    assembly.close();
     system.terminate();
     logger.atInfo().log("daemon stopped");
   }
--- /dev/null
+++ b/daemon/src/main/java/org/heatherspread/daemon/platform/PlatformClients.java
@@ -0,0 +1,103 @@
+package org.heatherspread.daemon.platform;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.MeterRegistry;
+import java.time.Duration;
+import java.util.Locale;
+import java.util.concurrent.CompletableFuture;
+import org.heatherspread.core.store.TableStore;
+import org.heatherspread.daemon.membership.PlatformView;
+import org.heatherspread.daemon.settings.PlatformSettings;
+import org.heatherspread.platform.cloud.CloudApi;
+import org.heatherspread.platform.cloud.HttpCloudApi;
+import org.heatherspread.platform.instances.HttpInstanceListClient;
+import org.heatherspread.platform.instances.InstanceListClient;
+import org.heatherspread.platform.table.DynamoTableStore;
+import org.heatherspread.platform.table.TableListener.Access;
+import org.heatherspread.platform.table.TableListener.Outcome;
+import org.heatherspread.platform.table.TableSettings;
+
+/**
+ * The clients of the platform's services that one daemon uses, with a counter for each kind of
+ * access to the table service.
+ *
+ * <p>Safe for use by any thread.
+ */
+public final class PlatformClients implements PlatformView, AutoCloseable {
+  private static final int MAX_CONNECTIONS = 16;
+
+  private final DynamoTableStore store;
+  private final InstanceListClient instances;
+  private final CloudApi cloud;
+
+  private PlatformClients(DynamoTableStore store, InstanceListClient instances, CloudApi cloud) {
+    this.store = store;
+    this.instances = instances;
+    this.cloud = cloud;
+  }
+
+  /** Creates the clients; no connection is opened yet. */
+  public static PlatformClients create(PlatformSettings settings, MeterRegistry meters) {
+    Duration connectTimeout = settings.timeout().dividedBy(2);
+    TableSettings table =
+        new TableSettings(
+            settings.tableUrl(),
+            settings.tableRegion(),
+            settings.tableName(),
+            settings.accessKey(),
+            settings.secretKey(),
+            connectTimeout,
+            settings.timeout(),
+            MAX_CONNECTIONS);
+    DynamoTableStore store =
+        DynamoTableStore.create(
+            table, (access, outcome, took) -> counter(meters, access, outcome).increment());
+    return new PlatformClients(
+        store,
+        HttpInstanceListClient.create(settings.instanceListUrl(), settings.timeout()),
+        HttpCloudApi.create(settings.cloudUrl(), settings.timeout()));
+  }
+
+  private static Counter counter(MeterRegistry meters, Access access, Outcome outcome) {
+    return Counter.builder("heatherspread.store.accesses")
+        .description("Accesses to the table service, by kind and outcome")
+        .tag("access", access.name().toLowerCase(Locale.ROOT))
+        .tag("outcome", outcome.name().toLowerCase(Locale.ROOT))
+        .register(meters);
+  }
+
+  /** Returns the table service. */
+  public TableStore store() {
+    return store;
+  }
+
+  /** Returns the cloud API. */
+  public CloudApi cloud() {
+    return cloud;
+  }
+
+  @Override
+  public CompletableFuture<Listing> instances() {
+    return instances.fetch().thenApply(list -> new Listing(list.asOfMillis(), list.instances()));
+  }
+
+  @Override
+  public CompletableFuture<NoticePage> noticesAfter(long sequence) {
+    return cloud
+        .notices(sequence)
+        .thenApply(
+            found -> {
+              long next = sequence;
+              for (CloudApi.Notice notice : found) {
+                next = Math.max(next, notice.seq());
+              }
+              return new NoticePage(
+                  found.stream().map(n -> new Notice(n.instanceId(), n.endsAt())).toList(), next);
+            });
+  }
+
+  @Override
+  public void close() {
+    store.close();
+  }
+}
--- a/daemon/src/main/java/org/heatherspread/daemon/settings/DaemonFile.java
+++ b/daemon/src/main/java/org/heatherspread/daemon/settings/DaemonFile.java
@@ -2,6 +2,8 @@
 
 import java.nio.file.Path;
 import java.util.Map;
+import org.heatherspread.daemon.chat.ChatSettings;
+import org.heatherspread.daemon.engine.EngineClientSettings;
 import org.heatherspread.settings.SettingsReader;
 
 /**
@@ -11,12 +13,16 @@
  * @param http bounds of the HTTP interface
  * @param platform where the platform's services are
  * @param operators who may operate the deployment
+ * @param chat how chat completions are served
+ * @param engines connections to model engines
  */
 public record DaemonFile(
     DaemonSettings daemon,
     HttpSettings http,
     PlatformSettings platform,
-    OperatorSettings operators) {
+    OperatorSettings operators,
+    ChatSettings chat,
+    EngineClientSettings engines) {
 
   /**
    * Loads a file.
@@ -42,6 +48,8 @@
         DaemonSettings.read(reader.section("daemon")),
         HttpSettings.read(reader.section("http")),
         PlatformSettings.read(reader.section("platform")),
-        OperatorSettings.read(reader.section("operators")));
+        OperatorSettings.read(reader.section("operators")),
+        ChatSettings.read(reader.section("chat")),
+        EngineClientSettings.read(reader.section("engines")));
   }
 }
