Drive the request state machine over random failures

Cause: the promise of a whole answer or an honest error must hold under any schedule of loss, delay, repetition, crossing, crashes, notices and pauses.

--- a/core/src/main/java/org/heatherspread/core/request/RequestMachine.java
+++ b/core/src/main/java/org/heatherspread/core/request/RequestMachine.java
@@ -237,6 +237,7 @@
     }
     enter(Link.OPEN);
     linkStep = atStep;
+    frames.expect(attempt);
     gaps = 0;
     taken = true;
     mayHaveRun = true;
--- /dev/null
+++ b/core/src/test/java/org/heatherspread/core/request/SimulatedEngine.java
@@ -0,0 +1,54 @@
+package org.heatherspread.core.request;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+
+/** A model engine of a simulation, and the ledger of what it truly ran. */
+final class SimulatedEngine {
+  final String id;
+  final Set<Integer> ran = new HashSet<>();
+  boolean alive = true;
+  boolean leaving;
+  private final Map<Integer, Long> streams = new HashMap<>();
+  private final Set<String> caches = new HashSet<>();
+
+  SimulatedEngine(String id) {
+    this.id = id;
+  }
+
+  void run(int attempt, long offset) {
+    ran.add(attempt);
+    streams.put(attempt, offset);
+  }
+
+  boolean holds(int attempt) {
+    return streams.containsKey(attempt);
+  }
+
+  void free(int attempt) {
+    streams.remove(attempt);
+  }
+
+  String export() {
+    String kv = "kv-" + id;
+    caches.add(kv);
+    return kv;
+  }
+
+  boolean cached(String kv) {
+    return caches.contains(kv);
+  }
+
+  void crash() {
+    alive = false;
+    streams.clear();
+    caches.clear();
+  }
+
+  void restart() {
+    alive = true;
+    leaving = false;
+  }
+}
