Give control calls of engines connections of their own

Cause: in 25 repetitions of cancelling a stream, two cancels were lost: the pool gave the call a connection that was just being closed.

--- a/daemon/src/main/java/org/heatherspread/daemon/engine/EngineClient.java
+++ b/daemon/src/main/java/org/heatherspread/daemon/engine/EngineClient.java
@@ -7,6 +7,8 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.apache.pekko.http.javadsl.Http;
 import org.apache.pekko.http.javadsl.model.ContentTypes;
@@ -20,11 +22,13 @@
 import org.apache.pekko.stream.javadsl.Sink;
 import org.heatherspread.core.error.ErrorKind;
 import org.heatherspread.core.retry.RetryReason;
+import scala.concurrent.duration.FiniteDuration;
 
 /**
- * Calls model engines over pooled connections; section 2 of {@code docs/INTERFACES.md}. Nothing is
- * retried here. A stream that is cancelled closes its connection, so that a connection under
- * suspicion is never used again.
+ * Calls model engines over pooled connections; section 2 of {@code docs/INTERFACES.md}. Only
+ * cancelling is retried here. A stream that is cancelled closes its connection, so that a
+ * connection under suspicion is never used again; control calls have connections of their own,
+ * since the pool may give a call a connection that is just being closed.
  *
  * <p>Safe for use by any thread. Failures are {@link EngineException}s.
  */
@@ -36,34 +40,46 @@
   private static final int SERVER_ERROR = 500;
   private static final long STRICT_MILLIS = 2_000;
   private static final int MOST_BYTES = 65_536;
+  private static final int CONTROL_CONNECTIONS = 64;
+  private static final int CANCEL_TRIES = 4;
+  private static final Executor CANCEL_PAUSE =
+      CompletableFuture.delayedExecutor(100, TimeUnit.MILLISECONDS);
   private static final ObjectMapper JSON = new ObjectMapper();
 
   private final ActorSystem<?> system;
   private final Http http;
-  private final ConnectionPoolSettings pool;
+  private final ConnectionPoolSettings streams;
+  private final ConnectionPoolSettings control;
 
-  private EngineClient(ActorSystem<?> system, ConnectionPoolSettings pool) {
+  private EngineClient(
+      ActorSystem<?> system, ConnectionPoolSettings streams, ConnectionPoolSettings control) {
     this.system = system;
     this.http = Http.get(system);
-    this.pool = pool;
+    this.streams = streams;
+    this.control = control;
   }
 
   /** Creates a client; connections are opened on first use. */
   public static EngineClient create(ActorSystem<?> system, EngineClientSettings settings) {
+    return new EngineClient(
+        system,
+        pool(system, settings, settings.connectionsPerEndpoint()),
+        pool(system, settings, CONTROL_CONNECTIONS));
+  }
+
+  /** Pools of other sizes share no connection. */
+  private static ConnectionPoolSettings pool(
+      ActorSystem<?> system, EngineClientSettings settings, int connections) {
     ConnectionPoolSettings defaults = ConnectionPoolSettings.create(system.classicSystem());
-    ConnectionPoolSettings pool =
-        defaults
-            .withMaxConnections(settings.connectionsPerEndpoint())
-            .withMaxOpenRequests(Integer.highestOneBit(settings.connectionsPerEndpoint()) * 2)
-            .withMaxRetries(0)
-            .withConnectionSettings(
-                defaults
-                    .getConnectionSettings()
-                    .withConnectingTimeout(
-                        scala.concurrent.duration.Duration.fromNanos(settings.connect().toNanos()))
-                    .withIdleTimeout(
-                        scala.concurrent.duration.Duration.fromNanos(settings.idle().toNanos())));
-    return new EngineClient(system, pool);
+    return defaults
+        .withMaxConnections(connections)
+        .withMaxOpenRequests(Integer.highestOneBit(connections) * 2)
+        .withMaxRetries(0)
+        .withConnectionSettings(
+            defaults
+                .getConnectionSettings()
+                .withConnectingTimeout(FiniteDuration.fromNanos(settings.connect().toNanos()))
+                .withIdleTimeout(FiniteDuration.fromNanos(settings.idle().toNanos())));
   }
 
   // ---- streams ----
@@ -79,20 +95,32 @@
                     header("X-Attempt", Integer.toString(call.attempt())),
                     header("X-Priority", Integer.toString(call.priority())),
                     header("X-Deadline-Ms", Long.toString(call.remainingMillis()))));
-    return send(request).thenCompose(this::reply);
+    return send(request, streams).thenCompose(this::reply);
   }
 
   /** Opens the stream of an attempt anew, after an offset. */
   public CompletableFuture<EngineReply> resume(
       String baseUrl, String requestId, int attempt, long offset) {
     String path = "/v1/streams/" + requestId + "?attempt=" + attempt + "&offset=" + offset;
-    return send(HttpRequest.GET(baseUrl + path)).thenCompose(this::reply);
+    return send(HttpRequest.GET(baseUrl + path), streams).thenCompose(this::reply);
   }
 
   /** Frees an attempt; the answer only tells that the engine got it. */
   public CompletableFuture<Void> cancel(String baseUrl, String requestId, int attempt) {
     String path = "/v1/streams/" + requestId + "?attempt=" + attempt;
-    return send(HttpRequest.DELETE(baseUrl + path)).thenAccept(this::discard);
+    return cancel(HttpRequest.DELETE(baseUrl + path), CANCEL_TRIES);
+  }
+
+  private CompletableFuture<Void> cancel(HttpRequest request, int tries) {
+    return send(request, control)
+        .thenAccept(this::discard)
+        .exceptionallyCompose(
+            failure ->
+                tries <= 1
+                    ? CompletableFuture.failedFuture(failure)
+                    : CompletableFuture.supplyAsync(() -> null, CANCEL_PAUSE)
+                        .thenCompose(paused -> cancel(request, tries - 1)))
+        .toCompletableFuture();
   }
 
   // ---- KV cache ----
@@ -116,7 +144,7 @@
     }
     HttpRequest request =
         HttpRequest.POST(url).withEntity(HttpEntities.create(ContentTypes.APPLICATION_JSON, bytes));
-    return send(request)
+    return send(request, control)
         .thenCompose(
             response ->
                 text(response)
@@ -188,7 +216,7 @@
 
   // ---- connections ----
 
-  private CompletableFuture<HttpResponse> send(HttpRequest request) {
+  private CompletableFuture<HttpResponse> send(HttpRequest request, ConnectionPoolSettings pool) {
     return http.singleRequest(
             request, http.defaultClientHttpsContext(), pool, system.classicSystem().log())
         .toCompletableFuture()
--- a/daemon/src/main/java/org/heatherspread/daemon/routing/LeastInFlightSelector.java
+++ b/daemon/src/main/java/org/heatherspread/daemon/routing/LeastInFlightSelector.java
@@ -13,8 +13,8 @@
 import org.heatherspread.core.model.Instance;
 
 /**
- * Chooses the endpoint with the fewest requests in flight from this daemon; the baseline that other
- * selectors are measured against.
+ * Chooses the endpoint with the fewest requests in flight from this daemon, the first by id among
+ * equals; the baseline that other selectors are measured against.
  *
  * <p>Safe for use by any thread. A count is never negative: each selection gives its count back
  * once.
@@ -44,7 +44,8 @@
         continue;
       }
       int count = count(candidate).get();
-      if (count < fewest) {
+      boolean sooner = best != null && candidate.id().compareTo(best.id()) < 0;
+      if (count < fewest || count == fewest && sooner) {
         fewest = count;
         best = candidate;
       }
