--- a/core/src/main/java/org/heatherspread/core/routing/CacheEventFeed.java
+++ b/core/src/main/java/org/heatherspread/core/routing/CacheEventFeed.java
@@ -3,12 +3,14 @@
 /**
  * Applies the cache events of one endpoint to the index in the order of their numbers.
  *
- * <p>A missing number or a new incarnation drops all that the index holds of the endpoint, since an
- * eviction may have been among what was missed. Events already applied are ignored. Not safe for
+ * <p>A missing number drops what was not confirmed within the last minute, since an eviction may
+ * have been among what was missed and engines evict what was used longest ago. A new incarnation
+ * drops all that the index holds of the endpoint. Events already applied are ignored. Not safe for
  * use by several threads: one poller feeds one endpoint.
  */
 public final class CacheEventFeed {
   private static final long NONE = -1;
+  private static final long GAP_MEMORY_MILLIS = 60_000;
 
   private final PrefixIndex index;
   private final int slot;
@@ -55,7 +57,7 @@
     }
     if (last != NONE && event.seq() != last + 1) {
       gaps++;
-      index.drop(slot, nowMillis);
+      index.dropBefore(slot, nowMillis - GAP_MEMORY_MILLIS);
     }
     last = event.seq();
     switch (event.kind()) {
--- a/core/src/main/java/org/heatherspread/core/routing/CostRouter.java
+++ b/core/src/main/java/org/heatherspread/core/routing/CostRouter.java
@@ -18,6 +18,7 @@
 public final class CostRouter {
   private static final int FULL_SCAN = 32;
   private static final int MATCH_LIMIT = 16;
+  private static final int HOMES = 3;
   private static final double JITTER = 0.2;
   private static final double RAMP_UP_PENALTY_MILLIS = 200;
   private static final double MILLIS_PER_HOUR = 3_600_000;
@@ -93,70 +94,78 @@
       this.homeKey = homeKey();
     }
 
+    /** The deepest prefix that other prompts share has homes, so that it lies on few endpoints. */
     private long homeKey() {
       long[] hashes = request.hashes();
       if (hashes.length == 0) {
         return 0;
       }
-      int held = match.size() == 0 ? 0 : match.blocks(0);
-      return hashes[Math.min(held, hashes.length - 1)];
+      return hashes[Math.max(1, match.sharedBlocks()) - 1];
     }
 
     void run(boolean ignoreEjections) {
       best = -1;
-      int home = home();
       if (snapshot.size() <= FULL_SCAN) {
         for (int i = 0; i < snapshot.size(); i++) {
-          weigh(i, i == home, ignoreEjections);
+          weigh(i, ignoreEjections);
         }
         return;
       }
       for (int i = 0; i < match.size(); i++) {
         int position = snapshot.position(match.slot(i));
         if (position >= 0) {
-          weigh(position, position == home, ignoreEjections);
+          weigh(position, ignoreEjections);
         }
       }
-      if (home >= 0) {
-        weigh(home, true, ignoreEjections);
-      }
-      sample(home, ignoreEjections);
+      weighHomes(ignoreEjections);
+      sample(ignoreEjections);
     }
 
-    private void sample(int home, boolean ignoreEjections) {
+    private void sample(boolean ignoreEjections) {
       for (int i = 0; i < weights.samples(); i++) {
-        int position = random.nextInt(snapshot.size());
-        weigh(position, position == home, ignoreEjections);
-      }
-      if (best >= 0) {
-        return;
+        weigh(random.nextInt(snapshot.size()), ignoreEjections);
       }
       int first = random.nextInt(snapshot.size());
       for (int i = 0; i < snapshot.size() && best < 0; i++) {
-        weigh((first + i) % snapshot.size(), false, ignoreEjections);
+        weigh((first + i) % snapshot.size(), ignoreEjections);
       }
     }
 
-    private int home() {
+    private void weighHomes(boolean ignoreEjections) {
       if (homeKey == 0) {
-        return -1;
-      }
-      int home = -1;
-      long highest = -1;
-      for (int i = 0; i < snapshot.size(); i++) {
-        long score = snapshot.rendezvous(i, homeKey);
-        if (score > highest) {
-          highest = score;
-          home = i;
+        return;
+      }
+      long bound = Long.MAX_VALUE;
+      for (int n = 0; n < HOMES; n++) {
+        int home = -1;
+        long highest = -1;
+        for (int i = 0; i < snapshot.size(); i++) {
+          long score = snapshot.rendezvous(i, homeKey);
+          if (score > highest && score < bound) {
+            highest = score;
+            home = i;
+          }
         }
+        if (home < 0) {
+          return;
+        }
+        bound = highest;
+        weigh(home, ignoreEjections);
+      }
+    }
+
+    private double homePenalty(int position) {
+      if (homeKey == 0) {
+        return 0;
       }
-      return home;
+      double score = (double) snapshot.rendezvous(position, homeKey) / Long.MAX_VALUE;
+      return weights.home() * (1 - score);
     }
 
-    private void weigh(int position, boolean home, boolean ignoreEjections) {
+    private void weigh(int position, boolean ignoreEjections) {
       EndpointView view = snapshot.endpoint(position);
       EndpointProfile profile = view.profile();
-      if (!profile.serves(request.version(), request.adapter())
+      if (!profile.models().fit(request.version(), request.adapter())
           || request.excluded().contains(profile.id())) {
         return;
       }
@@ -176,7 +185,7 @@
       if (best >= 0 && bestMeets && !meets) {
         return;
       }
-      double cost = cost(view, wait, prefill, running) - (home ? weights.home() : 0);
+      double cost = cost(view, wait, prefill, running) + homePenalty(position);
       if (!meets) {
         cost += excess(first, interval);
       }
@@ -202,7 +211,8 @@
 
     private double waitMillis(EndpointView view, double running) {
       double backlog = view.expectedBacklogTokens(weights.peerFactor(), nowMillis);
-      double wait = view.speed().prefillMillis(backlog);
+      double wait =
+          Math.max(view.observedWaitMillis(nowMillis), view.speed().prefillMillis(backlog));
       LoadReport report = view.report();
       if (report.waiting() > 0 && report.running() > 0) {
         double answer = request.answerTokens() * view.speed().intervalMillis(report.running());
--- a/core/src/main/java/org/heatherspread/core/routing/EndpointView.java
+++ b/core/src/main/java/org/heatherspread/core/routing/EndpointView.java
@@ -10,6 +10,9 @@
  * dispatch counts as unreported until a report measured after it arrives or it ends.
  */
 public final class EndpointView {
+  private static final double WAIT_SMOOTHING = 0.3;
+  private static final double WAIT_MEMORY_MILLIS = 2_000;
+
   private final int slot;
   private final SpeedModel speed;
   private final EndpointHealth health;
@@ -20,6 +23,8 @@
   private volatile int unreportedRequests;
   private volatile long unreportedTokens;
   private volatile int endedSinceReport;
+  private volatile double observedWaitMillis;
+  private volatile long observedAtMillis;
 
   private EndpointView(EndpointProfile profile, int slot, SpeedModel speed, EndpointHealth health) {
     this.profile = profile;
@@ -113,8 +118,12 @@
     if (!dispatch.reported) {
       unreportedTokens -= dispatch.uncachedTokens;
     }
+    double passed = nowMillis - dispatch.atMillis;
+    double wait = Math.max(0, passed - speed.prefillMillis(dispatch.uncachedTokens));
+    observedWaitMillis += WAIT_SMOOTHING * (wait - observedWaitMillis);
+    observedAtMillis = nowMillis;
     double expected = Math.max(1, dispatch.expectedFirstTokenMillis);
-    health.succeeded((nowMillis - dispatch.atMillis) / expected, nowMillis);
+    health.succeeded(passed / expected, nowMillis);
   }
 
   synchronized void ended(Dispatch dispatch, DispatchEnd end, long nowMillis) {
@@ -159,6 +168,15 @@
     return Math.max(ownInFlight, others + unreportedRequests * peerFactor);
   }
 
+  /**
+   * Returns how long the prefill of this daemon's own latest requests had to wait, fading with
+   * time. Unlike a report it does not lag.
+   */
+  public double observedWaitMillis(long nowMillis) {
+    double age = Math.max(0, nowMillis - observedAtMillis);
+    return observedWaitMillis * Math.exp(-age / WAIT_MEMORY_MILLIS);
+  }
+
   /** Returns how many prompt tokens the endpoint has yet to compute. */
   public double expectedBacklogTokens(double peerFactor, long nowMillis) {
     LoadReport last = report;
--- a/core/src/main/java/org/heatherspread/core/routing/PrefixIndex.java
+++ b/core/src/main/java/org/heatherspread/core/routing/PrefixIndex.java
@@ -20,18 +20,21 @@
   private static final int SLOT_BITS = 16;
   private static final int TICK_MASK = 0xFFFF;
   private static final int EMPTY = 0;
+  private static final int NO_CHILD = 0;
+  private static final int SEVERAL_CHILDREN = -1;
   private static final long SPREAD = 0x9E3779B97F4A7C15L;
 
   /** Most endpoints that one index can tell apart. */
   public static final int MAX_SLOTS = (1 << SLOT_BITS) - 1;
 
   /** Bytes that one block takes. */
-  public static final int BYTES_PER_BLOCK = Long.BYTES + HOLDERS * Integer.BYTES;
+  public static final int BYTES_PER_BLOCK = Long.BYTES + (HOLDERS + 1) * Integer.BYTES;
 
   private final int sets;
   private final int lifetimeSeconds;
   private final long[] keys;
   private final int[] holders;
+  private final int[] children;
   private final int[] droppedAt = new int[MAX_SLOTS + 1];
   private int sweepNext;
 
@@ -40,6 +43,7 @@
     this.lifetimeSeconds = lifetimeSeconds;
     this.keys = new long[sets * WAYS];
     this.holders = new int[sets * WAYS * HOLDERS];
+    this.children = new int[sets * WAYS];
     Arrays.fill(droppedAt, -1);
   }
 
@@ -70,7 +74,10 @@
   public synchronized void add(long[] hashes, int count, int slot, long nowMillis) {
     int tick = tick(nowMillis);
     for (int i = 0; i < count; i++) {
-      put(hashes[i], slot, tick);
+      int entry = put(hashes[i], slot, tick);
+      if (i + 1 < hashes.length) {
+        noteChild(entry, hashes[i + 1]);
+      }
     }
   }
 
@@ -94,11 +101,16 @@
   }
 
   /**
-   * Forgets all that is known of an endpoint, since its events had a gap or it started anew. What
-   * was noted within the same second is forgotten as well.
+   * Forgets all that is known of an endpoint, since it started anew. What was noted within the same
+   * second is forgotten as well.
    */
-  public synchronized void drop(int slot, long nowMillis) {
-    droppedAt[slot] = tick(nowMillis);
+  public void drop(int slot, long nowMillis) {
+    dropBefore(slot, nowMillis);
+  }
+
+  /** Forgets what was last confirmed of an endpoint before a moment, to the second. */
+  public synchronized void dropBefore(int slot, long millis) {
+    droppedAt[slot] = tick(millis);
   }
 
   /** Clears expired holders from the next sets, so that an old entry never looks young again. */
@@ -115,7 +127,16 @@
     }
   }
 
-  private void put(long hash, int slot, int tick) {
+  private void noteChild(int entry, long hash) {
+    int child = (int) hash & Integer.MAX_VALUE | 1;
+    if (children[entry] == NO_CHILD) {
+      children[entry] = child;
+    } else if (children[entry] != child) {
+      children[entry] = SEVERAL_CHILDREN;
+    }
+  }
+
+  private int put(long hash, int slot, int tick) {
     int entry = find(hash);
     if (entry < 0) {
       entry = replaceOldest(hash, tick);
@@ -136,6 +157,7 @@
       }
     }
     holders[target] = (slot + 1) << SLOT_BITS | tick;
+    return entry;
   }
 
   private int replaceOldest(long hash, int tick) {
@@ -151,6 +173,7 @@
     }
     Arrays.fill(holders, victim * HOLDERS, (victim + 1) * HOLDERS, EMPTY);
     keys[victim] = hash;
+    children[victim] = NO_CHILD;
     return victim;
   }
 
@@ -178,7 +201,14 @@
     match.clear();
     int tick = tick(nowMillis);
     int depth = 0;
-    while (depth < hashes.length && find(hashes[depth]) >= 0) {
+    while (depth < hashes.length) {
+      int entry = find(hashes[depth]);
+      if (entry < 0) {
+        break;
+      }
+      if (children[entry] == SEVERAL_CHILDREN) {
+        match.shared(depth + 1);
+      }
       depth++;
     }
     for (int i = depth - 1; i >= 0 && !match.full(); i--) {
--- a/core/src/main/java/org/heatherspread/core/routing/PrefixMatch.java
+++ b/core/src/main/java/org/heatherspread/core/routing/PrefixMatch.java
@@ -9,6 +9,7 @@
   private final int[] slots;
   private final int[] blocks;
   private int size;
+  private int sharedBlocks;
 
   private PrefixMatch(int limit) {
     slots = new int[limit];
@@ -45,12 +46,22 @@
     return 0;
   }
 
+  /** Returns how many blocks from the start of the prompt other prompts are known to share. */
+  public int sharedBlocks() {
+    return sharedBlocks;
+  }
+
   boolean full() {
     return size == slots.length;
   }
 
   void clear() {
     size = 0;
+    sharedBlocks = 0;
+  }
+
+  void shared(int count) {
+    sharedBlocks = count;
   }
 
   void add(int slot, int count) {
--- a/core/src/main/java/org/heatherspread/core/routing/RoutingWeights.java
+++ b/core/src/main/java/org/heatherspread/core/routing/RoutingWeights.java
@@ -10,7 +10,8 @@
  * @param price endpoint time times the price relative to the cheapest endpoint
  * @param reclaim endpoint time that is lost with a reclaim
  * @param distance added where the endpoint is outside the caller's failure domain, milliseconds
- * @param home taken off for a rendezvous home of a prefix that nobody holds, milliseconds
+ * @param home added for the endpoint that ranks last for the shared prefix, milliseconds; the
+ *     rendezvous home pays nothing and those between in proportion
  * @param targetShare share of the latency target that an expected time may use, 0 to 1
  * @param peerFactor dispatches of all daemons for each own one since a report
  * @param samples random endpoints weighed beside holders and homes in a large service
@@ -29,12 +30,12 @@
 
   /** Returns weights for deployments that pay for answers within the latency target. */
   public static RoutingWeights costAtTarget() {
-    return new RoutingWeights(1, 1.5, 1, 0.1, 0.1, 2, 20, 0.6, 1.5, 16);
+    return new RoutingWeights(1, 4, 0.2, 0.1, 0.1, 2, 100, 0.6, 8, 16);
   }
 
   /** Returns weights for deployments that pay for tokens computed again. */
   public static RoutingWeights recomputedTokens() {
-    return costAtTarget().withRecompute(4).withHome(60);
+    return costAtTarget().withRecompute(8).withHome(200);
   }
 
   /** Returns a copy with another weight of recomputed tokens. */
--- a/core/src/main/java/org/heatherspread/core/routing/SpeedModel.java
+++ b/core/src/main/java/org/heatherspread/core/routing/SpeedModel.java
@@ -12,6 +12,7 @@
   private static final double SMOOTHING = 0.05;
   private static final double MIN_SPREAD = 0.5;
 
+  private boolean prefillKnown;
   private double weight;
   private double sumX;
   private double sumY;
@@ -39,9 +40,12 @@
     return new SpeedModel(prefillTokensPerSecond, baseMillis, slopeMillis);
   }
 
-  /** Returns the guesses for a machine class that nothing is known of. */
+  /**
+   * Returns the guesses for a machine class that nothing is known of. They are hopeful, since a
+   * class that seems too slow for the target would never be tried.
+   */
   public static SpeedModel unknown() {
-    return startingAt(4_000, 15, 0.3);
+    return startingAt(20_000, 10, 0.1);
   }
 
   /** Returns the expected time to compute prompt tokens. */
@@ -58,7 +62,9 @@
   public synchronized void learn(LoadReport report) {
     if (report.prefillTokensPerSecond() > 0) {
       double seen = report.prefillTokensPerSecond() / 1_000;
-      prefillTokensPerMilli += SMOOTHING * (seen - prefillTokensPerMilli);
+      double step = prefillKnown ? SMOOTHING : 1;
+      prefillTokensPerMilli += step * (seen - prefillTokensPerMilli);
+      prefillKnown = true;
     }
     if (report.decodeTokensPerSecond() > 0 && report.running() > 0) {
       learnInterval(report.running(), 1_000.0 * report.running() / report.decodeTokensPerSecond());
--- a/daemon/src/main/java/org/heatherspread/daemon/DaemonAssembly.java
+++ b/daemon/src/main/java/org/heatherspread/daemon/DaemonAssembly.java
@@ -33,7 +33,9 @@
 import org.heatherspread.daemon.peer.PeerChannels;
 import org.heatherspread.daemon.platform.PlatformClients;
 import org.heatherspread.daemon.record.LocalRequestRecords;
-import org.heatherspread.daemon.routing.LeastInFlightSelector;
+import org.heatherspread.daemon.routing.CostSelector;
+import org.heatherspread.daemon.routing.EndpointSelector;
+import org.heatherspread.daemon.routing.EndpointTelemetry;
 import org.heatherspread.daemon.settings.DaemonFile;
 
 /**
@@ -141,7 +143,9 @@
             () -> notReady(configuration),
             stop,
             problems));
-    components.add(chat(context));
+    EndpointTelemetry telemetry = EndpointTelemetry.create(context, file.routing());
+    components.add(telemetry);
+    components.add(chat(context, CostSelector.create(context, file.routing(), telemetry)));
     components.add(
         HealthComponent.create(
             meters, List.of(this::drainingReason, configuration::notReadyBecause)));
@@ -162,14 +166,14 @@
         meters);
   }
 
-  private ChatComponent chat(DaemonContext context) {
+  private ChatComponent chat(DaemonContext context, EndpointSelector selector) {
     return ChatComponent.create(
         context,
         file.chat(),
         AccountAuth.create(context.configuration()),
         problems,
         EngineClient.create(system, file.engines()),
-        LeastInFlightSelector.create(context.membership()),
+        selector,
         AdmitAll.create(),
         LocalRequestRecords.create());
   }
--- a/daemon/src/main/java/org/heatherspread/daemon/settings/DaemonFile.java
+++ b/daemon/src/main/java/org/heatherspread/daemon/settings/DaemonFile.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import org.heatherspread.daemon.chat.ChatSettings;
 import org.heatherspread.daemon.engine.EngineClientSettings;
+import org.heatherspread.daemon.routing.RoutingSettings;
 import org.heatherspread.settings.SettingsReader;
 
 /**
@@ -15,6 +16,7 @@
  * @param operators who may operate the deployment
  * @param chat how chat completions are served
  * @param engines connections to model engines
+ * @param routing how endpoints are chosen
  */
 public record DaemonFile(
     DaemonSettings daemon,
@@ -22,7 +24,8 @@
     PlatformSettings platform,
     OperatorSettings operators,
     ChatSettings chat,
-    EngineClientSettings engines) {
+    EngineClientSettings engines,
+    RoutingSettings routing) {
 
   /**
    * Loads a file.
@@ -50,6 +53,7 @@
         PlatformSettings.read(reader.section("platform")),
         OperatorSettings.read(reader.section("operators")),
         ChatSettings.read(reader.section("chat")),
-        EngineClientSettings.read(reader.section("engines")));
+        EngineClientSettings.read(reader.section("engines")),
+        RoutingSettings.read(reader.section("routing")));
   }
 }
