Wire plain services, addresses, permits and the readiness gate

Cause: plain services were not reachable; a daemon without a configuration answered unknown model in place of not ready; and a caller still sending an oversized body sometimes saw a reset connection in place of the 413 (one run in five of ChatComponentTest).

--- a/daemon/src/main/java/org/heatherspread/daemon/DaemonAssembly.java
+++ b/daemon/src/main/java/org/heatherspread/daemon/DaemonAssembly.java
@@ -19,6 +19,7 @@
 import org.heatherspread.core.model.InstanceState;
 import org.heatherspread.core.model.Market;
 import org.heatherspread.core.time.MonotonicClock;
+import org.heatherspread.daemon.address.AddressComponent;
 import org.heatherspread.daemon.chat.ChatComponent;
 import org.heatherspread.daemon.config.ConfigurationCodec;
 import org.heatherspread.daemon.config.ConfigurationComponent;
@@ -27,12 +28,17 @@
 import org.heatherspread.daemon.http.AccountAuth;
 import org.heatherspread.daemon.http.HealthComponent;
 import org.heatherspread.daemon.http.ProblemAnswers;
+import org.heatherspread.daemon.http.ReadinessGate;
+import org.heatherspread.daemon.limit.Admission;
 import org.heatherspread.daemon.limit.AdmitAll;
 import org.heatherspread.daemon.membership.HttpEndpointProber;
 import org.heatherspread.daemon.membership.MembershipComponent;
 import org.heatherspread.daemon.peer.PeerChannels;
+import org.heatherspread.daemon.permit.PermitDesk;
+import org.heatherspread.daemon.plain.PlainComponent;
 import org.heatherspread.daemon.platform.PlatformClients;
 import org.heatherspread.daemon.record.LocalRequestRecords;
+import org.heatherspread.daemon.record.RecordsComponent;
 import org.heatherspread.daemon.routing.CostSelector;
 import org.heatherspread.daemon.routing.EndpointSelector;
 import org.heatherspread.daemon.routing.EndpointTelemetry;
@@ -55,6 +61,7 @@
   private final MonotonicClock clock = MonotonicClock.system();
   private final InstantSource wallClock = InstantSource.system();
   private final AtomicBoolean draining = new AtomicBoolean();
+  private ConfigurationComponent configuration;
   private final List<DaemonComponent> components = new ArrayList<>();
 
   private DaemonAssembly(DaemonFile file, ActorSystem<Void> system) {
@@ -86,6 +93,11 @@
     return problems;
   }
 
+  /** Returns the gate that refuses new work while the daemon is not ready. */
+  ReadinessGate gate() {
+    return ReadinessGate.create(configuration::notReadyBecause, problems);
+  }
+
   /** From now on the daemon tells that it is not ready. */
   void markDraining() {
     draining.set(true);
@@ -108,7 +120,7 @@
     ConfigurationLog log =
         ConfigurationLog.create(
             platform.store(), ConfigurationCodec.shared(), wallClock, ControlFactory::randomId);
-    ConfigurationComponent configuration =
+    configuration =
         ConfigurationComponent.create(
             log,
             inForce,
@@ -140,12 +152,10 @@
             inForce,
             membership.calls(),
             List::of,
-            () -> notReady(configuration),
+            this::notReady,
             stop,
             problems));
-    EndpointTelemetry telemetry = EndpointTelemetry.create(context, file.routing());
-    components.add(telemetry);
-    components.add(chat(context, CostSelector.create(context, file.routing(), telemetry)));
+    addServing(context);
     components.add(
         HealthComponent.create(
             meters, List.of(this::drainingReason, configuration::notReadyBecause)));
@@ -166,16 +176,38 @@
         meters);
   }
 
-  private ChatComponent chat(DaemonContext context, EndpointSelector selector) {
-    return ChatComponent.create(
-        context,
-        file.chat(),
-        AccountAuth.create(context.configuration()),
-        problems,
-        EngineClient.create(system, file.engines()),
-        selector,
-        AdmitAll.create(),
-        LocalRequestRecords.create());
+  private void addServing(DaemonContext context) {
+    AccountAuth accounts = AccountAuth.create(context.configuration());
+    EndpointTelemetry telemetry = EndpointTelemetry.create(context, file.routing());
+    components.add(telemetry);
+    EndpointSelector selector = CostSelector.create(context, file.routing(), telemetry);
+    Admission admission = AdmitAll.create();
+    RecordsComponent records =
+        RecordsComponent.create(context, file.records(), file.permits().life());
+    PermitDesk permits = PermitDesk.create(context, file.permits());
+    components.add(records);
+    components.add(
+        ChatComponent.create(
+            context,
+            file.chat(),
+            accounts,
+            problems,
+            EngineClient.create(system, file.engines()),
+            selector,
+            admission,
+            LocalRequestRecords.create()));
+    components.add(
+        PlainComponent.create(
+            context,
+            file.plain(),
+            file.records().life(),
+            records,
+            permits,
+            selector,
+            admission,
+            accounts,
+            problems));
+    components.add(AddressComponent.create(context, file.addresses(), permits, accounts, problems));
   }
 
   private Instance self() {
@@ -199,7 +231,7 @@
     return draining.get() ? Optional.of("the daemon is leaving") : Optional.empty();
   }
 
-  private Optional<String> notReady(ConfigurationComponent configuration) {
+  private Optional<String> notReady() {
     Optional<String> reason = drainingReason();
     return reason.isPresent() ? reason : configuration.notReadyBecause();
   }
--- a/daemon/src/main/java/org/heatherspread/daemon/DaemonMain.java
+++ b/daemon/src/main/java/org/heatherspread/daemon/DaemonMain.java
@@ -2,6 +2,8 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.Map;
+import java.util.TreeMap;
 import joptsimple.OptionException;
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
@@ -27,6 +29,7 @@
     OptionParser parser = new OptionParser();
     parser.accepts("config", "settings file (TOML)").withRequiredArg();
     parser.accepts("check", "check the settings, print every fault, and exit");
+    parser.accepts("settings", "print every setting with its type and default, and exit");
     parser.accepts("help", "show this help").forHelp();
     OptionSet options;
     try {
@@ -36,6 +39,10 @@
       System.exit(USAGE_ERROR);
       return;
     }
+    if (options.has("settings")) {
+      printSettings();
+      System.exit(0);
+    }
     if (options.has("help") || !options.has("config")) {
       parser.printHelpOn(options.has("help") ? System.out : System.err);
       System.exit(options.has("help") ? 0 : USAGE_ERROR);
@@ -48,6 +55,12 @@
     run(file);
   }
 
+  private static void printSettings() {
+    for (Map.Entry<String, String> key : new TreeMap<>(DaemonFile.keys()).entrySet()) {
+      System.out.printf("| `%s` | %s |%n", key.getKey(), key.getValue());
+    }
+  }
+
   private static DaemonFile load(Path path) {
     try {
       return DaemonFile.load(path);
--- a/daemon/src/main/java/org/heatherspread/daemon/DaemonRuntime.java
+++ b/daemon/src/main/java/org/heatherspread/daemon/DaemonRuntime.java
@@ -16,7 +16,7 @@
 import org.apache.pekko.http.javadsl.ServerBinding;
 import org.apache.pekko.http.javadsl.server.Route;
 import org.heatherspread.daemon.http.HttpFrontend;
-import org.heatherspread.daemon.http.ProblemAnswers;
+import org.heatherspread.daemon.http.ReadinessGate;
 import org.heatherspread.daemon.peer.PeerServer;
 import org.heatherspread.daemon.settings.DaemonFile;
 import org.slf4j.Logger;
@@ -65,7 +65,7 @@
     List<DaemonComponent> components = assembly.components();
     components.forEach(DaemonComponent::start);
     PeerServer peers = startPeerServer(file, components);
-    ServerBinding binding = bind(file, system, components, assembly.problems());
+    ServerBinding binding = bind(file, system, assembly);
     return new DaemonRuntime(file, system, assembly, peers, binding);
   }
 
@@ -98,16 +98,15 @@
   }
 
   private static ServerBinding bind(
-      DaemonFile file,
-      ActorSystem<Void> system,
-      List<DaemonComponent> components,
-      ProblemAnswers problems)
-      throws IOException {
+      DaemonFile file, ActorSystem<Void> system, DaemonAssembly assembly) throws IOException {
+    ReadinessGate gate = assembly.gate();
     List<Route> routes = new ArrayList<>();
-    components.forEach(component -> component.routes().ifPresent(routes::add));
+    for (DaemonComponent component : assembly.components()) {
+      component.routes().map(gate::guard).ifPresent(routes::add);
+    }
     try {
       return HttpFrontend.bind(
-              system, file.daemon().host(), file.daemon().httpPort(), routes, problems)
+              system, file.daemon().host(), file.daemon().httpPort(), routes, assembly.problems())
           .toCompletableFuture()
           .get(START_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
     } catch (ExecutionException | TimeoutException e) {
--- a/daemon/src/main/java/org/heatherspread/daemon/chat/ChatService.java
+++ b/daemon/src/main/java/org/heatherspread/daemon/chat/ChatService.java
@@ -23,6 +23,7 @@
 import org.heatherspread.core.retry.RetryBudget;
 import org.heatherspread.daemon.DaemonContext;
 import org.heatherspread.daemon.engine.EngineClient;
+import org.heatherspread.daemon.http.BodyReader;
 import org.heatherspread.daemon.limit.Admission;
 import org.heatherspread.daemon.limit.AdmissionRequest;
 import org.heatherspread.daemon.record.Outcome;
@@ -51,6 +52,7 @@
   private final RequestRecords records;
   private final ChatMetrics metrics;
   private final ChatCallReader reader;
+  private final BodyReader bodies;
   private final Map<String, ChatSession> sessions = new ConcurrentHashMap<>();
   private final Map<String, RetryBudget> budgets = new ConcurrentHashMap<>();
   private final ParkedRequests parked;
@@ -71,6 +73,7 @@
     this.records = records;
     this.metrics = ChatMetrics.create(context.meters());
     this.reader = ChatCallReader.create(settings);
+    this.bodies = BodyReader.create(context.system(), BODY_TIME);
     this.parked = new ParkedRequests(context.clock(), settings.resumeWindow());
     context.meters().gaugeMapSize("heatherspread.requests.open", List.of(), sessions);
   }
@@ -93,12 +96,11 @@
       throw ServingException.of(
           ErrorKind.DAEMON_LEAVING, "this daemon is leaving; ask for addresses again");
     }
-    return request
-        .entity()
-        .toStrict(BODY_TIME.toMillis(), Long.MAX_VALUE, context.system())
+    return bodies
+        .read(request)
         .thenCompose(
-            strict -> {
-              byte[] body = strict.getData().toArrayUnsafe();
+            data -> {
+              byte[] body = data.toArrayUnsafe();
               return accept(
                   reader.read(request, body, account, context.configuration().get()), account);
             });
--- a/daemon/src/main/java/org/heatherspread/daemon/plain/PlainComponent.java
+++ b/daemon/src/main/java/org/heatherspread/daemon/plain/PlainComponent.java
@@ -16,12 +16,12 @@
 import java.util.function.Supplier;
 import org.apache.pekko.http.javadsl.model.ContentType;
 import org.apache.pekko.http.javadsl.model.ContentTypes;
-import org.apache.pekko.http.javadsl.model.HttpEntity;
 import org.apache.pekko.http.javadsl.model.HttpHeader;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.apache.pekko.http.javadsl.model.headers.RawHeader;
 import org.apache.pekko.http.javadsl.server.Route;
+import org.apache.pekko.util.ByteString;
 import org.heatherspread.core.config.AccountSpec;
 import org.heatherspread.core.config.ServiceKind;
 import org.heatherspread.core.config.ServiceSpec;
@@ -35,6 +35,7 @@
 import org.heatherspread.daemon.DaemonComponent;
 import org.heatherspread.daemon.DaemonContext;
 import org.heatherspread.daemon.http.AccountAuth;
+import org.heatherspread.daemon.http.BodyReader;
 import org.heatherspread.daemon.http.ProblemAnswers;
 import org.heatherspread.daemon.limit.Admission;
 import org.heatherspread.daemon.limit.AdmissionRequest;
@@ -52,7 +53,7 @@
  * <p>Safe for use by any thread.
  */
 public final class PlainComponent implements DaemonComponent {
-  private static final long BODY_TIMEOUT_MILLIS = 30_000;
+  private static final Duration BODY_TIMEOUT = Duration.ofSeconds(30);
   private static final long DRAIN_POLL_MILLIS = 50;
   private static final String REQUEST_ID = "X-Request-Id";
   private static final String PERMIT = "X-Execution-Permit";
@@ -62,6 +63,7 @@
 
   private final DaemonContext context;
   private final PlainSettings settings;
+  private final BodyReader bodies;
   private final Duration life;
   private final CallRunner runner;
   private final CallLookup lookup;
@@ -86,6 +88,8 @@
       ProblemAnswers problems) {
     this.context = context;
     this.settings = settings;
+    this.bodies =
+        BodyReader.create(context.system(), BODY_TIMEOUT).withLimit(settings.maxBodyBytes());
     this.life = life;
     this.runner = records.runner();
     this.lookup = records.lookup();
@@ -134,23 +138,21 @@
 
   private CompletionStage<HttpResponse> serve(String service, String path, HttpRequest request) {
     inProgress.incrementAndGet();
-    return request
-        .entity()
-        .withSizeLimit(settings.maxBodyBytes())
-        .toStrict(BODY_TIMEOUT_MILLIS, context.system())
-        .thenCompose(entity -> run(service, path, request, entity))
+    return bodies
+        .read(request)
+        .thenCompose(body -> run(service, path, request, body))
         .handle((response, failure) -> failure == null ? response : problems.answer(failure))
         .whenComplete((response, failure) -> inProgress.decrementAndGet());
   }
 
   private CompletionStage<HttpResponse> run(
-      String service, String path, HttpRequest request, HttpEntity.Strict entity) {
+      String service, String path, HttpRequest request, ByteString body) {
     if (draining.get()) {
       throw ServingException.of(ErrorKind.DAEMON_LEAVING, "this daemon is stopping");
     }
     AccountSpec account = auth.authenticate(request);
     ServiceSpec spec = service(service, account);
-    PlainCall call = call(account, service, path, request, entity);
+    PlainCall call = call(account, service, path, request, body);
     Admission.Grant grant =
         admission.admit(
             new AdmissionRequest(account, service, 0, 0, account.priority(), call.timeout()));
@@ -179,13 +181,9 @@
   }
 
   private PlainCall call(
-      AccountSpec account,
-      String service,
-      String path,
-      HttpRequest request,
-      HttpEntity.Strict entity) {
-    ContentType type = entity.getContentType();
-    boolean typed = !type.equals(ContentTypes.NO_CONTENT_TYPE) && !entity.isKnownEmpty();
+      AccountSpec account, String service, String path, HttpRequest request, ByteString body) {
+    ContentType type = request.entity().getContentType();
+    boolean typed = !type.equals(ContentTypes.NO_CONTENT_TYPE) && !body.isEmpty();
     return new PlainCall(
         account,
         service,
@@ -194,7 +192,7 @@
         request.getUri().rawQueryString(),
         typed ? Optional.of(type.toString()) : Optional.empty(),
         PassedHeaders.of(request.getHeaders()),
-        entity.getData().toArray(),
+        body.toArray(),
         header(request, DOMAIN),
         timeout(request));
   }
--- a/daemon/src/main/java/org/heatherspread/daemon/settings/DaemonFile.java
+++ b/daemon/src/main/java/org/heatherspread/daemon/settings/DaemonFile.java
@@ -2,8 +2,12 @@
 
 import java.nio.file.Path;
 import java.util.Map;
+import org.heatherspread.daemon.address.AddressSettings;
 import org.heatherspread.daemon.chat.ChatSettings;
 import org.heatherspread.daemon.engine.EngineClientSettings;
+import org.heatherspread.daemon.permit.PermitSettings;
+import org.heatherspread.daemon.plain.PlainSettings;
+import org.heatherspread.daemon.record.RecordSettings;
 import org.heatherspread.daemon.routing.RoutingSettings;
 import org.heatherspread.settings.SettingsReader;
 
@@ -17,6 +21,10 @@
  * @param chat how chat completions are served
  * @param engines connections to model engines
  * @param routing how endpoints are chosen
+ * @param plain how plain services are called
+ * @param records records of requests at a second daemon
+ * @param permits execution permits and their keys
+ * @param addresses what callers are told of the daemons
  */
 public record DaemonFile(
     DaemonSettings daemon,
@@ -25,7 +33,11 @@
     OperatorSettings operators,
     ChatSettings chat,
     EngineClientSettings engines,
-    RoutingSettings routing) {
+    RoutingSettings routing,
+    PlainSettings plain,
+    RecordSettings records,
+    PermitSettings permits,
+    AddressSettings addresses) {
 
   /**
    * Loads a file.
@@ -54,6 +66,10 @@
         OperatorSettings.read(reader.section("operators")),
         ChatSettings.read(reader.section("chat")),
         EngineClientSettings.read(reader.section("engines")),
-        RoutingSettings.read(reader.section("routing")));
+        RoutingSettings.read(reader.section("routing")),
+        PlainSettings.read(reader.section("plain")),
+        RecordSettings.read(reader.section("records")),
+        PermitSettings.read(reader.section("permits")),
+        AddressSettings.read(reader.section("addresses")));
   }
 }
