--- a/core/src/main/java/org/heatherspread/core/membership/EndpointProbes.java
+++ b/core/src/main/java/org/heatherspread/core/membership/EndpointProbes.java
@@ -25,6 +25,7 @@
   private final MembershipSettings settings;
   private final RandomGenerator random;
   private final Map<String, Probe> probes = new HashMap<>();
+  private final long ownHash;
   private long chosenVersion = -1;
   private long chosenAtMillis;
 
@@ -32,6 +33,7 @@
     this.self = self;
     this.settings = settings;
     this.random = random;
+    this.ownHash = Hashing.of(self.id());
   }
 
   // ---------------------------------------------------------------------------------------------
@@ -46,7 +48,7 @@
     }
     chosenVersion = table.version();
     chosenAtMillis = nowMillis;
-    Map<String, List<String>> daemons = aliveDaemons(table.all());
+    Map<String, List<Long>> daemons = aliveDaemons(table.all());
     Set<String> mine = new HashSet<>();
     for (MemberRecord record : table.all()) {
       if (isProbed(record) && isMine(record.instance().get(), daemons)) {
@@ -65,35 +67,35 @@
         && (record.health() == Health.ALIVE || record.health() == Health.SUSPECT);
   }
 
-  private static Map<String, List<String>> aliveDaemons(Collection<MemberRecord> records) {
-    Map<String, List<String>> found = new HashMap<>();
+  private static Map<String, List<Long>> aliveDaemons(Collection<MemberRecord> records) {
+    Map<String, List<Long>> found = new HashMap<>();
     for (MemberRecord record : records) {
       if (MemberTable.isDaemon(record) && record.health() == Health.ALIVE) {
         String region = record.instance().get().domain().region();
-        found.computeIfAbsent(region, key -> new ArrayList<>()).add(record.id());
+        found.computeIfAbsent(region, key -> new ArrayList<>()).add(Hashing.of(record.id()));
       }
     }
     return found;
   }
 
-  private boolean isMine(Instance endpoint, Map<String, List<String>> daemons) {
+  private boolean isMine(Instance endpoint, Map<String, List<Long>> daemons) {
     String region = endpoint.domain().region();
     if (daemons.containsKey(region) && !region.equals(self.domain().region())) {
       return false;
     }
     long hash = Hashing.of(endpoint.id());
-    long own = Hashing.mix(hash, Hashing.of(self.id()));
+    long own = Hashing.mix(hash, ownHash);
     int better = 0;
-    for (String daemon : pool(region, daemons)) {
-      if (Hashing.mix(hash, Hashing.of(daemon)) > own && ++better >= settings.probers()) {
+    for (long daemon : pool(region, daemons)) {
+      if (Hashing.mix(hash, daemon) > own && ++better >= settings.probers()) {
         return false;
       }
     }
     return true;
   }
 
-  private static List<String> pool(String region, Map<String, List<String>> daemons) {
-    List<String> local = daemons.get(region);
+  private static List<Long> pool(String region, Map<String, List<Long>> daemons) {
+    List<Long> local = daemons.get(region);
     if (local != null) {
       return local;
     }
--- a/core/src/main/java/org/heatherspread/core/membership/ExchangeBuilder.java
+++ b/core/src/main/java/org/heatherspread/core/membership/ExchangeBuilder.java
@@ -13,6 +13,7 @@
   private int[] sums = {};
   private Map<Integer, long[]> buckets = Map.of();
   private long[] wants = {};
+  private boolean spread;
   private List<MemberRecord> members = List.of();
   private List<SharedEntry> entries = List.of();
   private List<LogEntry> log = List.of();
@@ -48,6 +49,12 @@
     return this;
   }
 
+  /** Tells whether the receiver is to pass the items on. */
+  public ExchangeBuilder spread(boolean value) {
+    spread = value;
+    return this;
+  }
+
   /** Sends items to take over. */
   public ExchangeBuilder items(List<MemberRecord> records, List<SharedEntry> shared) {
     members = List.copyOf(records);
@@ -71,6 +78,7 @@
         sums,
         buckets,
         wants,
+        spread,
         members,
         entries,
         log);
--- a/core/src/main/java/org/heatherspread/core/membership/ExchangeMessage.java
+++ b/core/src/main/java/org/heatherspread/core/membership/ExchangeMessage.java
@@ -15,6 +15,7 @@
  * @param sums sums of the buckets, where the roots differ
  * @param buckets fingerprints of all items in some buckets, to be compared one by one
  * @param wants fingerprints of items that the sender lacks and asks for
+ * @param spread whether the receiver is to pass the items on; not where they only repair it
  * @param members records to take over
  * @param entries shared entries to take over
  * @param log entries of the configuration log to take over
@@ -28,6 +29,7 @@
     int[] sums,
     Map<Integer, long[]> buckets,
     long[] wants,
+    boolean spread,
     List<MemberRecord> members,
     List<SharedEntry> entries,
     List<LogEntry> log) {
--- a/core/src/main/java/org/heatherspread/core/membership/Links.java
+++ b/core/src/main/java/org/heatherspread/core/membership/Links.java
@@ -25,6 +25,7 @@
   private final Instance self;
   private final MembershipSettings settings;
   private final RandomGenerator random;
+  private final long ownHash;
   private List<Instance> near = List.of();
   private List<Instance> inRegion = List.of();
   private List<Instance> elsewhere = List.of();
@@ -36,6 +37,7 @@
     this.self = self;
     this.settings = settings;
     this.random = random;
+    this.ownHash = Hashing.of(self.id());
   }
 
   // ---------------------------------------------------------------------------------------------
@@ -79,15 +81,19 @@
   private List<Instance> few(Collection<List<Instance>> groups, int count) {
     List<Instance> chosen = new ArrayList<>();
     for (List<Instance> group : groups) {
-      group.sort(Comparator.comparingLong(this::score).thenComparing(Instance::id));
-      chosen.addAll(group.subList(0, Math.min(count, group.size())));
+      List<Scored> scored = new ArrayList<>();
+      for (Instance peer : group) {
+        scored.add(new Scored(peer, Hashing.mix(ownHash, Hashing.of(peer.id()))));
+      }
+      scored.sort(Comparator.comparingLong(Scored::score).thenComparing(s -> s.peer().id()));
+      for (int i = 0; i < count && i < scored.size(); i++) {
+        chosen.add(scored.get(i).peer());
+      }
     }
     return chosen;
   }
 
-  private long score(Instance peer) {
-    return Hashing.mix(Hashing.of(self.id()), Hashing.of(peer.id()));
-  }
+  private record Scored(Instance peer, long score) {}
 
   // ---------------------------------------------------------------------------------------------
   // Taking turns
--- a/core/src/main/java/org/heatherspread/core/membership/MemberTable.java
+++ b/core/src/main/java/org/heatherspread/core/membership/MemberTable.java
@@ -21,7 +21,6 @@
   private final Digest digest;
   private long version;
   private long daemonsVersion;
-  private long endpointsVersion;
 
   MemberTable(Digest digest) {
     this.digest = digest;
@@ -68,18 +67,14 @@
   private void put(MemberRecord next, MemberRecord old, long nowMillis) {
     digest.put(key(next.id()), next.fingerprint());
     records.put(next.id(), next);
-    if (old == null || old.incarnation() != next.incarnation() || next.health() == Health.DEAD) {
+    boolean started = old == null || old.incarnation() != next.incarnation();
+    if (started || next.health() == Health.DEAD) {
       learntAtMillis.put(next.id(), nowMillis);
     }
-    changed(next);
-  }
-
-  private void changed(MemberRecord record) {
     version++;
-    if (isDaemon(record)) {
+    boolean sameDescription = !started && old.instance().equals(next.instance());
+    if (isDaemon(next) && (!sameDescription || next.health() == Health.DEAD)) {
       daemonsVersion = version;
-    } else {
-      endpointsVersion = version;
     }
   }
 
@@ -95,7 +90,7 @@
       records.remove(record.id());
       learntAtMillis.remove(record.id());
       digest.remove(key(record.id()));
-      changed(record);
+      version++;
     }
   }
 
@@ -115,14 +110,11 @@
     return version;
   }
 
+  /** Returns a number that grows when daemons come, go or are described, not with their health. */
   long daemonsVersion() {
     return daemonsVersion;
   }
 
-  long endpointsVersion() {
-    return endpointsVersion;
-  }
-
   MembershipSnapshot snapshot() {
     Map<String, Member> members = new HashMap<>();
     for (MemberRecord record : records.values()) {
--- a/core/src/main/java/org/heatherspread/core/membership/MembershipCore.java
+++ b/core/src/main/java/org/heatherspread/core/membership/MembershipCore.java
@@ -32,6 +32,7 @@
   private static final long ISOLATED_MILLIS = 1_500;
   private static final long HEARD_LATELY_MILLIS = 10_000;
   private static final long FETCH_INTERVAL_MILLIS = 1_000;
+  private static final long LINKS_INTERVAL_MILLIS = 500;
   private static final long HOUSEKEEPING_MILLIS = 1_000;
   private static final int INDIRECT_PROBES = 2;
 
@@ -57,6 +58,7 @@
   private long nextFlushMillis;
   private long nextHousekeepingMillis;
   private long nextFetchMillis;
+  private long nextLinksMillis;
   private long linksVersion = -1;
   private long listAsOfMillis;
 
@@ -101,7 +103,8 @@
   /** Does what is due; to be called at least once in each flush interval. */
   public void tick() {
     long now = clock.millis();
-    if (members.daemonsVersion() != linksVersion) {
+    if (members.daemonsVersion() != linksVersion && now >= nextLinksMillis) {
+      nextLinksMillis = now + LINKS_INTERVAL_MILLIS;
       linksVersion = members.daemonsVersion();
       links.choose(members.all());
     }
@@ -109,6 +112,7 @@
       nextHousekeepingMillis = now + HOUSEKEEPING_MILLIS;
       entries.forgetExpired(wallClock.millis());
       members.forgetDead(wallClock.millis() - settings.deadKept().toMillis());
+      heardMillis.values().removeIf(heard -> now - heard > HEARD_LATELY_MILLIS);
     }
     if (now >= nextExchangeMillis) {
       nextExchangeMillis = now + exchangeMillis() / 2 + random.nextLong(exchangeMillis());
@@ -147,7 +151,7 @@
       return;
     }
     ExchangeMessage push =
-        message().items(batch.members(), batch.entries()).log(batch.log()).build();
+        message().spread(true).items(batch.members(), batch.entries()).log(batch.log()).build();
     for (Instance target : targets) {
       outbox.add(new MembershipAction.Send(target, push));
     }
@@ -271,10 +275,10 @@
 
   private void takeAll(ExchangeMessage message) {
     for (MemberRecord record : message.members()) {
-      take(record);
+      take(record, message.spread());
     }
     for (SharedEntry entry : message.entries()) {
-      takeEntry(entry);
+      takeEntry(entry, message.spread());
     }
     if (!message.log().isEmpty()) {
       takeLog(message.log());
@@ -286,6 +290,10 @@
   }
 
   private void take(MemberRecord offered) {
+    take(offered, true);
+  }
+
+  private void take(MemberRecord offered, boolean spread) {
     if (offered.id().equals(self.id())
         && offered.incarnation() == self.incarnation()
         && offered.health() == Health.SUSPECT) {
@@ -293,7 +301,7 @@
       return;
     }
     MemberTable.Merge merge = members.merge(offered, wallClock.millis());
-    if (merge != MemberTable.Merge.NONE) {
+    if (merge != MemberTable.Merge.NONE && spread) {
       news.member(offered.id(), merge == MemberTable.Merge.DESCRIPTION);
     }
     if (offered.health() == Health.SUSPECT) {
@@ -316,9 +324,11 @@
     }
   }
 
-  private void takeEntry(SharedEntry entry) {
+  private void takeEntry(SharedEntry entry, boolean spread) {
     if (entries.merge(entry, wallClock.millis())) {
-      news.entry(EntryTable.key(entry));
+      if (spread) {
+        news.entry(EntryTable.key(entry));
+      }
       newEntries.add(entry);
     }
   }
@@ -370,11 +380,13 @@
     if (asOfMillis < listAsOfMillis || instances.isEmpty()) {
       return;
     }
+    // What the first list tells, the others know; only later changes are news.
+    final boolean spread = listAsOfMillis > 0;
     listAsOfMillis = asOfMillis;
     Set<String> listed = new HashSet<>();
     for (Instance instance : instances) {
       listed.add(instance.id());
-      takeListed(instance);
+      takeListed(instance, spread);
     }
     List<MemberRecord> gone = new ArrayList<>();
     for (MemberRecord record : members.all()) {
@@ -387,7 +399,7 @@
     }
   }
 
-  private void takeListed(Instance instance) {
+  private void takeListed(Instance instance, boolean spread) {
     MemberRecord old = members.get(instance.id());
     boolean started =
         old != null
@@ -396,7 +408,7 @@
             && old.incarnation() == instance.incarnation()
             && old.instance().map(i -> i.state() == InstanceState.STARTING).orElse(false);
     if (started) {
-      take(MemberRecord.of(instance, Health.ALIVE).after(old));
+      take(MemberRecord.of(instance, Health.ALIVE).after(old), spread);
       return;
     }
     Health health =
@@ -405,7 +417,7 @@
           case LIVE -> Health.ALIVE;
           case LEAVING -> Health.LEAVING;
         };
-    take(MemberRecord.of(instance, health));
+    take(MemberRecord.of(instance, health), spread);
   }
 
   private boolean isGone(MemberRecord record, long asOfMillis) {
@@ -448,7 +460,7 @@
     long now = wallClock.millis();
     long version = Math.max(old == null ? 0 : old.version() + 1, now);
     long expires = now + lifetime.toMillis();
-    takeEntry(new SharedEntry(topic, key, version, self.id(), value, expires));
+    takeEntry(new SharedEntry(topic, key, version, self.id(), value, expires), true);
   }
 
   // ---------------------------------------------------------------------------------------------
@@ -479,6 +491,11 @@
     return members.snapshot();
   }
 
+  /** Returns what is believed of one instance. */
+  public Optional<Health> health(String id) {
+    return Optional.ofNullable(members.get(id)).map(MemberRecord::health);
+  }
+
   /** Returns the live entries of a topic. */
   public List<SharedEntry> entries(String topic) {
     return entries.topic(topic, wallClock.millis());
--- a/core/src/main/java/org/heatherspread/core/membership/News.java
+++ b/core/src/main/java/org/heatherspread/core/membership/News.java
@@ -2,10 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.Iterator;
-import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import org.heatherspread.core.config.ConfigurationInForce;
 import org.heatherspread.core.config.LogEntry;
@@ -26,7 +24,8 @@
   private static final int MAX_LOG_ENTRIES = 32;
 
   private final MembershipSettings settings;
-  private final Map<String, Boolean> members = new LinkedHashMap<>();
+  private final Set<String> changed = new LinkedHashSet<>();
+  private final Set<String> described = new LinkedHashSet<>();
   private final Set<String> entries = new LinkedHashSet<>();
   private long pushedConfig;
   private double tokens;
@@ -38,8 +37,14 @@
     this.refilledAtMillis = nowMillis;
   }
 
-  void member(String id, boolean described) {
-    members.merge(id, described, Boolean::logicalOr);
+  /** Notes a change of an instance's health, or one that needs its whole description. */
+  void member(String id, boolean whole) {
+    if (whole) {
+      described.add(id);
+      changed.remove(id);
+    } else if (!described.contains(id)) {
+      changed.add(id);
+    }
   }
 
   void entry(String key) {
@@ -47,7 +52,10 @@
   }
 
   boolean waiting(long configVersion) {
-    return !members.isEmpty() || !entries.isEmpty() || configVersion > pushedConfig;
+    return !changed.isEmpty()
+        || !described.isEmpty()
+        || !entries.isEmpty()
+        || configVersion > pushedConfig;
   }
 
   void refill(long nowMillis) {
@@ -59,33 +67,45 @@
   /** Takes out what may be sent now to a number of receivers. */
   Batch take(
       int receivers, MemberTable memberTable, EntryTable entryTable, ConfigurationInForce config) {
-    int room = (int) Math.min(MAX_MESSAGE_BYTES, Math.max(0, tokens) / receivers);
-    final int before = room;
+    final int room = (int) Math.min(MAX_MESSAGE_BYTES, Math.max(0, tokens) / receivers);
     List<LogEntry> log = takeLog(config);
-    room -= log.size() * LOG_ENTRY_BYTES;
+    int left = room - log.size() * LOG_ENTRY_BYTES;
     List<MemberRecord> records = new ArrayList<>();
-    Iterator<Map.Entry<String, Boolean>> waiting = members.entrySet().iterator();
-    while (waiting.hasNext() && room > RECORD_BYTES + DESCRIPTION_BYTES) {
-      Map.Entry<String, Boolean> next = waiting.next();
+    left = takeMembers(changed, RECORD_BYTES, left, memberTable, records);
+    left = takeMembers(described, RECORD_BYTES + DESCRIPTION_BYTES, left, memberTable, records);
+    List<SharedEntry> shared = new ArrayList<>();
+    left = takeEntries(left, entryTable, shared);
+    tokens -= (double) (room - left) * receivers;
+    return new Batch(records, shared, log);
+  }
+
+  private int takeMembers(
+      Set<String> ids, int bytes, int room, MemberTable table, List<MemberRecord> taken) {
+    int left = room;
+    Iterator<String> waiting = ids.iterator();
+    while (waiting.hasNext() && left >= bytes) {
+      MemberRecord record = table.get(waiting.next());
       waiting.remove();
-      MemberRecord record = memberTable.get(next.getKey());
       if (record != null) {
-        records.add(next.getValue() ? record : record.withoutInstance());
-        room -= RECORD_BYTES + (next.getValue() ? DESCRIPTION_BYTES : 0);
+        taken.add(bytes > RECORD_BYTES ? record : record.withoutInstance());
+        left -= bytes;
       }
     }
-    List<SharedEntry> shared = new ArrayList<>();
-    Iterator<String> keys = entries.iterator();
-    while (keys.hasNext() && room > ENTRY_BYTES) {
-      SharedEntry entry = entryTable.get(keys.next());
-      keys.remove();
+    return left;
+  }
+
+  private int takeEntries(int room, EntryTable table, List<SharedEntry> taken) {
+    int left = room;
+    Iterator<String> waiting = entries.iterator();
+    while (waiting.hasNext() && left >= ENTRY_BYTES) {
+      SharedEntry entry = table.get(waiting.next());
+      waiting.remove();
       if (entry != null) {
-        shared.add(entry);
-        room -= ENTRY_BYTES + entry.key().length() + entry.value().length;
+        taken.add(entry);
+        left -= ENTRY_BYTES + entry.key().length() + entry.value().length;
       }
     }
-    tokens -= (double) (before - room) * receivers;
-    return new Batch(records, shared, log);
+    return left;
   }
 
   private List<LogEntry> takeLog(ConfigurationInForce config) {
--- a/daemon/src/main/java/org/heatherspread/daemon/membership/MembershipCodec.java
+++ b/daemon/src/main/java/org/heatherspread/daemon/membership/MembershipCodec.java
@@ -55,7 +55,8 @@
             .setSenderId(message.senderId())
             .setSenderIncarnation(message.senderIncarnation())
             .setConfigVersion(message.configVersion())
-            .setRoot(message.root());
+            .setRoot(message.root())
+            .setSpread(message.spread());
     for (int sum : message.sums()) {
       out.addSums(sum);
     }
@@ -97,6 +98,7 @@
         .sums(in.getSumsList().stream().mapToInt(Integer::intValue).toArray())
         .buckets(buckets)
         .wants(longs(in.getWantsList()))
+        .spread(in.getSpread())
         .items(members, entries)
         .log(readLog(in.getLogList()))
         .build();
