--- /dev/null
+++ b/bench/src/main/java/org/heatherspread/bench/caller/ChatBody.java
@@ -0,0 +1,23 @@
+package org.heatherspread.bench.caller;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+import java.util.List;
+import org.heatherspread.core.routing.PrefixHashes.Message;
+
+/**
+ * The body of a streamed chat completion. Immutable.
+ *
+ * @param model model name
+ * @param stream whether the answer is streamed
+ * @param maxTokens tokens of the answer
+ * @param messages the prompt
+ */
+record ChatBody(
+    String model,
+    boolean stream,
+    @JsonProperty("max_tokens") int maxTokens,
+    List<Message> messages) {
+  static String of(CallPlan plan) {
+    return HttpCalls.text(new ChatBody(plan.service(), true, plan.maxTokens(), plan.messages()));
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/heatherspread/bench/caller/HttpCalls.java
@@ -0,0 +1,123 @@
+package org.heatherspread.bench.caller;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.ConnectException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpConnectTimeoutException;
+import java.net.http.HttpRequest;
+import java.net.http.HttpRequest.BodyPublishers;
+import java.net.http.HttpResponse;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Executors;
+
+/**
+ * Blocking HTTP calls with time-outs and an account's key.
+ *
+ * <p>Safe for use by any thread.
+ */
+final class HttpCalls {
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+  private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
+  private static final Duration SHORT_TIMEOUT = Duration.ofSeconds(2);
+  private static final int THREADS = 16;
+
+  private final HttpClient client =
+      HttpClient.newBuilder()
+          .version(HttpClient.Version.HTTP_1_1)
+          .connectTimeout(CONNECT_TIMEOUT)
+          .executor(
+              Executors.newFixedThreadPool(
+                  THREADS,
+                  r -> {
+                    Thread thread = new Thread(r, "caller-http");
+                    thread.setDaemon(true);
+                    return thread;
+                  }))
+          .build();
+  private final String key;
+
+  HttpCalls(String key) {
+    this.key = key;
+  }
+
+  HttpResponse<String> get(String url) throws IOException {
+    return send(request("GET", url, "", Map.of(), SHORT_TIMEOUT));
+  }
+
+  HttpResponse<String> call(
+      String method, String url, String body, Map<String, String> headers, Duration timeout)
+      throws IOException {
+    return send(request(method, url, body, headers, timeout));
+  }
+
+  /** Opens a stream; the time-out is for the answer's headers. */
+  HttpResponse<InputStream> open(
+      String method, String url, String body, Map<String, String> headers, Duration timeout)
+      throws IOException {
+    try {
+      return client.send(
+          request(method, url, body, headers, timeout), BodyHandlers.ofInputStream());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IOException(e);
+    }
+  }
+
+  private HttpResponse<String> send(HttpRequest request) throws IOException {
+    try {
+      return client.send(request, BodyHandlers.ofString());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IOException(e);
+    }
+  }
+
+  private HttpRequest request(
+      String method, String url, String body, Map<String, String> headers, Duration timeout) {
+    HttpRequest.Builder request =
+        HttpRequest.newBuilder(URI.create(url))
+            .timeout(timeout)
+            .header("Authorization", "Bearer " + key)
+            .method(
+                method, body.isEmpty() ? BodyPublishers.noBody() : BodyPublishers.ofString(body));
+    if (!body.isEmpty()) {
+      request.header("Content-Type", "application/json");
+    }
+    headers.forEach(request::header);
+    return request.build();
+  }
+
+  /** Tells whether a request certainly never left, since no connection was made. */
+  static boolean neverSent(IOException e) {
+    return e instanceof ConnectException || e instanceof HttpConnectTimeoutException;
+  }
+
+  static JsonNode json(String text) throws IOException {
+    try {
+      return MAPPER.readTree(text);
+    } catch (JsonProcessingException e) {
+      throw new IOException("not JSON: " + text, e);
+    }
+  }
+
+  static String text(Object value) {
+    try {
+      return MAPPER.writeValueAsString(value);
+    } catch (JsonProcessingException e) {
+      throw new IllegalArgumentException(e);
+    }
+  }
+
+  static String header(HttpResponse<?> answer, String name) {
+    List<String> values = answer.headers().allValues(name);
+    return values.isEmpty() ? "" : values.get(0);
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/heatherspread/bench/caller/LoadRun.java
@@ -0,0 +1,74 @@
+package org.heatherspread.bench.caller;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/**
+ * Makes calls at a steady rate, whatever becomes of earlier ones, shared out over several callers.
+ *
+ * <p>Life cycle: {@link #start}, {@link #join}. Safe for use by any thread.
+ */
+public final class LoadRun {
+  private static final int THREADS = 512;
+
+  private final List<CompletableFuture<CallReport>> reports = new ArrayList<>();
+  private final ExecutorService threads = Executors.newFixedThreadPool(THREADS, LoadRun::daemon);
+  private final ScheduledExecutorService timer =
+      Executors.newScheduledThreadPool(1, LoadRun::daemon);
+
+  private LoadRun() {}
+
+  private static Thread daemon(Runnable task) {
+    Thread thread = new Thread(task, "caller");
+    thread.setDaemon(true);
+    return thread;
+  }
+
+  /** Starts the calls; the listener is told of each report. */
+  public static LoadRun start(
+      List<? extends Caller> callers,
+      List<CallPlan> plans,
+      double callsPerSecond,
+      Consumer<CallReport> listener) {
+    LoadRun run = new LoadRun();
+    for (int i = 0; i < plans.size(); i++) {
+      Caller caller = callers.get(i % callers.size());
+      CallPlan plan = plans.get(i);
+      CompletableFuture<CallReport> report = new CompletableFuture<>();
+      run.reports.add(report);
+      long delay = (long) (i * 1_000_000 / callsPerSecond);
+      Runnable task = () -> run.make(caller, plan, report, listener);
+      run.timer.schedule(() -> run.threads.execute(task), delay, TimeUnit.MICROSECONDS);
+    }
+    return run;
+  }
+
+  private void make(
+      Caller caller,
+      CallPlan plan,
+      CompletableFuture<CallReport> report,
+      Consumer<CallReport> listener) {
+    try {
+      CallReport result = caller.call(plan);
+      listener.accept(result);
+      report.complete(result);
+    } catch (RuntimeException e) {
+      report.completeExceptionally(e);
+    }
+  }
+
+  /** Waits for all calls and returns their reports in the order of the plans. */
+  public List<CallReport> join() {
+    List<CallReport> done = new ArrayList<>();
+    reports.forEach(r -> done.add(r.join()));
+    timer.shutdownNow();
+    threads.shutdownNow();
+    return done;
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/heatherspread/bench/process/JavaProcess.java
@@ -0,0 +1,152 @@
+package org.heatherspread.bench.process;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * One JVM that a measurement started, with its output in a log file. Life cycle: {@link #start},
+ * signals, {@link #kill} once.
+ *
+ * <p>Safe for use by any thread.
+ */
+public final class JavaProcess {
+  private static final long POLL_MILLIS = 20;
+
+  private final String name;
+  private final Path log;
+  private final Process process;
+  private final long startedMillis = System.currentTimeMillis();
+  private volatile long endedMillis;
+
+  private JavaProcess(String name, Path log, Process process) {
+    this.name = name;
+    this.log = log;
+    this.process = process;
+  }
+
+  /** Starts a main class of this build with a heap of this many megabytes. */
+  public static JavaProcess start(
+      String name, Path dir, int heapMegabytes, String mainClass, List<String> arguments)
+      throws IOException {
+    List<String> command = new ArrayList<>();
+    command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+    command.addAll(
+        List.of(
+            "-Xmx" + heapMegabytes + "m",
+            "-Xss512k",
+            "-XX:+UseSerialGC",
+            "-XX:TieredStopAtLevel=1",
+            "-XX:MaxMetaspaceSize=160m",
+            "-cp",
+            System.getProperty("java.class.path"),
+            mainClass));
+    command.addAll(arguments);
+    Path log = dir.resolve(name + ".log");
+    Process process =
+        new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(log.toFile()).start();
+    return new JavaProcess(name, log, process);
+  }
+
+  /** Returns the name given at start. */
+  public String name() {
+    return name;
+  }
+
+  /** Returns the file that holds all output. */
+  public Path log() {
+    return log;
+  }
+
+  /** Tells whether the process runs. */
+  public boolean alive() {
+    return process.isAlive();
+  }
+
+  /** Waits until a line of the log starts with a text, and returns the rest of the line. */
+  public String awaitLine(String start, long timeoutMillis) throws IOException {
+    long end = System.currentTimeMillis() + timeoutMillis;
+    while (System.currentTimeMillis() < end) {
+      for (String line : Files.readString(log, StandardCharsets.UTF_8).split("\n")) {
+        if (line.startsWith(start)) {
+          return line.substring(start.length()).strip();
+        }
+      }
+      if (!process.isAlive()) {
+        throw new IOException(name + " ended at start; see " + log);
+      }
+      pause(POLL_MILLIS);
+    }
+    throw new IOException(name + " was not ready in time; see " + log);
+  }
+
+  /** Ends the process at once, without a chance to clean up. */
+  public void kill() {
+    markEnded();
+    process.destroyForcibly();
+  }
+
+  /** Asks the process to stop in order. */
+  public void terminate() {
+    process.destroy();
+  }
+
+  /** Waits until the process has ended; false if it still runs after the time-out. */
+  public boolean awaitEnd(long timeoutMillis) {
+    try {
+      boolean ended = process.waitFor(timeoutMillis, TimeUnit.MILLISECONDS);
+      if (ended) {
+        markEnded();
+      }
+      return ended;
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return false;
+    }
+  }
+
+  /** Stops the process from running while its connections stay open. */
+  public void freeze() throws IOException {
+    signal("STOP");
+  }
+
+  /** Lets a frozen process run on. */
+  public void thaw() throws IOException {
+    signal("CONT");
+  }
+
+  private void signal(String signal) throws IOException {
+    Process kill =
+        new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).inheritIO().start();
+    try {
+      if (kill.waitFor() != 0) {
+        throw new IOException("cannot send " + signal + " to " + name);
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private void markEnded() {
+    if (endedMillis == 0) {
+      endedMillis = System.currentTimeMillis();
+    }
+  }
+
+  /** Returns how long the process has run, in milliseconds. */
+  public long lifeMillis() {
+    return (endedMillis == 0 ? System.currentTimeMillis() : endedMillis) - startedMillis;
+  }
+
+  static void pause(long millis) {
+    try {
+      Thread.sleep(millis);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/heatherspread/bench/process/JsonCalls.java
@@ -0,0 +1,53 @@
+package org.heatherspread.bench.process;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpRequest.BodyPublishers;
+import java.net.http.HttpResponse;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.time.Duration;
+
+/** Short blocking JSON calls that arrange a run. Stateless; safe for use by any thread. */
+public final class JsonCalls {
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+  private static final Duration TIMEOUT = Duration.ofSeconds(5);
+  private static final HttpClient CLIENT =
+      HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).connectTimeout(TIMEOUT).build();
+
+  private JsonCalls() {}
+
+  /** Returns the shared mapper. */
+  public static ObjectMapper mapper() {
+    return MAPPER;
+  }
+
+  /** Sends a request and returns status and body. */
+  public static HttpResponse<String> send(String method, String url, String body)
+      throws IOException {
+    HttpRequest request =
+        HttpRequest.newBuilder(URI.create(url))
+            .timeout(TIMEOUT)
+            .header("Content-Type", "application/json")
+            .method(method, BodyPublishers.ofString(body))
+            .build();
+    try {
+      return CLIENT.send(request, BodyHandlers.ofString());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IOException(e);
+    }
+  }
+
+  /** Sends a JSON body and returns the JSON answer; fails if the status is no success. */
+  public static JsonNode post(String url, String body) throws IOException {
+    HttpResponse<String> answer = send("POST", url, body);
+    if (answer.statusCode() / 100 != 2) {
+      throw new IOException(url + " answered " + answer.statusCode() + ": " + answer.body());
+    }
+    return MAPPER.readTree(answer.body());
+  }
+}
--- a/standin/src/main/java/org/heatherspread/standin/Ledger.java
+++ b/standin/src/main/java/org/heatherspread/standin/Ledger.java
@@ -1,6 +1,7 @@
 package org.heatherspread.standin;
 
 import com.fasterxml.jackson.annotation.JsonInclude;
+import com.fasterxml.jackson.annotation.JsonProperty;
 import com.fasterxml.jackson.databind.PropertyNamingStrategies;
 import com.fasterxml.jackson.databind.annotation.JsonNaming;
 import java.io.IOException;
@@ -31,12 +32,16 @@
   /** What happened to a run. */
   public enum Event {
     /** The run began; whatever it does may have taken effect. */
+    @JsonProperty("started")
     STARTED,
     /** The run ended with its answer. */
+    @JsonProperty("finished")
     FINISHED,
     /** The run was stopped before its end. */
+    @JsonProperty("cancelled")
     CANCELLED,
     /** The run was refused before it began. */
+    @JsonProperty("refused")
     REFUSED
   }
 
--- a/standin/src/main/java/org/heatherspread/standin/plain/PlainStandin.java
+++ b/standin/src/main/java/org/heatherspread/standin/plain/PlainStandin.java
@@ -16,13 +16,14 @@
 
 /**
  * The stand-in plain service; see section 3 of docs/INTERFACES.md. Every call that is not refused
- * runs and is written to the ledger, reads included.
+ * runs and is written to the ledger, reads included; probes of {@code /health/live} are no calls.
  *
  * <p>Safe for use by any thread.
  */
 public final class PlainStandin implements Standin {
   private static final int CRASH_STATUS = 134;
   private static final String FAULTS = "/standin/faults";
+  private static final String HEALTH = "/health/live";
 
   private final ActorSystem<?> system;
   private final PlainSettings settings;
@@ -52,6 +53,10 @@
   @Override
   public CompletionStage<HttpResponse> handle(HttpRequest request) {
     String path = request.getUri().path();
+    if (path.equals(HEALTH)) {
+      request.discardEntityBytes(system);
+      return CompletableFuture.completedFuture(JsonHttp.answer(200, JsonHttp.object()));
+    }
     String requestId = JsonHttp.header(request, "X-Request-Id", "");
     long attempt = JsonHttp.header(request, "X-Attempt", 1);
     String key = JsonHttp.header(request, "Idempotency-Key", null);
