Keep records of model streams at two daemons and hand calls over in order

Cause: accepted streams were recorded in one process only, and a stopping witness could hand its records over before the owner's outcome had come (PlainCallsTest.stoppedWitnessHandsItsRecordsOver saw "unknown" once). Change: ReplicatedRequestRecords keeps each record here and at a daemon in another failure domain, moves copies away from daemons that are lost or leaving, and lets any daemon find and take over a record; epochs stop a former owner. A sealed witness waits a while for outcomes and passes on later ones, and an answer waits up to report_wait for the witness to have it. Lincheck on the four tables.

--- a/core/src/main/java/org/heatherspread/core/record/RecordMap.java
+++ b/core/src/main/java/org/heatherspread/core/record/RecordMap.java
@@ -1,7 +1,6 @@
 package org.heatherspread.core.record;
 
 import java.time.InstantSource;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.PriorityQueue;
@@ -15,11 +14,15 @@
  * holds it locks.
  */
 final class RecordMap {
-  private record Expiry(long atMillis, RequestId id) {}
+  private record Expiry(long atMillis, RequestId id) implements Comparable<Expiry> {
+    @Override
+    public int compareTo(Expiry other) {
+      return Long.compare(atMillis, other.atMillis);
+    }
+  }
 
   private final Map<RequestId, CallEntry> entries = new HashMap<>();
-  private final PriorityQueue<Expiry> expiries =
-      new PriorityQueue<>(Comparator.comparingLong(Expiry::atMillis));
+  private final PriorityQueue<Expiry> expiries = new PriorityQueue<>();
   private final InstantSource clock;
   private final RecordLimits limits;
   private long nowMillis;
--- a/core/src/main/java/org/heatherspread/core/record/SealedArchive.java
+++ b/core/src/main/java/org/heatherspread/core/record/SealedArchive.java
@@ -4,6 +4,7 @@
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 
@@ -59,8 +60,27 @@
 
   private void forgetOld() {
     long now = clock.millis();
-    shelves.values().removeIf(shelf -> shelf.keptUntilMillis() < now);
-    size = shelves.values().stream().mapToInt(shelf -> shelf.all().size()).sum();
+    Iterator<Shelf> each = shelves.values().iterator();
+    while (each.hasNext()) {
+      Shelf shelf = each.next();
+      if (shelf.keptUntilMillis() < now) {
+        each.remove();
+        size -= shelf.all().size();
+      }
+    }
+  }
+
+  /** Keeps the outcome of a call whose witness had stopped before the owner reported it. */
+  public synchronized void outcome(CallDraft draft, CallOutcome outcome) {
+    forgetOld();
+    Shelf shelf = shelves.get(draft.id().witness());
+    SealedRecord found = shelf == null ? null : shelf.all().get(draft.id());
+    if (found == null || found.outcome().state() != CallState.UNKNOWN) {
+      return;
+    }
+    if (found.draft().sameCall(draft)) {
+      shelf.all().put(draft.id(), new SealedRecord(draft, outcome));
+    }
   }
 
   /** Answers in place of the stopped witness that the id names. */
--- a/core/src/main/java/org/heatherspread/core/record/SealedSet.java
+++ b/core/src/main/java/org/heatherspread/core/record/SealedSet.java
@@ -6,7 +6,7 @@
  * All records of a witness that stopped acknowledging. Immutable.
  *
  * @param witness the incarnation that was the witness
- * @param sealedAtMillis the time of the seal by the witness's clock, in milliseconds since the
+ * @param sealedAtMillis when the set was made, by the witness's clock, in milliseconds since the
  *     epoch
  * @param records every record it still held
  */
--- a/core/src/main/java/org/heatherspread/core/record/WitnessTable.java
+++ b/core/src/main/java/org/heatherspread/core/record/WitnessTable.java
@@ -122,12 +122,30 @@
     return entry.ended() ? entry.outcome() : CallOutcome.unknown();
   }
 
+  /** Acknowledges no new call from now on; outcomes of those acknowledged are still taken. */
+  public synchronized void seal() {
+    sealed = true;
+  }
+
+  /** Returns how many acknowledged calls have no outcome yet. */
+  public synchronized int pending() {
+    int count = 0;
+    for (CallEntry entry : records.entries()) {
+      count += entry.ended() ? 0 : 1;
+    }
+    return count;
+  }
+
   /**
-   * Acknowledges no new call from now on and returns all records. Since nothing can be acknowledged
-   * after this, an id missing from the set never runs unless it had expired before.
+   * Returns all records of a sealed table. Since nothing can be acknowledged any more, an id
+   * missing from the set never runs unless it had expired before.
+   *
+   * @throws IllegalStateException if the table is not sealed
    */
-  public synchronized SealedSet seal() {
-    sealed = true;
+  public synchronized SealedSet snapshot() {
+    if (!sealed) {
+      throw new IllegalStateException("only a sealed table can be handed over");
+    }
     records.advance();
     List<SealedRecord> all = new ArrayList<>();
     for (CallEntry entry : records.entries()) {
--- a/core/src/test/java/org/heatherspread/core/record/CallWorld.java
+++ b/core/src/test/java/org/heatherspread/core/record/CallWorld.java
@@ -168,6 +168,7 @@
     if (runner == owner && owner.finish(draft.id(), outcome)) {
       tell(draft, outcome);
       send(() -> witness.outcome(draft, outcome));
+      send(() -> archive.outcome(draft, outcome));
     }
   }
 
@@ -244,7 +245,9 @@
       tell(draft, archive.resolve(draft));
       return;
     }
-    archive.accept(witness.seal(), Duration.ofHours(1));
+    witness.seal();
+    SealedSet set = witness.snapshot();
+    send(() -> archive.accept(set, Duration.ofHours(1)));
   }
 
   private void moveClocks() {
--- /dev/null
+++ b/core/src/test/java/org/heatherspread/core/record/RecordTablesLincheckTest.java
@@ -0,0 +1,184 @@
+package org.heatherspread.core.record;
+
+import java.time.Duration;
+import java.util.List;
+import org.heatherspread.core.time.ManualClock;
+import org.jetbrains.lincheck.datastructures.IntGen;
+import org.jetbrains.lincheck.datastructures.ModelCheckingOptions;
+import org.jetbrains.lincheck.datastructures.Operation;
+import org.jetbrains.lincheck.datastructures.Param;
+import org.junit.jupiter.api.Test;
+
+/** The tables of records behave under threads as they do one call at a time. */
+class RecordTablesLincheckTest {
+  private static final DaemonRef OWNER = new DaemonRef("owner", 1);
+  private static final DaemonRef WITNESS = new DaemonRef("witness", 1);
+  private static final RequestId ID = new RequestId(OWNER, WITNESS, 7);
+  private static final CallDraft DRAFT = new CallDraft(ID, "account", "digest", 60_000);
+  private static final CallOutcome ANSWER =
+      CallOutcome.answered(new CallAnswer(200, List.of(), new byte[] {1}));
+
+  private static ModelCheckingOptions options() {
+    return new ModelCheckingOptions()
+        .iterations(3)
+        .invocationsPerIteration(25)
+        .threads(2)
+        .actorsPerThread(2)
+        .actorsBefore(0)
+        .actorsAfter(1);
+  }
+
+  /** The owner's table. */
+  public static class Owner {
+    private final OwnerTable table =
+        OwnerTable.create(OWNER, ManualClock.create(), RecordLimits.defaults());
+
+    /** Begins the call. */
+    @Operation
+    public String begin() {
+      return table.begin(DRAFT).name();
+    }
+
+    /** Takes the witness's acknowledgement. */
+    @Operation
+    public boolean mayDispatch() {
+      return table.mayDispatch(ID);
+    }
+
+    /** Closes the call before dispatch. */
+    @Operation
+    public boolean close() {
+      return table.closeBeforeDispatch(ID);
+    }
+
+    /** Ends the call with an answer. */
+    @Operation
+    public boolean finish() {
+      return table.finish(ID, ANSWER);
+    }
+
+    /** Answers a caller that asks again. */
+    @Operation
+    public String resolve() {
+      return table.resolve(DRAFT).state().name();
+    }
+  }
+
+  /** The witness's table. */
+  public static class Witness {
+    private final WitnessTable table =
+        WitnessTable.create(WITNESS, ManualClock.create(), RecordLimits.defaults());
+
+    /** Acknowledges the dispatch. */
+    @Operation
+    public String dispatching() {
+      return table.dispatching(DRAFT).name();
+    }
+
+    /** Takes the owner's report. */
+    @Operation
+    public void outcome() {
+      table.outcome(DRAFT, ANSWER);
+    }
+
+    /** Answers for a lost owner. */
+    @Operation
+    public String close() {
+      return table.close(DRAFT).state().name();
+    }
+
+    /** Seals the table. */
+    @Operation
+    public void seal() {
+      table.seal();
+    }
+
+    /** Counts the records to hand over; -1 before the seal. */
+    @Operation
+    public int snapshot() {
+      try {
+        return table.snapshot().records().size();
+      } catch (IllegalStateException e) {
+        return -1;
+      }
+    }
+  }
+
+  /** The table of stream records. */
+  public static class Streams {
+    private final ReplicaTable<String> table = ReplicaTable.create(ManualClock.create(), 10, 1_000);
+
+    /** Writes a copy. */
+    @Operation
+    public String keep(
+        @Param(gen = IntGen.class, conf = "1:3") int epoch,
+        @Param(gen = IntGen.class, conf = "1:3") int sequence) {
+      return table.keep(new Replica<>(ID, epoch, sequence, false, 1, 60_000, "value")).name();
+    }
+
+    /** Closes the record. */
+    @Operation
+    public String close(
+        @Param(gen = IntGen.class, conf = "1:3") int epoch,
+        @Param(gen = IntGen.class, conf = "1:3") int sequence) {
+      return table.keep(new Replica<>(ID, epoch, sequence, true, 1, 60_000, "ended")).name();
+    }
+
+    /** Takes the record over. */
+    @Operation
+    public long takeOver() {
+      return table.takeOver(ID).map(Replica::epoch).orElse(0L);
+    }
+
+    /** Seals the table. */
+    @Operation
+    public int seal() {
+      return table.seal().size();
+    }
+  }
+
+  /** The archive of sealed sets. */
+  public static class Archive {
+    private final SealedArchive archive =
+        SealedArchive.create(ManualClock.create(), RecordLimits.defaults());
+
+    /** Takes a set with one open record. */
+    @Operation
+    public boolean accept() {
+      SealedRecord open = new SealedRecord(DRAFT, CallOutcome.unknown());
+      return archive.accept(new SealedSet(WITNESS, 1, List.of(open)), Duration.ofHours(1));
+    }
+
+    /** Takes a late outcome. */
+    @Operation
+    public void outcome() {
+      archive.outcome(DRAFT, ANSWER);
+    }
+
+    /** Answers for the stopped witness. */
+    @Operation
+    public String resolve() {
+      return archive.resolve(DRAFT).state().name();
+    }
+  }
+
+  @Test
+  void ownerTableIsLinearizable() {
+    options().check(Owner.class);
+  }
+
+  @Test
+  void witnessTableIsLinearizable() {
+    options().check(Witness.class);
+  }
+
+  @Test
+  void replicaTableIsLinearizable() {
+    options().check(Streams.class);
+  }
+
+  @Test
+  void sealedArchiveIsLinearizable() {
+    options().check(Archive.class);
+  }
+}
--- a/daemon/src/main/java/org/heatherspread/daemon/record/CallRecordsClient.java
+++ b/daemon/src/main/java/org/heatherspread/daemon/record/CallRecordsClient.java
@@ -59,12 +59,17 @@
 
   /** Tells the witness how a call ended. */
   CompletableFuture<Void> report(CallDraft draft, CallOutcome outcome) {
+    return report(draft.id().witness().id(), draft, outcome);
+  }
+
+  /** Tells a daemon that keeps a call's record how it ended. */
+  CompletableFuture<Void> report(String daemonId, CallDraft draft, CallOutcome outcome) {
     ReportRequest request =
         ReportRequest.newBuilder()
             .setDraft(CallCodec.encodeDraft(draft))
             .setOutcome(CallCodec.encodeOutcome(outcome))
             .build();
-    return call(draft.id().witness().id(), settings.lookupTimeout(), stub -> stub.report(request))
+    return call(daemonId, settings.lookupTimeout(), stub -> stub.report(request))
         .thenApply(reply -> null);
   }
 
--- a/daemon/src/main/java/org/heatherspread/daemon/record/CallRecordsService.java
+++ b/daemon/src/main/java/org/heatherspread/daemon/record/CallRecordsService.java
@@ -26,10 +26,12 @@
 /** Answers other daemons from this daemon's tables. Safe for use by any thread. */
 final class CallRecordsService extends CallRecordsGrpc.CallRecordsImplBase {
   private final CallTables tables;
+  private final CallHandOver handOver;
   private final Duration longestLife;
 
-  CallRecordsService(CallTables tables, Duration longestLife) {
+  CallRecordsService(CallTables tables, CallHandOver handOver, Duration longestLife) {
     this.tables = tables;
+    this.handOver = handOver;
     this.longestLife = longestLife;
   }
 
@@ -50,8 +52,11 @@
     answer(
         replies,
         () -> {
+          CallDraft draft = CallCodec.decodeDraft(request.getDraft());
           CallOutcome outcome = CallCodec.decodeOutcome(request.getOutcome());
-          tables.witness().outcome(CallCodec.decodeDraft(request.getDraft()), outcome);
+          tables.witness().outcome(draft, outcome);
+          tables.archive().outcome(draft, outcome);
+          handOver.reported(draft, outcome);
           return ReportReply.getDefaultInstance();
         });
   }
--- a/daemon/src/main/java/org/heatherspread/daemon/record/CallRunner.java
+++ b/daemon/src/main/java/org/heatherspread/daemon/record/CallRunner.java
@@ -1,8 +1,10 @@
 package org.heatherspread.daemon.record;
 
 import io.micrometer.core.instrument.MeterRegistry;
+import java.time.Duration;
 import java.util.Locale;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.heatherspread.core.error.ErrorKind;
 import org.heatherspread.core.error.Execution;
@@ -23,8 +25,11 @@
   private final CallTables tables;
   private final CallRecordsClient client;
   private final MeterRegistry meters;
+  private final long reportWaitMillis;
 
-  CallRunner(CallTables tables, CallRecordsClient client, MeterRegistry meters) {
+  CallRunner(
+      CallTables tables, CallRecordsClient client, Duration reportWait, MeterRegistry meters) {
+    this.reportWaitMillis = reportWait.toMillis();
     this.tables = tables;
     this.client = client;
     this.meters = meters;
@@ -92,29 +97,35 @@
   }
 
   private CompletableFuture<CallAnswer> end(CallDraft draft, CallAnswer answer, Throwable failure) {
+    CallOutcome outcome = outcome(answer, failure);
+    tables.owner().finish(draft.id(), outcome);
+    return report(draft, outcome)
+        .completeOnTimeout(null, reportWaitMillis, TimeUnit.MILLISECONDS)
+        .thenCompose(
+            done ->
+                failure == null
+                    ? CompletableFuture.completedFuture(answer)
+                    : CompletableFuture.failedFuture(ProblemAnswers.unwrap(failure)));
+  }
+
+  private static CallOutcome outcome(CallAnswer answer, Throwable failure) {
     if (failure == null) {
-      CallOutcome outcome = CallOutcome.answered(answer);
-      tables.owner().finish(draft.id(), outcome);
-      report(draft, outcome);
-      return CompletableFuture.completedFuture(answer);
+      return CallOutcome.answered(answer);
     }
     ServingException error = ProblemAnswers.unwrap(failure);
-    boolean notRun = error.kind().execution() == Execution.NOT_RUN;
-    CallOutcome outcome = notRun ? CallOutcome.notRun() : CallOutcome.unknown();
-    tables.owner().finish(draft.id(), outcome);
-    report(draft, outcome);
-    return CompletableFuture.failedFuture(error);
+    return error.kind().execution() == Execution.NOT_RUN
+        ? CallOutcome.notRun()
+        : CallOutcome.unknown();
   }
 
-  /** Tells the witness; nobody waits, since without it the witness says unknown, which is true. */
-  private void report(CallDraft draft, CallOutcome outcome) {
-    client
+  /** Tells the witness; if this is lost the witness says unknown, which is true. */
+  private CompletableFuture<Void> report(CallDraft draft, CallOutcome outcome) {
+    return client
         .report(draft, outcome)
-        .whenComplete(
-            (done, failure) -> {
-              if (failure != null) {
-                meters.counter("heatherspread.records.reports.lost").increment();
-              }
+        .exceptionally(
+            failure -> {
+              meters.counter("heatherspread.records.reports.lost").increment();
+              return null;
             });
   }
 
--- a/daemon/src/main/java/org/heatherspread/daemon/record/RecordSettings.java
+++ b/daemon/src/main/java/org/heatherspread/daemon/record/RecordSettings.java
@@ -9,12 +9,19 @@
  *
  * @param limits bounds on the memory of each table
  * @param witnessTimeout how long the owner waits for the witness before it closes a call as not run
+ * @param reportWait how long an answer waits at most until the witness has it as well, so that a
+ *     caller that loses the answer with its owner still gets it
  * @param lookupTimeout how long one keeper is given to answer about a record
  * @param life how long a call without a permit may take until it is dispatched
  */
 public record RecordSettings(
-    RecordLimits limits, Duration witnessTimeout, Duration lookupTimeout, Duration life) {
+    RecordLimits limits,
+    Duration witnessTimeout,
+    Duration reportWait,
+    Duration lookupTimeout,
+    Duration life) {
   private static final Duration DEFAULT_WITNESS_TIMEOUT = Duration.ofMillis(500);
+  private static final Duration DEFAULT_REPORT_WAIT = Duration.ofMillis(50);
   private static final Duration DEFAULT_LOOKUP_TIMEOUT = Duration.ofMillis(700);
   private static final Duration DEFAULT_LIFE = Duration.ofSeconds(60);
   private static final Duration SHORTEST_TIMEOUT = Duration.ofMillis(10);
@@ -24,7 +31,11 @@
   /** Returns the settings for a small entry instance. */
   public static RecordSettings defaults() {
     return new RecordSettings(
-        RecordLimits.defaults(), DEFAULT_WITNESS_TIMEOUT, DEFAULT_LOOKUP_TIMEOUT, DEFAULT_LIFE);
+        RecordLimits.defaults(),
+        DEFAULT_WITNESS_TIMEOUT,
+        DEFAULT_REPORT_WAIT,
+        DEFAULT_LOOKUP_TIMEOUT,
+        DEFAULT_LIFE);
   }
 
   /** Reads the section {@code [records]}. */
@@ -38,6 +49,7 @@
                     "retention", limits.retention(), Duration.ofSeconds(1), Duration.ofDays(1))),
         section.duration(
             "witness_timeout", DEFAULT_WITNESS_TIMEOUT, SHORTEST_TIMEOUT, LONGEST_TIMEOUT),
+        section.duration("report_wait", DEFAULT_REPORT_WAIT, Duration.ZERO, LONGEST_TIMEOUT),
         section.duration(
             "lookup_timeout", DEFAULT_LOOKUP_TIMEOUT, SHORTEST_TIMEOUT, LONGEST_TIMEOUT),
         section.duration("life", DEFAULT_LIFE, Duration.ofSeconds(1), Duration.ofMinutes(30)));
--- a/daemon/src/main/java/org/heatherspread/daemon/record/RecordsComponent.java
+++ b/daemon/src/main/java/org/heatherspread/daemon/record/RecordsComponent.java
@@ -4,53 +4,57 @@
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.MeterRegistry;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
 import java.util.function.ToDoubleFunction;
-import org.heatherspread.core.membership.Member;
 import org.heatherspread.core.model.Instance;
 import org.heatherspread.core.record.DaemonRef;
 import org.heatherspread.core.record.RecordCounts;
-import org.heatherspread.core.record.SealedSet;
 import org.heatherspread.daemon.DaemonComponent;
 import org.heatherspread.daemon.DaemonContext;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /**
- * The records of calls that may not be repeated: answers other daemons, gives out the {@link
- * CallRunner} and the {@link CallLookup}, and hands its records to another daemon when this one
- * stops.
+ * The records of requests: answers other daemons, gives out the {@link CallRunner} and the {@link
+ * CallLookup} for calls that may not be repeated and the {@link RequestRecords} for model streams,
+ * and hands its records to another daemon when this one stops.
  *
  * <p>Safe for use by any thread.
  */
 public final class RecordsComponent implements DaemonComponent {
-  private static final Logger logger = LoggerFactory.getLogger(RecordsComponent.class);
+
+  private static final String CALLS_TOPIC = "records.calls";
 
   private final DaemonContext context;
   private final CallTables tables;
-  private final CallRecordsClient client;
-  private final SuccessorDirectory successors;
   private final CallRecordsService service;
+  private final CallHandOver handOver;
   private final CallRunner runner;
   private final CallLookup lookup;
+  private final ReplicatedRequestRecords streams;
 
   private RecordsComponent(DaemonContext context, RecordSettings settings, Duration longestLife) {
     this.context = context;
     Instance self = context.self();
     DaemonRef reference = new DaemonRef(self.id(), self.incarnation());
     tables = CallTables.create(reference, context.wallClock(), settings.limits());
-    client = new CallRecordsClient(context.membership(), context.peers(), settings);
-    successors =
+    CallRecordsClient client =
+        new CallRecordsClient(context.membership(), context.peers(), settings);
+    SuccessorDirectory successors =
         new SuccessorDirectory(
-            context.dissemination(), longestLife.plus(settings.limits().retention()));
-    service = new CallRecordsService(tables, longestLife);
-    runner = new CallRunner(tables, client, context.meters());
+            context.dissemination(),
+            CALLS_TOPIC,
+            self.id(),
+            longestLife.plus(settings.limits().retention()));
+    KeeperChoice keepers = new KeeperChoice(self, context.membership());
+    handOver = new CallHandOver(tables, client, successors, keepers);
+    service = new CallRecordsService(tables, handOver, longestLife);
+    runner = new CallRunner(tables, client, settings.reportWait(), context.meters());
     lookup = new CallLookup(tables, client, successors, context.meters());
+    streams = ReplicatedRequestRecords.create(context, settings);
     gauges("owner", tables.owner()::counts);
     gauges("witness", tables.witness()::counts);
+    gauges("stream", streams::counts);
   }
 
   /**
@@ -91,63 +95,23 @@
     return lookup;
   }
 
+  /** Returns the records of model streams. */
+  public RequestRecords streams() {
+    return streams;
+  }
+
   @Override
   public List<BindableService> peerServices() {
-    return List.of(service);
+    return List.of(service, streams.service());
   }
 
   /**
-   * Begins no more calls, acknowledges no more, and hands the witness's records to a daemon that
-   * stays. Calls in progress here are waited for by the component that runs them.
+   * Begins no more calls, acknowledges no more, and hands the records kept for others to a daemon
+   * that stays. Requests in progress here are waited for by the components that run them.
    */
   @Override
   public CompletableFuture<Void> drain(Duration bound) {
     tables.owner().seal();
-    List<SealedSet> sets = new ArrayList<>(tables.archive().all());
-    sets.add(tables.witness().seal());
-    return handOver(sets, candidates(), 0, bound);
-  }
-
-  private CompletableFuture<Void> handOver(
-      List<SealedSet> sets, List<Instance> candidates, int index, Duration bound) {
-    if (index == candidates.size()) {
-      logger.atWarn().addKeyValue("sets", sets.size()).log("no daemon took over the records");
-      return CompletableFuture.completedFuture(null);
-    }
-    Instance successor = candidates.get(index);
-    List<CompletableFuture<Boolean>> replies = new ArrayList<>();
-    for (SealedSet set : sets) {
-      replies.add(client.handOver(successor, set, bound).exceptionally(failure -> false));
-    }
-    return CompletableFuture.allOf(replies.toArray(CompletableFuture[]::new))
-        .thenCompose(
-            done -> {
-              List<SealedSet> left = new ArrayList<>();
-              for (int i = 0; i < sets.size(); i++) {
-                if (replies.get(i).join()) {
-                  successors.publish(sets.get(i).witness(), successor.id());
-                } else {
-                  left.add(sets.get(i));
-                }
-              }
-              return left.isEmpty()
-                  ? CompletableFuture.completedFuture(null)
-                  : handOver(left, candidates, index + 1, bound);
-            });
-  }
-
-  /** Returns live daemons, those of other failure domains first. */
-  private List<Instance> candidates() {
-    List<Instance> elsewhere = new ArrayList<>();
-    List<Instance> beside = new ArrayList<>();
-    for (Member daemon : context.membership().get().daemons()) {
-      Instance each = daemon.instance();
-      if (!daemon.takesNewWork() || each.id().equals(context.self().id())) {
-        continue;
-      }
-      (each.domain().equals(context.self().domain()) ? beside : elsewhere).add(each);
-    }
-    elsewhere.addAll(beside);
-    return elsewhere;
+    return CompletableFuture.allOf(streams.drain(), handOver.run(bound));
   }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/heatherspread/daemon/record/StreamCodec.java
@@ -0,0 +1,94 @@
+package org.heatherspread.daemon.record;
+
+import com.google.protobuf.ByteString;
+import java.time.Instant;
+import java.util.Optional;
+import org.heatherspread.core.error.ErrorKind;
+import org.heatherspread.core.error.Execution;
+import org.heatherspread.core.record.Replica;
+import org.heatherspread.core.record.RequestId;
+import org.heatherspread.core.request.RequestPhase;
+import org.heatherspread.protocol.generated.records.StreamRecord;
+
+/** Translates the records of model streams between daemons. Stateless. */
+final class StreamCodec {
+  private StreamCodec() {}
+
+  static StreamRecord encode(Replica<RequestRecord> replica) {
+    RequestRecord record = replica.value();
+    RecordDraft draft = record.draft();
+    RecordProgress progress = record.progress();
+    StreamRecord.Builder message =
+        StreamRecord.newBuilder()
+            .setRequestId(record.requestId())
+            .setEpoch(replica.epoch())
+            .setSequence(replica.sequence())
+            .setClosed(replica.closed())
+            .setAccount(draft.account())
+            .setService(draft.service())
+            .setVersion(draft.version())
+            .setBody(ByteString.copyFrom(draft.body()))
+            .setRepeatable(draft.repeatable())
+            .setDeadlineMs(draft.deadline().toEpochMilli())
+            .setPhase(progress.phase().name())
+            .setAttempt(progress.attempt())
+            .setEndpointId(progress.endpointId())
+            .setEndpointUrl(progress.endpointUrl())
+            .setEngineStreamId(progress.engineStreamId())
+            .setBaseOffset(progress.baseOffset())
+            .setPrefix(progress.prefix());
+    record
+        .outcome()
+        .ifPresent(
+            outcome -> {
+              message.setErrorKind(outcome.error().map(ErrorKind::name).orElse(""));
+              message.setExecution(outcome.execution().name());
+            });
+    return message.build();
+  }
+
+  /** Reads a record; throws {@code IllegalArgumentException} on one that is not understood. */
+  static Replica<RequestRecord> decode(StreamRecord message, long retentionMillis) {
+    RecordDraft draft =
+        new RecordDraft(
+            message.getAccount(),
+            message.getService(),
+            message.getVersion(),
+            message.getBody().toByteArray(),
+            message.getRepeatable(),
+            Instant.ofEpochMilli(message.getDeadlineMs()));
+    RecordProgress progress =
+        new RecordProgress(
+            RequestPhase.valueOf(message.getPhase()),
+            message.getAttempt(),
+            message.getEndpointId(),
+            message.getEndpointUrl(),
+            message.getEngineStreamId(),
+            message.getBaseOffset(),
+            message.getPrefix());
+    RequestRecord record =
+        new RequestRecord(message.getRequestId(), draft, progress, outcome(message));
+    RequestId id = CallCodec.requestId(message.getRequestId());
+    return replica(id, message.getEpoch(), message.getSequence(), record, retentionMillis);
+  }
+
+  /** Wraps a record as a copy for the table. */
+  static Replica<RequestRecord> replica(
+      RequestId id, long epoch, long sequence, RequestRecord record, long retentionMillis) {
+    long bytes = record.draft().body().length + (long) record.progress().prefix().length();
+    long expiry = record.draft().deadline().toEpochMilli() + retentionMillis;
+    return new Replica<>(id, epoch, sequence, record.outcome().isPresent(), bytes, expiry, record);
+  }
+
+  private static Optional<Outcome> outcome(StreamRecord message) {
+    if (!message.getClosed()) {
+      return Optional.empty();
+    }
+    Optional<ErrorKind> error =
+        message.getErrorKind().isEmpty()
+            ? Optional.empty()
+            : Optional.of(ErrorKind.valueOf(message.getErrorKind()));
+    Execution execution = Execution.valueOf(message.getExecution());
+    return Optional.of(new Outcome(error, execution, Optional.empty()));
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/heatherspread/daemon/record/StreamRecordsClient.java
@@ -0,0 +1,86 @@
+package org.heatherspread.daemon.record;
+
+import com.google.common.util.concurrent.ListenableFuture;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import org.heatherspread.core.error.ErrorKind;
+import org.heatherspread.core.error.ServingException;
+import org.heatherspread.core.membership.Member;
+import org.heatherspread.core.membership.MembershipSnapshot;
+import org.heatherspread.core.model.Instance;
+import org.heatherspread.core.record.KeepResult;
+import org.heatherspread.core.record.Replica;
+import org.heatherspread.core.record.RequestId;
+import org.heatherspread.daemon.peer.PeerChannels;
+import org.heatherspread.protocol.generated.records.FindRequest;
+import org.heatherspread.protocol.generated.records.KeepRequest;
+import org.heatherspread.protocol.generated.records.RecordReply;
+import org.heatherspread.protocol.generated.records.StreamRecordsGrpc;
+import org.heatherspread.protocol.generated.records.StreamRecordsGrpc.StreamRecordsFutureStub;
+import org.heatherspread.protocol.generated.records.TakeOverRequest;
+
+/**
+ * Keeps and finds records of model streams at other daemons. A future fails when the daemon is not
+ * known or does not answer in time. Immutable; safe for use by any thread.
+ */
+final class StreamRecordsClient {
+  private final Supplier<MembershipSnapshot> membership;
+  private final PeerChannels peers;
+  private final RecordSettings settings;
+
+  StreamRecordsClient(
+      Supplier<MembershipSnapshot> membership, PeerChannels peers, RecordSettings settings) {
+    this.membership = membership;
+    this.peers = peers;
+    this.settings = settings;
+  }
+
+  CompletableFuture<KeepResult> keep(String daemonId, Replica<RequestRecord> copy) {
+    KeepRequest request = KeepRequest.newBuilder().setRecord(StreamCodec.encode(copy)).build();
+    return call(daemonId, settings.witnessTimeout().toMillis(), stub -> stub.keep(request))
+        .thenApply(
+            reply ->
+                switch (reply.getKept()) {
+                  case KEPT_YES -> KeepResult.KEPT;
+                  case KEPT_TAKEN_OVER -> KeepResult.TAKEN_OVER;
+                  default -> KeepResult.REFUSED;
+                });
+  }
+
+  CompletableFuture<Optional<Replica<RequestRecord>>> find(String daemonId, RequestId id) {
+    FindRequest request = FindRequest.newBuilder().setRequestId(id.toString()).build();
+    return call(daemonId, settings.lookupTimeout().toMillis(), stub -> stub.find(request))
+        .thenApply(this::record);
+  }
+
+  CompletableFuture<Optional<Replica<RequestRecord>>> takeOver(String daemonId, RequestId id) {
+    TakeOverRequest request = TakeOverRequest.newBuilder().setRequestId(id.toString()).build();
+    return call(daemonId, settings.lookupTimeout().toMillis(), stub -> stub.takeOver(request))
+        .thenApply(this::record);
+  }
+
+  private Optional<Replica<RequestRecord>> record(RecordReply reply) {
+    return reply.hasRecord()
+        ? Optional.of(
+            StreamCodec.decode(reply.getRecord(), settings.limits().retention().toMillis()))
+        : Optional.empty();
+  }
+
+  private <T> CompletableFuture<T> call(
+      String daemonId,
+      long timeoutMillis,
+      Function<StreamRecordsFutureStub, ListenableFuture<T>> method) {
+    Instance daemon = membership.get().member(daemonId).map(Member::instance).orElse(null);
+    if (daemon == null) {
+      return CompletableFuture.failedFuture(
+          ServingException.of(ErrorKind.WITNESS_UNAVAILABLE, "daemon is not known: " + daemonId));
+    }
+    StreamRecordsFutureStub stub =
+        StreamRecordsGrpc.newFutureStub(peers.channel(daemon))
+            .withDeadlineAfter(timeoutMillis, TimeUnit.MILLISECONDS);
+    return Futures.of(method.apply(stub));
+  }
+}
--- a/daemon/src/test/java/org/heatherspread/daemon/plain/PlainRig.java
+++ b/daemon/src/test/java/org/heatherspread/daemon/plain/PlainRig.java
@@ -66,13 +66,14 @@
 import org.heatherspread.daemon.routing.LeastInFlightSelector;
 
 /** Daemons with real HTTP and gRPC on the loopback interface, and endpoints that keep a ledger. */
-final class PlainRig implements AutoCloseable {
+public final class PlainRig implements AutoCloseable {
   static final String ACCOUNT_KEY = "key-of-patikoop";
   static final String OTHER_KEY = "key-of-oberland";
   private static final String SERVICE = "fees";
   private static final Duration PATIENCE = Duration.ofSeconds(10);
   private static final RecordSettings PATIENT_RECORDS =
-      new RecordSettings(RecordLimits.defaults(), PATIENCE, PATIENCE, Duration.ofSeconds(60));
+      new RecordSettings(
+          RecordLimits.defaults(), PATIENCE, PATIENCE, PATIENCE, Duration.ofSeconds(60));
   private static final PlainSettings PATIENT_CALLS =
       new PlainSettings(PATIENCE, PATIENCE, Duration.ofSeconds(60), 1 << 20);
 
@@ -87,7 +88,8 @@
   private final HttpClient client = HttpClient.newHttpClient();
 
   /** One daemon of the rig. */
-  record Daemon(Instance instance, ServerBinding http, PeerServer peer, RecordsComponent records) {}
+  public record Daemon(
+      Instance instance, ServerBinding http, PeerServer peer, RecordsComponent records) {}
 
   /** Soft state that reaches all daemons at once. */
   private static final class SharedState implements Dissemination {
@@ -118,7 +120,7 @@
   }
 
   /** Starts daemons named d1, d2 and so on, each in its own failure domain. */
-  static PlainRig start(int count) throws Exception {
+  public static PlainRig start(int count) throws Exception {
     PlainRig rig = new PlainRig();
     for (int i = 1; i <= count; i++) {
       rig.addDaemon("d" + i, "domain-" + i);
@@ -174,17 +176,19 @@
     daemons.put(id, new Daemon(self, http, peer, records));
   }
 
-  Daemon daemon(String id) {
+  /** Returns a daemon by its name. */
+  public Daemon daemon(String id) {
     return daemons.get(id);
   }
 
   /** Kills a daemon: both its ports are closed at once; the others still believe it alive. */
-  void kill(String id) throws Exception {
+  public void kill(String id) throws Exception {
     daemons.get(id).peer().close();
     daemons.get(id).http().unbind().toCompletableFuture().get();
   }
 
-  void setHealth(String id, Health health) {
+  /** Changes what all daemons believe of an instance. */
+  public void setHealth(String id, Health health) {
     members.computeIfPresent(id, (key, member) -> new Member(member.instance(), health));
   }
 
