Use replicated records for chat and never hand a copy back to its owner

Cause: the chat path still kept its records in one process. A stopping keeper could give its copy to the daemon that already owns the request (ReplicatedRequestRecordsTest.stoppingKeeperHandsCopiesOverAndRefusesNewOnes failed when the random choice fell on it). Change: each copy names the daemon that wrote it, and that one is left out of the choice; the daemon is assembled with the replicated records.

--- a/core/src/main/java/org/heatherspread/core/record/Replica.java
+++ b/core/src/main/java/org/heatherspread/core/record/Replica.java
@@ -9,6 +9,7 @@
  * @param closed whether the request has ended
  * @param bytes memory that the value takes, for the table's bound
  * @param expiresAtMillis when it may be forgotten, in milliseconds since the epoch
+ * @param holder instance id of the owner that wrote it
  * @param value what is recorded
  */
 public record Replica<R>(
@@ -18,6 +19,7 @@
     boolean closed,
     long bytes,
     long expiresAtMillis,
+    String holder,
     R value) {
 
   /** Tells whether this copy is later than another one of the same request. */
@@ -27,6 +29,6 @@
 
   /** Returns a copy under the next epoch. */
   Replica<R> takenOver() {
-    return new Replica<>(id, epoch + 1, sequence, closed, bytes, expiresAtMillis, value);
+    return new Replica<>(id, epoch + 1, sequence, closed, bytes, expiresAtMillis, holder, value);
   }
 }
--- a/core/src/test/java/org/heatherspread/core/record/RecordTablesLincheckTest.java
+++ b/core/src/test/java/org/heatherspread/core/record/RecordTablesLincheckTest.java
@@ -113,7 +113,9 @@
     public String keep(
         @Param(gen = IntGen.class, conf = "1:3") int epoch,
         @Param(gen = IntGen.class, conf = "1:3") int sequence) {
-      return table.keep(new Replica<>(ID, epoch, sequence, false, 1, 60_000, "value")).name();
+      return table
+          .keep(new Replica<>(ID, epoch, sequence, false, 1, 60_000, "owner", "value"))
+          .name();
     }
 
     /** Closes the record. */
@@ -121,7 +123,9 @@
     public String close(
         @Param(gen = IntGen.class, conf = "1:3") int epoch,
         @Param(gen = IntGen.class, conf = "1:3") int sequence) {
-      return table.keep(new Replica<>(ID, epoch, sequence, true, 1, 60_000, "ended")).name();
+      return table
+          .keep(new Replica<>(ID, epoch, sequence, true, 1, 60_000, "owner", "ended"))
+          .name();
     }
 
     /** Takes the record over. */
--- a/daemon/src/main/java/org/heatherspread/daemon/DaemonAssembly.java
+++ b/daemon/src/main/java/org/heatherspread/daemon/DaemonAssembly.java
@@ -36,7 +36,6 @@
 import org.heatherspread.daemon.permit.PermitDesk;
 import org.heatherspread.daemon.plain.PlainComponent;
 import org.heatherspread.daemon.platform.PlatformClients;
-import org.heatherspread.daemon.record.LocalRequestRecords;
 import org.heatherspread.daemon.record.RecordsComponent;
 import org.heatherspread.daemon.routing.CostSelector;
 import org.heatherspread.daemon.routing.EndpointSelector;
@@ -196,7 +195,7 @@
             EngineClient.create(system, file.engines()),
             selector,
             admission,
-            LocalRequestRecords.create()));
+            records.streams()));
     components.add(
         PlainComponent.create(
             context,
--- a/daemon/src/main/java/org/heatherspread/daemon/record/ReplicatedRequestRecords.java
+++ b/daemon/src/main/java/org/heatherspread/daemon/record/ReplicatedRequestRecords.java
@@ -4,6 +4,7 @@
 import io.micrometer.core.instrument.MeterRegistry;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
@@ -93,7 +94,8 @@
             self, new DaemonRef(keeper.id(), keeper.incarnation()), ThreadLocalRandom.current());
     RequestRecord record =
         new RequestRecord(id.toString(), draft, RecordProgress.none(), Optional.empty());
-    Replica<RequestRecord> first = StreamCodec.replica(id, 1, 1, record, retentionMillis);
+    Replica<RequestRecord> first =
+        StreamCodec.replica(id, 1, 1, self.id(), record, retentionMillis);
     return client
         .keep(keeper.id(), first)
         .exceptionally(failure -> KeepResult.REFUSED)
@@ -274,7 +276,12 @@
     private synchronized Replica<RequestRecord> next(RequestRecord record) {
       current =
           StreamCodec.replica(
-              current.id(), current.epoch(), current.sequence() + 1, record, retentionMillis);
+              current.id(),
+              current.epoch(),
+              current.sequence() + 1,
+              self.id(),
+              record,
+              retentionMillis);
       return current;
     }
 
@@ -326,9 +333,10 @@
               });
     }
 
-    /** Gives a copy to a daemon other than the present keeper and tells all daemons. */
+    /** Gives a copy to a daemon that has none yet and tells all daemons. */
     private CompletableFuture<Void> copyElsewhere(Replica<RequestRecord> copy) {
-      return copyElsewhere(copy, keepers.candidates(Set.of(keeper())), 0);
+      Set<String> taken = new HashSet<>(List.of(keeper(), copy.holder()));
+      return copyElsewhere(copy, keepers.candidates(taken), 0);
     }
 
     private CompletableFuture<Void> copyElsewhere(
--- a/daemon/src/main/java/org/heatherspread/daemon/record/StreamCodec.java
+++ b/daemon/src/main/java/org/heatherspread/daemon/record/StreamCodec.java
@@ -22,6 +22,7 @@
         StreamRecord.newBuilder()
             .setRequestId(record.requestId())
             .setEpoch(replica.epoch())
+            .setHolder(replica.holder())
             .setSequence(replica.sequence())
             .setClosed(replica.closed())
             .setAccount(draft.account())
@@ -69,15 +70,27 @@
     RequestRecord record =
         new RequestRecord(message.getRequestId(), draft, progress, outcome(message));
     RequestId id = CallCodec.requestId(message.getRequestId());
-    return replica(id, message.getEpoch(), message.getSequence(), record, retentionMillis);
+    return replica(
+        id,
+        message.getEpoch(),
+        message.getSequence(),
+        message.getHolder(),
+        record,
+        retentionMillis);
   }
 
   /** Wraps a record as a copy for the table. */
   static Replica<RequestRecord> replica(
-      RequestId id, long epoch, long sequence, RequestRecord record, long retentionMillis) {
+      RequestId id,
+      long epoch,
+      long sequence,
+      String holder,
+      RequestRecord record,
+      long retentionMillis) {
     long bytes = record.draft().body().length + (long) record.progress().prefix().length();
     long expiry = record.draft().deadline().toEpochMilli() + retentionMillis;
-    return new Replica<>(id, epoch, sequence, record.outcome().isPresent(), bytes, expiry, record);
+    return new Replica<>(
+        id, epoch, sequence, record.outcome().isPresent(), bytes, expiry, holder, record);
   }
 
   private static Optional<Outcome> outcome(StreamRecord message) {
