--- /dev/null
+++ b/core/src/main/java/org/heatherspread/core/lease/LeaseBody.java
@@ -0,0 +1,27 @@
+package org.heatherspread.core.lease;
+
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * What a lease row says. Immutable.
+ *
+ * @param holder id and incarnation of the holder; empty after a release
+ * @param epoch the fencing number; grows with each change of holder
+ */
+record LeaseBody(String holder, long epoch) {
+  private static final Pattern FORM =
+      Pattern.compile("\\{\"holder\":\"([^\"\\\\]*)\",\"epoch\":(\\d+)}");
+
+  String write() {
+    return "{\"holder\":\"" + holder + "\",\"epoch\":" + epoch + "}";
+  }
+
+  static LeaseBody read(String text) {
+    Matcher matcher = FORM.matcher(text);
+    if (!matcher.matches()) {
+      throw new IllegalArgumentException("not a lease: " + text);
+    }
+    return new LeaseBody(matcher.group(1), Long.parseLong(matcher.group(2)));
+  }
+}
