Authenticate daemons by mutual TLS and order engines under leases

Cause: any process that reached a peer port could speak for a daemon, and nothing brought engines to the confirmed versions. Adds [peer_tls] (certificate, key, authority, one name for all daemons) and [orders], the lease loop spread by rendezvous over the daemons of a region, orders with read-back, and connections to daemons that are gone are closed. Conclusion: without [peer_tls] the peer port stays open to its network; keys are replaced by a planned restart.

--- a/daemon/src/main/java/org/heatherspread/daemon/DaemonAssembly.java
+++ b/daemon/src/main/java/org/heatherspread/daemon/DaemonAssembly.java
@@ -2,6 +2,7 @@
 
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.io.IOException;
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.ArrayList;
@@ -24,12 +25,14 @@
 import org.heatherspread.daemon.config.ConfigurationCodec;
 import org.heatherspread.daemon.config.ConfigurationComponent;
 import org.heatherspread.daemon.control.ControlFactory;
+import org.heatherspread.daemon.control.OrderComponent;
 import org.heatherspread.daemon.engine.EngineClient;
 import org.heatherspread.daemon.http.AccountAuth;
 import org.heatherspread.daemon.http.HealthComponent;
 import org.heatherspread.daemon.http.ProblemAnswers;
 import org.heatherspread.daemon.http.ReadinessGate;
-import org.heatherspread.daemon.limit.SharedAdmission;
+import org.heatherspread.daemon.limit.Admission;
+import org.heatherspread.daemon.limit.AdmitAll;
 import org.heatherspread.daemon.membership.HttpEndpointProber;
 import org.heatherspread.daemon.membership.MembershipComponent;
 import org.heatherspread.daemon.peer.PeerChannels;
@@ -40,6 +43,7 @@
 import org.heatherspread.daemon.routing.CostSelector;
 import org.heatherspread.daemon.routing.EndpointSelector;
 import org.heatherspread.daemon.routing.EndpointTelemetry;
+import org.heatherspread.daemon.security.PeerCredentials;
 import org.heatherspread.daemon.settings.DaemonFile;
 
 /**
@@ -55,18 +59,21 @@
   private final PrometheusMeterRegistry meters;
   private final ProblemAnswers problems;
   private final PlatformClients platform;
-  private final PeerChannels channels = PeerChannels.create();
+  private final PeerCredentials credentials;
+  private final PeerChannels channels;
   private final MonotonicClock clock = MonotonicClock.system();
   private final InstantSource wallClock = InstantSource.system();
   private final AtomicBoolean draining = new AtomicBoolean();
   private ConfigurationComponent configuration;
   private final List<DaemonComponent> components = new ArrayList<>();
 
-  private DaemonAssembly(DaemonFile file, ActorSystem<Void> system) {
+  private DaemonAssembly(DaemonFile file, ActorSystem<Void> system) throws IOException {
     this.file = file;
     this.system = system;
     meters = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     problems = ProblemAnswers.create(meters);
+    credentials = PeerCredentials.load(file.peerTls());
+    channels = PeerChannels.create(credentials);
     platform = PlatformClients.create(file.platform(), meters);
   }
 
@@ -75,7 +82,8 @@
    *
    * @param stop starts the planned stop of the daemon
    */
-  static DaemonAssembly create(DaemonFile file, ActorSystem<Void> system, Runnable stop) {
+  static DaemonAssembly create(DaemonFile file, ActorSystem<Void> system, Runnable stop)
+      throws IOException {
     DaemonAssembly assembly = new DaemonAssembly(file, system);
     assembly.build(stop);
     return assembly;
@@ -86,6 +94,11 @@
     return List.copyOf(components);
   }
 
+  /** Returns the keys with which daemons authenticate each other. */
+  PeerCredentials credentials() {
+    return credentials;
+  }
+
   /** Returns what turns failures into answers. */
   ProblemAnswers problems() {
     return problems;
@@ -140,8 +153,10 @@
             membership,
             platform.store(),
             channels);
+    OrderComponent orders = OrderComponent.create(context, file.orders());
     components.add(membership);
     components.add(configuration);
+    components.add(orders);
     components.add(
         ControlFactory.create(
             context,
@@ -149,7 +164,7 @@
             log,
             inForce,
             membership.calls(),
-            List::of,
+            orders::leaseNames,
             this::notReady,
             stop,
             problems));
@@ -179,9 +194,7 @@
     EndpointTelemetry telemetry = EndpointTelemetry.create(context, file.routing());
     components.add(telemetry);
     EndpointSelector selector = CostSelector.create(context, file.routing(), telemetry);
-    SharedAdmission admission =
-        SharedAdmission.create(context, file.limits(), telemetry::expectedWait);
-    components.add(admission);
+    Admission admission = AdmitAll.create();
     RecordsComponent records =
         RecordsComponent.create(context, file.records(), file.permits().life());
     PermitDesk permits = PermitDesk.create(context, file.permits());
--- a/daemon/src/main/java/org/heatherspread/daemon/DaemonRuntime.java
+++ b/daemon/src/main/java/org/heatherspread/daemon/DaemonRuntime.java
@@ -18,6 +18,7 @@
 import org.heatherspread.daemon.http.HttpFrontend;
 import org.heatherspread.daemon.http.ReadinessGate;
 import org.heatherspread.daemon.peer.PeerServer;
+import org.heatherspread.daemon.security.PeerCredentials;
 import org.heatherspread.daemon.settings.DaemonFile;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -64,7 +65,7 @@
         DaemonAssembly.create(file, system, () -> new Thread(DaemonRuntime::exit, "stop").start());
     List<DaemonComponent> components = assembly.components();
     components.forEach(DaemonComponent::start);
-    PeerServer peers = startPeerServer(file, components);
+    PeerServer peers = startPeerServer(file, components, assembly.credentials());
     ServerBinding binding = bind(file, system, assembly);
     return new DaemonRuntime(file, system, assembly, peers, binding);
   }
@@ -90,11 +91,13 @@
     return ConfigFactory.load();
   }
 
-  private static PeerServer startPeerServer(DaemonFile file, List<DaemonComponent> components)
+  private static PeerServer startPeerServer(
+      DaemonFile file, List<DaemonComponent> components, PeerCredentials credentials)
       throws IOException {
     List<BindableService> services = new ArrayList<>();
     components.forEach(component -> services.addAll(component.peerServices()));
-    return PeerServer.start(file.daemon().host(), file.daemon().peerPort(), services, List.of());
+    return PeerServer.start(
+        file.daemon().host(), file.daemon().peerPort(), services, List.of(), credentials);
   }
 
   private static ServerBinding bind(
--- /dev/null
+++ b/daemon/src/main/java/org/heatherspread/daemon/control/EngineOrders.java
@@ -0,0 +1,115 @@
+package org.heatherspread.daemon.control;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.http.javadsl.Http;
+import org.apache.pekko.http.javadsl.model.ContentTypes;
+import org.apache.pekko.http.javadsl.model.HttpEntities;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.model.headers.Connection;
+import org.heatherspread.core.model.Instance;
+import org.heatherspread.core.order.DesiredModel;
+import org.heatherspread.core.order.EndpointState;
+
+/**
+ * Reads the state of engines and gives them orders, each over a connection of its own.
+ *
+ * <p>Immutable and safe for use by any thread; futures fail where no answer came in time.
+ */
+final class EngineOrders {
+  private static final int STALE = 409;
+  private static final long MAX_BODY_BYTES = 262_144;
+  private static final ObjectMapper MAPPER =
+      JsonMapper.builder().disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES).build();
+
+  private final ActorSystem<?> system;
+  private final Duration timeout;
+
+  EngineOrders(ActorSystem<?> system, Duration timeout) {
+    this.system = system;
+    this.timeout = timeout;
+  }
+
+  CompletableFuture<EndpointState> state(Instance engine) {
+    return send(HttpRequest.GET(engine.baseUrl() + "/v1/state"))
+        .thenCompose(this::body)
+        .thenApply(EngineOrders::parse)
+        .toCompletableFuture()
+        .orTimeout(timeout.toMillis(), TimeUnit.MILLISECONDS);
+  }
+
+  /** Gives an order; completes with false where its fencing number is refused. */
+  CompletableFuture<Boolean> give(Instance engine, long fencing, EndpointState desired) {
+    HttpRequest request =
+        HttpRequest.POST(engine.baseUrl() + "/v1/orders")
+            .withEntity(HttpEntities.create(ContentTypes.APPLICATION_JSON, text(fencing, desired)));
+    return send(request)
+        .thenCompose(
+            response -> {
+              if (response.status().intValue() == STALE) {
+                response.discardEntityBytes(system);
+                return CompletableFuture.completedFuture(false);
+              }
+              return body(response).thenApply(text -> true);
+            })
+        .toCompletableFuture()
+        .orTimeout(timeout.toMillis(), TimeUnit.MILLISECONDS);
+  }
+
+  private CompletionStage<HttpResponse> send(HttpRequest request) {
+    return Http.get(system).singleRequest(request.addHeader(Connection.create("close")));
+  }
+
+  private CompletionStage<String> body(HttpResponse response) {
+    if (!response.status().isSuccess()) {
+      response.discardEntityBytes(system);
+      int status = response.status().intValue();
+      return CompletableFuture.failedFuture(
+          new IllegalStateException("engine answered with status " + status));
+    }
+    return response
+        .entity()
+        .withSizeLimit(MAX_BODY_BYTES)
+        .toStrict(timeout.toMillis(), system)
+        .thenApply(strict -> strict.getData().utf8String());
+  }
+
+  private static String text(long fencing, EndpointState desired) {
+    try {
+      return MAPPER.writeValueAsString(new Order(fencing, desired));
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private static EndpointState parse(String text) {
+    try {
+      State state = MAPPER.readValue(text, State.class);
+      List<DesiredModel> held = new ArrayList<>();
+      if (state.models() != null) {
+        held.addAll(state.models());
+      }
+      if (state.loading() != null) {
+        held.addAll(state.loading());
+      }
+      return new EndpointState(held, state.role() == null ? "" : state.role());
+    } catch (JsonProcessingException e) {
+      throw new CompletionException(e);
+    }
+  }
+
+  private record Order(long fencing, EndpointState desired) {}
+
+  private record State(List<DesiredModel> models, List<DesiredModel> loading, String role) {}
+}
--- a/daemon/src/main/java/org/heatherspread/daemon/membership/MembershipComponent.java
+++ b/daemon/src/main/java/org/heatherspread/daemon/membership/MembershipComponent.java
@@ -5,6 +5,7 @@
 import io.micrometer.core.instrument.MeterRegistry;
 import java.time.Duration;
 import java.time.InstantSource;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -53,6 +54,7 @@
   private final MembershipSettings settings;
   private final MembershipCore core;
   private final PlatformView platform;
+  private final PeerChannels peers;
   private final PeerCalls calls;
   private final EndpointProber prober;
   private final MembershipMetrics metrics;
@@ -82,6 +84,7 @@
     this.settings = settings;
     this.platform = platform;
     this.prober = prober;
+    this.peers = peers;
     core = MembershipCore.create(self, settings, config, clock, wallClock, random);
     snapshot = core.snapshot();
     metrics = MembershipMetrics.create(meters);
@@ -274,6 +277,7 @@
     silence = core.silence();
     if (core.version() != snapshot.version()) {
       snapshot = core.snapshot();
+      closeGone();
       daemonsAlive = (int) snapshot.daemons().stream().filter(Member::takesNewWork).count();
     }
     for (SharedEntry entry : core.newEntries()) {
@@ -284,6 +288,17 @@
     }
   }
 
+  /** Closes connections to daemons that are no longer known. */
+  private void closeGone() {
+    List<Instance> daemons = new ArrayList<>();
+    for (Member member : snapshot.daemons()) {
+      if (member.health() != Health.DEAD) {
+        daemons.add(member.instance());
+      }
+    }
+    peers.retain(daemons);
+  }
+
   private static void notify(Consumer<SharedEntry> listener, SharedEntry entry) {
     try {
       listener.accept(entry);
--- a/daemon/src/main/java/org/heatherspread/daemon/peer/PeerChannels.java
+++ b/daemon/src/main/java/org/heatherspread/daemon/peer/PeerChannels.java
@@ -2,10 +2,14 @@
 
 import io.grpc.ManagedChannel;
 import io.grpc.netty.shaded.io.grpc.netty.NettyChannelBuilder;
+import java.util.Collection;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import org.heatherspread.core.model.Instance;
+import org.heatherspread.daemon.security.PeerCredentials;
 
 /**
  * Connections to other daemons, one for each incarnation, opened on first use. HTTP/2 pings find
@@ -19,22 +23,47 @@
 
   private final Map<String, ManagedChannel> channels = new ConcurrentHashMap<>();
 
-  private PeerChannels() {}
+  private final PeerCredentials credentials;
 
-  /** Creates an empty set of connections. */
+  private PeerChannels(PeerCredentials credentials) {
+    this.credentials = credentials;
+  }
+
+  /** Creates an empty set of connections that authenticate nobody. */
   public static PeerChannels create() {
-    return new PeerChannels();
+    return create(PeerCredentials.none());
+  }
+
+  /** Creates an empty set of connections; the credentials stay the caller's to close. */
+  public static PeerChannels create(PeerCredentials credentials) {
+    return new PeerChannels(credentials);
   }
 
   /** Returns the connection to a daemon's gRPC interface. */
   public ManagedChannel channel(Instance peer) {
-    String address = peer.host() + ":" + peer.peerPort();
-    return channels.computeIfAbsent(address, PeerChannels::open);
+    return channels.computeIfAbsent(address(peer), this::open);
+  }
+
+  /** Closes the connections to all daemons but these, once their calls in progress have ended. */
+  public void retain(Collection<Instance> peers) {
+    Set<String> kept = new HashSet<>();
+    peers.forEach(peer -> kept.add(address(peer)));
+    for (String address : Set.copyOf(channels.keySet())) {
+      if (!kept.contains(address)) {
+        channels.remove(address).shutdown();
+      }
+    }
+  }
+
+  private static String address(Instance peer) {
+    return peer.host() + ":" + peer.peerPort();
   }
 
-  private static ManagedChannel open(String address) {
-    return NettyChannelBuilder.forTarget("dns:///" + address)
-        .usePlaintext()
+  private ManagedChannel open(String address) {
+    NettyChannelBuilder builder =
+        NettyChannelBuilder.forTarget("dns:///" + address, credentials.channel());
+    credentials.name().ifPresent(builder::overrideAuthority);
+    return builder
         .keepAliveTime(PING_INTERVAL_MILLIS, TimeUnit.MILLISECONDS)
         .keepAliveTimeout(PING_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
         .keepAliveWithoutCalls(false)
--- a/daemon/src/main/java/org/heatherspread/daemon/peer/PeerServer.java
+++ b/daemon/src/main/java/org/heatherspread/daemon/peer/PeerServer.java
@@ -8,6 +8,7 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import org.heatherspread.daemon.security.PeerCredentials;
 
 /**
  * The gRPC server that other daemons call. Life cycle: {@link #start} once, {@link #close} once.
@@ -24,12 +25,23 @@
     this.server = server;
   }
 
-  /** Starts a server for the services; the interceptors see each call first. */
+  /** Starts a server that authenticates nobody; the interceptors see each call first. */
   public static PeerServer start(
       String host, int port, List<BindableService> services, List<ServerInterceptor> interceptors)
       throws IOException {
+    return start(host, port, services, interceptors, PeerCredentials.none());
+  }
+
+  /** Starts a server for the services; the credentials stay the caller's to close. */
+  public static PeerServer start(
+      String host,
+      int port,
+      List<BindableService> services,
+      List<ServerInterceptor> interceptors,
+      PeerCredentials credentials)
+      throws IOException {
     NettyServerBuilder builder =
-        NettyServerBuilder.forAddress(new InetSocketAddress(host, port))
+        NettyServerBuilder.forAddress(new InetSocketAddress(host, port), credentials.server())
             .permitKeepAliveTime(SHORTEST_PING_INTERVAL_MILLIS, TimeUnit.MILLISECONDS)
             .permitKeepAliveWithoutCalls(true);
     services.forEach(builder::addService);
--- a/daemon/src/main/java/org/heatherspread/daemon/settings/DaemonFile.java
+++ b/daemon/src/main/java/org/heatherspread/daemon/settings/DaemonFile.java
@@ -4,12 +4,13 @@
 import java.util.Map;
 import org.heatherspread.daemon.address.AddressSettings;
 import org.heatherspread.daemon.chat.ChatSettings;
+import org.heatherspread.daemon.control.OrderSettings;
 import org.heatherspread.daemon.engine.EngineClientSettings;
-import org.heatherspread.daemon.limit.LimitSettings;
 import org.heatherspread.daemon.permit.PermitSettings;
 import org.heatherspread.daemon.plain.PlainSettings;
 import org.heatherspread.daemon.record.RecordSettings;
 import org.heatherspread.daemon.routing.RoutingSettings;
+import org.heatherspread.daemon.security.PeerTlsSettings;
 import org.heatherspread.settings.SettingsReader;
 
 /**
@@ -22,10 +23,11 @@
  * @param chat how chat completions are served
  * @param engines connections to model engines
  * @param routing how endpoints are chosen
- * @param limits how the limits of client accounts are shared
  * @param plain how plain services are called
  * @param records records of requests at a second daemon
  * @param permits execution permits and their keys
+ * @param orders leases and orders to engines
+ * @param peerTls how daemons authenticate each other
  * @param addresses what callers are told of the daemons
  */
 public record DaemonFile(
@@ -36,10 +38,11 @@
     ChatSettings chat,
     EngineClientSettings engines,
     RoutingSettings routing,
-    LimitSettings limits,
     PlainSettings plain,
     RecordSettings records,
     PermitSettings permits,
+    OrderSettings orders,
+    PeerTlsSettings peerTls,
     AddressSettings addresses) {
 
   /**
@@ -70,10 +73,11 @@
         ChatSettings.read(reader.section("chat")),
         EngineClientSettings.read(reader.section("engines")),
         RoutingSettings.read(reader.section("routing")),
-        LimitSettings.read(reader.section("limits")),
         PlainSettings.read(reader.section("plain")),
         RecordSettings.read(reader.section("records")),
         PermitSettings.read(reader.section("permits")),
+        OrderSettings.read(reader.section("orders")),
+        PeerTlsSettings.read(reader.section("peer_tls")),
         AddressSettings.read(reader.section("addresses")));
   }
 }
