--- /dev/null
+++ b/daemon/src/test/java/org/heatherspread/daemon/chat/OpenAiClientTest.java
@@ -0,0 +1,98 @@
+package org.heatherspread.daemon.chat;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import com.openai.client.OpenAIClient;
+import com.openai.client.okhttp.OpenAIOkHttpClient;
+import com.openai.core.http.StreamResponse;
+import com.openai.errors.NotFoundException;
+import com.openai.models.chat.completions.ChatCompletion;
+import com.openai.models.chat.completions.ChatCompletionChunk;
+import com.openai.models.chat.completions.ChatCompletionCreateParams;
+import com.openai.models.models.Model;
+import java.util.Iterator;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** A stock OpenAI-compatible client works unchanged against a daemon. */
+class OpenAiClientTest {
+  private static final long CANCEL_WAIT_SECONDS = 10;
+
+  private ChatFixture fixture;
+  private OpenAIClient client;
+
+  @BeforeEach
+  void connect() {
+    fixture = new ChatFixture(1);
+    String models = fixture.call("/v1/models").build().uri().toString();
+    client =
+        OpenAIOkHttpClient.builder()
+            .apiKey("key-1")
+            .baseUrl(models.substring(0, models.length() - "/models".length()))
+            .maxRetries(0)
+            .build();
+  }
+
+  @AfterEach
+  void disconnect() {
+    client.close();
+    fixture.close();
+  }
+
+  @Test
+  void listsModels() {
+    List<String> names = client.models().list().data().stream().map(Model::id).toList();
+    assertThat(names).contains("assistant");
+  }
+
+  @Test
+  void completesWholeAndStreamed() {
+    ChatCompletion whole = client.chat().completions().create(params("assistant", 4));
+    String text = whole.choices().get(0).message().content().orElseThrow();
+    assertThat(text).isNotEmpty();
+    StringBuilder streamed = new StringBuilder();
+    try (StreamResponse<ChatCompletionChunk> chunks =
+        client.chat().completions().createStreaming(params("assistant", 4))) {
+      chunks.stream()
+          .flatMap(chunk -> chunk.choices().stream())
+          .forEach(choice -> choice.delta().content().ifPresent(streamed::append));
+    }
+    assertThat(streamed.toString()).isEqualTo(text);
+  }
+
+  @Test
+  void closingTheStreamFreesTheEngine() throws Exception {
+    try (StreamResponse<ChatCompletionChunk> chunks =
+        client.chat().completions().createStreaming(params("assistant", 100_000))) {
+      Iterator<ChatCompletionChunk> iterator = chunks.stream().iterator();
+      assertThat(iterator.next()).isNotNull();
+    }
+    long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(CANCEL_WAIT_SECONDS);
+    while (!cancelled() && System.nanoTime() < end) {
+      Thread.sleep(10);
+    }
+    assertThat(cancelled()).isTrue();
+  }
+
+  @Test
+  void unknownModelIsNotFound() {
+    assertThatThrownBy(() -> client.chat().completions().create(params("nobody", 4)))
+        .isInstanceOf(NotFoundException.class);
+  }
+
+  private boolean cancelled() {
+    return fixture.engine(0).ledger.stream().anyMatch(line -> line.startsWith("cancel "));
+  }
+
+  private static ChatCompletionCreateParams params(String model, long maxTokens) {
+    return ChatCompletionCreateParams.builder()
+        .model(model)
+        .maxTokens(maxTokens)
+        .addUserMessage("hello")
+        .build();
+  }
+}
