Test the frame reader and the drain of streams

Cause: frames arrive cut at any byte, and a planned stop must let streams end or hand them over without freeing the engine. Changed: a property that cuts a session's bytes anywhere, and two tests of a drain with and without time.

--- a/daemon/src/test/java/org/heatherspread/daemon/chat/ChatFailureTest.java
+++ b/daemon/src/test/java/org/heatherspread/daemon/chat/ChatFailureTest.java
@@ -179,6 +179,29 @@
     assertThat(fixture.engine(0).ledger).filteredOn(e -> e.startsWith("start")).hasSize(1);
   }
 
+  @Test
+  void drainWaitsForStreamsInProgress() throws Exception {
+    fixture.engine(0).pace = Duration.ofMillis(20);
+    HttpResponse<InputStream> answer = open(fixture.call("/v1/chat/completions"));
+    fixture.component.drain(Duration.ofSeconds(15)).join();
+    try (BufferedReader reader = reader(answer)) {
+      assertThat(String.join("\n", reader.lines().toList())).contains("[DONE]");
+    }
+  }
+
+  @Test
+  void drainWithoutTimeHandsOverAndLeavesTheEngineRunning() throws Exception {
+    fixture.engine(0).pace = Duration.ofMillis(200);
+    HttpResponse<InputStream> answer = open(fixture.call("/v1/chat/completions"));
+    fixture.component.drain(Duration.ofMillis(10)).join();
+    try (BufferedReader reader = reader(answer)) {
+      assertThat(String.join("\n", reader.lines().toList()))
+          .contains("event: error", "\"stream-cut\"", "\"elsewhere\"")
+          .doesNotContain("[DONE]");
+    }
+    assertThat(fixture.engine(0).ledger).containsExactly("start 1 after 0");
+  }
+
   @Test
   void otherAccountsSeeNothingOfRequest() throws Exception {
     fixture.engine(0).pace = Duration.ofMillis(50);
--- /dev/null
+++ b/daemon/src/test/java/org/heatherspread/daemon/engine/FrameReaderTest.java
@@ -0,0 +1,96 @@
+package org.heatherspread.daemon.engine;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.heatherspread.core.request.FrameKind;
+import org.junit.jupiter.api.Test;
+
+/** Frames as they come over a connection, cut at any byte. */
+class FrameReaderTest {
+  private static final String STREAM =
+      ": heartbeat\n\n"
+          + "id: r:1:0\ndata: {\"choices\":[{\"delta\":{\"role\":\"a\",\"content\":\"\"}}]}\n\n"
+          + "id: r:1:1\ndata: {\"choices\":[{\"delta\":{\"content\":\"a\\\"\\u00e9\"}}]}\n\n"
+          + "id: other:x:1:2\ndata: {\"choices\":[{\"delta\":{\"content\":\"b\"}}]}\n\n"
+          + "id: r:2:2\ndata: {\"choices\":[{\"delta\":{\"content\":\"c\"}}]}\n\n"
+          + "id: r:1:2\ndata: {\"choices\":[{\"delta\":{},\"finish_reason\":\"stop\"}]}\n\n"
+          + "id: r:1:2\ndata: {\"choices\":[],\"usage\":{\"prompt_tokens\":1}}\n\n"
+          + "id: r:1:2\ndata: [DONE]\n\n";
+
+  private static final List<String> FRAMES =
+      List.of(
+          "heartbeat",
+          "true 1 0 OPENING ",
+          "true 1 1 TOKEN a\\\"\\u00e9",
+          "false 1 2 TOKEN b",
+          "true 2 2 TOKEN c",
+          "true 1 2 FINISH ",
+          "true 1 2 USAGE ",
+          "true 1 2 END ");
+
+  /** Writes down what was read. */
+  private static final class Recorder implements FrameReader.Sink {
+    private final List<String> frames = new ArrayList<>();
+
+    @Override
+    public void onFrame(
+        boolean sameRequest,
+        int attempt,
+        long offset,
+        FrameKind kind,
+        byte[] bytes,
+        int start,
+        int end,
+        int text) {
+      int stop = text < 0 ? 0 : FrameReader.stringEnd(bytes, text, end);
+      String content = text < 0 ? "" : new String(bytes, text, stop - text, StandardCharsets.UTF_8);
+      frames.add(sameRequest + " " + attempt + " " + offset + " " + kind + " " + content);
+    }
+
+    @Override
+    public void onHeartbeat() {
+      frames.add("heartbeat");
+    }
+  }
+
+  @Property(seed = "11", tries = 500)
+  void framesAreTheSameHoweverTheStreamIsCut(
+      @ForAll @Size(max = 20) List<@IntRange(min = 0, max = 470) Integer> cuts) {
+    byte[] bytes = STREAM.getBytes(StandardCharsets.UTF_8);
+    List<Integer> sorted = new ArrayList<>(cuts);
+    sorted.add(bytes.length);
+    sorted.sort(null);
+    FrameReader reader = FrameReader.create("r");
+    Recorder recorder = new Recorder();
+    int from = 0;
+    for (int cut : sorted) {
+      int to = Math.min(cut, bytes.length);
+      assertThat(reader.read(Arrays.copyOfRange(bytes, from, to), recorder)).isTrue();
+      from = to;
+    }
+    assertThat(recorder.frames).isEqualTo(FRAMES);
+  }
+
+  @Test
+  void idWithoutNumbersMatchesNoAttempt() {
+    Recorder recorder = new Recorder();
+    FrameReader.create("r")
+        .read("id: r:x:y\ndata: [DONE]\n\n".getBytes(StandardCharsets.UTF_8), recorder);
+    assertThat(recorder.frames).containsExactly("true -1 -1 END ");
+  }
+
+  @Test
+  void streamWithoutEndOfEventIsGivenUp() {
+    byte[] endless = new byte[(1 << 20) + 1];
+    Arrays.fill(endless, (byte) 'x');
+    assertThat(FrameReader.create("r").read(endless, new Recorder())).isFalse();
+  }
+}
