Measure what it costs to relay streams

Cause: the design size asks 35 requests and 10,300 tokens a second of a daemon, and ten times that on one core.

--- /dev/null
+++ b/bench/src/main/java/org/heatherspread/bench/relay/RelayProcess.java
@@ -0,0 +1,156 @@
+package org.heatherspread.bench.relay;
+
+import com.typesafe.config.ConfigFactory;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.actor.typed.javadsl.Behaviors;
+import org.heatherspread.core.config.AccountLimits;
+import org.heatherspread.core.config.AccountSpec;
+import org.heatherspread.core.config.Configuration;
+import org.heatherspread.core.config.LatencyTarget;
+import org.heatherspread.core.config.ModelVersion;
+import org.heatherspread.core.config.ServiceKind;
+import org.heatherspread.core.config.ServiceSpec;
+import org.heatherspread.core.config.VersionState;
+import org.heatherspread.core.membership.Health;
+import org.heatherspread.core.membership.Member;
+import org.heatherspread.core.membership.MembershipSnapshot;
+import org.heatherspread.core.model.FailureDomain;
+import org.heatherspread.core.model.Instance;
+import org.heatherspread.core.model.InstanceKind;
+import org.heatherspread.core.model.InstanceState;
+import org.heatherspread.core.model.Market;
+import org.heatherspread.core.time.MonotonicClock;
+import org.heatherspread.daemon.DaemonContext;
+import org.heatherspread.daemon.chat.ChatComponent;
+import org.heatherspread.daemon.chat.ChatSettings;
+import org.heatherspread.daemon.engine.EngineClient;
+import org.heatherspread.daemon.engine.EngineClientSettings;
+import org.heatherspread.daemon.http.AccountAuth;
+import org.heatherspread.daemon.http.HttpFrontend;
+import org.heatherspread.daemon.http.KeyHash;
+import org.heatherspread.daemon.http.ProblemAnswers;
+import org.heatherspread.daemon.limit.AdmitAll;
+import org.heatherspread.daemon.record.LocalRequestRecords;
+import org.heatherspread.daemon.routing.LeastInFlightSelector;
+import org.heatherspread.daemon.settings.HttpSettings;
+
+/**
+ * The request path of a daemon alone in a process, before engines at fixed ports: {@code
+ * RelayProcess ENGINE_PORT...}. Prints {@code READY PORT}. Records are kept in this process, so
+ * that the figures are those of relaying, without control work and replication.
+ *
+ * <p>Stateless.
+ */
+public final class RelayProcess {
+  static final String KEY = "relay-key";
+  static final String MODEL = "assistant";
+  private static final String HOST = "127.0.0.1";
+
+  private RelayProcess() {}
+
+  /** Serves until the process is stopped. */
+  public static void main(String[] ports) {
+    HttpSettings http = new HttpSettings(1 << 20, 16_384, Duration.ofSeconds(60));
+    ActorSystem<Void> system =
+        ActorSystem.create(
+            Behaviors.empty(),
+            "relay",
+            HttpFrontend.serverConfig(http)
+                .withFallback(ConfigFactory.parseString("pekko.loglevel = WARNING"))
+                .withFallback(ConfigFactory.load()));
+    PrometheusMeterRegistry meters = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    DaemonContext context = context(system, meters, snapshot(ports));
+    ProblemAnswers problems = ProblemAnswers.create(meters);
+    ChatComponent chat =
+        ChatComponent.create(
+            context,
+            ChatSettings.defaults(),
+            AccountAuth.create(context.configuration()),
+            problems,
+            EngineClient.create(system, new EngineClientSettings(8_192, second(), second(10))),
+            LeastInFlightSelector.create(context.membership()),
+            AdmitAll.create(),
+            LocalRequestRecords.create());
+    chat.start();
+    int port =
+        HttpFrontend.bind(system, HOST, 0, List.of(chat.routes().orElseThrow()), problems)
+            .toCompletableFuture()
+            .join()
+            .localAddress()
+            .getPort();
+    System.out.println("READY " + port);
+  }
+
+  private static Duration second() {
+    return second(1);
+  }
+
+  private static Duration second(int count) {
+    return Duration.ofSeconds(count);
+  }
+
+  private static DaemonContext context(
+      ActorSystem<Void> system, PrometheusMeterRegistry meters, MembershipSnapshot snapshot) {
+    Configuration configuration = configuration();
+    return new DaemonContext(
+        instance("daemon", InstanceKind.DAEMON, "", 0),
+        system,
+        meters,
+        MonotonicClock.system(),
+        InstantSource.system(),
+        () -> snapshot,
+        () -> configuration,
+        null,
+        null,
+        null);
+  }
+
+  private static MembershipSnapshot snapshot(String[] ports) {
+    Map<String, Member> members = new HashMap<>();
+    for (String port : ports) {
+      Instance engine =
+          instance("engine-" + port, InstanceKind.ENGINE, MODEL, Integer.parseInt(port));
+      members.put(engine.id(), new Member(engine, Health.ALIVE));
+    }
+    return new MembershipSnapshot(1, members);
+  }
+
+  private static Instance instance(String id, InstanceKind kind, String service, int port) {
+    return new Instance(
+        id,
+        1,
+        kind,
+        service,
+        new FailureDomain("marmara", "kadikoy"),
+        HOST,
+        port,
+        0,
+        "small",
+        Market.ON_DEMAND,
+        1,
+        InstanceState.LIVE,
+        Optional.empty());
+  }
+
+  private static Configuration configuration() {
+    ServiceSpec service =
+        new ServiceSpec(
+            MODEL,
+            ServiceKind.MODEL,
+            new LatencyTarget(Duration.ofMillis(520), Duration.ofMillis(33)),
+            List.of(new ModelVersion("v1", List.of(), VersionState.ACTIVE)),
+            List.of(),
+            List.of());
+    AccountLimits limits = new AccountLimits(1e6, 1e9, 1_000_000);
+    AccountSpec account = new AccountSpec("bench", KeyHash.of(KEY), limits, 0, List.of());
+    return new Configuration(1, Map.of(MODEL, service), Map.of("bench", account));
+  }
+}
