--- a/bench/src/main/java/org/heatherspread/bench/caller/DirectCaller.java
+++ b/bench/src/main/java/org/heatherspread/bench/caller/DirectCaller.java
@@ -25,6 +25,7 @@
   private final String instanceListUrl;
   private final String prefix;
   private final AtomicInteger turn = new AtomicInteger();
+  private final AtomicInteger sequence = new AtomicInteger();
   private List<JsonNode> live = List.of();
   private long listedAtMillis;
 
@@ -41,7 +42,7 @@
   @Override
   public CallReport call(CallPlan plan) {
     CallProgress progress = new CallProgress(plan);
-    String id = prefix + plan.number();
+    String id = prefix + sequence.incrementAndGet();
     progress.knownAs(id);
     boolean begun = false;
     for (int attempt = 1; attempt <= MAX_TRIES; attempt++) {
--- a/bench/src/main/java/org/heatherspread/bench/caller/LoadRun.java
+++ b/bench/src/main/java/org/heatherspread/bench/caller/LoadRun.java
@@ -16,6 +16,7 @@
  */
 public final class LoadRun {
   private static final int THREADS = 512;
+  private static final double MICROS_PER_SECOND = 1_000_000;
 
   private final List<CompletableFuture<CallReport>> reports = new ArrayList<>();
   private final ExecutorService threads = Executors.newFixedThreadPool(THREADS, LoadRun::daemon);
@@ -42,7 +43,7 @@
       CallPlan plan = plans.get(i);
       CompletableFuture<CallReport> report = new CompletableFuture<>();
       run.reports.add(report);
-      long delay = (long) (i * 1_000_000 / callsPerSecond);
+      long delay = (long) (i * MICROS_PER_SECOND / callsPerSecond);
       Runnable task = () -> run.make(caller, plan, report, listener);
       run.timer.schedule(() -> run.threads.execute(task), delay, TimeUnit.MICROSECONDS);
     }
--- /dev/null
+++ b/bench/src/main/java/org/heatherspread/bench/jmh/JmhBench.java
@@ -0,0 +1,104 @@
+package org.heatherspread.bench.jmh;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import org.heatherspread.core.routing.PrefixIndex;
+import org.openjdk.jmh.profile.GCProfiler;
+import org.openjdk.jmh.results.Result;
+import org.openjdk.jmh.results.RunResult;
+import org.openjdk.jmh.runner.Runner;
+import org.openjdk.jmh.runner.RunnerException;
+import org.openjdk.jmh.runner.options.OptionsBuilder;
+import org.openjdk.jmh.runner.options.TimeValue;
+
+/** Runs the JMH benchmarks of routing and limits and holds them to their bounds. Stateless. */
+public final class JmhBench {
+  private static final double DECISION_BOUND_NANOS = 20_000;
+  private static final int PREFIX_BLOCKS = 64;
+  private static final int WARM_UPS = 3;
+  private static final int MEASUREMENTS = 5;
+  private static final String ALLOCATION = "gc.alloc.rate.norm";
+
+  /** Bounds as ratios to the baseline of the same run. */
+  private static final Map<String, Double> RATIO_BOUNDS =
+      Map.of("decision", 10.0, "indexLookup", 5.0, "limiterAdmitAndRelease", 0.5);
+
+  private JmhBench() {}
+
+  /** Runs all; returns 0 where the bounds hold and 1 where one is broken. */
+  public static int run(String[] args) {
+    Collection<RunResult> results;
+    try {
+      results =
+          new Runner(
+                  new OptionsBuilder()
+                      .include(RoutingDecisionBenchmark.class.getSimpleName())
+                      .forks(0)
+                      .warmupIterations(WARM_UPS)
+                      .warmupTime(TimeValue.seconds(1))
+                      .measurementIterations(MEASUREMENTS)
+                      .measurementTime(TimeValue.seconds(1))
+                      .addProfiler(GCProfiler.class)
+                      .build())
+              .run();
+    } catch (RunnerException e) {
+      throw new IllegalStateException(e);
+    }
+    Map<String, RunResult> byName = new TreeMap<>();
+    for (RunResult result : results) {
+      byName.put(name(result), result);
+    }
+    return report(byName);
+  }
+
+  private static int report(Map<String, RunResult> byName) {
+    double baseline = nanos(byName.get("baselineScan"));
+    boolean held = true;
+    List<String> json = new ArrayList<>();
+    System.out.printf("%n%-24s %12s %12s %12s %10s%n", "operation", "ns", "+-", "bytes", "ratio");
+    for (Map.Entry<String, RunResult> entry : byName.entrySet()) {
+      RunResult result = entry.getValue();
+      double ratio = nanos(result) / baseline;
+      held &= ratio <= RATIO_BOUNDS.getOrDefault(entry.getKey(), Double.MAX_VALUE);
+      System.out.printf(
+          Locale.ROOT,
+          "%-24s %12.1f %12.1f %12.1f %10.3f%n",
+          entry.getKey(),
+          nanos(result),
+          result.getPrimaryResult().getScoreError(),
+          bytes(result),
+          ratio);
+      json.add(String.format(Locale.ROOT, "\"%s_ns\":%.1f", entry.getKey(), nanos(result)));
+    }
+    held &= nanos(byName.get("decision")) <= DECISION_BOUND_NANOS;
+    long perThousand = 1_000L * PREFIX_BLOCKS * PrefixIndex.BYTES_PER_BLOCK;
+    System.out.printf(
+        "index: %d bytes a block; 1,000 unshared prefixes of 4,096 tokens: %d bytes%n",
+        PrefixIndex.BYTES_PER_BLOCK, perThousand);
+    System.out.println(held ? "bounds hold" : "A BOUND IS BROKEN");
+    System.out.println("{\"bench\":\"jmh\"," + String.join(",", json) + "}");
+    return held ? 0 : 1;
+  }
+
+  private static String name(RunResult result) {
+    String full = result.getParams().getBenchmark();
+    return full.substring(full.lastIndexOf('.') + 1);
+  }
+
+  private static double nanos(RunResult result) {
+    return result.getPrimaryResult().getScore();
+  }
+
+  private static double bytes(RunResult result) {
+    for (Map.Entry<String, Result> entry : result.getSecondaryResults().entrySet()) {
+      if (entry.getKey().endsWith(ALLOCATION)) {
+        return entry.getValue().getScore();
+      }
+    }
+    return Double.NaN;
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/heatherspread/bench/jmh/RoutingDecisionBenchmark.java
@@ -0,0 +1,148 @@
+package org.heatherspread.bench.jmh;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import org.heatherspread.core.config.LatencyTarget;
+import org.heatherspread.core.limit.AccountLimiter;
+import org.heatherspread.core.limit.Amounts;
+import org.heatherspread.core.model.FailureDomain;
+import org.heatherspread.core.routing.CostRouter;
+import org.heatherspread.core.routing.EndpointProfile;
+import org.heatherspread.core.routing.EndpointRegistry;
+import org.heatherspread.core.routing.EndpointView;
+import org.heatherspread.core.routing.HealthPolicy;
+import org.heatherspread.core.routing.LoadReport;
+import org.heatherspread.core.routing.PrefixHashes;
+import org.heatherspread.core.routing.PrefixIndex;
+import org.heatherspread.core.routing.PrefixMatch;
+import org.heatherspread.core.routing.Rendezvous;
+import org.heatherspread.core.routing.RoutingRequest;
+import org.heatherspread.core.routing.RoutingSnapshot;
+import org.heatherspread.core.routing.RoutingWeights;
+import org.heatherspread.core.routing.ServedModels;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+
+/**
+ * One decision of each kind at the size of a region: 1,333 endpoints and prompts of 4,096 tokens.
+ * The baseline of the same run is a plain scan that scores all endpoints for one key. State of one
+ * thread.
+ */
+@State(Scope.Thread)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.NANOSECONDS)
+public class RoutingDecisionBenchmark {
+  private static final int ENDPOINTS = 1_333;
+  private static final int PROMPTS = 2_000;
+  private static final int BLOCKS = 64;
+  private static final int SHARED_BLOCKS = 32;
+  private static final long NOW = 1_000_000;
+  private static final LatencyTarget TARGET =
+      new LatencyTarget(Duration.ofMillis(520), Duration.ofMillis(33));
+
+  private final PrefixIndex index = PrefixIndex.create(32 << 20, 600);
+  private final PrefixMatch match = PrefixMatch.ofSize(16);
+  private final long[][] prompts = new long[PROMPTS][];
+  private final RoutingRequest[] requests = new RoutingRequest[PROMPTS];
+  private final long[] seeds = new long[ENDPOINTS];
+  private final SplittableRandom random = new SplittableRandom(1);
+  private final AccountLimiter limiter = AccountLimiter.create(1, new Amounts(1e9, 1e12, 1_000), 0);
+  private final byte[] text = "x".repeat(BLOCKS * 256).getBytes(StandardCharsets.UTF_8);
+  private RoutingSnapshot snapshot;
+  private CostRouter router;
+  private int next;
+
+  /** Fills the index and the views. */
+  @Setup
+  public void fill() {
+    Random source = new Random(7);
+    List<EndpointProfile> profiles = new ArrayList<>();
+    for (int i = 0; i < ENDPOINTS; i++) {
+      FailureDomain domain = new FailureDomain("region", "d" + i % 4);
+      profiles.add(new EndpointProfile("e" + i, 1, domain, "gpu", 1, 0.05, ServedModels.unknown()));
+      seeds[i] = Rendezvous.seed("e" + i);
+    }
+    List<EndpointView> views =
+        EndpointRegistry.create(index, HealthPolicy.defaults()).update(profiles, NOW);
+    for (EndpointView view : views) {
+      view.applyReport(new LoadReport(NOW, source.nextInt(20), 0, 0, 0.5, 900, 9_000));
+    }
+    snapshot = RoutingSnapshot.of(views);
+    router = CostRouter.create(RoutingWeights.costAtTarget(), HealthPolicy.defaults(), index);
+    for (int p = 0; p < PROMPTS; p++) {
+      prompts[p] = new long[BLOCKS];
+      Random shared = new Random(p % 50);
+      for (int b = 0; b < BLOCKS; b++) {
+        prompts[p][b] = b < SHARED_BLOCKS ? shared.nextLong() : source.nextLong();
+      }
+      requests[p] = RoutingRequest.of(prompts[p], BLOCKS * 64, 150, TARGET);
+      for (int holder = 0; holder < 3; holder++) {
+        index.add(prompts[p], BLOCKS - 2, source.nextInt(ENDPOINTS), NOW);
+      }
+    }
+  }
+
+  private int nextPrompt() {
+    next = next + 1 == PROMPTS ? 0 : next + 1;
+    return next;
+  }
+
+  /** One routing decision. */
+  @Benchmark
+  public Object decision() {
+    return router.choose(snapshot, requests[nextPrompt()], NOW, random);
+  }
+
+  /** Hashing a prompt's text, which comes before the decision. */
+  @Benchmark
+  public long[] hashPrompt() {
+    return PrefixHashes.of(text);
+  }
+
+  /** Plain rendezvous over all endpoints. */
+  @Benchmark
+  public int baselineScan() {
+    long key = prompts[nextPrompt()][SHARED_BLOCKS - 1];
+    int home = 0;
+    long highest = -1;
+    for (int i = 0; i < ENDPOINTS; i++) {
+      long score = Rendezvous.score(seeds[i], key);
+      if (score > highest) {
+        highest = score;
+        home = i;
+      }
+    }
+    return home;
+  }
+
+  /** Looking one prompt up in the index. */
+  @Benchmark
+  public int indexLookup() {
+    index.lookup(prompts[nextPrompt()], match, NOW);
+    return match.size();
+  }
+
+  /** Noting one prompt of 64 blocks in the index. */
+  @Benchmark
+  public void indexAdd() {
+    index.add(prompts[nextPrompt()], BLOCKS, next % ENDPOINTS, NOW);
+  }
+
+  /** Admitting and ending one request. */
+  @Benchmark
+  public boolean limiterAdmitAndRelease() {
+    boolean admitted = limiter.admit(1, NOW).admitted();
+    limiter.release(1, NOW);
+    return admitted;
+  }
+}
--- a/bench/src/main/java/org/heatherspread/bench/routing/CostPolicy.java
+++ b/bench/src/main/java/org/heatherspread/bench/routing/CostPolicy.java
@@ -22,6 +22,7 @@
 final class CostPolicy implements Policy {
   private static final long INDEX_BYTES = 4 << 20;
   private static final int INDEX_LIFETIME_SECONDS = 600;
+  private static final double INTERVAL_SHARE = 0.9;
 
   private final RoutingSnapshot snapshot;
   private final PrefixIndex index;
@@ -66,7 +67,7 @@
 
   private static boolean hopeless(RoutingDecision decision) {
     return decision.expectedFirstTokenMillis() > Simulation.FIRST_TOKEN_MILLIS
-        || decision.expectedIntervalMillis() > Simulation.INTERVAL_MILLIS;
+        || decision.expectedIntervalMillis() > INTERVAL_SHARE * Simulation.INTERVAL_MILLIS;
   }
 
   @Override
--- a/bench/src/main/java/org/heatherspread/bench/wave/WaveBench.java
+++ b/bench/src/main/java/org/heatherspread/bench/wave/WaveBench.java
@@ -86,7 +86,7 @@
             .accepts("rate", "calls a second")
             .withRequiredArg()
             .ofType(Double.class)
-            .defaultsTo(80.0);
+            .defaultsTo(50.0);
     parser.accepts("baseline-only", "runs and prints only the baseline");
     parser.accepts("no-baseline", "leaves the baseline out");
     parser.accepts("help", "prints this").forHelp();
--- /dev/null
+++ b/core/src/main/java/org/heatherspread/core/limit/Usage.java
@@ -0,0 +1,14 @@
+package org.heatherspread.core.limit;
+
+/**
+ * What one daemon wants of an account's limits and what it holds. Immutable.
+ *
+ * @param demand what callers ask of the daemon, refused requests included
+ * @param share the part of the limits that the daemon holds; never more than it may use
+ */
+public record Usage(Amounts demand, Amounts share) {
+  /** Returns the usage of a daemon that neither wants nor holds anything. */
+  public static Usage none() {
+    return new Usage(Amounts.zero(), Amounts.zero());
+  }
+}
--- a/core/src/main/java/org/heatherspread/core/routing/CostRouter.java
+++ b/core/src/main/java/org/heatherspread/core/routing/CostRouter.java
@@ -210,9 +210,7 @@
     }
 
     private double waitMillis(EndpointView view, double running) {
-      double backlog = view.expectedBacklogTokens(weights.peerFactor(), nowMillis);
-      double wait =
-          Math.max(view.observedWaitMillis(nowMillis), view.speed().prefillMillis(backlog));
+      double wait = view.expectedWaitMillis(weights.peerFactor(), nowMillis);
       LoadReport report = view.report();
       if (report.waiting() > 0 && report.running() > 0) {
         double answer = request.answerTokens() * view.speed().intervalMillis(report.running());
--- a/core/src/main/java/org/heatherspread/core/routing/EndpointView.java
+++ b/core/src/main/java/org/heatherspread/core/routing/EndpointView.java
@@ -187,4 +187,10 @@
     }
     return left + unreportedTokens * peerFactor;
   }
+
+  /** Returns the expected time until the prefill of a new request starts. */
+  public double expectedWaitMillis(double peerFactor, long nowMillis) {
+    double backlog = speed.prefillMillis(expectedBacklogTokens(peerFactor, nowMillis));
+    return Math.max(observedWaitMillis(nowMillis), backlog);
+  }
 }
--- /dev/null
+++ b/core/src/test/java/org/heatherspread/core/limit/AccountLimiterConcurrencyTest.java
@@ -0,0 +1,43 @@
+package org.heatherspread.core.limit;
+
+import org.jetbrains.lincheck.datastructures.ModelCheckingOptions;
+import org.jetbrains.lincheck.datastructures.Operation;
+import org.junit.jupiter.api.Test;
+
+/** Checks with Lincheck that the limiter behaves as if its calls came one after the other. */
+public class AccountLimiterConcurrencyTest {
+  private final AccountLimiter limiter = AccountLimiter.create(1, new Amounts(3, 1_000, 2), 0);
+
+  /** Admits at time zero. */
+  @Operation
+  public boolean admit() {
+    return limiter.admit(1, 0).admitted();
+  }
+
+  /** Ends a request; says whether one was in progress. */
+  @Operation
+  public boolean release() {
+    try {
+      limiter.release(1, 0);
+      return true;
+    } catch (IllegalStateException e) {
+      return false;
+    }
+  }
+
+  /** Reads the count. */
+  @Operation
+  public int inProgress() {
+    return limiter.inProgress();
+  }
+
+  @Test
+  void limiterIsLinearizable() {
+    new ModelCheckingOptions()
+        .iterations(20)
+        .threads(2)
+        .actorsPerThread(3)
+        .invocationsPerIteration(300)
+        .check(AccountLimiterConcurrencyTest.class);
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/heatherspread/core/limit/SharedLimiterTest.java
@@ -0,0 +1,181 @@
+package org.heatherspread.core.limit;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.DoubleRange;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.LongRange;
+import org.heatherspread.core.config.AccountLimits;
+import org.heatherspread.core.config.AccountSpec;
+import org.junit.jupiter.api.Test;
+
+class SharedLimiterTest {
+  private static final long SECOND = 1_000_000_000L;
+  private static final Amounts LIMITS = new Amounts(100, 10_000, 40);
+
+  @Test
+  void aloneHoldsAllAndBucketsRefuseBeyondIt() {
+    AccountSpec spec = new AccountSpec("a", "", new AccountLimits(10, 1_000, 3), 0, List.of());
+    SharedLimiter shared = SharedLimiter.create(1);
+    AccountLimiter limiter = shared.account(spec, 0);
+    for (int i = 0; i < 3; i++) {
+      assertThat(limiter.admit(10, 0).admitted()).isTrue();
+    }
+    assertThat(limiter.admit(10, 0).reason()).isEqualTo(LimitDecision.Reason.CONCURRENCY);
+    for (int i = 0; i < 3; i++) {
+      limiter.release(0, 0);
+    }
+    for (int i = 0; i < 7; i++) {
+      assertThat(limiter.admit(1, 0).admitted()).isTrue();
+      limiter.release(0, 0);
+    }
+    LimitDecision refused = limiter.admit(1, 0);
+    assertThat(refused.reason()).isEqualTo(LimitDecision.Reason.REQUESTS);
+    assertThat(refused.retryAfter().toMillis()).isEqualTo(100);
+    assertThat(limiter.admit(1, refused.retryAfter().toNanos()).admitted()).isTrue();
+  }
+
+  @Test
+  void longAnswersAreChargedAfterwards() {
+    AccountLimiter limiter = AccountLimiter.create(1, new Amounts(100, 100, 10), 0);
+    assertThat(limiter.admit(50, 0).admitted()).isTrue();
+    limiter.release(250, 0);
+    LimitDecision refused = limiter.admit(1, 0);
+    assertThat(refused.reason()).isEqualTo(LimitDecision.Reason.TOKENS);
+    assertThat(refused.retryAfter().toMillis()).isEqualTo(2_010);
+    assertThatThrownBy(() -> limiter.release(0, 0)).isInstanceOf(IllegalStateException.class);
+  }
+
+  @Test
+  void sharesFollowTheDemand() {
+    Fleet fleet = new Fleet(8);
+    fleet.demand[3] = new Amounts(90, 9_000, 36);
+    fleet.run(40, 0, new Random(1));
+    assertThat(fleet.share(3).requests()).isGreaterThan(85);
+    fleet.demand[3] = Amounts.zero();
+    fleet.demand[5] = new Amounts(500, 9_000, 36);
+    fleet.demand[6] = new Amounts(500, 9_000, 36);
+    fleet.run(60, 0, new Random(1));
+    assertThat(fleet.share(5).requests()).isBetween(40.0, 50.001);
+    assertThat(fleet.share(6).requests()).isBetween(40.0, 50.001);
+  }
+
+  @Property(seed = "81", tries = 150)
+  void sharesNeverExceedTheLimitsOnceAllHaveHeardEachOther(
+      @ForAll @IntRange(min = 1, max = 9) int daemons,
+      @ForAll @DoubleRange(min = 0, max = 0.9) double loss,
+      @ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
+    Fleet fleet = new Fleet(daemons);
+    Random random = new Random(seed);
+    fleet.run(2, 0, random);
+    for (int step = 0; step < 30; step++) {
+      for (int d = 0; d < daemons; d++) {
+        if (random.nextInt(4) == 0) {
+          double size = random.nextDouble() * 200;
+          fleet.demand[d] = new Amounts(size, size * 50, size / 4);
+        }
+      }
+      boolean partition = step % 10 > 6;
+      fleet.run(1, partition ? 1 : loss, random);
+      Amounts sum = fleet.sum();
+      assertThat(sum.requests()).isLessThanOrEqualTo(LIMITS.requests() * 1.001);
+      assertThat(sum.tokens()).isLessThanOrEqualTo(LIMITS.tokens() * 1.001);
+      assertThat(sum.concurrency()).isLessThanOrEqualTo(LIMITS.concurrency() * 1.001);
+    }
+  }
+
+  @Property(seed = "82", tries = 100)
+  void admittedRequestsStayWithinRateAndBurst(
+      @ForAll @IntRange(min = 1, max = 50) int rate,
+      @ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
+    AccountLimiter limiter = AccountLimiter.create(1, new Amounts(rate, 1e9, 1_000_000), 0);
+    Random random = new Random(seed);
+    long now = 0;
+    int admitted = 0;
+    for (int i = 0; i < 2_000; i++) {
+      now += random.nextInt(20_000_000);
+      if (limiter.admit(1, now).admitted()) {
+        admitted++;
+        limiter.release(1, now);
+      }
+    }
+    assertThat(admitted).isLessThanOrEqualTo((int) (rate * (1 + (double) now / SECOND)) + 1);
+  }
+
+  @Property(seed = "83", tries = 200)
+  void reportsSurviveTheirBytes(
+      @ForAll @LongRange(min = 0) long round,
+      @ForAll @DoubleRange(min = 0, max = 1e6) double size) {
+    float exact = (float) size;
+    Amounts amounts = new Amounts(exact, 0, exact);
+    UsageReport report = new UsageReport(round, Map.of("müşteri", new Usage(amounts, amounts)));
+    byte[] bytes = report.encode();
+    assertThat(UsageReport.decode(bytes)).isEqualTo(report);
+    byte[] cut = java.util.Arrays.copyOf(bytes, bytes.length - 1);
+    assertThatThrownBy(() -> UsageReport.decode(cut)).isInstanceOf(IllegalArgumentException.class);
+  }
+
+  /** Daemons that exchange reports over links which lose some of them. */
+  private static final class Fleet {
+    private final int size;
+    private final Amounts[] demand;
+    private final ShareNegotiator[] negotiators;
+    private final List<Map<String, UsageReport>> heard = new ArrayList<>();
+    private long round;
+
+    Fleet(int size) {
+      this.size = size;
+      this.demand = new Amounts[size];
+      this.negotiators = new ShareNegotiator[size];
+      for (int d = 0; d < size; d++) {
+        demand[d] = Amounts.zero();
+        negotiators[d] = ShareNegotiator.create();
+        heard.add(new HashMap<>());
+      }
+    }
+
+    void run(int rounds, double loss, Random random) {
+      for (int i = 0; i < rounds; i++) {
+        round++;
+        for (int d = 0; d < size; d++) {
+          List<String> peers = new ArrayList<>();
+          for (int p = 0; p < size; p++) {
+            if (p != d) {
+              peers.add("d" + p);
+            }
+          }
+          negotiators[d].decide(LIMITS, demand[d], peers, heard.get(d), "a");
+        }
+        for (int d = 0; d < size; d++) {
+          Usage usage = new Usage(demand[d], share(d));
+          UsageReport report = new UsageReport(round, Map.of("a", usage));
+          for (int p = 0; p < size; p++) {
+            if (p != d && random.nextDouble() >= loss) {
+              heard.get(p).put("d" + d, report);
+            }
+          }
+        }
+      }
+    }
+
+    Amounts share(int daemon) {
+      return negotiators[daemon].share();
+    }
+
+    Amounts sum() {
+      Amounts sum = Amounts.zero();
+      for (int d = 0; d < size; d++) {
+        sum = sum.plus(share(d));
+      }
+      return sum;
+    }
+  }
+}
--- a/daemon/src/main/java/org/heatherspread/daemon/DaemonAssembly.java
+++ b/daemon/src/main/java/org/heatherspread/daemon/DaemonAssembly.java
@@ -31,8 +31,7 @@
 import org.heatherspread.daemon.http.HealthComponent;
 import org.heatherspread.daemon.http.ProblemAnswers;
 import org.heatherspread.daemon.http.ReadinessGate;
-import org.heatherspread.daemon.limit.Admission;
-import org.heatherspread.daemon.limit.AdmitAll;
+import org.heatherspread.daemon.limit.SharedAdmission;
 import org.heatherspread.daemon.membership.HttpEndpointProber;
 import org.heatherspread.daemon.membership.MembershipComponent;
 import org.heatherspread.daemon.peer.PeerChannels;
@@ -194,7 +193,9 @@
     EndpointTelemetry telemetry = EndpointTelemetry.create(context, file.routing());
     components.add(telemetry);
     EndpointSelector selector = CostSelector.create(context, file.routing(), telemetry);
-    Admission admission = AdmitAll.create();
+    SharedAdmission admission =
+        SharedAdmission.create(context, file.limits(), telemetry::expectedWait);
+    components.add(admission);
     RecordsComponent records =
         RecordsComponent.create(context, file.records(), file.permits().life());
     PermitDesk permits = PermitDesk.create(context, file.permits());
--- /dev/null
+++ b/daemon/src/main/java/org/heatherspread/daemon/limit/SharedAdmission.java
@@ -0,0 +1,212 @@
+package org.heatherspread.daemon.limit;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.MeterRegistry;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.apache.pekko.actor.Cancellable;
+import org.heatherspread.core.config.ServiceSpec;
+import org.heatherspread.core.error.ErrorKind;
+import org.heatherspread.core.error.ServingException;
+import org.heatherspread.core.limit.AccountLimiter;
+import org.heatherspread.core.limit.LimitDecision;
+import org.heatherspread.core.limit.SharedLimiter;
+import org.heatherspread.core.limit.UsageReport;
+import org.heatherspread.core.membership.Health;
+import org.heatherspread.core.membership.Member;
+import org.heatherspread.core.membership.SharedEntry;
+import org.heatherspread.core.overload.FairGate;
+import org.heatherspread.daemon.DaemonComponent;
+import org.heatherspread.daemon.DaemonContext;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Admits requests within the limits of their client account, which all daemons share, and refuses
+ * early where the endpoints cannot answer in time.
+ *
+ * <p>A request reads and writes only this process. The daemons tell each other what they use by the
+ * topic {@code usage}, in rounds. Safe for use by any thread.
+ */
+public final class SharedAdmission implements Admission, DaemonComponent {
+  private static final Logger LOGGER = LoggerFactory.getLogger(SharedAdmission.class);
+  private static final String TOPIC = "usage";
+  private static final Duration DEFAULT_TARGET = Duration.ofMillis(520);
+  private static final Duration SHORTEST_DELAY = Duration.ofMillis(100);
+
+  private final DaemonContext context;
+  private final LimitSettings settings;
+  private final Pressure waits;
+  private final SharedLimiter limiter;
+  private final Map<String, FairGate> gates = new ConcurrentHashMap<>();
+  private final Map<LimitDecision.Reason, Counter> overLimit =
+      new EnumMap<>(LimitDecision.Reason.class);
+  private final Counter overloaded;
+  private final Counter unreachable;
+  private final Counter unreadable;
+  private Cancellable timer;
+
+  private SharedAdmission(DaemonContext context, LimitSettings settings, Pressure waits) {
+    this.context = context;
+    this.settings = settings;
+    this.waits = waits;
+    this.limiter = SharedLimiter.create(settings.burst().toMillis() / 1_000.0);
+    MeterRegistry meters = context.meters();
+    for (LimitDecision.Reason reason : LimitDecision.Reason.values()) {
+      if (reason != LimitDecision.Reason.NONE) {
+        overLimit.put(reason, refusals(meters, reason.name().toLowerCase(Locale.ROOT)));
+      }
+    }
+    this.overloaded = refusals(meters, "overloaded");
+    this.unreachable = refusals(meters, "deadline");
+    this.unreadable = meters.counter("heatherspread.limits.reports.unreadable");
+  }
+
+  private static Counter refusals(MeterRegistry meters, String reason) {
+    return meters.counter("heatherspread.limits.refusals", "reason", reason);
+  }
+
+  /**
+   * Creates an admission that starts with one part in N of each limit.
+   *
+   * @param waits how long requests wait at the endpoints
+   */
+  public static SharedAdmission create(
+      DaemonContext context, LimitSettings settings, Pressure waits) {
+    return new SharedAdmission(context, settings, waits);
+  }
+
+  // ---- life cycle ----
+
+  @Override
+  public void start() {
+    timer =
+        context
+            .system()
+            .scheduler()
+            .scheduleWithFixedDelay(
+                Duration.ZERO,
+                settings.interval(),
+                this::round,
+                context.system().executionContext());
+  }
+
+  @Override
+  public void close() {
+    if (timer != null) {
+      timer.cancel();
+    }
+  }
+
+  private void round() {
+    try {
+      UsageReport report =
+          limiter.round(
+              context.configuration().get().accounts(),
+              peers(),
+              reports(),
+              context.clock().nanos());
+      context
+          .dissemination()
+          .publish(TOPIC, context.self().id(), report.encode(), settings.reportLifetime());
+    } catch (RuntimeException e) {
+      LOGGER.atWarn().setCause(e).log("a round of limit sharing failed");
+    }
+  }
+
+  private List<String> peers() {
+    List<String> peers = new ArrayList<>();
+    for (Member member : context.membership().get().daemons()) {
+      String id = member.instance().id();
+      if (member.health() != Health.DEAD && !id.equals(context.self().id())) {
+        peers.add(id);
+      }
+    }
+    return peers;
+  }
+
+  private Map<String, UsageReport> reports() {
+    Map<String, UsageReport> reports = new HashMap<>();
+    for (SharedEntry entry : context.dissemination().entries(TOPIC)) {
+      try {
+        reports.put(entry.key(), UsageReport.decode(entry.value()));
+      } catch (IllegalArgumentException e) {
+        unreadable.increment();
+      }
+    }
+    return reports;
+  }
+
+  // ---- requests ----
+
+  @Override
+  public Grant admit(AdmissionRequest request) {
+    String service = request.service();
+    String name = request.account().name();
+    Duration wait = waits.expectedWait(service);
+    if (wait.compareTo(request.remaining()) > 0) {
+      unreachable.increment();
+      throw refusal(
+          ErrorKind.DEADLINE_UNREACHABLE,
+          "the queue is longer than the time left",
+          wait.minus(request.remaining()));
+    }
+    Duration target = target(service);
+    double pressure = (double) wait.toNanos() / Math.max(1, target.toNanos());
+    FairGate gate = gates.computeIfAbsent(service, s -> FairGate.create());
+    if (!gate.enter(name, request.priority(), pressure)) {
+      overloaded.increment();
+      throw refusal(ErrorKind.OVERLOADED, "the endpoints are overloaded", wait.minus(target));
+    }
+    AccountLimiter account = limiter.account(request.account(), context.clock().nanos());
+    LimitDecision decision = account.admit(request.promptTokens(), context.clock().nanos());
+    if (!decision.admitted()) {
+      gate.leave(name);
+      overLimit.get(decision.reason()).increment();
+      throw refusal(
+          ErrorKind.ACCOUNT_LIMIT,
+          "over the limit of " + decision.reason().name().toLowerCase(Locale.ROOT),
+          decision.retryAfter());
+    }
+    return new Held(gate, name, account);
+  }
+
+  private Duration target(String service) {
+    ServiceSpec spec = context.configuration().get().services().get(service);
+    return spec == null ? DEFAULT_TARGET : spec.target().firstToken();
+  }
+
+  private static ServingException refusal(ErrorKind kind, String detail, Duration delay) {
+    Duration honest = delay.compareTo(SHORTEST_DELAY) < 0 ? SHORTEST_DELAY : delay;
+    return ServingException.of(kind, detail).withRetryAfter(honest);
+  }
+
+  /** What an admitted request holds; given back once. */
+  private final class Held implements Grant {
+    private final FairGate gate;
+    private final String name;
+    private final AccountLimiter account;
+    private final AtomicBoolean open = new AtomicBoolean(true);
+
+    Held(FairGate gate, String name, AccountLimiter account) {
+      this.gate = gate;
+      this.name = name;
+      this.account = account;
+    }
+
+    @Override
+    public void release(long answerTokens) {
+      if (open.compareAndSet(true, false)) {
+        gate.leave(name);
+        account.release(answerTokens, context.clock().nanos());
+      }
+    }
+  }
+}
--- a/daemon/src/main/java/org/heatherspread/daemon/routing/EndpointTelemetry.java
+++ b/daemon/src/main/java/org/heatherspread/daemon/routing/EndpointTelemetry.java
@@ -46,6 +46,7 @@
   private static final Logger LOGGER = LoggerFactory.getLogger(EndpointTelemetry.class);
   private static final int MOST_BYTES = 1 << 20;
   private static final int SWEEP_SETS = 4_096;
+  private static final double PEER_FACTOR = 1;
 
   private final DaemonContext context;
   private final RoutingSettings settings;
@@ -112,6 +113,20 @@
     return snapshots.getOrDefault(service, RoutingSnapshot.empty());
   }
 
+  /** Returns the least wait that is expected at an endpoint of a service, zero if unknown. */
+  public Duration expectedWait(String service) {
+    RoutingSnapshot snapshot = snapshot(service);
+    long now = context.clock().millis();
+    double least = Double.MAX_VALUE;
+    for (int i = 0; i < snapshot.size() && least > 0; i++) {
+      EndpointView view = snapshot.endpoint(i);
+      if (view.health().admits(now)) {
+        least = Math.min(least, view.expectedWaitMillis(PEER_FACTOR, now));
+      }
+    }
+    return least == Double.MAX_VALUE ? Duration.ZERO : Duration.ofMillis((long) least);
+  }
+
   /** Returns how many daemons route in this region. */
   int daemons() {
     return daemons;
--- a/daemon/src/main/java/org/heatherspread/daemon/settings/DaemonFile.java
+++ b/daemon/src/main/java/org/heatherspread/daemon/settings/DaemonFile.java
@@ -6,6 +6,7 @@
 import org.heatherspread.daemon.chat.ChatSettings;
 import org.heatherspread.daemon.control.OrderSettings;
 import org.heatherspread.daemon.engine.EngineClientSettings;
+import org.heatherspread.daemon.limit.LimitSettings;
 import org.heatherspread.daemon.permit.PermitSettings;
 import org.heatherspread.daemon.plain.PlainSettings;
 import org.heatherspread.daemon.record.RecordSettings;
@@ -23,6 +24,7 @@
  * @param chat how chat completions are served
  * @param engines connections to model engines
  * @param routing how endpoints are chosen
+ * @param limits how the limits of client accounts are shared
  * @param plain how plain services are called
  * @param records records of requests at a second daemon
  * @param permits execution permits and their keys
@@ -38,6 +40,7 @@
     ChatSettings chat,
     EngineClientSettings engines,
     RoutingSettings routing,
+    LimitSettings limits,
     PlainSettings plain,
     RecordSettings records,
     PermitSettings permits,
@@ -73,6 +76,7 @@
         ChatSettings.read(reader.section("chat")),
         EngineClientSettings.read(reader.section("engines")),
         RoutingSettings.read(reader.section("routing")),
+        LimitSettings.read(reader.section("limits")),
         PlainSettings.read(reader.section("plain")),
         RecordSettings.read(reader.section("records")),
         PermitSettings.read(reader.section("permits")),
