Stop requests that crash endpoints, at every daemon

Cause: a request that crashes each endpoint that runs it would be retried, and sent again by its caller, until no endpoint is left. Change: PoisonLedger holds evidence by a fingerprint of what is asked; suspects run apart from one another, the second crash condemns, a whole answer clears, and evidence joins between daemons in any order. PoisonGuard wraps the endpoint selector of the chat path and is called by the plain path; a broken connection counts only if the host refuses a new one and no notice was given. New kind ENDPOINTS_CRASHED for the request that itself crashed endpoints, since POISONED says not run. Two scenarios over real HTTP in PlainCallsTest.

--- a/core/src/main/java/org/heatherspread/core/error/ErrorKind.java
+++ b/core/src/main/java/org/heatherspread/core/error/ErrorKind.java
@@ -73,6 +73,8 @@
   OUTCOME_UNKNOWN(502, UNKNOWN, ASK_OUTCOME, "Outcome unknown"),
   /** The endpoint answered with an error of its own. */
   ENDPOINT_ERROR(502, RAN, NEVER, "Endpoint answered with an error"),
+  /** Endpoints crashed while they ran the request, so it is not tried again. */
+  ENDPOINTS_CRASHED(502, UNKNOWN, NEVER, "Request crashed the endpoints that ran it"),
   /** The stream was cut and could not be resumed. */
   STREAM_CUT(502, UNKNOWN, ELSEWHERE, "Stream cut"),
   /** The deadline passed while the request was running. */
--- a/daemon/src/main/java/org/heatherspread/daemon/DaemonAssembly.java
+++ b/daemon/src/main/java/org/heatherspread/daemon/DaemonAssembly.java
@@ -38,6 +38,7 @@
 import org.heatherspread.daemon.permit.PermitDesk;
 import org.heatherspread.daemon.plain.PlainComponent;
 import org.heatherspread.daemon.platform.PlatformClients;
+import org.heatherspread.daemon.poison.PoisonGuard;
 import org.heatherspread.daemon.record.RecordsComponent;
 import org.heatherspread.daemon.routing.CostSelector;
 import org.heatherspread.daemon.routing.EndpointSelector;
@@ -199,6 +200,8 @@
     RecordsComponent records =
         RecordsComponent.create(context, file.records(), file.permits().life());
     PermitDesk permits = PermitDesk.create(context, file.permits());
+    PoisonGuard guard = PoisonGuard.create(context, file.poison());
+    components.add(guard);
     components.add(records);
     components.add(
         ChatComponent.create(
@@ -207,7 +210,7 @@
             accounts,
             problems,
             EngineClient.create(system, file.engines()),
-            selector,
+            guard.guarding(selector),
             admission,
             records.streams()));
     components.add(
@@ -218,6 +221,7 @@
             records,
             permits,
             selector,
+            guard,
             admission,
             accounts,
             problems));
--- a/daemon/src/main/java/org/heatherspread/daemon/chat/ChatSession.java
+++ b/daemon/src/main/java/org/heatherspread/daemon/chat/ChatSession.java
@@ -344,6 +344,10 @@
       urls.put(chosen.endpoint().id(), chosen.endpoint().baseUrl());
       run(machine.selected(step, chosen.endpoint().id()));
     } catch (ServingException e) {
+      if (e.kind() == ErrorKind.POISONED && machine.attempt() > 0) {
+        run(machine.rejected(step, ErrorKind.ENDPOINTS_CRASHED, e.getMessage()));
+        return;
+      }
       run(machine.noEndpoint(step, e.kind(), e.getMessage(), e.retryAfter()));
     }
   }
--- a/daemon/src/main/java/org/heatherspread/daemon/plain/PlainAttempts.java
+++ b/daemon/src/main/java/org/heatherspread/daemon/plain/PlainAttempts.java
@@ -3,6 +3,7 @@
 import io.micrometer.core.instrument.MeterRegistry;
 import java.time.Duration;
 import java.util.HashSet;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -15,6 +16,7 @@
 import org.heatherspread.core.retry.RetryBudgetSettings;
 import org.heatherspread.core.retry.RetryReason;
 import org.heatherspread.core.time.MonotonicClock;
+import org.heatherspread.daemon.poison.PoisonGuard;
 import org.heatherspread.daemon.routing.EndpointFailure;
 import org.heatherspread.daemon.routing.EndpointSelector;
 import org.heatherspread.daemon.routing.RouteRequest;
@@ -29,6 +31,7 @@
  */
 final class PlainAttempts {
   private final EndpointSelector selector;
+  private final PoisonGuard guard;
   private final PlainTransport transport;
   private final MonotonicClock clock;
   private final MeterRegistry meters;
@@ -36,10 +39,12 @@
 
   PlainAttempts(
       EndpointSelector selector,
+      PoisonGuard guard,
       PlainTransport transport,
       MonotonicClock clock,
       MeterRegistry meters) {
     this.selector = selector;
+    this.guard = guard;
     this.transport = transport;
     this.clock = clock;
     this.meters = meters;
@@ -67,6 +72,7 @@
     private final String requestId;
     private final boolean repeatable;
     private final RetryBudget budget;
+    private final String fingerprint;
     private final long deadlineMillis;
     private final Set<String> tried = new HashSet<>();
     private boolean mayHaveRun;
@@ -76,6 +82,7 @@
       this.requestId = requestId;
       this.repeatable = repeatable;
       this.budget = budget;
+      this.fingerprint = call.digest();
       this.deadlineMillis = clock.millis() + call.timeout().toMillis();
     }
 
@@ -87,9 +94,9 @@
       }
       Selection selection;
       try {
-        selection = selector.select(route(remaining));
+        selection = guard.select(fingerprint, selector, route(remaining));
       } catch (ServingException e) {
-        return CompletableFuture.failedFuture(mayHaveRun ? cut() : e);
+        return CompletableFuture.failedFuture(mayHaveRun ? cut(e) : e);
       }
       tried.add(selection.endpoint().id());
       selection.started();
@@ -124,9 +131,12 @@
       count("heatherspread.plain.attempts.failed", attempt.reason().name());
       mayHaveRun |= !attempt.notRun();
       if (mayHaveRun && !repeatable) {
-        return CompletableFuture.failedFuture(
+        ServingException unknown =
             ServingException.of(
-                ErrorKind.OUTCOME_UNKNOWN, "the endpoint may have run it; do not repeat"));
+                ErrorKind.OUTCOME_UNKNOWN, "the endpoint may have run it; do not repeat");
+        return guard
+            .settled(fingerprint)
+            .thenCompose(examined -> CompletableFuture.failedFuture(unknown));
       }
       RetryReason reason = retryReason(attempt.reason());
       if (!budget.tryRetry(reason)) {
@@ -134,14 +144,17 @@
             refusal(ErrorKind.RETRY_BUDGET_SPENT, ErrorKind.STREAM_CUT));
       }
       count("heatherspread.plain.retries", reason.name());
-      return attempt();
+      return guard.settled(fingerprint).thenCompose(examined -> attempt());
     }
 
     private ServingException refusal(ErrorKind ifNotRun, ErrorKind otherwise) {
       return ServingException.of(mayHaveRun ? otherwise : ifNotRun, "no endpoint answered in time");
     }
 
-    private ServingException cut() {
+    private ServingException cut(ServingException refusal) {
+      if (refusal.kind() == ErrorKind.POISONED) {
+        return ServingException.of(ErrorKind.ENDPOINTS_CRASHED, "endpoints crashed running it");
+      }
       return ServingException.of(ErrorKind.STREAM_CUT, "no endpoint gave a whole answer");
     }
   }
@@ -164,8 +177,6 @@
   }
 
   private void count(String name, String reason) {
-    meters
-        .counter(name, "reason", reason.toLowerCase(java.util.Locale.ROOT).replace('_', '-'))
-        .increment();
+    meters.counter(name, "reason", reason.toLowerCase(Locale.ROOT).replace('_', '-')).increment();
   }
 }
--- a/daemon/src/main/java/org/heatherspread/daemon/plain/PlainComponent.java
+++ b/daemon/src/main/java/org/heatherspread/daemon/plain/PlainComponent.java
@@ -40,6 +40,7 @@
 import org.heatherspread.daemon.limit.Admission;
 import org.heatherspread.daemon.limit.AdmissionRequest;
 import org.heatherspread.daemon.permit.PermitDesk;
+import org.heatherspread.daemon.poison.PoisonGuard;
 import org.heatherspread.daemon.record.CallLookup;
 import org.heatherspread.daemon.record.CallRunner;
 import org.heatherspread.daemon.record.RecordsComponent;
@@ -83,6 +84,7 @@
       RecordsComponent records,
       PermitDesk permits,
       EndpointSelector selector,
+      PoisonGuard guard,
       Admission admission,
       AccountAuth auth,
       ProblemAnswers problems) {
@@ -95,7 +97,8 @@
     this.lookup = records.lookup();
     this.keyed = new KeyedCalls(context.store(), runner, lookup, context.meters());
     PlainTransport transport = new PlainTransport(context.system(), settings);
-    this.attempts = new PlainAttempts(selector, transport, context.clock(), context.meters());
+    this.attempts =
+        new PlainAttempts(selector, guard, transport, context.clock(), context.meters());
     this.permits = permits;
     this.admission = admission;
     this.auth = auth;
@@ -115,11 +118,12 @@
       RecordsComponent records,
       PermitDesk permits,
       EndpointSelector selector,
+      PoisonGuard guard,
       Admission admission,
       AccountAuth auth,
       ProblemAnswers problems) {
     return new PlainComponent(
-        context, settings, life, records, permits, selector, admission, auth, problems);
+        context, settings, life, records, permits, selector, guard, admission, auth, problems);
   }
 
   // ---- HTTP ----
--- a/daemon/src/main/java/org/heatherspread/daemon/settings/DaemonFile.java
+++ b/daemon/src/main/java/org/heatherspread/daemon/settings/DaemonFile.java
@@ -9,6 +9,7 @@
 import org.heatherspread.daemon.limit.LimitSettings;
 import org.heatherspread.daemon.permit.PermitSettings;
 import org.heatherspread.daemon.plain.PlainSettings;
+import org.heatherspread.daemon.poison.PoisonSettings;
 import org.heatherspread.daemon.record.RecordSettings;
 import org.heatherspread.daemon.routing.RoutingSettings;
 import org.heatherspread.daemon.security.PeerTlsSettings;
@@ -28,6 +29,7 @@
  * @param plain how plain services are called
  * @param records records of requests at a second daemon
  * @param permits execution permits and their keys
+ * @param poison when requests are refused as poisoned
  * @param orders leases and orders to engines
  * @param peerTls how daemons authenticate each other
  * @param addresses what callers are told of the daemons
@@ -44,6 +46,7 @@
     PlainSettings plain,
     RecordSettings records,
     PermitSettings permits,
+    PoisonSettings poison,
     OrderSettings orders,
     PeerTlsSettings peerTls,
     AddressSettings addresses) {
@@ -80,6 +83,7 @@
         PlainSettings.read(reader.section("plain")),
         RecordSettings.read(reader.section("records")),
         PermitSettings.read(reader.section("permits")),
+        PoisonSettings.read(reader.section("poison")),
         OrderSettings.read(reader.section("orders")),
         PeerTlsSettings.read(reader.section("peer_tls")),
         AddressSettings.read(reader.section("addresses")));
--- a/daemon/src/test/java/org/heatherspread/daemon/plain/PlainCallsTest.java
+++ b/daemon/src/test/java/org/heatherspread/daemon/plain/PlainCallsTest.java
@@ -115,6 +115,33 @@
     assertThat(answer.headers().firstValue("Retry-After")).isPresent();
   }
 
+  // ---- Poison ----
+
+  @Test
+  void poisonIsRefusedEverywhereAfterItsSecondCrash() throws Exception {
+    for (String endpoint : new String[] {"e1", "e2", "e3", "e4"}) {
+      rig.addEndpoint(endpoint, Behaviour.CRASH_ON_POISON);
+    }
+    assertThat(kind(rig.post("d1", "/read", "poison"))).isEqualTo("endpoints-crashed unknown");
+    for (String daemon : new String[] {"d1", "d2", "d3"}) {
+      assertThat(kind(rig.post(daemon, "/read", "poison"))).isEqualTo("poisoned not_run");
+      assertThat(rig.post(daemon, "/read", "fine").statusCode()).isEqualTo(200);
+    }
+    assertThat(rig.runs()).isEqualTo(2 + 3);
+  }
+
+  @Test
+  void poisonSentAgainThroughAnotherDaemonIsStoppedAsWell() throws Exception {
+    for (String endpoint : new String[] {"e1", "e2", "e3"}) {
+      rig.addEndpoint(endpoint, Behaviour.CRASH_ON_POISON);
+    }
+    assertThat(kind(rig.post("d1", "/charge", "poison"))).isEqualTo("outcome-unknown unknown");
+    assertThat(kind(rig.post("d2", "/charge", "poison"))).isEqualTo("outcome-unknown unknown");
+    assertThat(kind(rig.post("d3", "/charge", "poison"))).isEqualTo("poisoned not_run");
+    assertThat(rig.post("d3", "/charge", "12").statusCode()).isEqualTo(200);
+    assertThat(rig.runs()).isEqualTo(3);
+  }
+
   // ---- Permits ----
 
   @Test
--- a/daemon/src/test/java/org/heatherspread/daemon/plain/PlainRig.java
+++ b/daemon/src/test/java/org/heatherspread/daemon/plain/PlainRig.java
@@ -61,6 +61,8 @@
 import org.heatherspread.daemon.peer.PeerServer;
 import org.heatherspread.daemon.permit.PermitDesk;
 import org.heatherspread.daemon.permit.PermitSettings;
+import org.heatherspread.daemon.poison.PoisonGuard;
+import org.heatherspread.daemon.poison.PoisonSettings;
 import org.heatherspread.daemon.record.RecordSettings;
 import org.heatherspread.daemon.record.RecordsComponent;
 import org.heatherspread.daemon.routing.LeastInFlightSelector;
@@ -149,6 +151,8 @@
     PermitDesk permits = PermitDesk.create(context, permitSettings);
     RecordsComponent records =
         RecordsComponent.create(context, PATIENT_RECORDS, permitSettings.life());
+    PoisonGuard guard = PoisonGuard.create(context, PoisonSettings.defaults());
+    guard.start();
     AccountAuth auth = AccountAuth.create(context.configuration());
     ProblemAnswers problems = ProblemAnswers.create(context.meters());
     PlainComponent plain =
@@ -159,6 +163,7 @@
             records,
             permits,
             LeastInFlightSelector.create(context.membership()),
+            guard,
             AdmitAll.create(),
             auth,
             problems);
@@ -199,7 +204,8 @@
     ANSWER,
     REFUSE,
     DROP_AFTER_RUN,
-    CROSS_ANSWERS
+    CROSS_ANSWERS,
+    CRASH_ON_POISON
   }
 
   void addEndpoint(String id, Behaviour behaviour) throws IOException {
@@ -232,6 +238,11 @@
     }
     ledger.merge(id, 1, Integer::sum);
     headersSeen.add(Map.copyOf(exchange.getRequestHeaders()));
+    boolean poison = new String(body, StandardCharsets.UTF_8).equals("poison");
+    if (behaviour == Behaviour.CRASH_ON_POISON && poison) {
+      exchange.getHttpContext().getServer().stop(0);
+      return;
+    }
     if (behaviour == Behaviour.DROP_AFTER_RUN) {
       exchange.close();
       return;
