Read an engine's answer to its end so that its connection is used again

Cause: after the end marker the engine's stream was cancelled, which closed its connection: each request opened a new one, and the pool could give a new request a connection that was just being closed. Changed: the stage reads what is left, at most for a second, before it completes; the state machine no longer asks to disconnect a whole answer.

--- a/core/src/main/java/org/heatherspread/core/request/RequestMachine.java
+++ b/core/src/main/java/org/heatherspread/core/request/RequestMachine.java
@@ -327,7 +327,6 @@
       return List.of();
     }
     if (verdict == FrameVerdict.COMPLETE) {
-      out.add(new RequestAction.Disconnect());
       finish(RequestEnd.whole());
     } else if (verdict == FrameVerdict.GAP && link == Link.OPEN && ++gaps > TOLERATED_GAPS) {
       linkLost(RetryReason.FRAME_GAP);
--- a/daemon/src/main/java/org/heatherspread/daemon/chat/AnswerStage.java
+++ b/daemon/src/main/java/org/heatherspread/daemon/chat/AnswerStage.java
@@ -1,5 +1,6 @@
 package org.heatherspread.daemon.chat;
 
+import java.time.Duration;
 import java.util.Optional;
 import org.apache.pekko.stream.Attributes;
 import org.apache.pekko.stream.Outlet;
@@ -10,6 +11,7 @@
 import org.apache.pekko.stream.stage.AsyncCallback;
 import org.apache.pekko.stream.stage.GraphStage;
 import org.apache.pekko.stream.stage.GraphStageLogic;
+import org.apache.pekko.stream.stage.TimerGraphStageLogic;
 import org.apache.pekko.util.ByteString;
 
 /**
@@ -19,6 +21,9 @@
  * <p>Materialized once for each session; the logic runs in the caller's connection.
  */
 final class AnswerStage extends GraphStage<SourceShape<ByteString>> {
+  private static final String READ_TO_END = "read-to-end";
+  private static final Duration READ_TO_END_BOUND = Duration.ofSeconds(1);
+
   private final Outlet<ByteString> out = Outlet.create("answer");
   private final SourceShape<ByteString> shape = SourceShape.of(out);
   private final ChatSession session;
@@ -51,7 +56,7 @@
   }
 
   /** The running stage; all but the port's calls is confined to its actor. */
-  private final class Logic extends GraphStageLogic implements AnswerPort {
+  private final class Logic extends TimerGraphStageLogic implements AnswerPort {
     private AsyncCallback<Command> commands;
     private SubSinkInlet<ByteString> engine;
     private ByteString pending = ByteString.emptyByteString();
@@ -94,7 +99,6 @@
         closeEngine();
       } else if (command instanceof Command.Finish end) {
         finish = end;
-        closeEngine();
         pending = pending.concat(end.last());
         flush();
       }
@@ -128,12 +132,29 @@
       if (finish != null && pending.isEmpty()) {
         if (finish.failure().isPresent()) {
           failStage(finish.failure().get());
-        } else {
+        } else if (engine == null || engine.isClosed()) {
           completeStage();
+        } else {
+          readToEnd();
         }
       }
     }
 
+    /** Reads what is left of the engine's answer, so that its connection can be used again. */
+    private void readToEnd() {
+      if (!isTimerActive(READ_TO_END)) {
+        scheduleOnce(READ_TO_END, READ_TO_END_BOUND);
+      }
+      if (!engine.hasBeenPulled()) {
+        engine.pull();
+      }
+    }
+
+    @Override
+    public void onTimer(Object key) {
+      completeStage();
+    }
+
     private final class CallerHandler extends AbstractOutHandler {
       @Override
       public void onPull() {
@@ -164,6 +185,10 @@
       @Override
       public void onPush() {
         ByteString chunk = inlet.grab();
+        if (finish != null) {
+          flush();
+          return;
+        }
         pending = pending.concat(session.onChunk(step, chunk));
         flush();
         if (engine == inlet && !inlet.isClosed() && isAvailable(out)) {
@@ -173,12 +198,19 @@
 
       @Override
       public void onUpstreamFinish() {
-        session.onLinkEnded(step);
+        ended();
       }
 
       @Override
       public void onUpstreamFailure(Throwable failure) {
+        ended();
+      }
+
+      private void ended() {
         session.onLinkEnded(step);
+        if (finish != null) {
+          flush();
+        }
       }
     }
   }
--- a/daemon/src/test/java/org/heatherspread/daemon/chat/ChatComponentTest.java
+++ b/daemon/src/test/java/org/heatherspread/daemon/chat/ChatComponentTest.java
@@ -52,6 +52,14 @@
     assertThat(tree.path("object").asText()).isEqualTo("chat.completion");
   }
 
+  @Test
+  void connectionIsUsedAgainAfterWholeAnswer() throws Exception {
+    for (int i = 0; i < 10; i++) {
+      fixture.chat(ChatFixture.body(2, true));
+    }
+    assertThat(fixture.engine(0).connections.get()).isLessThan(10);
+  }
+
   @Test
   void listsModelsAndAdapters() throws Exception {
     HttpResponse<String> answer = fixture.send(fixture.call("/v1/models").build());
--- a/daemon/src/test/java/org/heatherspread/daemon/chat/FakeEngine.java
+++ b/daemon/src/test/java/org/heatherspread/daemon/chat/FakeEngine.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.apache.pekko.http.javadsl.Http;
 import org.apache.pekko.http.javadsl.ServerBinding;
@@ -21,6 +22,8 @@
 import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.apache.pekko.http.javadsl.model.MediaTypes;
 import org.apache.pekko.http.javadsl.model.headers.RawHeader;
+import org.apache.pekko.stream.Materializer;
+import org.apache.pekko.stream.javadsl.Sink;
 import org.apache.pekko.stream.javadsl.Source;
 import org.apache.pekko.util.ByteString;
 import org.heatherspread.core.model.FailureDomain;
@@ -37,6 +40,7 @@
   private static final ObjectMapper JSON = new ObjectMapper();
 
   final List<String> ledger = new CopyOnWriteArrayList<>();
+  final AtomicInteger connections = new AtomicInteger();
   volatile int cutAfter = Integer.MAX_VALUE;
   volatile int silentAfter = Integer.MAX_VALUE;
   volatile int crossedBefore = -1;
@@ -54,7 +58,15 @@
     this.binding =
         Http.get(system)
             .newServerAt("127.0.0.1", 0)
-            .bind(this::handle)
+            .connectionSource()
+            .to(
+                Sink.foreach(
+                    connection -> {
+                      connections.incrementAndGet();
+                      connection.handleWithAsyncHandler(
+                          this::handle, Materializer.matFromSystem(system));
+                    }))
+            .run(system)
             .toCompletableFuture()
             .join();
   }
