--- a/bench/src/main/java/org/heatherspread/bench/membership/MembershipBench.java
+++ b/bench/src/main/java/org/heatherspread/bench/membership/MembershipBench.java
@@ -15,7 +15,8 @@
 
 /**
  * Measures the exchange between daemons: how long a change takes to reach all, and what it costs,
- * at 8, 64, 256 and 880 daemons, with bounds from the stated targets. Stateless.
+ * at 8, 64, 256 and 880 daemons, with bounds from the stated targets; with {@code --processes},
+ * eight real daemons through an outage of the table service instead. Stateless.
  */
 public final class MembershipBench {
   private static final int[] SIZES = {8, 64, 256, 880};
@@ -39,6 +40,12 @@
     int at = given.indexOf("--seed");
     long seed = at >= 0 ? Long.parseLong(given.get(at + 1)) : 1;
     ObjectNode result = new ObjectMapper().createObjectNode();
+    if (given.contains("--processes")) {
+      result.put("bench", "membership processes");
+      boolean held = OutageRun.run(result);
+      System.out.println(result.put("bounds_held", held));
+      return held ? 0 : 1;
+    }
     result.put("bench", "membership").put("seed", seed);
     ArrayNode rows = result.putArray("sizes");
     System.out.printf(
--- a/bench/src/main/java/org/heatherspread/bench/process/Fleet.java
+++ b/bench/src/main/java/org/heatherspread/bench/process/Fleet.java
@@ -76,6 +76,11 @@
     return tableUrl;
   }
 
+  /** Returns the key that operators of the fleet bring. */
+  public static String operatorKey() {
+    return DaemonConfigFile.OPERATOR_KEY;
+  }
+
   // ---- Start ----
 
   /** Starts the platform's stand-ins and all endpoints, and lists the endpoints. */
--- a/core/src/main/java/org/heatherspread/core/membership/MembershipCore.java
+++ b/core/src/main/java/org/heatherspread/core/membership/MembershipCore.java
@@ -411,6 +411,10 @@
       take(MemberRecord.of(instance, Health.ALIVE).after(old), spread);
       return;
     }
+    if (old != null && old.incarnation() > instance.incarnation()) {
+      takeListedEnd(old, instance);
+      return;
+    }
     Health health =
         switch (instance.state()) {
           case STARTING -> Health.SUSPECT;
@@ -420,6 +424,14 @@
     take(MemberRecord.of(instance, health), spread);
   }
 
+  /** A daemon counts its starts itself; the end of its instance holds for all of them. */
+  private void takeListedEnd(MemberRecord old, Instance instance) {
+    long endsAt = instance.leavingAtMillis().orElse(0L);
+    if (instance.state() == InstanceState.LEAVING && endsAt > wallClock.millis()) {
+      take(old.leaving(endsAt));
+    }
+  }
+
   private boolean isGone(MemberRecord record, long asOfMillis) {
     if (record.health() == Health.DEAD || record.id().equals(self.id())) {
       return false;
--- a/core/src/test/java/org/heatherspread/core/membership/MembershipCoreTest.java
+++ b/core/src/test/java/org/heatherspread/core/membership/MembershipCoreTest.java
@@ -237,6 +237,19 @@
     assertThat(nodes.get(7).core.health("d6")).contains(Health.ALIVE);
   }
 
+  @Test
+  void listedEndOfAnInstanceHoldsForItsLaterStartsToo() {
+    start(4, 1);
+    run(Duration.ofSeconds(1));
+    Instance later = nodes.get(1).self.withIncarnation(9);
+    nodes.get(0).core.onInstances(clock.millis(), List.of(later));
+    Instance listed = nodes.get(1).self;
+    nodes.get(0).core.onInstances(clock.millis(), List.of(listed.withLeavingAt(1)));
+    assertThat(nodes.get(0).core.health("d1")).contains(Health.ALIVE);
+    nodes.get(0).core.onInstances(clock.millis(), List.of(listed.withLeavingAt(99_000)));
+    assertThat(nodes.get(0).core.health("d1")).contains(Health.LEAVING);
+  }
+
   // ---------------------------------------------------------------------------------------------
   // Endpoints and entries
   // ---------------------------------------------------------------------------------------------
