Tell the outcome of calls under their request ids

Cause: GET /v1/requests/{id} knew model requests only, so a caller told "outcome unknown" of a plain call could not ask.

--- a/daemon/src/main/java/org/heatherspread/daemon/chat/ChatAnswers.java
+++ b/daemon/src/main/java/org/heatherspread/daemon/chat/ChatAnswers.java
@@ -24,6 +24,7 @@
 import org.heatherspread.core.config.VersionState;
 import org.heatherspread.core.error.ErrorKind;
 import org.heatherspread.core.error.ServingException;
+import org.heatherspread.core.record.CallOutcome;
 import org.heatherspread.core.request.RequestPhase;
 import org.heatherspread.daemon.record.Outcome;
 import org.heatherspread.daemon.record.RequestRecord;
@@ -109,6 +110,22 @@
     return json(answer).addHeader(requestId(record.requestId()));
   }
 
+  /** Tells how a call of a plain service stands that may not be repeated. */
+  static HttpResponse callOutcome(String id, CallOutcome outcome) {
+    String state =
+        switch (outcome.state()) {
+          case IN_PROGRESS -> "running";
+          case ANSWERED -> "answered";
+          case NOT_RUN -> "not_run";
+          case UNKNOWN -> "unknown";
+          case OTHER_REQUEST, NOT_HELD -> throw ChatService.notFound();
+        };
+    ObjectNode answer = JSON.createObjectNode();
+    answer.put("request_id", id);
+    answer.put("state", state);
+    return json(answer).addHeader(requestId(id));
+  }
+
   static HttpResponse cancelled(String id) {
     ObjectNode answer = JSON.createObjectNode();
     answer.put("request_id", id);
--- a/daemon/src/main/java/org/heatherspread/daemon/chat/ChatService.java
+++ b/daemon/src/main/java/org/heatherspread/daemon/chat/ChatService.java
@@ -233,7 +233,18 @@
       requireOwner(own.start().account(), account);
       return CompletableFuture.completedFuture(ChatAnswers.running(id, own.phase()));
     }
-    return owned(id, account).thenApply(ChatAnswers::outcome);
+    return records
+        .find(id)
+        .thenCompose(
+            found -> {
+              if (found.isEmpty()) {
+                return records
+                    .callOutcome(id, account.name())
+                    .thenApply(outcome -> ChatAnswers.callOutcome(id, outcome));
+              }
+              requireOwner(found.get().draft().account(), account);
+              return CompletableFuture.completedFuture(ChatAnswers.outcome(found.get()));
+            });
   }
 
   /** Cancels a request and frees its engine. */
@@ -283,7 +294,7 @@
     }
   }
 
-  private static ServingException notFound() {
+  static ServingException notFound() {
     return ServingException.of(ErrorKind.NOT_FOUND, "no such request of this client account");
   }
 
--- a/daemon/src/main/java/org/heatherspread/daemon/record/RecordsComponent.java
+++ b/daemon/src/main/java/org/heatherspread/daemon/record/RecordsComponent.java
@@ -51,7 +51,7 @@
     service = new CallRecordsService(tables, handOver, longestLife);
     runner = new CallRunner(tables, client, settings.reportWait(), context.meters());
     lookup = new CallLookup(tables, client, successors, context.meters());
-    streams = ReplicatedRequestRecords.create(context, settings);
+    streams = ReplicatedRequestRecords.create(context, settings, lookup);
     gauges("owner", tables.owner()::counts);
     gauges("witness", tables.witness()::counts);
     gauges("stream", streams::counts);
--- a/daemon/src/main/java/org/heatherspread/daemon/record/ReplicatedRequestRecords.java
+++ b/daemon/src/main/java/org/heatherspread/daemon/record/ReplicatedRequestRecords.java
@@ -15,6 +15,7 @@
 import org.heatherspread.core.error.ErrorKind;
 import org.heatherspread.core.error.ServingException;
 import org.heatherspread.core.model.Instance;
+import org.heatherspread.core.record.CallOutcome;
 import org.heatherspread.core.record.DaemonRef;
 import org.heatherspread.core.record.KeepResult;
 import org.heatherspread.core.record.RecordCounts;
@@ -41,6 +42,7 @@
   private static final String TOPIC = "records.streams";
 
   private final DaemonRef self;
+  private final CallLookup calls;
   private final ReplicaTable<RequestRecord> table;
   private final StreamRecordsClient client;
   private final KeeperChoice keepers;
@@ -48,7 +50,9 @@
   private final MeterRegistry meters;
   private final long retentionMillis;
 
-  private ReplicatedRequestRecords(DaemonContext context, RecordSettings settings) {
+  private ReplicatedRequestRecords(
+      DaemonContext context, RecordSettings settings, CallLookup calls) {
+    this.calls = calls;
     Instance instance = context.self();
     self = new DaemonRef(instance.id(), instance.incarnation());
     table =
@@ -64,8 +68,9 @@
     retentionMillis = lifetime.toMillis();
   }
 
-  static ReplicatedRequestRecords create(DaemonContext context, RecordSettings settings) {
-    return new ReplicatedRequestRecords(context, settings);
+  static ReplicatedRequestRecords create(
+      DaemonContext context, RecordSettings settings, CallLookup calls) {
+    return new ReplicatedRequestRecords(context, settings, calls);
   }
 
   BindableService service() {
@@ -142,6 +147,13 @@
     return latest(id.get()).thenApply(found -> found.map(place -> place.copy().value()));
   }
 
+  @Override
+  public CompletableFuture<CallOutcome> callOutcome(String requestId, String account) {
+    return RequestId.parse(requestId)
+        .map(id -> calls.peek(id, account))
+        .orElse(CompletableFuture.completedFuture(CallOutcome.notHeld()));
+  }
+
   /** A copy and the daemon that has it. */
   private record Place(String daemonId, Replica<RequestRecord> copy) {}
 
--- a/daemon/src/main/java/org/heatherspread/daemon/record/RequestRecords.java
+++ b/daemon/src/main/java/org/heatherspread/daemon/record/RequestRecords.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import org.heatherspread.core.record.CallOutcome;
 
 /**
  * The records of requests in progress, each kept at this daemon and at one in another failure
@@ -21,4 +22,12 @@
 
   /** Makes this daemon the owner of a record; empty if no daemon keeps it. */
   CompletableFuture<Optional<TakenOver>> takeOver(String requestId);
+
+  /**
+   * Tells how a call stands that may not be repeated, which has no record of this kind; {@code
+   * NOT_HELD} if no daemon knows the id, {@code OTHER_REQUEST} if it is another account's.
+   */
+  default CompletableFuture<CallOutcome> callOutcome(String requestId, String account) {
+    return CompletableFuture.completedFuture(CallOutcome.notHeld());
+  }
 }
--- a/daemon/src/test/java/org/heatherspread/daemon/plain/PlainCallsTest.java
+++ b/daemon/src/test/java/org/heatherspread/daemon/plain/PlainCallsTest.java
@@ -8,6 +8,7 @@
 import java.time.Duration;
 import java.util.List;
 import org.heatherspread.core.membership.Health;
+import org.heatherspread.core.record.CallState;
 import org.heatherspread.daemon.plain.PlainRig.Behaviour;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -204,6 +205,18 @@
     assertThat(rig.runs()).isEqualTo(1);
   }
 
+  @Test
+  void outcomeIsToldByAnyDaemonToItsOwnAccountAlone() throws Exception {
+    rig.addEndpoint("e1", Behaviour.ANSWER);
+    String id = rig.post("d1", "/charge", "12").headers().firstValue("X-Request-Id").get();
+    for (String daemon : new String[] {"d1", "d2", "d3"}) {
+      var records = rig.daemon(daemon).records().streams();
+      assertThat(records.callOutcome(id, "patikoop").get().state()).isEqualTo(CallState.ANSWERED);
+      assertThat(records.callOutcome(id, "oberland").get().state())
+          .isEqualTo(CallState.OTHER_REQUEST);
+    }
+  }
+
   @Test
   void unreachableWitnessMeansNotRun() throws Exception {
     rig.addEndpoint("e1", Behaviour.ANSWER);
