--- a/bench/src/main/java/org/heatherspread/bench/wave/WaveBench.java
+++ b/bench/src/main/java/org/heatherspread/bench/wave/WaveBench.java
@@ -108,6 +108,7 @@
       return 0;
     }
     Result system = system();
+    System.out.println("heatherspread: " + describe(system));
     Result baseline = options.has("no-baseline") ? null : baseline();
     print(system, baseline);
     return system.verdict().held() ? 0 : 1;
