--- a/bench/src/main/java/org/heatherspread/bench/jmh/JmhBench.java
+++ b/bench/src/main/java/org/heatherspread/bench/jmh/JmhBench.java
@@ -37,7 +37,8 @@
           new Runner(
                   new OptionsBuilder()
                       .include(RoutingDecisionBenchmark.class.getSimpleName())
-                      .forks(0)
+                      .forks(1)
+                      .jvmArgsAppend("-Xmx512m")
                       .warmupIterations(WARM_UPS)
                       .warmupTime(TimeValue.seconds(1))
                       .measurementIterations(MEASUREMENTS)
--- a/bench/src/main/java/org/heatherspread/bench/routing/RoutingBench.java
+++ b/bench/src/main/java/org/heatherspread/bench/routing/RoutingBench.java
@@ -113,6 +113,7 @@
     }
     goals(workload, weights, results, best, equal);
     plot(workload, results, equal);
+    IndexComparison.print(workload, firstSeed);
   }
 
   /** Returns the least fleet, or the largest tried where no fleet meets the target. */
--- a/core/src/main/java/org/heatherspread/core/routing/CostRouter.java
+++ b/core/src/main/java/org/heatherspread/core/routing/CostRouter.java
@@ -18,7 +18,6 @@
 public final class CostRouter {
   private static final int FULL_SCAN = 32;
   private static final int MATCH_LIMIT = 16;
-  private static final int HOMES = 3;
   private static final double JITTER = 0.2;
   private static final double RAMP_UP_PENALTY_MILLIS = 200;
   private static final double MILLIS_PER_HOUR = 3_600_000;
@@ -131,27 +130,29 @@
       }
     }
 
+    /** Weighs the first homes of the shared prefix, found in one pass over all endpoints. */
     private void weighHomes(boolean ignoreEjections) {
       if (homeKey == 0) {
         return;
       }
-      long bound = Long.MAX_VALUE;
-      for (int n = 0; n < HOMES; n++) {
-        int home = -1;
-        long highest = -1;
-        for (int i = 0; i < snapshot.size(); i++) {
-          long score = snapshot.rendezvous(i, homeKey);
-          if (score > highest && score < bound) {
-            highest = score;
-            home = i;
-          }
-        }
-        if (home < 0) {
-          return;
+      long highest = -1;
+      long second = -1;
+      int home = -1;
+      int next = -1;
+      for (int i = 0; i < snapshot.size(); i++) {
+        long score = snapshot.rendezvous(i, homeKey);
+        if (score > highest) {
+          second = highest;
+          next = home;
+          highest = score;
+          home = i;
+        } else if (score > second) {
+          second = score;
+          next = i;
         }
-        bound = highest;
-        weigh(home, ignoreEjections);
       }
+      weigh(home, ignoreEjections);
+      weigh(next, ignoreEjections);
     }
 
     private double homePenalty(int position) {
--- a/core/src/main/java/org/heatherspread/core/routing/PrefixIndex.java
+++ b/core/src/main/java/org/heatherspread/core/routing/PrefixIndex.java
@@ -200,25 +200,35 @@
   public void lookup(long[] hashes, PrefixMatch match, long nowMillis) {
     match.clear();
     int tick = tick(nowMillis);
+    int[] path = match.path(hashes.length);
     int depth = 0;
     while (depth < hashes.length) {
       int entry = find(hashes[depth]);
       if (entry < 0) {
         break;
       }
+      path[depth] = entry;
       if (children[entry] == SEVERAL_CHILDREN) {
         match.shared(depth + 1);
       }
       depth++;
     }
     for (int i = depth - 1; i >= 0 && !match.full(); i--) {
-      int entry = find(hashes[i]);
-      if (entry >= 0) {
-        collect(entry, i + 1, match, tick);
+      if (i == depth - 1 || !sameHolders(path[i], path[i + 1])) {
+        collect(path[i], i + 1, match, tick);
       }
     }
   }
 
+  private boolean sameHolders(int entry, int other) {
+    for (int i = 0; i < HOLDERS; i++) {
+      if (holders[entry * HOLDERS + i] != holders[other * HOLDERS + i]) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   private void collect(int entry, int blocks, PrefixMatch match, int tick) {
     int base = entry * HOLDERS;
     for (int i = base; i < base + HOLDERS; i++) {
@@ -240,7 +250,7 @@
   }
 
   private int firstWay(long hash) {
-    return (int) ((hash * SPREAD) >>> 33) % sets * WAYS;
+    return ((int) ((hash * SPREAD) >>> 33) & (sets - 1)) * WAYS;
   }
 
   private boolean valid(int holder, int tick) {
--- a/core/src/main/java/org/heatherspread/core/routing/PrefixMatch.java
+++ b/core/src/main/java/org/heatherspread/core/routing/PrefixMatch.java
@@ -8,6 +8,7 @@
 public final class PrefixMatch {
   private final int[] slots;
   private final int[] blocks;
+  private int[] path = new int[0];
   private int size;
   private int sharedBlocks;
 
@@ -51,6 +52,14 @@
     return sharedBlocks;
   }
 
+  /** Returns room for the entries of a prompt's blocks. */
+  int[] path(int length) {
+    if (path.length < length) {
+      path = new int[length];
+    }
+    return path;
+  }
+
   boolean full() {
     return size == slots.length;
   }
