Measure the slopes of the control work and what they come to at the design size

Cause: docs/CAPACITY.md is to be worked out from measured slopes. Change: bin/bench capacity fits a line through three sizes of each cost and prints it at the design size next to its budget: exchange, membership state, records, usage reports, routing decision, and idle fleets of real processes.

--- /dev/null
+++ b/bench/src/main/java/org/heatherspread/bench/capacity/CapacityBench.java
@@ -0,0 +1,52 @@
+package org.heatherspread.bench.capacity;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+
+/**
+ * Measures the slopes that docs/CAPACITY.md works from, and prints what each comes to at the size
+ * to design for, next to its budget.
+ *
+ * <p>Stateless.
+ */
+public final class CapacityBench {
+  private CapacityBench() {}
+
+  /** Runs the measurement; 1 if a budget is missed. */
+  public static int run(String[] args) throws IOException {
+    OptionParser parser = new OptionParser();
+    parser.accepts("seed", "seed").withRequiredArg().ofType(Long.class).defaultsTo(1L);
+    parser.accepts("no-processes", "leave the fleets of real processes out");
+    OptionSet options = parser.parse(args);
+    long seed = (Long) options.valueOf("seed");
+    List<RoleCost> costs = new ArrayList<>(LogicCosts.all(seed));
+    if (!options.has("no-processes")) {
+      costs.addAll(FleetCosts.all());
+    }
+    return report(costs, seed);
+  }
+
+  private static int report(List<RoleCost> costs, long seed) {
+    System.out.printf(
+        "%-46s %-10s %-28s %12s %9s %6s %9s %12s %10s%n",
+        "cost", "size", "measured", "base", "per unit", "fit", "design", "at design", "budget");
+    ObjectNode result = new ObjectMapper().createObjectNode();
+    result.put("bench", "capacity").put("seed", seed);
+    ArrayNode rows = result.putArray("costs");
+    boolean held = true;
+    for (RoleCost cost : costs) {
+      cost.print();
+      cost.write(rows.addObject());
+      held &= cost.held();
+    }
+    result.put("bounds_held", held);
+    System.out.println(result);
+    return held ? 0 : 1;
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/heatherspread/bench/capacity/LogicCosts.java
@@ -0,0 +1,258 @@
+package org.heatherspread.bench.capacity;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.SplittableRandom;
+import java.util.function.IntToDoubleFunction;
+import org.heatherspread.bench.membership.ExchangeCost;
+import org.heatherspread.core.config.ConfigurationInForce;
+import org.heatherspread.core.config.LatencyTarget;
+import org.heatherspread.core.limit.Amounts;
+import org.heatherspread.core.limit.Usage;
+import org.heatherspread.core.limit.UsageReport;
+import org.heatherspread.core.membership.MembershipCore;
+import org.heatherspread.core.membership.MembershipSettings;
+import org.heatherspread.core.model.FailureDomain;
+import org.heatherspread.core.model.Instance;
+import org.heatherspread.core.model.InstanceKind;
+import org.heatherspread.core.model.InstanceState;
+import org.heatherspread.core.model.Market;
+import org.heatherspread.core.record.CallAnswer;
+import org.heatherspread.core.record.CallDraft;
+import org.heatherspread.core.record.CallOutcome;
+import org.heatherspread.core.record.DaemonRef;
+import org.heatherspread.core.record.OwnerTable;
+import org.heatherspread.core.record.RecordLimits;
+import org.heatherspread.core.record.RequestId;
+import org.heatherspread.core.routing.CostRouter;
+import org.heatherspread.core.routing.EndpointProfile;
+import org.heatherspread.core.routing.EndpointRegistry;
+import org.heatherspread.core.routing.EndpointView;
+import org.heatherspread.core.routing.HealthPolicy;
+import org.heatherspread.core.routing.LoadReport;
+import org.heatherspread.core.routing.PrefixIndex;
+import org.heatherspread.core.routing.RoutingRequest;
+import org.heatherspread.core.routing.RoutingSnapshot;
+import org.heatherspread.core.routing.RoutingWeights;
+import org.heatherspread.core.routing.ServedModels;
+import org.heatherspread.core.time.ManualClock;
+
+/** Costs of the decision logic, measured in this process at growing sizes. Stateless. */
+final class LogicCosts {
+  private static final double DAEMONS = 880;
+  private static final double INSTANCES = 12_880;
+  private static final double REGION_ENDPOINTS = 1_333;
+  private static final double ACCOUNTS = 5;
+  private static final double USAGE_REPORTS_PER_SECOND = 2;
+  private static final double RECORDS = 21_000;
+  private static final double BYTES_BUDGET = 20_000;
+  private static final double CORE_BUDGET_PERCENT = 2.4;
+  private static final double MEMORY_BUDGET = 256e6;
+  private static final double DECISION_BUDGET_MICROS = 20;
+  private static final int DECISION_WARM_UP = 20_000;
+  private static final int DECISIONS = 40_000;
+  private static final int ENDPOINTS_OF_EXCHANGE = 64;
+  private static final int ANSWER_BYTES = 200;
+  private static final long NOW = 1_000_000;
+
+  private LogicCosts() {}
+
+  static List<RoleCost> all(long seed) {
+    List<RoleCost> costs = new ArrayList<>(exchange(seed));
+    costs.add(
+        cost(
+            "membership state, heap bytes",
+            "instances",
+            new double[] {1_000, 4_000, 12_880},
+            LogicCosts::membershipBytes,
+            INSTANCES,
+            MEMORY_BUDGET));
+    costs.add(
+        cost(
+            "records of calls not to repeat, heap bytes",
+            "records",
+            new double[] {1_000, 10_000, 50_000},
+            LogicCosts::recordBytes,
+            RECORDS,
+            MEMORY_BUDGET));
+    costs.add(
+        cost(
+            "usage reports at 880 daemons, received bytes/s",
+            "accounts",
+            new double[] {5, 50, 500},
+            accounts -> usageBytes(accounts) * DAEMONS * USAGE_REPORTS_PER_SECOND,
+            ACCOUNTS,
+            BYTES_BUDGET));
+    costs.add(
+        cost(
+            "routing decision, us",
+            "endpoints",
+            new double[] {133, 667, 1_333},
+            LogicCosts::decisionMicros,
+            REGION_ENDPOINTS,
+            DECISION_BUDGET_MICROS));
+    return costs;
+  }
+
+  private static RoleCost cost(
+      String name,
+      String sizeName,
+      double[] sizes,
+      IntToDoubleFunction measure,
+      double designSize,
+      double budget) {
+    double[] values = new double[sizes.length];
+    for (int i = 0; i < sizes.length; i++) {
+      System.out.printf("measuring %s at %.0f %s%n", name, sizes[i], sizeName);
+      values[i] = measure.applyAsDouble((int) sizes[i]);
+    }
+    return new RoleCost(name, sizeName, sizes, values, designSize, budget);
+  }
+
+  // ---------------------------------------------------------------------------------------------
+  // Exchange
+  // ---------------------------------------------------------------------------------------------
+
+  private static List<RoleCost> exchange(long seed) {
+    double[] sizes = {64, 256, 880};
+    double[] bytes = new double[sizes.length];
+    double[] core = new double[sizes.length];
+    for (int i = 0; i < sizes.length; i++) {
+      System.out.printf("measuring the exchange at %.0f daemons%n", sizes[i]);
+      ExchangeCost cost = ExchangeCost.steady((int) sizes[i], ENDPOINTS_OF_EXCHANGE, seed);
+      bytes[i] = cost.bytesPerSecond();
+      core[i] = cost.corePercent();
+    }
+    return List.of(
+        new RoleCost(
+            "exchange, sent and received bytes/s", "daemons", sizes, bytes, DAEMONS, BYTES_BUDGET),
+        new RoleCost(
+            "exchange, per cent of a core", "daemons", sizes, core, DAEMONS, CORE_BUDGET_PERCENT));
+  }
+
+  // ---------------------------------------------------------------------------------------------
+  // State
+  // ---------------------------------------------------------------------------------------------
+
+  private static double membershipBytes(int instances) {
+    return HeapUse.bytesOf(
+        () -> {
+          ManualClock clock = ManualClock.create();
+          MembershipCore core =
+              MembershipCore.create(
+                  instance("d-0", InstanceKind.DAEMON, 0),
+                  MembershipSettings.defaults(),
+                  ConfigurationInForce.create(),
+                  clock,
+                  clock,
+                  new Random(1));
+          List<Instance> list = new ArrayList<>();
+          for (int i = 0; i < instances; i++) {
+            InstanceKind kind = i % 15 == 0 ? InstanceKind.DAEMON : InstanceKind.ENGINE;
+            list.add(instance("i-" + i, kind, i));
+          }
+          core.onInstances(1, list);
+          core.tick();
+          return List.of(core, core.snapshot());
+        });
+  }
+
+  private static Instance instance(String id, InstanceKind kind, int index) {
+    int domain = index % 34;
+    return new Instance(
+        id,
+        1,
+        kind,
+        kind == InstanceKind.DAEMON ? "" : "assistant",
+        new FailureDomain("region-" + domain % 9, "domain-" + domain),
+        "10.0." + index / 250 + "." + index % 250,
+        8_080,
+        8_081,
+        "gpu-2x",
+        Market.RECLAIMABLE,
+        1.25,
+        InstanceState.LIVE,
+        Optional.empty());
+  }
+
+  private static double recordBytes(int records) {
+    return HeapUse.bytesOf(
+        () -> {
+          ManualClock clock = ManualClock.create();
+          DaemonRef self = new DaemonRef("daemon-1", 1);
+          DaemonRef witness = new DaemonRef("daemon-2", 1);
+          OwnerTable table = OwnerTable.create(self, clock, RecordLimits.defaults());
+          Random random = new Random(1);
+          for (int i = 0; i < records; i++) {
+            RequestId id = RequestId.create(self, witness, random);
+            CallDraft draft =
+                new CallDraft(id, "kadikoy", Long.toHexString(random.nextLong()), 60_000);
+            table.begin(draft);
+            table.mayDispatch(id);
+            CallAnswer answer = new CallAnswer(200, List.of(), new byte[ANSWER_BYTES]);
+            table.finish(id, CallOutcome.answered(answer));
+          }
+          return table;
+        });
+  }
+
+  private static double usageBytes(int accounts) {
+    Map<String, Usage> usage = new HashMap<>();
+    for (int i = 0; i < accounts; i++) {
+      usage.put("account-" + i, new Usage(new Amounts(7, 3_000, 4), new Amounts(9, 4_000, 6)));
+    }
+    return new UsageReport(1, usage).encode().length;
+  }
+
+  // ---------------------------------------------------------------------------------------------
+  // Routing
+  // ---------------------------------------------------------------------------------------------
+
+  private static double decisionMicros(int endpoints) {
+    PrefixIndex index = PrefixIndex.create(32 << 20, 600);
+    List<EndpointProfile> profiles = new ArrayList<>();
+    for (int i = 0; i < endpoints; i++) {
+      FailureDomain domain = new FailureDomain("region", "d" + i % 4);
+      profiles.add(new EndpointProfile("e" + i, 1, domain, "gpu", 1, 0.05, ServedModels.unknown()));
+    }
+    Random source = new Random(7);
+    List<EndpointView> views =
+        EndpointRegistry.create(index, HealthPolicy.defaults()).update(profiles, NOW);
+    for (EndpointView view : views) {
+      view.applyReport(new LoadReport(NOW, source.nextInt(20), 0, 0, 0.5, 900, 9_000));
+    }
+    CostRouter router =
+        CostRouter.create(RoutingWeights.costAtTarget(), HealthPolicy.defaults(), index);
+    RoutingSnapshot snapshot = RoutingSnapshot.of(views);
+    RoutingRequest[] requests = requests(index, endpoints, source);
+    SplittableRandom random = new SplittableRandom(1);
+    long start = 0;
+    for (int i = -DECISION_WARM_UP; i < DECISIONS; i++) {
+      if (i == 0) {
+        start = System.nanoTime();
+      }
+      router.choose(snapshot, requests[Math.floorMod(i, requests.length)], NOW, random);
+    }
+    return (System.nanoTime() - start) / 1_000.0 / DECISIONS;
+  }
+
+  private static RoutingRequest[] requests(PrefixIndex index, int endpoints, Random source) {
+    LatencyTarget target = new LatencyTarget(Duration.ofMillis(520), Duration.ofMillis(33));
+    RoutingRequest[] requests = new RoutingRequest[500];
+    for (int p = 0; p < requests.length; p++) {
+      long[] prompt = new long[64];
+      Random shared = new Random(p % 50);
+      for (int b = 0; b < prompt.length; b++) {
+        prompt[b] = b < 32 ? shared.nextLong() : source.nextLong();
+      }
+      requests[p] = RoutingRequest.of(prompt, 4_096, 150, target);
+      index.add(prompt, 62, source.nextInt(endpoints), NOW);
+    }
+    return requests;
+  }
+}
--- a/bench/src/main/java/org/heatherspread/bench/process/JavaProcess.java
+++ b/bench/src/main/java/org/heatherspread/bench/process/JavaProcess.java
@@ -16,6 +16,7 @@
  */
 public final class JavaProcess {
   private static final long POLL_MILLIS = 20;
+  private static final long BYTES_PER_KILOBYTE = 1_024;
 
   private final String name;
   private final Path log;
@@ -137,6 +138,21 @@
     }
   }
 
+  /** Returns the processor time used since the start, in seconds. */
+  public double processorSeconds() {
+    return process.info().totalCpuDuration().map(d -> d.toMillis() / 1_000.0).orElse(0.0);
+  }
+
+  /** Returns the resident memory in bytes, as Linux reports it. */
+  public long residentBytes() throws IOException {
+    for (String line : Files.readAllLines(Path.of("/proc", process.pid() + "", "status"))) {
+      if (line.startsWith("VmRSS:")) {
+        return Long.parseLong(line.replaceAll("\\D", "")) * BYTES_PER_KILOBYTE;
+      }
+    }
+    throw new IOException("no VmRSS of " + name);
+  }
+
   /** Returns how long the process has run, in milliseconds. */
   public long lifeMillis() {
     return (endedMillis == 0 ? System.currentTimeMillis() : endedMillis) - startedMillis;
