Pace the reports of use with the fleet; add the operators' page and its test

Cause: every daemon reported its use twice a second to all others: 283 kB/s received at 880 daemons against a budget of 20 kB/s (bin/bench capacity), which would also have crowded other shared entries out. Change: ReportPace holds the reports of the whole fleet to 20 a second; a fleet of 8 still reports every 500 ms. docs/OPERATING.md with every setting, metric, error kind and failure, and a test that fails when one is missing.

--- a/bench/src/main/java/org/heatherspread/bench/capacity/FleetCosts.java
+++ b/bench/src/main/java/org/heatherspread/bench/capacity/FleetCosts.java
@@ -78,7 +78,7 @@
     }
     JsonNode counters =
         JsonCalls.mapper()
-            .readTree(JsonCalls.send("GET", fleet.tableUrl() + "/standin/counters", null).body());
+            .readTree(JsonCalls.send("GET", fleet.tableUrl() + "/standin/counters", "").body());
     return new Idle(
         seconds, resident, counters.path("reads").asDouble(), counters.path("writes").asDouble());
   }
--- a/bench/src/main/java/org/heatherspread/bench/capacity/LogicCosts.java
+++ b/bench/src/main/java/org/heatherspread/bench/capacity/LogicCosts.java
@@ -13,6 +13,7 @@
 import org.heatherspread.core.config.ConfigurationInForce;
 import org.heatherspread.core.config.LatencyTarget;
 import org.heatherspread.core.limit.Amounts;
+import org.heatherspread.core.limit.ReportPace;
 import org.heatherspread.core.limit.Usage;
 import org.heatherspread.core.limit.UsageReport;
 import org.heatherspread.core.membership.MembershipCore;
@@ -48,7 +49,7 @@
   private static final double INSTANCES = 12_880;
   private static final double REGION_ENDPOINTS = 1_333;
   private static final double ACCOUNTS = 5;
-  private static final double USAGE_REPORTS_PER_SECOND = 2;
+  private static final Duration USAGE_INTERVAL = Duration.ofMillis(500);
   private static final double RECORDS = 21_000;
   private static final double BYTES_BUDGET = 20_000;
   private static final double CORE_BUDGET_PERCENT = 2.4;
@@ -85,7 +86,7 @@
             "usage reports at 880 daemons, received bytes/s",
             "accounts",
             new double[] {5, 50, 500},
-            accounts -> usageBytes(accounts) * DAEMONS * USAGE_REPORTS_PER_SECOND,
+            accounts -> usageBytes(accounts) * usageReportsPerSecond(),
             ACCOUNTS,
             BYTES_BUDGET));
     costs.add(
@@ -201,6 +202,11 @@
         });
   }
 
+  private static double usageReportsPerSecond() {
+    Duration interval = ReportPace.of(USAGE_INTERVAL).interval((int) DAEMONS);
+    return DAEMONS * 1_000 / interval.toMillis();
+  }
+
   private static double usageBytes(int accounts) {
     Map<String, Usage> usage = new HashMap<>();
     for (int i = 0; i < accounts; i++) {
--- /dev/null
+++ b/core/src/test/java/org/heatherspread/core/limit/ReportPaceTest.java
@@ -0,0 +1,23 @@
+package org.heatherspread.core.limit;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import org.junit.jupiter.api.Test;
+
+class ReportPaceTest {
+  private final ReportPace pace = ReportPace.of(Duration.ofMillis(500));
+
+  @Test
+  void smallFleetReportsAtTheShortestInterval() {
+    assertThat(pace.interval(8)).isEqualTo(Duration.ofMillis(500));
+    assertThat(pace.lifetime(8, Duration.ofSeconds(30))).isEqualTo(Duration.ofSeconds(30));
+  }
+
+  @Test
+  void reportsOfLargeFleetStayWithinTheExchange() {
+    Duration interval = pace.interval(880);
+    assertThat(880 / (interval.toMillis() / 1_000.0)).isLessThanOrEqualTo(20.0);
+    assertThat(pace.lifetime(880, Duration.ofSeconds(30))).isGreaterThan(interval);
+  }
+}
--- a/daemon/src/main/java/org/heatherspread/daemon/limit/SharedAdmission.java
+++ b/daemon/src/main/java/org/heatherspread/daemon/limit/SharedAdmission.java
@@ -17,6 +17,7 @@
 import org.heatherspread.core.error.ServingException;
 import org.heatherspread.core.limit.AccountLimiter;
 import org.heatherspread.core.limit.LimitDecision;
+import org.heatherspread.core.limit.ReportPace;
 import org.heatherspread.core.limit.SharedLimiter;
 import org.heatherspread.core.limit.UsageReport;
 import org.heatherspread.core.membership.Health;
@@ -51,12 +52,15 @@
   private final Counter overloaded;
   private final Counter unreachable;
   private final Counter unreadable;
-  private Cancellable timer;
+  private final ReportPace pace;
+  private volatile Cancellable timer;
+  private volatile boolean closed;
 
   private SharedAdmission(DaemonContext context, LimitSettings settings, Pressure waits) {
     this.context = context;
     this.settings = settings;
     this.waits = waits;
+    this.pace = ReportPace.of(settings.interval());
     this.limiter = SharedLimiter.create(settings.burst().toMillis() / 1_000.0);
     MeterRegistry meters = context.meters();
     for (LimitDecision.Reason reason : LimitDecision.Reason.values()) {
@@ -87,19 +91,27 @@
 
   @Override
   public void start() {
+    schedule(Duration.ZERO);
+  }
+
+  private void schedule(Duration delay) {
     timer =
         context
             .system()
             .scheduler()
-            .scheduleWithFixedDelay(
-                Duration.ZERO,
-                settings.interval(),
-                this::round,
-                context.system().executionContext());
+            .scheduleOnce(delay, this::roundAndSchedule, context.system().executionContext());
+  }
+
+  private void roundAndSchedule() {
+    round();
+    if (!closed) {
+      schedule(pace.interval(peers().size() + 1));
+    }
   }
 
   @Override
   public void close() {
+    closed = true;
     if (timer != null) {
       timer.cancel();
     }
@@ -107,15 +119,17 @@
 
   private void round() {
     try {
+      List<String> peers = peers();
       UsageReport report =
           limiter.round(
-              context.configuration().get().accounts(),
-              peers(),
-              reports(),
-              context.clock().nanos());
+              context.configuration().get().accounts(), peers, reports(), context.clock().nanos());
       context
           .dissemination()
-          .publish(TOPIC, context.self().id(), report.encode(), settings.reportLifetime());
+          .publish(
+              TOPIC,
+              context.self().id(),
+              report.encode(),
+              pace.lifetime(peers.size() + 1, settings.reportLifetime()));
     } catch (RuntimeException e) {
       LOGGER.atWarn().setCause(e).log("a round of limit sharing failed");
     }
--- /dev/null
+++ b/daemon/src/test/java/org/heatherspread/daemon/docs/OperatingPageTest.java
@@ -0,0 +1,63 @@
+package org.heatherspread.daemon.docs;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+import org.heatherspread.core.error.ErrorKind;
+import org.heatherspread.daemon.settings.DaemonFile;
+import org.junit.jupiter.api.Test;
+
+/** Fails when a setting, metric or error kind is missing from the operators' page. */
+class OperatingPageTest {
+  private static final Pattern METER = Pattern.compile("\"(heatherspread\\.[a-z0-9._]+)\"");
+
+  @Test
+  void namesEverySetting() throws IOException {
+    String page = page();
+    for (String key : DaemonFile.keys().keySet()) {
+      assertThat(page).as("setting " + key).contains("| `" + key + "` |");
+    }
+  }
+
+  @Test
+  void namesEveryErrorKind() throws IOException {
+    String page = page();
+    for (ErrorKind kind : ErrorKind.values()) {
+      assertThat(page).as("error kind").contains("| `" + kind.code() + "` | " + kind.status());
+    }
+  }
+
+  @Test
+  void namesEveryMetric() throws IOException {
+    String page = page();
+    Set<String> meters = meters();
+    assertThat(meters).isNotEmpty();
+    for (String meter : meters) {
+      assertThat(page).as("metric").contains("| `" + meter + "` |");
+    }
+  }
+
+  private static Set<String> meters() throws IOException {
+    Set<String> found = new TreeSet<>();
+    try (Stream<Path> files = Files.walk(Path.of("src/main/java"))) {
+      for (Path file : files.filter(f -> f.toString().endsWith(".java")).toList()) {
+        Matcher matcher = METER.matcher(Files.readString(file));
+        while (matcher.find()) {
+          found.add(matcher.group(1));
+        }
+      }
+    }
+    return found;
+  }
+
+  private static String page() throws IOException {
+    return Files.readString(Path.of("../docs/OPERATING.md"));
+  }
+}
