Probe an endpoint again while it still accepts connections

Cause: a dying host resets a process's connections and closes its listening socket in no fixed order; the one probe could be accepted in between, the crash went uncounted, and PlainCallsTest saw six runs in place of five, or outcome-unknown in place of poisoned (one or two of two tests in three runs under load). Conclusion: a broken connection to an endpoint that lives now costs its request up to poison.probe_timeout before the retry.

--- a/daemon/src/main/java/org/heatherspread/daemon/poison/ConnectProbe.java
+++ b/daemon/src/main/java/org/heatherspread/daemon/poison/ConnectProbe.java
@@ -10,15 +10,42 @@
 import java.util.concurrent.TimeUnit;
 import org.heatherspread.core.model.Instance;
 
-/** Tells a dead process from a cut network by a new connection. Stateless. */
+/**
+ * Tells a dead process from a cut network by new connections. A host resets the connections of a
+ * dying process and closes its listening socket in no fixed order, so a connection that is accepted
+ * is tried again until the time is over. Stateless.
+ */
 final class ConnectProbe {
+  private static final long PAUSE_MILLIS = 25;
+
   private ConnectProbe() {}
 
   /**
-   * Completes with true if the endpoint's host refuses the connection, so that the process is gone;
-   * with false if it accepts, or nothing comes back in time.
+   * Completes with true if the endpoint's host refuses a connection within the time, so that the
+   * process is gone; with false if it still accepts at the end, or nothing comes back.
    */
   static CompletableFuture<Boolean> refused(Instance endpoint, Duration timeout) {
+    long end = System.nanoTime() + timeout.toNanos();
+    return refusedUntil(endpoint, end);
+  }
+
+  private static CompletableFuture<Boolean> refusedUntil(Instance endpoint, long endNanos) {
+    long left = endNanos - System.nanoTime();
+    if (left <= 0) {
+      return CompletableFuture.completedFuture(false);
+    }
+    return once(endpoint, Duration.ofNanos(left))
+        .thenCompose(
+            refused ->
+                refused
+                    ? CompletableFuture.completedFuture(true)
+                    : CompletableFuture.supplyAsync(
+                            () -> null,
+                            CompletableFuture.delayedExecutor(PAUSE_MILLIS, TimeUnit.MILLISECONDS))
+                        .thenCompose(unused -> refusedUntil(endpoint, endNanos)));
+  }
+
+  private static CompletableFuture<Boolean> once(Instance endpoint, Duration timeout) {
     CompletableFuture<Boolean> result = new CompletableFuture<>();
     AsynchronousSocketChannel channel;
     try {
