Tell a record whose keepers do not answer as unreachable, not as not found

Cause: in an overloaded wave every resume of nine accepted completions was answered not-found until the caller gave up, since a record look-up that timed out at its keeper counted as no record; and raw gRPC failures reached callers as internal errors, eight times. Change: a new kind RECORD_UNREACHABLE (unknown, ask for the outcome); calls of other daemons fail with a typed kind; the wave kills its daemon 200 ms after the notice in place of 1,200 ms.

--- a/bench/src/main/java/org/heatherspread/bench/wave/WaveBench.java
+++ b/bench/src/main/java/org/heatherspread/bench/wave/WaveBench.java
@@ -43,7 +43,7 @@
  */
 public final class WaveBench {
   private static final long NOTICE_MILLIS = 5_000;
-  private static final long KILL_AFTER_NOTICE_MILLIS = 1_200;
+  private static final long KILL_AFTER_NOTICE_MILLIS = 200;
   private static final double WAVE_AT = 0.4;
   private static final int WARM_UP = 400;
   private static final double WARM_UP_RATE = 40;
--- a/core/src/main/java/org/heatherspread/core/error/ErrorKind.java
+++ b/core/src/main/java/org/heatherspread/core/error/ErrorKind.java
@@ -69,6 +69,8 @@
   STORE_OUTCOME_UNKNOWN(503, UNKNOWN, ASK_OUTCOME, "Table service outcome unknown"),
   /** The witness of a request that may not be repeated cannot be reached. */
   WITNESS_UNAVAILABLE(503, NOT_RUN, ELSEWHERE, "Witness unavailable"),
+  /** The daemons that keep the request's record do not answer; it may still be running. */
+  RECORD_UNREACHABLE(503, UNKNOWN, ASK_OUTCOME, "Keepers of the record cannot be reached"),
   /** A dispatched request that may not be repeated has no answer. */
   OUTCOME_UNKNOWN(502, UNKNOWN, ASK_OUTCOME, "Outcome unknown"),
   /** The endpoint answered with an error of its own. */
--- a/daemon/src/main/java/org/heatherspread/daemon/chat/ChatService.java
+++ b/daemon/src/main/java/org/heatherspread/daemon/chat/ChatService.java
@@ -20,6 +20,7 @@
 import org.heatherspread.core.config.AccountSpec;
 import org.heatherspread.core.error.ErrorKind;
 import org.heatherspread.core.error.ServingException;
+import org.heatherspread.core.record.CallState;
 import org.heatherspread.core.retry.RetryBudget;
 import org.heatherspread.daemon.DaemonContext;
 import org.heatherspread.daemon.engine.EngineClient;
@@ -233,20 +234,31 @@
       requireOwner(own.start().account(), account);
       return CompletableFuture.completedFuture(ChatAnswers.running(id, own.phase()));
     }
-    return records
-        .find(id)
+    CompletableFuture<Optional<RequestRecord>> found = records.find(id);
+    return found
+        .exceptionally(failure -> Optional.empty())
         .thenCompose(
-            found -> {
-              if (found.isEmpty()) {
-                return records
-                    .callOutcome(id, account.name())
-                    .thenApply(outcome -> ChatAnswers.callOutcome(id, outcome));
+            record -> {
+              if (record.isEmpty()) {
+                return callOutcome(id, account, found);
               }
-              requireOwner(found.get().draft().account(), account);
-              return CompletableFuture.completedFuture(ChatAnswers.outcome(found.get()));
+              requireOwner(record.get().draft().account(), account);
+              return CompletableFuture.completedFuture(ChatAnswers.outcome(record.get()));
             });
   }
 
+  /** Tells how a call that is not a stream stands; a failed search for a stream stays a failure. */
+  private CompletionStage<HttpResponse> callOutcome(
+      String id, AccountSpec account, CompletableFuture<Optional<RequestRecord>> search) {
+    return records
+        .callOutcome(id, account.name())
+        .thenCompose(
+            outcome ->
+                outcome.state() == CallState.NOT_HELD && search.isCompletedExceptionally()
+                    ? search.thenApply(never -> ChatAnswers.callOutcome(id, outcome))
+                    : CompletableFuture.completedFuture(ChatAnswers.callOutcome(id, outcome)));
+  }
+
   /** Cancels a request and frees its engine. */
   CompletionStage<HttpResponse> cancel(String id, AccountSpec account) {
     ChatSession own = sessions.get(id);
--- a/daemon/src/main/java/org/heatherspread/daemon/record/CallRecordsClient.java
+++ b/daemon/src/main/java/org/heatherspread/daemon/record/CallRecordsClient.java
@@ -53,7 +53,10 @@
     DispatchingRequest request =
         DispatchingRequest.newBuilder().setDraft(CallCodec.encodeDraft(draft)).build();
     return call(
-            draft.id().witness().id(), settings.witnessTimeout(), stub -> stub.dispatching(request))
+            draft.id().witness().id(),
+            ErrorKind.WITNESS_UNAVAILABLE,
+            settings.witnessTimeout(),
+            stub -> stub.dispatching(request))
         .thenApply(reply -> CallCodec.decodeAdmittance(reply.getAdmission()));
   }
 
@@ -69,7 +72,11 @@
             .setDraft(CallCodec.encodeDraft(draft))
             .setOutcome(CallCodec.encodeOutcome(outcome))
             .build();
-    return call(daemonId, settings.lookupTimeout(), stub -> stub.report(request))
+    return call(
+            daemonId,
+            ErrorKind.RECORD_UNREACHABLE,
+            settings.lookupTimeout(),
+            stub -> stub.report(request))
         .thenApply(reply -> null);
   }
 
@@ -80,7 +87,11 @@
             .setDraft(CallCodec.encodeDraft(draft))
             .setKeeper(keeper)
             .build();
-    return call(daemonId, settings.lookupTimeout(), stub -> stub.resolve(request))
+    return call(
+            daemonId,
+            ErrorKind.RECORD_UNREACHABLE,
+            settings.lookupTimeout(),
+            stub -> stub.resolve(request))
         .thenApply(CallRecordsClient::outcome);
   }
 
@@ -93,7 +104,11 @@
             .setAccount(account)
             .setKeeper(keeper)
             .build();
-    return call(daemonId, settings.lookupTimeout(), stub -> stub.peek(request))
+    return call(
+            daemonId,
+            ErrorKind.RECORD_UNREACHABLE,
+            settings.lookupTimeout(),
+            stub -> stub.peek(request))
         .thenApply(CallRecordsClient::outcome);
   }
 
@@ -142,17 +157,18 @@
 
   private <T> CompletableFuture<T> call(
       String daemonId,
+      ErrorKind failureKind,
       Duration timeout,
       Function<CallRecordsFutureStub, ListenableFuture<T>> method) {
     Instance daemon = membership.get().member(daemonId).map(Member::instance).orElse(null);
     if (daemon == null) {
       return CompletableFuture.failedFuture(
-          ServingException.of(ErrorKind.WITNESS_UNAVAILABLE, "daemon is not known: " + daemonId));
+          ServingException.of(failureKind, "daemon is not known: " + daemonId));
     }
     CallRecordsFutureStub stub =
         CallRecordsGrpc.newFutureStub(peers.channel(daemon))
             .withDeadlineAfter(timeout.toMillis(), TimeUnit.MILLISECONDS);
-    return Futures.of(method.apply(stub));
+    return Futures.of(method.apply(stub), failureKind);
   }
 
   /** Takes the one reply of a hand-over. */
--- a/daemon/src/main/java/org/heatherspread/daemon/record/Futures.java
+++ b/daemon/src/main/java/org/heatherspread/daemon/record/Futures.java
@@ -4,12 +4,15 @@
 import com.google.common.util.concurrent.ListenableFuture;
 import com.google.common.util.concurrent.MoreExecutors;
 import java.util.concurrent.CompletableFuture;
+import org.heatherspread.core.error.ErrorKind;
+import org.heatherspread.core.error.ServingException;
 
 /** Turns the futures of gRPC into those of the house. Stateless. */
 final class Futures {
   private Futures() {}
 
-  static <T> CompletableFuture<T> of(ListenableFuture<T> source) {
+  /** A call of another daemon that fails in any way fails with the kind given. */
+  static <T> CompletableFuture<T> of(ListenableFuture<T> source, ErrorKind failureKind) {
     CompletableFuture<T> result = new CompletableFuture<>();
     com.google.common.util.concurrent.Futures.addCallback(
         source,
@@ -21,7 +24,8 @@
 
           @Override
           public void onFailure(Throwable failure) {
-            result.completeExceptionally(failure);
+            result.completeExceptionally(
+                ServingException.of(failureKind, "another daemon did not answer", failure));
           }
         },
         MoreExecutors.directExecutor());
--- a/daemon/src/main/java/org/heatherspread/daemon/record/ReplicatedRequestRecords.java
+++ b/daemon/src/main/java/org/heatherspread/daemon/record/ReplicatedRequestRecords.java
@@ -157,26 +157,37 @@
   /** A copy and the daemon that has it. */
   private record Place(String daemonId, Replica<RequestRecord> copy) {}
 
+  /**
+   * Finds the latest copy among all daemons that may have one. Without a copy, a daemon that did
+   * not answer may have it, so the future fails with {@code RECORD_UNREACHABLE}.
+   */
   private CompletableFuture<Optional<Place>> latest(RequestId id) {
     List<CompletableFuture<Optional<Place>>> answers = new ArrayList<>();
     for (String daemon : places(id)) {
       answers.add(
-          copyAt(daemon, id)
-              .exceptionally(failure -> Optional.empty())
-              .thenApply(found -> found.map(copy -> new Place(daemon, copy))));
+          copyAt(daemon, id).thenApply(found -> found.map(copy -> new Place(daemon, copy))));
     }
     return CompletableFuture.allOf(answers.toArray(CompletableFuture[]::new))
-        .thenApply(done -> latestOf(answers));
+        .handle((done, failure) -> latestOf(answers));
   }
 
   private static Optional<Place> latestOf(List<CompletableFuture<Optional<Place>>> answers) {
     Place best = null;
+    boolean unanswered = false;
     for (CompletableFuture<Optional<Place>> answer : answers) {
+      if (answer.isCompletedExceptionally()) {
+        unanswered = true;
+        continue;
+      }
       Place place = answer.join().orElse(null);
       if (place != null && (best == null || place.copy().laterThan(best.copy()))) {
         best = place;
       }
     }
+    if (best == null && unanswered) {
+      throw ServingException.of(
+          ErrorKind.RECORD_UNREACHABLE, "a daemon that may keep the record does not answer");
+    }
     return Optional.ofNullable(best);
   }
 
--- a/daemon/src/main/java/org/heatherspread/daemon/record/StreamRecordsClient.java
+++ b/daemon/src/main/java/org/heatherspread/daemon/record/StreamRecordsClient.java
@@ -40,7 +40,11 @@
 
   CompletableFuture<KeepResult> keep(String daemonId, Replica<RequestRecord> copy) {
     KeepRequest request = KeepRequest.newBuilder().setRecord(StreamCodec.encode(copy)).build();
-    return call(daemonId, settings.witnessTimeout().toMillis(), stub -> stub.keep(request))
+    return call(
+            daemonId,
+            ErrorKind.WITNESS_UNAVAILABLE,
+            settings.witnessTimeout().toMillis(),
+            stub -> stub.keep(request))
         .thenApply(
             reply ->
                 switch (reply.getKept()) {
@@ -52,13 +56,21 @@
 
   CompletableFuture<Optional<Replica<RequestRecord>>> find(String daemonId, RequestId id) {
     FindRequest request = FindRequest.newBuilder().setRequestId(id.toString()).build();
-    return call(daemonId, settings.lookupTimeout().toMillis(), stub -> stub.find(request))
+    return call(
+            daemonId,
+            ErrorKind.RECORD_UNREACHABLE,
+            settings.lookupTimeout().toMillis(),
+            stub -> stub.find(request))
         .thenApply(this::record);
   }
 
   CompletableFuture<Optional<Replica<RequestRecord>>> takeOver(String daemonId, RequestId id) {
     TakeOverRequest request = TakeOverRequest.newBuilder().setRequestId(id.toString()).build();
-    return call(daemonId, settings.lookupTimeout().toMillis(), stub -> stub.takeOver(request))
+    return call(
+            daemonId,
+            ErrorKind.RECORD_UNREACHABLE,
+            settings.lookupTimeout().toMillis(),
+            stub -> stub.takeOver(request))
         .thenApply(this::record);
   }
 
@@ -71,16 +83,17 @@
 
   private <T> CompletableFuture<T> call(
       String daemonId,
+      ErrorKind failureKind,
       long timeoutMillis,
       Function<StreamRecordsFutureStub, ListenableFuture<T>> method) {
     Instance daemon = membership.get().member(daemonId).map(Member::instance).orElse(null);
     if (daemon == null) {
       return CompletableFuture.failedFuture(
-          ServingException.of(ErrorKind.WITNESS_UNAVAILABLE, "daemon is not known: " + daemonId));
+          ServingException.of(failureKind, "daemon is not known: " + daemonId));
     }
     StreamRecordsFutureStub stub =
         StreamRecordsGrpc.newFutureStub(peers.channel(daemon))
             .withDeadlineAfter(timeoutMillis, TimeUnit.MILLISECONDS);
-    return Futures.of(method.apply(stub));
+    return Futures.of(method.apply(stub), failureKind);
   }
 }
--- a/daemon/src/test/java/org/heatherspread/daemon/record/ReplicatedRequestRecordsTest.java
+++ b/daemon/src/test/java/org/heatherspread/daemon/record/ReplicatedRequestRecordsTest.java
@@ -140,6 +140,21 @@
     assertThat(found.draft().body()).isEmpty();
   }
 
+  @Test
+  void recordOfKeepersThatDoNotAnswerIsNotToldAsNotFound() throws Exception {
+    RecordHandle handle = openAt("d1");
+    String keeper = keeperOf(handle);
+    String left = others("d1", keeper).get(0);
+    rig.kill("d1");
+    rig.kill(keeper);
+    assertThatThrownBy(() -> records(left).find(handle.requestId()).join())
+        .extracting(failure -> ProblemAnswers.unwrap(failure).kind())
+        .isEqualTo(ErrorKind.RECORD_UNREACHABLE);
+    assertThatThrownBy(() -> records(left).takeOver(handle.requestId()).join())
+        .extracting(failure -> ProblemAnswers.unwrap(failure).kind())
+        .isEqualTo(ErrorKind.RECORD_UNREACHABLE);
+  }
+
   @Test
   void nothingIsAcceptedWithoutSecondDaemon() throws Exception {
     for (String daemon : others("d1")) {
