--- a/bench/src/main/java/org/heatherspread/bench/capacity/FleetCosts.java
+++ b/bench/src/main/java/org/heatherspread/bench/capacity/FleetCosts.java
@@ -23,9 +23,11 @@
 final class FleetCosts {
   private static final int[] SIZES = {2, 4, 8};
   private static final int DOMAINS = 4;
-  private static final long WARM_UP_MILLIS = 20_000;
+  private static final long WARM_UP_MILLIS = 45_000;
   private static final long MEASURED_MILLIS = 20_000;
   private static final double DAEMONS = 880;
+  private static final double CORE_BUDGET_PERCENT = 2.4;
+  private static final double MEMORY_BUDGET = 256e6;
   private static final double READS_BUDGET = 2_000;
   private static final double WRITES_BUDGET = 300;
 
@@ -47,8 +49,9 @@
       writes[i] = idle.writesPerSecond;
     }
     return List.of(
-        new RoleCost("idle daemon, per cent of a core", "daemons", sizes, core, 8, Double.NaN),
-        new RoleCost("idle daemon, resident bytes", "daemons", sizes, memory, 8, Double.NaN),
+        new RoleCost(
+            "idle daemon, per cent of a core", "daemons", sizes, core, 8, CORE_BUDGET_PERCENT),
+        new RoleCost("idle daemon, resident bytes", "daemons", sizes, memory, 8, MEMORY_BUDGET),
         new RoleCost("table service, reads/s", "daemons", sizes, reads, DAEMONS, READS_BUDGET),
         new RoleCost("table service, writes/s", "daemons", sizes, writes, DAEMONS, WRITES_BUDGET));
   }
--- a/daemon/src/main/java/org/heatherspread/daemon/DaemonRuntime.java
+++ b/daemon/src/main/java/org/heatherspread/daemon/DaemonRuntime.java
@@ -83,6 +83,8 @@
             pekko.logging-filter = "org.apache.pekko.event.slf4j.Slf4jLoggingFilter"
             pekko.loglevel = WARNING
             pekko.coordinated-shutdown.run-by-jvm-shutdown-hook = off
+            pekko.actor.default-dispatcher.fork-join-executor.parallelism-min = 2
+            pekko.actor.default-dispatcher.fork-join-executor.parallelism-max = 2
             """);
     return HttpFrontend.serverConfig(file.http()).withFallback(own).withFallback(defaults());
   }
--- a/daemon/src/test/java/org/heatherspread/daemon/chat/ChatFixture.java
+++ b/daemon/src/test/java/org/heatherspread/daemon/chat/ChatFixture.java
@@ -53,12 +53,16 @@
   private volatile MembershipSnapshot snapshot = MembershipSnapshot.empty();
 
   ChatFixture(int engineCount) {
+    this(engineCount, "assistant");
+  }
+
+  ChatFixture(int engineCount, String service) {
     for (int i = 0; i < engineCount; i++) {
-      FakeEngine engine = new FakeEngine(system, "e" + i);
+      FakeEngine engine = new FakeEngine(system, "e" + i, service);
       engines.add(engine);
       put(engine.instance(), Health.ALIVE);
     }
-    Configuration configuration = configuration();
+    Configuration configuration = configuration(service);
     DaemonContext context =
         new DaemonContext(
             engines.get(0).instance(),
@@ -113,10 +117,10 @@
         base.moveInterval());
   }
 
-  private static Configuration configuration() {
+  private static Configuration configuration(String name) {
     ServiceSpec service =
         new ServiceSpec(
-            "assistant",
+            name,
             ServiceKind.MODEL,
             new LatencyTarget(Duration.ofMillis(500), Duration.ofMillis(50)),
             List.of(new ModelVersion("v1", List.of("vets"), VersionState.ACTIVE)),
@@ -125,7 +129,7 @@
     AccountLimits limits = new AccountLimits(100, 1e6, 100);
     return new Configuration(
         1,
-        Map.of("assistant", service),
+        Map.of(name, service),
         Map.of(
             "kadikoy",
             new AccountSpec("kadikoy", KeyHash.of("key-1"), limits, 1, List.of()),
--- a/daemon/src/test/java/org/heatherspread/daemon/chat/FakeEngine.java
+++ b/daemon/src/test/java/org/heatherspread/daemon/chat/FakeEngine.java
@@ -50,11 +50,13 @@
   private final Map<String, Integer> lengths = new ConcurrentHashMap<>();
   private final ActorSystem<?> system;
   private final String id;
+  private final String service;
   private final ServerBinding binding;
 
-  FakeEngine(ActorSystem<?> system, String id) {
+  FakeEngine(ActorSystem<?> system, String id, String service) {
     this.system = system;
     this.id = id;
+    this.service = service;
     this.binding =
         Http.get(system)
             .newServerAt("127.0.0.1", 0)
@@ -76,7 +78,7 @@
         id,
         1,
         InstanceKind.ENGINE,
-        "assistant",
+        service,
         new FailureDomain("r", "d-" + id),
         "127.0.0.1",
         binding.localAddress().getPort(),
