--- a/daemon/src/main/java/org/heatherspread/daemon/routing/CostSelector.java
+++ b/daemon/src/main/java/org/heatherspread/daemon/routing/CostSelector.java
@@ -10,6 +10,7 @@
 import org.heatherspread.core.config.ServiceSpec;
 import org.heatherspread.core.error.ErrorKind;
 import org.heatherspread.core.error.ServingException;
+import org.heatherspread.core.membership.Member;
 import org.heatherspread.core.membership.MembershipSnapshot;
 import org.heatherspread.core.model.Instance;
 import org.heatherspread.core.routing.CostRouter;
@@ -83,9 +84,9 @@
     RoutingRequest wanted = wanted(request, service, hashes);
     long now = context.clock().millis();
     Optional<RoutingDecision> decision = choose(request, wanted, model, now);
-    if (decision.isEmpty()) {
+    if (decision.filter(this::takesNewWork).isEmpty()) {
       telemetry.refresh();
-      decision = choose(request, wanted, model, now);
+      decision = choose(request, wanted, model, now).filter(this::takesNewWork);
     }
     if (decision.isEmpty()) {
       noEndpoint.increment();
@@ -96,6 +97,12 @@
     return open(request, decision.get(), hashes, model, now);
   }
 
+  /** Asks the latest membership, since the view was made up to a round ago. */
+  private boolean takesNewWork(RoutingDecision decision) {
+    String id = decision.endpoint().profile().id();
+    return context.membership().get().member(id).map(Member::takesNewWork).orElse(false);
+  }
+
   private Optional<RoutingDecision> choose(
       RouteRequest request, RoutingRequest wanted, boolean model, long now) {
     RoutingSnapshot snapshot = telemetry.snapshot(request.service());
--- a/daemon/src/test/java/org/heatherspread/daemon/routing/CostSelectorTest.java
+++ b/daemon/src/test/java/org/heatherspread/daemon/routing/CostSelectorTest.java
@@ -91,6 +91,19 @@
         .isInstanceOf(ServingException.class);
   }
 
+  @Test
+  void endpointThatLeftSinceTheLastRoundIsNotChosen() {
+    add("e1", Health.ALIVE);
+    add("e2", Health.ALIVE);
+    Selection first = selector.select(request("hello", Set.of()));
+    first.finished();
+    String home = first.endpoint().id();
+    add(home, Health.LEAVING);
+    assertThat(selector.select(request("hello", Set.of())).endpoint().id()).isNotEqualTo(home);
+    members.remove(home);
+    assertThat(selector.select(request("hello", Set.of())).endpoint().id()).isNotEqualTo(home);
+  }
+
   @Test
   void engineReportsAreRead() throws Exception {
     String text =
