Stop a daemon by itself once its instance is under notice

Cause: a daemon under notice went on taking new work until it was killed. Ruled out: the endpoint (no ledger names the request). Change: ReadinessGate refuses new work of a leaving daemon (it still tells addresses and outcomes); DaemonRuntime drains and ends by itself on a notice, within the time the notice leaves.

--- a/daemon/src/main/java/org/heatherspread/daemon/DaemonAssembly.java
+++ b/daemon/src/main/java/org/heatherspread/daemon/DaemonAssembly.java
@@ -14,6 +14,7 @@
 import org.heatherspread.core.config.ConfigurationInForce;
 import org.heatherspread.core.config.ConfigurationLog;
 import org.heatherspread.core.config.Freshness;
+import org.heatherspread.core.membership.Health;
 import org.heatherspread.core.membership.MembershipSettings;
 import org.heatherspread.core.model.Instance;
 import org.heatherspread.core.model.InstanceKind;
@@ -65,6 +66,7 @@
   private final InstantSource wallClock = InstantSource.system();
   private final AtomicBoolean draining = new AtomicBoolean();
   private ConfigurationComponent configuration;
+  private DaemonContext context;
   private final List<DaemonComponent> components = new ArrayList<>();
 
   private DaemonAssembly(DaemonFile file, ActorSystem<Void> system) throws IOException {
@@ -106,7 +108,23 @@
 
   /** Returns the gate that refuses new work while the daemon is not ready. */
   ReadinessGate gate() {
-    return ReadinessGate.create(configuration::notReadyBecause, problems);
+    return ReadinessGate.create(
+        configuration::notReadyBecause, () -> draining.get() || noticeLeft().isPresent(), problems);
+  }
+
+  /** Returns the time left to this daemon's instance if it is under notice. */
+  Optional<Duration> noticeLeft() {
+    return context
+        .membership()
+        .get()
+        .member(context.self().id())
+        .filter(self -> self.health() == Health.LEAVING)
+        .map(self -> left(self.instance()));
+  }
+
+  private Duration left(Instance self) {
+    long now = wallClock.millis();
+    return Duration.ofMillis(Math.max(0, self.leavingAtMillis().orElse(now) - now));
   }
 
   /** From now on the daemon tells that it is not ready. */
@@ -141,7 +159,7 @@
             clock,
             new SplittableRandom(),
             meters);
-    DaemonContext context =
+    context =
         new DaemonContext(
             self,
             system,
--- a/daemon/src/main/java/org/heatherspread/daemon/DaemonRuntime.java
+++ b/daemon/src/main/java/org/heatherspread/daemon/DaemonRuntime.java
@@ -11,6 +11,8 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.apache.pekko.actor.Cancellable;
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.apache.pekko.actor.typed.javadsl.Behaviors;
 import org.apache.pekko.http.javadsl.ServerBinding;
@@ -33,12 +35,15 @@
   private static final Logger logger = LoggerFactory.getLogger(DaemonRuntime.class);
   private static final Duration START_TIMEOUT = Duration.ofSeconds(20);
   private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(2);
+  private static final Duration NOTICE_INTERVAL = Duration.ofMillis(200);
+  private static final Duration NOTICE_MARGIN = Duration.ofMillis(1_000);
 
   private final DaemonFile file;
   private final ActorSystem<Void> system;
   private final DaemonAssembly assembly;
   private final PeerServer peers;
   private final ServerBinding binding;
+  private final AtomicBoolean stopping = new AtomicBoolean();
 
   private DaemonRuntime(
       DaemonFile file,
@@ -67,7 +72,9 @@
     components.forEach(DaemonComponent::start);
     PeerServer peers = startPeerServer(file, components, assembly.credentials());
     ServerBinding binding = bind(file, system, assembly);
-    return new DaemonRuntime(file, system, assembly, peers, binding);
+    DaemonRuntime runtime = new DaemonRuntime(file, system, assembly, peers, binding);
+    runtime.watchNotice();
+    return runtime;
   }
 
   /** Ends the process; its shutdown hook drains the daemon. */
@@ -75,6 +82,25 @@
     System.exit(0);
   }
 
+  /** Stops the daemon by itself once its instance is under notice. */
+  private void watchNotice() {
+    Cancellable[] watch = new Cancellable[1];
+    watch[0] =
+        system
+            .scheduler()
+            .scheduleAtFixedRate(
+                NOTICE_INTERVAL,
+                NOTICE_INTERVAL,
+                () -> {
+                  if (assembly.noticeLeft().isPresent() && stopping.compareAndSet(false, true)) {
+                    logger.atInfo().log("the instance is under notice");
+                    watch[0].cancel();
+                    new Thread(DaemonRuntime::exit, "stop").start();
+                  }
+                },
+                system.executionContext());
+  }
+
   private static Config actorConfig(DaemonFile file) {
     Config own =
         ConfigFactory.parseString(
@@ -128,7 +154,8 @@
 
   /** Drains the components, then stops the servers; returns when all has ended. */
   public void stop() {
-    Duration bound = file.daemon().drainTimeout();
+    stopping.set(true);
+    Duration bound = drainBound();
     logger.atInfo().addKeyValue("bound_ms", bound.toMillis()).log("draining");
     assembly.markDraining();
     List<DaemonComponent> components = assembly.components();
@@ -146,6 +173,14 @@
     logger.atInfo().log("daemon stopped");
   }
 
+  /** A drain must end before the instance does. */
+  private Duration drainBound() {
+    Duration longest = file.daemon().drainTimeout();
+    Duration left = assembly.noticeLeft().map(d -> d.minus(NOTICE_MARGIN)).orElse(longest);
+    Duration least = left.compareTo(NOTICE_MARGIN) < 0 ? NOTICE_MARGIN : left;
+    return least.compareTo(longest) < 0 ? least : longest;
+  }
+
   private static void await(CompletableFuture<?> work, Duration bound, String failure) {
     try {
       work.get(bound.toMillis(), TimeUnit.MILLISECONDS);
--- a/daemon/src/main/java/org/heatherspread/daemon/http/ReadinessGate.java
+++ b/daemon/src/main/java/org/heatherspread/daemon/http/ReadinessGate.java
@@ -4,15 +4,15 @@
 import static org.apache.pekko.http.javadsl.server.Directives.extractRequest;
 
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
-import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.server.Route;
 import org.heatherspread.core.error.ErrorKind;
 import org.heatherspread.core.error.ServingException;
 
 /**
- * Refuses new work while the daemon may not act on its configuration. Questions about requests that
- * were accepted earlier pass.
+ * Refuses new work while the daemon may not act on its configuration, or is leaving. Questions
+ * about requests that were accepted earlier pass, and a leaving daemon still tells addresses.
  *
  * <p>Immutable and safe for use by any thread.
  */
@@ -22,33 +22,50 @@
   private static final String ADDRESSES = "/v1/addresses";
 
   private final Supplier<Optional<String>> notReadyBecause;
+  private final BooleanSupplier leaving;
   private final ProblemAnswers problems;
 
-  private ReadinessGate(Supplier<Optional<String>> notReadyBecause, ProblemAnswers problems) {
+  private ReadinessGate(
+      Supplier<Optional<String>> notReadyBecause,
+      BooleanSupplier leaving,
+      ProblemAnswers problems) {
     this.notReadyBecause = notReadyBecause;
+    this.leaving = leaving;
     this.problems = problems;
   }
 
-  /** Creates a gate that is open while the supplier names no reason. */
+  /**
+   * Creates a gate.
+   *
+   * @param notReadyBecause why no new work may be taken, or empty
+   * @param leaving whether the daemon is stopping or under notice
+   */
   public static ReadinessGate create(
-      Supplier<Optional<String>> notReadyBecause, ProblemAnswers problems) {
-    return new ReadinessGate(notReadyBecause, problems);
+      Supplier<Optional<String>> notReadyBecause,
+      BooleanSupplier leaving,
+      ProblemAnswers problems) {
+    return new ReadinessGate(notReadyBecause, leaving, problems);
   }
 
   /** Returns the route behind the gate. */
   public Route guard(Route inner) {
     return extractRequest(
         request -> {
-          Optional<String> reason = newWork(request) ? notReadyBecause.get() : Optional.empty();
-          if (reason.isEmpty()) {
-            return inner;
-          }
-          return complete(problems.answer(ServingException.of(ErrorKind.NOT_READY, reason.get())));
+          Optional<ServingException> refusal = refusal(request.getUri().path());
+          return refusal.isEmpty() ? inner : complete(problems.answer(refusal.get()));
         });
   }
 
-  private static boolean newWork(HttpRequest request) {
-    String path = request.getUri().path();
-    return path.startsWith(CHAT) || path.startsWith(SERVICES) || path.equals(ADDRESSES);
+  private Optional<ServingException> refusal(String path) {
+    boolean work = path.startsWith(CHAT) || path.startsWith(SERVICES);
+    if (work && leaving.getAsBoolean()) {
+      return Optional.of(
+          ServingException.of(
+              ErrorKind.DAEMON_LEAVING, "this daemon is leaving; ask for addresses again"));
+    }
+    if (!work && !path.equals(ADDRESSES)) {
+      return Optional.empty();
+    }
+    return notReadyBecause.get().map(reason -> ServingException.of(ErrorKind.NOT_READY, reason));
   }
 }
