Take out what the change left over

Cause: found on reading the whole change once more. RequestFailure still answered an error that BodyReader has replaced; HttpFrontend spelt the same refusal out four times; the watch for a notice held its own cancel handle beside the flag that already stops it; HeapUse kept its object alive by a print that never happened. Change: the dead branch is gone, refuse() serves all four, the flag alone guards the stop, and reachabilityFence says what is meant. No behaviour changes and no test is touched.

--- a/bench/src/main/java/org/heatherspread/bench/capacity/HeapUse.java
+++ b/bench/src/main/java/org/heatherspread/bench/capacity/HeapUse.java
@@ -1,5 +1,6 @@
 package org.heatherspread.bench.capacity;
 
+import java.lang.ref.Reference;
 import java.util.function.Supplier;
 
 /** Measures how much heap an object and all that only it reaches take. Stateless. */
@@ -14,9 +15,7 @@
     long before = used();
     Object held = builder.get();
     long after = used();
-    if (held.hashCode() == 0) {
-      System.out.print("");
-    }
+    Reference.reachabilityFence(held);
     return after - before;
   }
 
--- a/daemon/src/main/java/org/heatherspread/daemon/DaemonRuntime.java
+++ b/daemon/src/main/java/org/heatherspread/daemon/DaemonRuntime.java
@@ -12,7 +12,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
-import org.apache.pekko.actor.Cancellable;
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.apache.pekko.actor.typed.javadsl.Behaviors;
 import org.apache.pekko.http.javadsl.ServerBinding;
@@ -84,21 +83,17 @@
 
   /** Stops the daemon by itself once its instance is under notice. */
   private void watchNotice() {
-    Cancellable[] watch = new Cancellable[1];
-    watch[0] =
-        system
-            .scheduler()
-            .scheduleAtFixedRate(
-                NOTICE_INTERVAL,
-                NOTICE_INTERVAL,
-                () -> {
-                  if (assembly.noticeLeft().isPresent() && stopping.compareAndSet(false, true)) {
-                    logger.atInfo().log("the instance is under notice");
-                    watch[0].cancel();
-                    new Thread(DaemonRuntime::exit, "stop").start();
-                  }
-                },
-                system.executionContext());
+    system
+        .scheduler()
+        .scheduleAtFixedRate(
+            NOTICE_INTERVAL, NOTICE_INTERVAL, this::checkNotice, system.executionContext());
+  }
+
+  private void checkNotice() {
+    if (assembly.noticeLeft().isPresent() && stopping.compareAndSet(false, true)) {
+      logger.atInfo().log("the instance is under notice");
+      new Thread(DaemonRuntime::exit, "stop").start();
+    }
   }
 
   private static Config actorConfig(DaemonFile file) {
--- a/daemon/src/main/java/org/heatherspread/daemon/chat/RequestFailure.java
+++ b/daemon/src/main/java/org/heatherspread/daemon/chat/RequestFailure.java
@@ -3,9 +3,6 @@
 import java.util.Optional;
 import java.util.concurrent.CompletionException;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
-import org.apache.pekko.http.scaladsl.model.EntityStreamSizeException;
-import org.heatherspread.core.error.ErrorKind;
-import org.heatherspread.core.error.ServingException;
 import org.heatherspread.daemon.http.ProblemAnswers;
 
 /** The failure of a request that has an id, so that the answer can carry it. Immutable. */
@@ -29,10 +26,6 @@
     if (cause instanceof RequestFailure known) {
       return problems.answer(known.getCause(), Optional.of(known.requestId));
     }
-    if (cause instanceof EntityStreamSizeException) {
-      return problems.answer(
-          ServingException.of(ErrorKind.BODY_TOO_LARGE, "the body is over the limit"));
-    }
     return problems.answer(cause);
   }
 
--- a/daemon/src/main/java/org/heatherspread/daemon/http/HttpFrontend.java
+++ b/daemon/src/main/java/org/heatherspread/daemon/http/HttpFrontend.java
@@ -68,11 +68,7 @@
         ExceptionHandler.newBuilder()
             .match(
                 EntityStreamSizeException.class,
-                e ->
-                    complete(
-                        problems.answer(
-                            ServingException.of(
-                                ErrorKind.BODY_TOO_LARGE, "The body is over the limit"))))
+                e -> refuse(problems, ErrorKind.BODY_TOO_LARGE, "The body is over the limit"))
             .matchAny(e -> complete(problems.answer(e)))
             .build();
     RejectionHandler rejections =
@@ -80,27 +76,22 @@
             .handleAll(
                 MethodRejection.class,
                 all ->
-                    complete(
-                        problems.answer(
-                            ServingException.of(
-                                ErrorKind.METHOD_NOT_ALLOWED, "This path takes " + methods(all)))))
+                    refuse(
+                        problems, ErrorKind.METHOD_NOT_ALLOWED, "This path takes " + methods(all)))
             .handle(
                 Rejection.class,
                 rejection ->
-                    complete(
-                        problems.answer(
-                            ServingException.of(
-                                ErrorKind.MALFORMED_REQUEST, "Request not understood"))))
+                    refuse(problems, ErrorKind.MALFORMED_REQUEST, "Request not understood"))
             .handleNotFound(
-                extractRequest(
-                    request ->
-                        complete(
-                            problems.answer(
-                                ServingException.of(ErrorKind.NOT_FOUND, "No such path")))))
+                extractRequest(request -> refuse(problems, ErrorKind.NOT_FOUND, "No such path")))
             .build();
     return handleExceptions(exceptions, () -> handleRejections(rejections, () -> joined));
   }
 
+  private static Route refuse(ProblemAnswers problems, ErrorKind kind, String detail) {
+    return complete(problems.answer(ServingException.of(kind, detail)));
+  }
+
   /** Stops accepting and waits for the answers in progress. */
   public static CompletionStage<?> stop(ServerBinding binding, Duration bound) {
     return binding.terminate(bound);
