--- a/platform/src/main/java/org/heatherspread/platform/cloud/CloudApi.java
+++ b/backing/src/main/java/org/heatherspread/backing/cloud/CloudApi.java
@@ -1,4 +1,4 @@
-package org.heatherspread.platform.cloud;
+package org.heatherspread.backing.cloud;
 
 import java.util.List;
 import java.util.Optional;
--- a/platform/src/main/java/org/heatherspread/platform/cloud/HttpCloudApi.java
+++ b/backing/src/main/java/org/heatherspread/backing/cloud/HttpCloudApi.java
@@ -1,4 +1,4 @@
-package org.heatherspread.platform.cloud;
+package org.heatherspread.backing.cloud;
 
 import java.io.IOException;
 import java.net.URI;
@@ -10,10 +10,10 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import org.heatherspread.backing.http.InstanceJson;
+import org.heatherspread.backing.http.JsonClient;
 import org.heatherspread.core.model.FailureDomain;
 import org.heatherspread.core.model.Market;
-import org.heatherspread.platform.http.InstanceJson;
-import org.heatherspread.platform.http.JsonClient;
 
 /**
  * The cloud API over JSON and HTTP; see section 4 of docs/INTERFACES.md.
--- a/platform/src/main/java/org/heatherspread/platform/http/InstanceJson.java
+++ b/backing/src/main/java/org/heatherspread/backing/http/InstanceJson.java
@@ -1,4 +1,4 @@
-package org.heatherspread.platform.http;
+package org.heatherspread.backing.http;
 
 import java.util.Optional;
 import org.heatherspread.core.model.FailureDomain;
--- a/platform/src/main/java/org/heatherspread/platform/http/JsonClient.java
+++ b/backing/src/main/java/org/heatherspread/backing/http/JsonClient.java
@@ -1,4 +1,4 @@
-package org.heatherspread.platform.http;
+package org.heatherspread.backing.http;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
--- a/platform/src/main/java/org/heatherspread/platform/instances/HttpInstanceListClient.java
+++ b/backing/src/main/java/org/heatherspread/backing/instances/HttpInstanceListClient.java
@@ -1,4 +1,4 @@
-package org.heatherspread.platform.instances;
+package org.heatherspread.backing.instances;
 
 import java.io.IOException;
 import java.net.URI;
@@ -6,8 +6,8 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
-import org.heatherspread.platform.http.InstanceJson;
-import org.heatherspread.platform.http.JsonClient;
+import org.heatherspread.backing.http.InstanceJson;
+import org.heatherspread.backing.http.JsonClient;
 
 /**
  * The instance list over JSON and HTTP.
--- a/platform/src/main/java/org/heatherspread/platform/instances/InstanceListClient.java
+++ b/backing/src/main/java/org/heatherspread/backing/instances/InstanceListClient.java
@@ -1,4 +1,4 @@
-package org.heatherspread.platform.instances;
+package org.heatherspread.backing.instances;
 
 import java.util.concurrent.CompletableFuture;
 
--- a/platform/src/main/java/org/heatherspread/platform/table/DynamoTableStore.java
+++ b/backing/src/main/java/org/heatherspread/backing/table/DynamoTableStore.java
@@ -1,4 +1,4 @@
-package org.heatherspread.platform.table;
+package org.heatherspread.backing.table;
 
 import java.time.Duration;
 import java.util.List;
@@ -6,6 +6,8 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import org.heatherspread.backing.table.TableListener.Access;
+import org.heatherspread.backing.table.TableListener.Outcome;
 import org.heatherspread.core.error.ErrorKind;
 import org.heatherspread.core.error.ServingException;
 import org.heatherspread.core.store.Condition;
@@ -13,8 +15,6 @@
 import org.heatherspread.core.store.RowKey;
 import org.heatherspread.core.store.TableStore;
 import org.heatherspread.core.store.WriteResult;
-import org.heatherspread.platform.table.TableListener.Access;
-import org.heatherspread.platform.table.TableListener.Outcome;
 import software.amazon.awssdk.auth.credentials.AnonymousCredentialsProvider;
 import software.amazon.awssdk.auth.credentials.AwsBasicCredentials;
 import software.amazon.awssdk.auth.credentials.AwsCredentialsProvider;
--- a/platform/src/main/java/org/heatherspread/platform/table/StoreFailures.java
+++ b/backing/src/main/java/org/heatherspread/backing/table/StoreFailures.java
@@ -1,8 +1,8 @@
-package org.heatherspread.platform.table;
+package org.heatherspread.backing.table;
 
 import java.net.ConnectException;
 import java.util.concurrent.CompletionException;
-import org.heatherspread.platform.table.TableListener.Outcome;
+import org.heatherspread.backing.table.TableListener.Outcome;
 import software.amazon.awssdk.awscore.exception.AwsServiceException;
 import software.amazon.awssdk.services.dynamodb.model.ConditionalCheckFailedException;
 
--- a/platform/src/main/java/org/heatherspread/platform/table/TableSettings.java
+++ b/backing/src/main/java/org/heatherspread/backing/table/TableSettings.java
@@ -1,4 +1,4 @@
-package org.heatherspread.platform.table;
+package org.heatherspread.backing.table;
 
 import java.net.URI;
 import java.time.Duration;
--- /dev/null
+++ b/core/src/main/java/org/heatherspread/core/capacity/EndpointPlan.java
@@ -0,0 +1,101 @@
+package org.heatherspread.core.capacity;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.heatherspread.core.duty.DutyCalls.EndpointOrder;
+import org.heatherspread.core.serving.ScalingRule;
+
+/**
+ * Plans how many endpoints of one service each failure domain should have, and of which kind.
+ *
+ * <p>Answers reclaims that take all reclaimable endpoints of a domain at once while no others are
+ * to be had: work is spread evenly over the domains, reclaimable endpoints are used wherever they
+ * can be had, lasting ones fill the gap from the notice on and are given up only when reclaimable
+ * ones serve again. Stateless.
+ */
+public final class EndpointPlan {
+  private static final Comparator<Map.Entry<String, Double>> BY_PRICE =
+      Map.Entry.<String, Double>comparingByValue().thenComparing(Map.Entry.comparingByKey());
+
+  private final double targetUse;
+
+  private EndpointPlan(double targetUse) {
+    this.targetUse = targetUse;
+  }
+
+  /**
+   * Creates a plan.
+   *
+   * @param targetUse part of an endpoint's time that should be busy
+   */
+  public static EndpointPlan create(double targetUse) {
+    return new EndpointPlan(targetUse);
+  }
+
+  /**
+   * The endpoints of a domain as seen.
+   *
+   * @param lasting lasting endpoints that take work
+   * @param reclaimable reclaimable endpoints that take work
+   * @param reclaimableToBeHad whether more reclaimable ones can be had, as far as known
+   */
+  public record DomainState(int lasting, int reclaimable, boolean reclaimableToBeHad) {}
+
+  /** Returns the wanted number of endpoints for each domain. */
+  public Map<String, Integer> wanted(ScalingRule rule, double busyEndpoints) {
+    List<Map.Entry<String, Double>> domains = new ArrayList<>(rule.domainPrices().entrySet());
+    domains.sort(BY_PRICE);
+    Map<String, Integer> wanted = new HashMap<>();
+    int total = 0;
+    for (Map.Entry<String, Double> domain : domains) {
+      wanted.put(domain.getKey(), rule.minimum());
+      total += rule.minimum();
+    }
+    int needed = (int) Math.ceil(busyEndpoints / targetUse);
+    while (total < needed) {
+      String next = emptiest(domains, wanted, rule.maximum());
+      if (next == null) {
+        break;
+      }
+      wanted.merge(next, 1, Integer::sum);
+      total++;
+    }
+    return wanted;
+  }
+
+  private static String emptiest(
+      List<Map.Entry<String, Double>> byPrice, Map<String, Integer> wanted, int maximum) {
+    String emptiest = null;
+    for (Map.Entry<String, Double> domain : byPrice) {
+      int count = wanted.get(domain.getKey());
+      boolean room = count < maximum;
+      if (room && (emptiest == null || count < wanted.get(emptiest))) {
+        emptiest = domain.getKey();
+      }
+    }
+    return emptiest;
+  }
+
+  /** Returns the orders that should stand. */
+  public List<EndpointOrder> orders(
+      String service, Map<String, Integer> wanted, Map<String, DomainState> states) {
+    List<EndpointOrder> orders = new ArrayList<>();
+    for (Map.Entry<String, Integer> entry : wanted.entrySet()) {
+      String domain = entry.getKey();
+      int count = entry.getValue();
+      DomainState state = states.getOrDefault(domain, new DomainState(0, 0, true));
+      int missing = Math.max(0, count - state.reclaimable());
+      if (state.reclaimableToBeHad()) {
+        orders.add(new EndpointOrder(service, domain, true, count));
+        orders.add(new EndpointOrder(service, domain, false, Math.min(state.lasting(), missing)));
+      } else {
+        orders.add(new EndpointOrder(service, domain, true, state.reclaimable()));
+        orders.add(new EndpointOrder(service, domain, false, missing));
+      }
+    }
+    return orders;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/heatherspread/core/fleet/DaemonReport.java
@@ -0,0 +1,35 @@
+package org.heatherspread.core.fleet;
+
+import java.util.Map;
+
+/**
+ * What a daemon tells all others about itself, in full each time.
+ *
+ * @param daemon name, the same over restarts
+ * @param life random number of the process
+ * @param address where callers connect
+ * @param domain its failure domain
+ * @param state whether it takes callers
+ * @param sequence grows with each report
+ * @param atStoreMillis the store's clock when the report was made
+ * @param wallLessStoreMillis its time of day less the store's clock
+ * @param usage requests that began to run, by window and client account
+ * @param accounts its part in the limits of client accounts
+ * @param loads the load that it puts on endpoints, by endpoint id
+ * @param crashes endpoints lost while they ran a request, by the request's fingerprint
+ * @param work work of each model service since the start, in milliseconds of one endpoint
+ */
+public record DaemonReport(
+    String daemon,
+    String life,
+    String address,
+    String domain,
+    DaemonState state,
+    long sequence,
+    long atStoreMillis,
+    long wallLessStoreMillis,
+    Map<Long, Map<String, Integer>> usage,
+    Map<String, AccountShare> accounts,
+    Map<String, EndpointLoad> loads,
+    Map<String, Integer> crashes,
+    Map<String, Double> work) {}
--- /dev/null
+++ b/core/src/main/java/org/heatherspread/core/fleet/EndpointLoad.java
@@ -0,0 +1,17 @@
+package org.heatherspread.core.fleet;
+
+/**
+ * The load that one daemon puts on one endpoint.
+ *
+ * @param running requests sent and not ended
+ * @param promptTokens tokens of these that are yet to be prefilled
+ */
+public record EndpointLoad(int running, long promptTokens) {
+  /** No load. */
+  public static final EndpointLoad NONE = new EndpointLoad(0, 0);
+
+  /** Returns the sum of two loads. */
+  public EndpointLoad plus(EndpointLoad other) {
+    return new EndpointLoad(running + other.running, promptTokens + other.promptTokens);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/heatherspread/core/fleet/FleetView.java
@@ -0,0 +1,100 @@
+package org.heatherspread.core.fleet;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The daemons as last read from the store.
+ *
+ * <p>Answers kills, freezes and store outages: a daemon counts as live while its report was new at
+ * a recent read, so that an outage, in which nobody reads, changes nothing. Reports of daemons that
+ * are gone are kept for their usage counts until their rows are dropped. Confined to one thread.
+ */
+public final class FleetView {
+  private final long liveMillis;
+  private final Map<String, Seen> rows = new HashMap<>();
+  private long readMillis;
+
+  private FleetView(long liveMillis) {
+    this.liveMillis = liveMillis;
+  }
+
+  /**
+   * Creates an empty view.
+   *
+   * @param liveMillis how long a daemon counts as live after its latest report
+   */
+  public static FleetView create(long liveMillis) {
+    return new FleetView(liveMillis);
+  }
+
+  /** Notes that the store was read, whether or not anything had changed. */
+  public void read(long nowMillis) {
+    readMillis = nowMillis;
+  }
+
+  /** Takes in a report that changed. */
+  public void put(String row, DaemonReport report, long nowMillis) {
+    rows.put(row, new Seen(report, nowMillis));
+  }
+
+  /** Drops a report. */
+  public void remove(String row) {
+    rows.remove(row);
+  }
+
+  /** Drops all reports, before the whole table is read again; times of arrival are kept. */
+  public void retain(Collection<String> present) {
+    rows.keySet().retainAll(present);
+  }
+
+  /** Tells whether this report of the row, or a later one, was taken in already. */
+  public boolean knows(String row, long sequence) {
+    Seen seen = rows.get(row);
+    return seen != null && seen.report.sequence() >= sequence;
+  }
+
+  /** Returns all reports, of daemons that are gone too. */
+  public List<DaemonReport> all() {
+    List<DaemonReport> all = new ArrayList<>();
+    for (Seen seen : rows.values()) {
+      all.add(seen.report);
+    }
+    return all;
+  }
+
+  /** Returns the latest report of each live daemon. */
+  public List<DaemonReport> live() {
+    Map<String, Seen> newest = new HashMap<>();
+    for (Seen seen : rows.values()) {
+      if (readMillis - seen.changedMillis > liveMillis) {
+        continue;
+      }
+      Seen other = newest.get(seen.report.daemon());
+      if (other == null || seen.changedMillis >= other.changedMillis) {
+        newest.put(seen.report.daemon(), seen);
+      }
+    }
+    List<DaemonReport> live = new ArrayList<>();
+    for (Seen seen : newest.values()) {
+      live.add(seen.report);
+    }
+    return live;
+  }
+
+  /** Returns the rows whose reports have not changed for a time. */
+  public List<String> unchangedFor(long millis) {
+    List<String> old = new ArrayList<>();
+    for (Map.Entry<String, Seen> entry : rows.entrySet()) {
+      if (readMillis - entry.getValue().changedMillis > millis) {
+        old.add(entry.getKey());
+      }
+    }
+    return old;
+  }
+
+  private record Seen(DaemonReport report, long changedMillis) {}
+}
--- /dev/null
+++ b/core/src/main/java/org/heatherspread/core/placement/EngineChooser.java
@@ -0,0 +1,143 @@
+package org.heatherspread.core.placement;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+
+/**
+ * Places a model request where its first token is expected soonest, counting what it costs the
+ * requests that run there already.
+ *
+ * <p>Answers the load of many daemons that send prompts with shared parts: each shared part has a
+ * home that all daemons agree on without talking, so that it is prefilled on few endpoints, and a
+ * hot part spills over to other endpoints as soon as its home is busier than a prefill costs.
+ * Stateless.
+ */
+public final class EngineChooser implements EndpointChooser {
+  private static final double JITTER = 0.1;
+  private static final double UNIT = 0x1p-53;
+
+  /** What a wait at a full batch costs more than the same time of prefill. */
+  private static final double FULL_BATCH_MILLIS = 150;
+
+  /** How much of a prefill each running request is held up by. */
+  private static final double SLOWDOWN_WEIGHT = 0.05;
+
+  /** Share of a part's prefill that is saved by sending it to its home, if nobody holds it yet. */
+  private static final double HOME_WEIGHT = 0.6;
+
+  private final EnginePace pace;
+
+  private EngineChooser(EnginePace pace) {
+    this.pace = pace;
+  }
+
+  /** Creates a chooser for engines of this pace. */
+  public static EngineChooser create(EnginePace pace) {
+    return new EngineChooser(pace);
+  }
+
+  @Override
+  public Optional<Choice> choose(
+      List<TrackedEndpoint> endpoints,
+      Workload work,
+      Set<String> excluded,
+      long nowMillis,
+      RandomGenerator random) {
+    Optional<Choice> healthy = cheapest(endpoints, work, excluded, nowMillis, random, false);
+    return healthy.isPresent()
+        ? healthy
+        : cheapest(endpoints, work, excluded, nowMillis, random, true);
+  }
+
+  private Optional<Choice> cheapest(
+      List<TrackedEndpoint> endpoints,
+      Workload work,
+      Set<String> excluded,
+      long nowMillis,
+      RandomGenerator random,
+      boolean anyHealth) {
+    String home = home(endpoints, work, nowMillis);
+    TrackedEndpoint best = null;
+    double bestCost = Double.MAX_VALUE;
+    for (TrackedEndpoint endpoint : endpoints) {
+      if (!endpoint.usable(nowMillis) || excluded.contains(endpoint.id())) {
+        continue;
+      }
+      if (!anyHealth && !endpoint.health().admits(nowMillis)) {
+        continue;
+      }
+      double cost = cost(endpoint, work, endpoint.id().equals(home), random);
+      if (cost < bestCost) {
+        bestCost = cost;
+        best = endpoint;
+      }
+    }
+    if (best == null) {
+      return Optional.empty();
+    }
+    return Optional.of(new Choice(best, expectedMillis(best, work)));
+  }
+
+  /** Returns the expected time to the first token at an endpoint. */
+  public double expectedMillis(TrackedEndpoint endpoint, Workload work) {
+    long uncached = Math.max(0, work.promptTokens() - endpoint.cachedTokens(work));
+    double prefill = pace.prefillMillis(endpoint.load().promptTokens() + uncached);
+    double step = pace.stepMillis(endpoint.load().running() + 1);
+    return (pace.firstMillis() + prefill + step) * Math.max(1, endpoint.slowness());
+  }
+
+  private double cost(
+      TrackedEndpoint endpoint, Workload work, boolean atHome, RandomGenerator random) {
+    int cached = endpoint.cachedTokens(work);
+    double uncached = Math.max(0, work.promptTokens() - cached);
+    if (atHome && cached == 0) {
+      uncached -= HOME_WEIGHT * sharedTokens(work);
+    }
+    int running = endpoint.load().running();
+    double wait = pace.prefillMillis(endpoint.load().promptTokens());
+    double prefill = Math.max(0, uncached) / pace.promptTokensPerMilli();
+    double slowdown = SLOWDOWN_WEIGHT * running * prefill;
+    double decode = pace.stepMillisPerRequest() * running * Math.max(1, work.answerTokens()) / 4;
+    double cost = pace.firstMillis() + wait + prefill + slowdown + decode;
+    if (running >= endpoint.registration().slots()) {
+      cost += FULL_BATCH_MILLIS * (1 + running - endpoint.registration().slots());
+    }
+    return cost * endpoint.slowness() * (1 + JITTER * random.nextDouble());
+  }
+
+  private static int sharedTokens(Workload work) {
+    int shared = 0;
+    for (int i = 0; i < work.parts().size() - 1; i++) {
+      shared += work.parts().get(i).tokens();
+    }
+    return shared;
+  }
+
+  private static String home(List<TrackedEndpoint> endpoints, Workload work, long nowMillis) {
+    long key = work.homeKey();
+    if (key == 0) {
+      return null;
+    }
+    String home = null;
+    double highest = -1;
+    for (TrackedEndpoint endpoint : endpoints) {
+      if (!endpoint.usable(nowMillis)) {
+        continue;
+      }
+      double score = (mix(key ^ endpoint.id().hashCode() * 0x9E3779B97F4A7C15L) >>> 11) * UNIT;
+      if (score > highest) {
+        highest = score;
+        home = endpoint.id();
+      }
+    }
+    return home;
+  }
+
+  private static long mix(long value) {
+    long mixed = (value ^ (value >>> 30)) * 0xBF58476D1CE4E5B9L;
+    mixed = (mixed ^ (mixed >>> 27)) * 0x94D049BB133111EBL;
+    return mixed ^ (mixed >>> 31);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/heatherspread/core/placement/TrackedEndpoint.java
@@ -0,0 +1,159 @@
+package org.heatherspread.core.placement;
+
+import org.heatherspread.core.fleet.EndpointLoad;
+import org.heatherspread.core.routing.EndpointHealth;
+import org.heatherspread.core.routing.HealthPolicy;
+import org.heatherspread.core.serving.RegisteredEndpoint;
+
+/**
+ * What one daemon knows of one life of an endpoint: its registration, the daemon's own requests
+ * there, the load that other daemons reported, what it holds and how it works. Confined to one
+ * thread.
+ */
+public final class TrackedEndpoint {
+  private static final double SLOWNESS_SMOOTHING = 0.15;
+  private static final double SLOWNESS_MAX = 20;
+
+  private final EndpointHealth health;
+  private final HeldParts held;
+  private RegisteredEndpoint registration;
+  private int running;
+  private long pendingTokens;
+  private EndpointLoad others = EndpointLoad.NONE;
+  private double slowness = 1;
+  private long unusableAtMillis = Long.MAX_VALUE;
+
+  private TrackedEndpoint(RegisteredEndpoint registration, EndpointHealth health, HeldParts held) {
+    this.registration = registration;
+    this.health = health;
+    this.held = held;
+  }
+
+  static TrackedEndpoint create(
+      RegisteredEndpoint registration, HealthPolicy policy, long cacheTokens) {
+    return new TrackedEndpoint(
+        registration, EndpointHealth.create(policy), HeldParts.create(cacheTokens));
+  }
+
+  /** Returns the newest registration of this life. */
+  public RegisteredEndpoint registration() {
+    return registration;
+  }
+
+  /** Returns the endpoint's identity. */
+  public String id() {
+    return registration.id();
+  }
+
+  /** Returns whether requests succeed there. */
+  public EndpointHealth health() {
+    return health;
+  }
+
+  /** Returns this daemon's requests there. */
+  public int running() {
+    return running;
+  }
+
+  /** Returns the load that this daemon puts on the endpoint, for its report. */
+  public EndpointLoad ownLoad() {
+    return new EndpointLoad(running, pendingTokens);
+  }
+
+  /** Returns the load of all daemons together. */
+  public EndpointLoad load() {
+    return others.plus(ownLoad());
+  }
+
+  /** Returns how many times longer answers take than expected. */
+  public double slowness() {
+    return slowness;
+  }
+
+  /** Tells whether new work may be sent. */
+  public boolean usable(long nowMillis) {
+    return !registration.leaving() && nowMillis < unusableAtMillis;
+  }
+
+  void update(RegisteredEndpoint next) {
+    registration = next;
+    unusableAtMillis = Long.MAX_VALUE;
+  }
+
+  void missing(long unusableAtMillis) {
+    this.unusableAtMillis = Math.min(this.unusableAtMillis, unusableAtMillis);
+  }
+
+  boolean missing() {
+    return unusableAtMillis != Long.MAX_VALUE;
+  }
+
+  /** Replaces the load that other daemons reported. */
+  public void others(EndpointLoad load) {
+    others = load;
+  }
+
+  /** Returns the tokens of a prompt that the endpoint is believed to keep. */
+  public int cachedTokens(Workload work) {
+    return held.cachedTokens(work.parts());
+  }
+
+  /** Notes a request sent there, to be ended exactly once. */
+  public Run start(Workload work) {
+    health.dispatched();
+    running++;
+    int uncached = Math.max(0, work.promptTokens() - cachedTokens(work));
+    pendingTokens += uncached;
+    held.use(work.parts());
+    return new Run(uncached);
+  }
+
+  /** A request at the endpoint. */
+  public final class Run {
+    private final int uncached;
+    private boolean prefilled;
+    private boolean ended;
+
+    private Run(int uncached) {
+      this.uncached = uncached;
+    }
+
+    /** Returns the prompt tokens that the endpoint had to prefill. */
+    public int uncachedTokens() {
+      return uncached;
+    }
+
+    /** Notes the first event or the answer, and how it compares with the expected time. */
+    public void answered(double observedOverExpected, long nowMillis) {
+      if (prefilled || ended) {
+        return;
+      }
+      prefilled = true;
+      pendingTokens -= uncached;
+      double ratio = Math.min(SLOWNESS_MAX, observedOverExpected);
+      slowness += SLOWNESS_SMOOTHING * (ratio - slowness);
+      health.succeeded(observedOverExpected, nowMillis);
+    }
+
+    /** Notes that the request failed by the endpoint's fault. */
+    public void failed(long nowMillis) {
+      if (!ended) {
+        health.failed(nowMillis);
+      }
+      end();
+    }
+
+    /** Notes that the request ended, by whatever cause. */
+    public void end() {
+      if (ended) {
+        return;
+      }
+      ended = true;
+      running--;
+      if (!prefilled) {
+        pendingTokens -= uncached;
+        health.released();
+      }
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/heatherspread/core/serving/AccountRule.java
@@ -0,0 +1,26 @@
+package org.heatherspread.core.serving;
+
+import java.util.Set;
+
+/**
+ * A client account: its keys and its limit over all daemons.
+ *
+ * @param priority rank that goes before the route's, -1 if not stated
+ * @param countsTokens whether the limit counts tokens instead of requests
+ * @param unstatedTokens tokens that a request counts which states none
+ * @param ratePerSecond limit in tokens or requests a second, 0 for none
+ * @param burst most that may be saved up
+ */
+public record AccountRule(
+    String name,
+    Set<String> keys,
+    int priority,
+    boolean countsTokens,
+    int unstatedTokens,
+    double ratePerSecond,
+    double burst) {
+  /** Copies the keys. */
+  public AccountRule {
+    keys = Set.copyOf(keys);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/heatherspread/core/serving/package-info.java
@@ -0,0 +1,5 @@
+/**
+ * What operators confirmed and endpoints registered, in the terms that the relay decides by. All
+ * types are immutable.
+ */
+package org.heatherspread.core.serving;
--- /dev/null
+++ b/core/src/main/java/org/heatherspread/core/stream/EventSplitter.java
@@ -0,0 +1,105 @@
+package org.heatherspread.core.stream;
+
+import java.util.Arrays;
+import java.util.function.BiConsumer;
+
+/**
+ * Cuts the bytes of an event stream at the ends of events, so that a stream that breaks in the
+ * middle of an event can go on at another endpoint. Not safe for use by several threads.
+ */
+public final class EventSplitter {
+  private static final byte[] ID_FIELD = {'i', 'd', ':'};
+  private static final int INITIAL_BYTES = 256;
+
+  private final int maxEventBytes;
+  private byte[] buffer = new byte[INITIAL_BYTES];
+  private int size;
+  private int scanned;
+
+  private EventSplitter(int maxEventBytes) {
+    this.maxEventBytes = maxEventBytes;
+  }
+
+  /** Creates a splitter that holds at most so many bytes of an unfinished event. */
+  public static EventSplitter create(int maxEventBytes) {
+    return new EventSplitter(maxEventBytes);
+  }
+
+  /**
+   * Takes in bytes and passes on each whole event with its id, -1 where it has none.
+   *
+   * @return false if an event is larger than the bound
+   */
+  public boolean add(byte[] bytes, BiConsumer<byte[], Long> events) {
+    if (size + bytes.length > buffer.length) {
+      buffer = Arrays.copyOf(buffer, Math.max(2 * buffer.length, size + bytes.length));
+    }
+    System.arraycopy(bytes, 0, buffer, size, bytes.length);
+    size += bytes.length;
+    int start = 0;
+    int i = Math.max(scanned, 1);
+    for (; i < size; i++) {
+      if (endsEvent(i, start)) {
+        byte[] event = Arrays.copyOfRange(buffer, start, i + 1);
+        start = i + 1;
+        events.accept(event, id(event));
+      }
+    }
+    if (start > 0) {
+      System.arraycopy(buffer, start, buffer, 0, size - start);
+      size -= start;
+    }
+    scanned = size;
+    return size <= maxEventBytes;
+  }
+
+  /** Tells whether an event has begun and not ended. */
+  public boolean midway() {
+    return size > 0;
+  }
+
+  private boolean endsEvent(int at, int start) {
+    if (buffer[at] != '\n' || at - 1 < start) {
+      return false;
+    }
+    if (buffer[at - 1] == '\n') {
+      return true;
+    }
+    return at - 2 >= start && buffer[at - 1] == '\r' && buffer[at - 2] == '\n';
+  }
+
+  private static long id(byte[] event) {
+    int line = 0;
+    while (line < event.length) {
+      int end = line;
+      while (end < event.length && event[end] != '\n') {
+        end++;
+      }
+      if (startsWithId(event, line, end)) {
+        return number(event, line + ID_FIELD.length, end);
+      }
+      line = end + 1;
+    }
+    return -1;
+  }
+
+  private static boolean startsWithId(byte[] event, int from, int to) {
+    if (to - from < ID_FIELD.length) {
+      return false;
+    }
+    return Arrays.equals(event, from, from + ID_FIELD.length, ID_FIELD, 0, ID_FIELD.length);
+  }
+
+  private static long number(byte[] event, int from, int to) {
+    long value = -1;
+    for (int i = from; i < to; i++) {
+      int digit = event[i] - '0';
+      if (digit >= 0 && digit <= 9) {
+        value = Math.max(value, 0) * 10 + digit;
+      } else if (event[i] != ' ' && event[i] != '\r') {
+        return -1;
+      }
+    }
+    return value;
+  }
+}
--- a/daemon/src/main/java/org/heatherspread/daemon/platform/PlatformClients.java
+++ b/daemon/src/main/java/org/heatherspread/daemon/platform/PlatformClients.java
@@ -5,17 +5,17 @@
 import java.time.Duration;
 import java.util.Locale;
 import java.util.concurrent.CompletableFuture;
+import org.heatherspread.backing.cloud.CloudApi;
+import org.heatherspread.backing.cloud.HttpCloudApi;
+import org.heatherspread.backing.instances.HttpInstanceListClient;
+import org.heatherspread.backing.instances.InstanceListClient;
+import org.heatherspread.backing.table.DynamoTableStore;
+import org.heatherspread.backing.table.TableListener.Access;
+import org.heatherspread.backing.table.TableListener.Outcome;
+import org.heatherspread.backing.table.TableSettings;
 import org.heatherspread.core.store.TableStore;
 import org.heatherspread.daemon.membership.PlatformView;
 import org.heatherspread.daemon.settings.PlatformSettings;
-import org.heatherspread.platform.cloud.CloudApi;
-import org.heatherspread.platform.cloud.HttpCloudApi;
-import org.heatherspread.platform.instances.HttpInstanceListClient;
-import org.heatherspread.platform.instances.InstanceListClient;
-import org.heatherspread.platform.table.DynamoTableStore;
-import org.heatherspread.platform.table.TableListener.Access;
-import org.heatherspread.platform.table.TableListener.Outcome;
-import org.heatherspread.platform.table.TableSettings;
 
 /**
  * The clients of the platform's services that one daemon uses, with a counter for each kind of
--- /dev/null
+++ b/node/src/main/java/org/heatherspread/node/NodeMain.java
@@ -0,0 +1,71 @@
+package org.heatherspread.node;
+
+import java.nio.file.Path;
+import joptsimple.OptionException;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import joptsimple.OptionSpec;
+import org.heatherspread.node.settings.NodeSettings;
+import org.heatherspread.settings.SettingsException;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Starts one daemon from its settings file. */
+public final class NodeMain {
+  private static final Logger log = LoggerFactory.getLogger(NodeMain.class);
+  private static final String FILE_VARIABLE = "HEATHERSPREAD_NODE_FILE";
+  private static final int USAGE = 2;
+
+  private NodeMain() {}
+
+  /** Runs the daemon until it is stopped. */
+  public static void main(String[] arguments) throws Exception {
+    OptionParser parser = new OptionParser();
+    OptionSpec<String> file =
+        parser
+            .accepts("config", "settings file; default: the file that " + FILE_VARIABLE + " names")
+            .withRequiredArg();
+    OptionSpec<Void> check = parser.accepts("check", "check the settings and end");
+    OptionSpec<Void> help = parser.accepts("help", "show this").forHelp();
+    OptionSet options;
+    try {
+      options = parser.parse(arguments);
+    } catch (OptionException e) {
+      System.err.println(e.getMessage());
+      parser.printHelpOn(System.err);
+      System.exit(USAGE);
+      return;
+    }
+    if (options.has(help)) {
+      parser.printHelpOn(System.out);
+      return;
+    }
+    String path = options.has(file) ? options.valueOf(file) : System.getenv(FILE_VARIABLE);
+    if (path == null) {
+      System.err.println("no settings file: give --config or set " + FILE_VARIABLE);
+      System.exit(USAGE);
+      return;
+    }
+    run(Path.of(path), options.has(check));
+  }
+
+  private static void run(Path path, boolean checkOnly) throws InterruptedException {
+    NodeSettings settings;
+    try {
+      settings = NodeSettings.load(path);
+    } catch (SettingsException e) {
+      System.err.println(e.getMessage());
+      System.exit(USAGE);
+      return;
+    }
+    if (checkOnly) {
+      System.out.println(path + " is valid");
+      return;
+    }
+    Node node = Node.create(settings);
+    Runtime.getRuntime().addShutdownHook(new Thread(node::stop, "stop"));
+    node.start();
+    SettingsWatch.create(path, settings).start();
+    log.atInfo().addKeyValue("name", settings.name()).log("daemon started");
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/heatherspread/node/SettingsWatch.java
@@ -0,0 +1,46 @@
+package org.heatherspread.node;
+
+import java.nio.file.Path;
+import org.heatherspread.node.settings.NodeSettings;
+import org.heatherspread.settings.SettingsException;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import sun.misc.Signal;
+
+/**
+ * Reads the settings file again on SIGHUP. A file with faults changes nothing, and its faults are
+ * logged; a valid one that differs takes effect at the next start, as addresses and bounds are
+ * fixed for a process. Safe for use by any thread.
+ */
+final class SettingsWatch {
+  private static final Logger log = LoggerFactory.getLogger(SettingsWatch.class);
+
+  private final Path path;
+  private NodeSettings current;
+
+  private SettingsWatch(Path path, NodeSettings current) {
+    this.path = path;
+    this.current = current;
+  }
+
+  static SettingsWatch create(Path path, NodeSettings current) {
+    return new SettingsWatch(path, current);
+  }
+
+  void start() {
+    Signal.handle(new Signal("HUP"), signal -> reload());
+  }
+
+  synchronized void reload() {
+    try {
+      NodeSettings next = NodeSettings.load(path);
+      boolean changed = !next.equals(current);
+      current = next;
+      log.atInfo().addKeyValue("changed", changed).log("settings reloaded");
+    } catch (SettingsException e) {
+      log.atError()
+          .addKeyValue("faults", e.getMessage())
+          .log("settings kept; the new file has faults");
+    }
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/heatherspread/node/control/CapacityDuty.java
@@ -0,0 +1,177 @@
+package org.heatherspread.node.control;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.heatherspread.core.capacity.DemandMeter;
+import org.heatherspread.core.capacity.EndpointPlan;
+import org.heatherspread.core.capacity.EndpointPlan.DomainState;
+import org.heatherspread.core.duty.DutyCalls;
+import org.heatherspread.core.duty.DutyCalls.EndpointOrder;
+import org.heatherspread.core.fleet.DaemonReport;
+import org.heatherspread.core.fleet.FleetView;
+import org.heatherspread.core.placement.TrackedEndpoint;
+import org.heatherspread.core.serving.RegisteredEndpoint;
+import org.heatherspread.core.serving.ScalingRule;
+import org.heatherspread.core.serving.ServiceRule;
+import org.heatherspread.relay.call.RelayState;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Orders endpoints by the plan, a call only where an order changes. Confined to the event loop. */
+final class CapacityDuty implements DutyKeeper.Duty {
+  private static final Logger log = LoggerFactory.getLogger(CapacityDuty.class);
+
+  /** Part of an endpoint's time that should be busy, low enough for first tokens on time. */
+  private static final double TARGET_USE = 0.5;
+
+  /** How long a domain without reclaimable endpoints is not asked again. */
+  private static final long DRY_MILLIS = 3_000;
+
+  private static final long PLAN_INTERVAL_MILLIS = 400;
+
+  /** Time beyond the boot time after which an order that shows no effect is given again. */
+  private static final long EFFECT_MARGIN_MILLIS = 4_000;
+
+  private final RelayState state;
+  private final FleetView fleet;
+  private final DutyCalls calls;
+  private final String self;
+  private final EndpointPlan plan = EndpointPlan.create(TARGET_USE);
+  private final Map<String, DemandMeter> meters = new HashMap<>();
+  private final Map<Subject, Standing> standing = new HashMap<>();
+  private final Map<Subject, Long> dryUntil = new HashMap<>();
+  private long nextPlanMillis;
+
+  CapacityDuty(RelayState state, FleetView fleet, DutyCalls calls, String self) {
+    this.state = state;
+    this.fleet = fleet;
+    this.calls = calls;
+    this.self = self;
+  }
+
+  @Override
+  public void perform(long fencing) {
+    long now = state.clock().millis();
+    if (now < nextPlanMillis || state.config().isEmpty()) {
+      return;
+    }
+    nextPlanMillis = now + PLAN_INTERVAL_MILLIS;
+    for (ServiceRule service : state.config().get().services()) {
+      Optional<ScalingRule> rule = service.scaling();
+      if (rule.isPresent()) {
+        plan(service.name(), rule.get(), fencing, now);
+      }
+    }
+  }
+
+  @Override
+  public void dropped() {
+    standing.clear();
+  }
+
+  private void plan(String service, ScalingRule rule, long fencing, long now) {
+    DemandMeter meter = meters.computeIfAbsent(service, name -> DemandMeter.create());
+    meter.sample(totals(service));
+    Map<String, DomainState> states = states(service, rule, now);
+    Map<String, Integer> wanted = plan.wanted(rule, meter.busyEndpoints());
+    List<EndpointOrder> orders = plan.orders(service, wanted, states);
+    for (EndpointOrder order : orders) {
+      give(order, seen(order, states), rule, fencing, now, meter.busyEndpoints());
+    }
+  }
+
+  private Map<String, DemandMeter.Total> totals(String service) {
+    Map<String, DemandMeter.Total> totals = new HashMap<>();
+    for (DaemonReport report : fleet.live()) {
+      double work = report.work().getOrDefault(service, 0.0);
+      totals.put(
+          report.daemon() + '/' + report.life(),
+          new DemandMeter.Total(work, report.atStoreMillis()));
+    }
+    return totals;
+  }
+
+  private Map<String, DomainState> states(String service, ScalingRule rule, long now) {
+    Map<String, int[]> counts = new HashMap<>();
+    rule.domainPrices().keySet().forEach(domain -> counts.put(domain, new int[2]));
+    for (TrackedEndpoint endpoint : state.endpoints().of(service)) {
+      RegisteredEndpoint registration = endpoint.registration();
+      Subject subject = new Subject(service, registration.domain(), registration.reclaimable());
+      if (registration.leaving() && registration.reclaimable()) {
+        // A notice concerns all reclaimable endpoints of the domain, and no new ones are to be had.
+        dryUntil.merge(subject, now + DRY_MILLIS, Math::max);
+        standing.remove(subject);
+      }
+      int[] kinds = counts.get(registration.domain());
+      if (kinds != null && endpoint.usable(now)) {
+        kinds[registration.reclaimable() ? 1 : 0]++;
+      }
+    }
+    Map<String, DomainState> states = new HashMap<>();
+    counts.forEach(
+        (domain, kinds) -> {
+          long dry = dryUntil.getOrDefault(new Subject(service, domain, true), 0L);
+          boolean sold = rule.reclaimablePrice() < 1;
+          states.put(domain, new DomainState(kinds[0], kinds[1], sold && now >= dry));
+        });
+    return states;
+  }
+
+  private static int seen(EndpointOrder order, Map<String, DomainState> states) {
+    DomainState domain = states.get(order.domain());
+    return order.reclaimable() ? domain.reclaimable() : domain.lasting();
+  }
+
+  private void give(
+      EndpointOrder order, int seen, ScalingRule rule, long fencing, long now, double busy) {
+    Subject subject = new Subject(order.service(), order.domain(), order.reclaimable());
+    Standing last = standing.get(subject);
+    if (last != null && last.count == order.count()) {
+      boolean late = now - last.atMillis > rule.bootMillis() + EFFECT_MARGIN_MILLIS;
+      if (seen == order.count() || !late) {
+        return;
+      }
+    }
+    if (last == null && seen == order.count()) {
+      return;
+    }
+    standing.put(subject, new Standing(order.count(), now));
+    log.atInfo()
+        .addKeyValue("service", order.service())
+        .addKeyValue("domain", order.domain())
+        .addKeyValue("reclaimable", order.reclaimable())
+        .addKeyValue("count", order.count())
+        .addKeyValue("seen", seen)
+        .addKeyValue("busy", busy)
+        .addKeyValue("fencing", fencing)
+        .log("endpoints ordered");
+    calls
+        .order(self, fencing, order)
+        .whenComplete((outcome, failure) -> ordered(subject, order, outcome, failure));
+  }
+
+  private void ordered(
+      Subject subject, EndpointOrder order, DutyCalls.Outcome outcome, Throwable failure) {
+    if (failure == null && outcome == DutyCalls.Outcome.DONE) {
+      return;
+    }
+    log.atInfo()
+        .addKeyValue("service", order.service())
+        .addKeyValue("domain", order.domain())
+        .addKeyValue("reclaimable", order.reclaimable())
+        .addKeyValue("count", order.count())
+        .addKeyValue("outcome", String.valueOf(outcome))
+        .addKeyValue("reason", failure == null ? "" : String.valueOf(failure.getMessage()))
+        .log("order not carried out");
+    standing.remove(subject);
+    if (outcome == DutyCalls.Outcome.NONE_AVAILABLE && order.reclaimable()) {
+      dryUntil.put(subject, state.clock().millis() + DRY_MILLIS);
+    }
+  }
+
+  private record Subject(String service, String domain, boolean reclaimable) {}
+
+  private record Standing(int count, long atMillis) {}
+}
--- /dev/null
+++ b/node/src/main/java/org/heatherspread/node/control/ConfigurationListener.java
@@ -0,0 +1,63 @@
+package org.heatherspread.node.control;
+
+import java.util.function.Function;
+import org.heatherspread.core.serving.ServingConfig;
+import org.heatherspread.core.store.SharedReading;
+import org.heatherspread.core.store.SharedRow;
+import org.heatherspread.relay.call.RelayState;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Brings the operators' configuration into force; versions only rise. Confined to the event loop.
+ */
+final class ConfigurationListener implements TableListener {
+  private static final Logger log = LoggerFactory.getLogger(ConfigurationListener.class);
+
+  private final RelayState state;
+  private final String key;
+  private final Function<byte[], ServingConfig> format;
+
+  ConfigurationListener(RelayState state, String key, Function<byte[], ServingConfig> format) {
+    this.state = state;
+    this.key = key;
+    this.format = format;
+  }
+
+  @Override
+  public void whole(SharedReading reading) {
+    changed(reading);
+  }
+
+  @Override
+  public void changed(SharedReading reading) {
+    for (SharedRow row : reading.rows()) {
+      if (row.key().equals(key) && !row.deleted()) {
+        offer(row);
+      }
+    }
+  }
+
+  private void offer(SharedRow row) {
+    ServingConfig next;
+    try {
+      next = format.apply(row.value());
+    } catch (RuntimeException e) {
+      log.atError().setCause(e).log("configuration is not readable; the one in force stays");
+      return;
+    }
+    long before = state.config().map(ServingConfig::version).orElse(-1L);
+    if (state.offer(next)) {
+      log.atInfo()
+          .addKeyValue("version", next.version())
+          .addKeyValue("before", before)
+          .addKeyValue("row_version", row.version())
+          .log("configuration in force");
+    }
+  }
+
+  @Override
+  public void failed(String reason) {
+    // The watcher logs it; the age of the configuration is judged where it matters.
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/heatherspread/node/control/Control.java
@@ -0,0 +1,193 @@
+package org.heatherspread.node.control;
+
+import com.typesafe.config.Config;
+import java.time.Clock;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.UUID;
+import java.util.function.Supplier;
+import org.apache.pekko.actor.BootstrapSetup;
+import org.apache.pekko.actor.setup.ActorSystemSetup;
+import org.apache.pekko.actor.typed.ActorRef;
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.actor.typed.Behavior;
+import org.apache.pekko.actor.typed.SupervisorStrategy;
+import org.apache.pekko.actor.typed.javadsl.ActorContext;
+import org.apache.pekko.actor.typed.javadsl.Behaviors;
+import org.heatherspread.core.duty.DutyCalls;
+import org.heatherspread.core.fleet.DaemonReport;
+import org.heatherspread.core.fleet.FleetView;
+import org.heatherspread.core.lease.LeaseKeeper;
+import org.heatherspread.core.lease.LeaseSettings;
+import org.heatherspread.core.store.SharedStore;
+import org.heatherspread.core.store.TableStore;
+import org.heatherspread.node.settings.NodeSettings;
+import org.heatherspread.platform.ConfigurationFormat;
+import org.heatherspread.platform.PlatformTables;
+import org.heatherspread.platform.RegistrationFormat;
+import org.heatherspread.relay.call.RelayState;
+import scala.concurrent.ExecutionContext;
+
+/** The control work of a daemon, as actors on its event loop. Confined to that loop. */
+public final class Control {
+  /** How long a daemon counts as live without a new report. */
+  private static final long LIVE_MILLIS = 2_600;
+
+  private static final Duration CONFIGURATION_WAIT = Duration.ofMillis(1_000);
+  private static final Duration ENDPOINT_WAIT = Duration.ofMillis(1_500);
+  private static final Duration FLEET_INTERVAL = Duration.ofMillis(1_000);
+  private static final Duration WHOLE_EVERY = Duration.ofSeconds(15);
+  private static final int LAST_RANK = 2;
+
+  /** Shorter than the usual lease, as an endpoint's notice of leaving is shorter than that. */
+  private static final LeaseSettings LEASE =
+      new LeaseSettings(
+          Duration.ofMillis(2_800),
+          Duration.ofMillis(400),
+          Duration.ofMillis(800),
+          Duration.ofMillis(800));
+
+  private final NodeSettings settings;
+  private final RelayState state;
+  private final SharedStore store;
+  private final TableStore rows;
+  private final DutyCalls calls;
+  private final Supplier<DaemonReport> report;
+  private final String life = UUID.randomUUID().toString().substring(0, 8);
+  private final FleetView fleet = FleetView.create(LIVE_MILLIS);
+  private final EndpointListener endpoints;
+  private ActorSystem<Void> system;
+  private ActorRef<Reporter.Command> reporter;
+  private ActorRef<DutyKeeper.Command> duties;
+
+  private Control(
+      NodeSettings settings,
+      RelayState state,
+      SharedStore store,
+      TableStore rows,
+      DutyCalls calls,
+      Supplier<DaemonReport> report) {
+    this.settings = settings;
+    this.state = state;
+    this.store = store;
+    this.rows = rows;
+    this.calls = calls;
+    this.report = report;
+    this.endpoints = new EndpointListener(state, RegistrationFormat::read);
+  }
+
+  /**
+   * Creates control work that is not started.
+   *
+   * @param calls null where this daemon has no duties
+   */
+  public static Control create(
+      NodeSettings settings,
+      RelayState state,
+      SharedStore store,
+      TableStore rows,
+      DutyCalls calls,
+      Supplier<DaemonReport> report) {
+    return new Control(settings, state, store, rows, calls, report);
+  }
+
+  /** Returns the random number of this process's life. */
+  public String life() {
+    return life;
+  }
+
+  /** Returns the daemons as last read. */
+  public FleetView fleet() {
+    return fleet;
+  }
+
+  /** Tells whether the endpoints have been read. */
+  public boolean endpointsKnown() {
+    return endpoints.known();
+  }
+
+  /** Starts the actors; called from outside the event loop, which the start waits for. */
+  public void start(Config config) {
+    BootstrapSetup bootstrap =
+        BootstrapSetup.create()
+            .withConfig(config)
+            .withDefaultExecutionContext(ExecutionContext.fromExecutor(state.loop()));
+    system =
+        ActorSystem.create(
+            Behaviors.setup(this::guardian), "daemon", ActorSystemSetup.create(bootstrap));
+  }
+
+  private Behavior<Void> guardian(ActorContext<Void> context) {
+    watch(
+        context,
+        new TableWatcher.Plan(
+            PlatformTables.OPERATORS, CONFIGURATION_WAIT, Duration.ZERO, WHOLE_EVERY),
+        new ConfigurationListener(state, PlatformTables.CONFIGURATION, ConfigurationFormat::read));
+    watch(
+        context,
+        new TableWatcher.Plan(PlatformTables.ENDPOINTS, ENDPOINT_WAIT, Duration.ZERO, WHOLE_EVERY),
+        endpoints);
+    watch(
+        context,
+        new TableWatcher.Plan(Reporter.TABLE, Duration.ZERO, FLEET_INTERVAL, WHOLE_EVERY),
+        new FleetListener(state, fleet, settings.name()));
+    reporter =
+        context.spawn(
+            restarting(Reporter.create(settings.name() + '/' + life, report, store)), "reporter");
+    if (calls != null) {
+      duties = context.spawn(restarting(duties()), "duties");
+    }
+    return Behaviors.empty();
+  }
+
+  private void watch(ActorContext<Void> context, TableWatcher.Plan plan, TableListener listener) {
+    context.spawn(
+        restarting(TableWatcher.create(plan, store, state.contact(), listener)),
+        "watch-" + plan.table());
+  }
+
+  private static <T> Behavior<T> restarting(Behavior<T> behavior) {
+    return Behaviors.supervise(behavior).onFailure(SupervisorStrategy.restart());
+  }
+
+  private Behavior<DutyKeeper.Command> duties() {
+    Supplier<String> ids = () -> UUID.randomUUID().toString();
+    LeaseKeeper lease =
+        LeaseKeeper.create("duties", settings.name() + '/' + life, LEASE, rows, state.clock(), ids);
+    List<DutyKeeper.Duty> list = new ArrayList<>();
+    list.add(
+        new UsageDuty(
+            state,
+            fleet,
+            rows,
+            calls,
+            lease,
+            settings.name(),
+            settings.bounds().usageDue().toMillis(),
+            ids));
+    list.add(new CapacityDuty(state, fleet, calls, settings.name()));
+    WakeGuard guard = new WakeGuard(state.clock(), Clock.systemUTC());
+    return DutyKeeper.create(lease, this::rank, list, guard);
+  }
+
+  private int rank() {
+    List<String> names = new ArrayList<>();
+    for (DaemonReport daemon : fleet.live()) {
+      names.add(daemon.daemon());
+    }
+    names.sort(null);
+    int rank = names.indexOf(settings.name());
+    return rank < 0 ? LAST_RANK : Math.min(rank, LAST_RANK);
+  }
+
+  /** Tells the others that this daemon leaves, and gives its duties up. */
+  public void leave() {
+    if (reporter != null) {
+      reporter.tell(Reporter.Command.REPORT);
+    }
+    if (duties != null) {
+      duties.tell(DutyKeeper.Command.LEAVE);
+    }
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/heatherspread/node/control/DutyKeeper.java
@@ -0,0 +1,126 @@
+package org.heatherspread.node.control;
+
+import java.time.Duration;
+import java.util.OptionalLong;
+import org.apache.pekko.actor.typed.Behavior;
+import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
+import org.apache.pekko.actor.typed.javadsl.ActorContext;
+import org.apache.pekko.actor.typed.javadsl.Behaviors;
+import org.apache.pekko.actor.typed.javadsl.Receive;
+import org.apache.pekko.actor.typed.javadsl.TimerScheduler;
+import org.heatherspread.core.lease.LeaseKeeper;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Holds the lease of the duties if it can, and does them while it certainly does. Invariant: after
+ * the process stood still, nothing is done before the lease has been read again.
+ */
+final class DutyKeeper extends AbstractBehavior<DutyKeeper.Command> {
+  private static final Logger log = LoggerFactory.getLogger(DutyKeeper.class);
+
+  private static final Duration INTERVAL = Duration.ofMillis(200);
+
+  /** What the actor is told. */
+  enum Command {
+    /** Do what is due. */
+    TICK,
+    /** Give the lease up and do nothing more. */
+    LEAVE
+  }
+
+  /** A duty of one daemon at a time. */
+  interface Duty {
+    /** Does what is due; the fencing number holds for calls made now. */
+    void perform(long fencing);
+
+    /** Forgets what was believed of calls made, as another daemon may act from now on. */
+    void dropped();
+  }
+
+  /** Tells this daemon's place among those that may take the lease. */
+  interface Rank {
+    /** Returns the place, 0 for the first. */
+    int rank();
+  }
+
+  private final LeaseKeeper lease;
+  private final Rank rank;
+  private final Iterable<Duty> duties;
+  private final WakeGuard guard;
+  private boolean left;
+  private boolean held;
+
+  private DutyKeeper(
+      ActorContext<Command> context,
+      TimerScheduler<Command> timers,
+      LeaseKeeper lease,
+      Rank rank,
+      Iterable<Duty> duties,
+      WakeGuard guard) {
+    super(context);
+    this.lease = lease;
+    this.rank = rank;
+    this.duties = duties;
+    this.guard = guard;
+    timers.startTimerWithFixedDelay(Command.TICK, INTERVAL);
+  }
+
+  static Behavior<Command> create(
+      LeaseKeeper lease, Rank rank, Iterable<Duty> duties, WakeGuard guard) {
+    return Behaviors.setup(
+        context ->
+            Behaviors.withTimers(
+                timers -> new DutyKeeper(context, timers, lease, rank, duties, guard)));
+  }
+
+  @Override
+  public Receive<Command> createReceive() {
+    return newReceiveBuilder()
+        .onMessageEquals(Command.TICK, this::onTick)
+        .onMessageEquals(Command.LEAVE, this::onLeave)
+        .build();
+  }
+
+  private Behavior<Command> onTick() {
+    if (guard.tick()) {
+      lease.doubt();
+      log.atInfo().log("process stood still; lease is read again");
+    }
+    if (left) {
+      return this;
+    }
+    OptionalLong fencing = lease.fencing();
+    noteChange(fencing);
+    if (fencing.isPresent()) {
+      for (Duty duty : duties) {
+        duty.perform(fencing.getAsLong());
+      }
+    }
+    lease.step(rank.rank());
+    return this;
+  }
+
+  private void noteChange(OptionalLong fencing) {
+    if (fencing.isPresent() == held) {
+      return;
+    }
+    held = fencing.isPresent();
+    if (!held) {
+      duties.forEach(Duty::dropped);
+    }
+    log.atInfo()
+        .addKeyValue("held", held)
+        .addKeyValue("fencing", fencing.orElse(0))
+        .log("lease of the duties");
+  }
+
+  private Behavior<Command> onLeave() {
+    if (!left) {
+      left = true;
+      duties.forEach(Duty::dropped);
+      lease.release();
+    }
+    return this;
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/heatherspread/node/control/FleetListener.java
@@ -0,0 +1,100 @@
+package org.heatherspread.node.control;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import org.heatherspread.core.fleet.DaemonReport;
+import org.heatherspread.core.fleet.EndpointLoad;
+import org.heatherspread.core.fleet.FleetView;
+import org.heatherspread.core.limit.UsageReport;
+import org.heatherspread.core.store.SharedReading;
+import org.heatherspread.core.store.SharedRow;
+import org.heatherspread.relay.call.AccountGate;
+import org.heatherspread.relay.call.RelayState;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Takes in the other daemons' reports and passes on what the relay needs of them: endpoint loads,
+ * the true time, parts of limits. Confined to the event loop.
+ */
+final class FleetListener implements TableListener {
+  private static final Logger log = LoggerFactory.getLogger(FleetListener.class);
+
+  private final RelayState state;
+  private final FleetView fleet;
+  private final String self;
+  private Set<String> liveNames = Set.of();
+
+  FleetListener(RelayState state, FleetView fleet, String self) {
+    this.state = state;
+    this.fleet = fleet;
+    this.self = self;
+  }
+
+  @Override
+  public void whole(SharedReading reading) {
+    List<String> present = new ArrayList<>();
+    for (SharedRow row : reading.rows()) {
+      present.add(row.key());
+    }
+    fleet.retain(present);
+    changed(reading);
+  }
+
+  @Override
+  public void changed(SharedReading reading) {
+    long now = state.clock().millis();
+    for (SharedRow row : reading.rows()) {
+      if (row.deleted()) {
+        fleet.remove(row.key());
+        continue;
+      }
+      Optional<DaemonReport> report = ReportFormat.read(row.value());
+      if (report.isEmpty()) {
+        log.atWarn().addKeyValue("row", row.key()).log("daemon report not readable");
+        continue;
+      }
+      if (!fleet.knows(row.key(), report.get().sequence())) {
+        fleet.put(row.key(), report.get(), now);
+      }
+    }
+    fleet.read(now);
+    derive();
+  }
+
+  private void derive() {
+    List<DaemonReport> live = fleet.live();
+    Map<String, EndpointLoad> loads = new HashMap<>();
+    Map<String, UsageReport> shares = new HashMap<>();
+    List<Long> offsets = new ArrayList<>();
+    offsets.add(state.contact().wallLessStoreMillis());
+    Set<String> names = new TreeSet<>();
+    for (DaemonReport report : live) {
+      names.add(report.daemon());
+      if (report.daemon().equals(self)) {
+        continue;
+      }
+      report.loads().forEach((id, load) -> loads.merge(id, load, EndpointLoad::plus));
+      shares.put(report.daemon(), AccountGate.report(report.sequence(), report.accounts()));
+      offsets.add(report.wallLessStoreMillis());
+    }
+    state.endpoints().others(loads);
+    state.time().offsets(offsets);
+    state.daemons(names.size());
+    state.config().ifPresent(config -> state.accounts().negotiate(config.accounts(), shares));
+    if (!names.equals(liveNames)) {
+      liveNames = names;
+      log.atInfo().addKeyValue("daemons", String.join(" ", names)).log("live daemons changed");
+    }
+  }
+
+  @Override
+  public void failed(String reason) {
+    // Nothing is concluded from silence: all that was known stays.
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/heatherspread/node/control/TableListener.java
@@ -0,0 +1,15 @@
+package org.heatherspread.node.control;
+
+import org.heatherspread.core.store.SharedReading;
+
+/** Takes in what a shared table holds. Called on the event loop. */
+interface TableListener {
+  /** The whole table was read. */
+  void whole(SharedReading reading);
+
+  /** Rows changed; there may be none. */
+  void changed(SharedReading reading);
+
+  /** The store could not be read. */
+  void failed(String reason);
+}
--- /dev/null
+++ b/node/src/main/java/org/heatherspread/node/serve/DirectoryHandler.java
@@ -0,0 +1,56 @@
+package org.heatherspread.node.serve;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import java.nio.charset.StandardCharsets;
+import java.util.Collection;
+import java.util.Locale;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import org.heatherspread.relay.caller.CallerAnswer;
+import org.heatherspread.relay.caller.CallerHandler;
+import org.heatherspread.relay.caller.CallerRequest;
+
+/** Tells callers which daemons to use. Stateless. */
+public final class DirectoryHandler implements CallerHandler {
+  private final String path;
+  private final Supplier<Collection<String>> addresses;
+  private final Function<Collection<String>, byte[]> format;
+
+  private DirectoryHandler(
+      String path,
+      Supplier<Collection<String>> addresses,
+      Function<Collection<String>, byte[]> format) {
+    this.path = path;
+    this.addresses = addresses;
+    this.format = format;
+  }
+
+  /** Creates a handler that answers on one path. */
+  public static DirectoryHandler create(
+      String path,
+      Supplier<Collection<String>> addresses,
+      Function<Collection<String>, byte[]> format) {
+    return new DirectoryHandler(path, addresses, format);
+  }
+
+  @Override
+  public void handle(CallerRequest request, CallerAnswer answer) {
+    int query = request.target().indexOf('?');
+    String asked = query < 0 ? request.target() : request.target().substring(0, query);
+    if (!asked.toLowerCase(Locale.ROOT).equals(path)) {
+      answer.whole(404, new DefaultHttpHeaders(), new byte[0]);
+      return;
+    }
+    Collection<String> found = addresses.get();
+    if (found.isEmpty()) {
+      answer.whole(
+          503, new DefaultHttpHeaders(), "no daemon is ready".getBytes(StandardCharsets.UTF_8));
+      return;
+    }
+    answer.whole(
+        200,
+        new DefaultHttpHeaders().set(HttpHeaderNames.CONTENT_TYPE, "application/json"),
+        format.apply(found));
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/heatherspread/node/serve/package-info.java
@@ -0,0 +1,2 @@
+/** Small answers beside the relay: the directory, readiness and metrics. */
+package org.heatherspread.node.serve;
--- /dev/null
+++ b/node/src/main/java/org/heatherspread/node/settings/NodeSettings.java
@@ -0,0 +1,120 @@
+package org.heatherspread.node.settings;
+
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import org.heatherspread.core.serving.HostPort;
+import org.heatherspread.settings.Section;
+import org.heatherspread.settings.SettingsReader;
+
+/**
+ * The settings of a daemon on the users' platform. Immutable.
+ *
+ * @param name the daemon's name, the same over restarts
+ * @param domain its failure domain
+ * @param callers where callers connect
+ * @param readiness where readiness is asked for
+ * @param directory where callers ask for addresses
+ * @param metrics where metrics are read
+ * @param store the shared store
+ * @param cloud the cloud calls; empty text where no duty is assigned
+ * @param duties names of the duties assigned
+ * @param bounds the deployment's time limits and ratios
+ */
+public record NodeSettings(
+    String name,
+    String domain,
+    HostPort callers,
+    HostPort readiness,
+    HostPort directory,
+    HostPort metrics,
+    HostPort store,
+    String cloud,
+    List<String> duties,
+    Bounds bounds) {
+
+  /**
+   * Time limits and ratios that the deployment states.
+   *
+   * @param revocation time after which a revoked key must not work
+   * @param grace time from SIGTERM to SIGKILL
+   * @param endpointDrain time within which a leaving endpoint gets no more work
+   * @param retryRatio repeats allowed for each request
+   * @param retryExtra repeats allowed besides in a window, by all daemons together
+   * @param retryWindow window of the retry budget
+   * @param usageWindow window of usage reports
+   * @param usageDue time after a window's end by which it is to be reported
+   * @param directoryTtlMax longest time for which callers keep an answer of the directory
+   */
+  public record Bounds(
+      Duration revocation,
+      Duration grace,
+      Duration endpointDrain,
+      double retryRatio,
+      int retryExtra,
+      Duration retryWindow,
+      Duration usageWindow,
+      Duration usageDue,
+      Duration directoryTtlMax) {}
+
+  private static final Duration MIN = Duration.ofMillis(100);
+  private static final Duration MAX = Duration.ofMinutes(10);
+  private static final int MAX_EXTRA = 1_000_000;
+
+  /**
+   * Loads a file.
+   *
+   * @throws org.heatherspread.settings.SettingsException with all faults at once
+   */
+  public static NodeSettings load(Path path) {
+    return read(SettingsReader.load(path));
+  }
+
+  /** Reads settings from a text, for tests and checks. */
+  public static NodeSettings parse(String file, String text) {
+    return read(SettingsReader.parse(file, text));
+  }
+
+  private static NodeSettings read(SettingsReader reader) {
+    Section daemon = reader.section("daemon");
+    Section listen = reader.section("listen");
+    Section cloud = reader.section("cloud");
+    NodeSettings settings =
+        new NodeSettings(
+            daemon.text("name"),
+            daemon.text("domain"),
+            address(listen, "callers"),
+            address(listen, "readiness"),
+            address(listen, "directory"),
+            address(listen, "metrics"),
+            address(reader.section("store"), "address"),
+            cloud.text("address", ""),
+            List.of(cloud.text("duties", "").split(",")),
+            bounds(reader.section("bounds")));
+    reader.finish();
+    return settings;
+  }
+
+  private static Bounds bounds(Section section) {
+    return new Bounds(
+        section.duration("revocation", Duration.ofSeconds(5), MIN, MAX),
+        section.duration("grace", Duration.ofSeconds(8), MIN, MAX),
+        section.duration("endpoint_drain", Duration.ofSeconds(2), MIN, MAX),
+        section.decimal("retry_ratio", 0.2, 0, 10),
+        section.integer("retry_extra", 56, 0, MAX_EXTRA),
+        section.duration("retry_window", Duration.ofSeconds(10), MIN, MAX),
+        section.duration("usage_window", Duration.ofSeconds(5), MIN, MAX),
+        section.duration("usage_due", Duration.ofSeconds(10), MIN, MAX),
+        section.duration("directory_ttl_max", Duration.ofSeconds(5), MIN, MAX));
+  }
+
+  private static HostPort address(Section section, String name) {
+    String text = section.text(name);
+    try {
+      return HostPort.parse(text);
+    } catch (IllegalArgumentException e) {
+      section.fault(name, "not an address of the form host:port");
+      return new HostPort("0.0.0.0", 0);
+    }
+  }
+}
--- /dev/null
+++ b/relay/src/main/java/org/heatherspread/relay/call/CallMetrics.java
@@ -0,0 +1,59 @@
+package org.heatherspread.relay.call;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.Timer;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+
+/** Counters and histograms of the relay, looked up once for each tag. Confined to one thread. */
+public final class CallMetrics {
+  private final MeterRegistry registry;
+  private final Map<String, Counter> counters = new HashMap<>();
+  private final Map<String, Timer> timers = new HashMap<>();
+
+  private CallMetrics(MeterRegistry registry) {
+    this.registry = registry;
+  }
+
+  /** Creates metrics in a registry. */
+  public static CallMetrics create(MeterRegistry registry) {
+    return new CallMetrics(registry);
+  }
+
+  /** Counts an answer of the relay's own. */
+  public void refused(Refusal reason) {
+    counter("heatherspread.refusals", "reason", reason.code()).increment();
+  }
+
+  /** Counts a request sent to an endpoint once more. */
+  public void repeated(String reason) {
+    counter("heatherspread.repeats", "reason", reason).increment();
+  }
+
+  /** Counts a repeat that the budget did not allow. */
+  public void budgetSpent(String service) {
+    counter("heatherspread.repeats.denied", "service", service).increment();
+  }
+
+  /** Counts an answer of an endpoint that was passed on, with its time to the first byte. */
+  public void answered(String service, int status, long millis) {
+    counter("heatherspread.answers", "status", Integer.toString(status)).increment();
+    timers
+        .computeIfAbsent(
+            service,
+            name ->
+                Timer.builder("heatherspread.answer.time")
+                    .tag("service", name)
+                    .publishPercentileHistogram()
+                    .minimumExpectedValue(Duration.ofMillis(1))
+                    .maximumExpectedValue(Duration.ofSeconds(20))
+                    .register(registry))
+        .record(Duration.ofMillis(millis));
+  }
+
+  private Counter counter(String name, String tag, String value) {
+    return counters.computeIfAbsent(name + '/' + value, key -> registry.counter(name, tag, value));
+  }
+}
--- /dev/null
+++ b/relay/src/main/java/org/heatherspread/relay/call/OwnAnswer.java
@@ -0,0 +1,55 @@
+package org.heatherspread.relay.call;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import org.heatherspread.relay.caller.CallerAnswer;
+import org.heatherspread.relay.caller.CallerRequest;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Answers of the relay's own, with their log line and counter. Confined to one event loop. */
+final class OwnAnswer {
+  private static final Logger log = LoggerFactory.getLogger(OwnAnswer.class);
+
+  private final RelayState state;
+  private final String id;
+  private final CallerRequest request;
+  private final CallerAnswer answer;
+
+  OwnAnswer(RelayState state, String id, CallerRequest request, CallerAnswer answer) {
+    this.state = state;
+    this.id = id;
+    this.request = request;
+    this.answer = answer;
+  }
+
+  /**
+   * Sends the final answer.
+   *
+   * @param retryAfterSeconds when the caller should come back, 0 to say nothing
+   */
+  void refuse(Refusal reason, double retryAfterSeconds) {
+    state.metrics().refused(reason);
+    log.atInfo()
+        .addKeyValue("id", id)
+        .addKeyValue("reason", reason.code())
+        .addKeyValue("status", reason.status())
+        .addKeyValue("retry_after", retryAfterSeconds)
+        .addKeyValue("target", request.target())
+        .addKeyValue("config", state.config().map(config -> config.version()).orElse(-1L))
+        .addKeyValue("store_age_ms", state.contact().ageMillis())
+        .addKeyValue("ms", state.clock().millis() - request.arrivedMillis())
+        .log("request refused");
+    HttpHeaders headers =
+        new DefaultHttpHeaders().set(HttpHeaderNames.CONTENT_TYPE, "application/problem+json");
+    if (retryAfterSeconds > 0) {
+      headers.set(
+          HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", retryAfterSeconds));
+    }
+    String problem = "{\"title\":\"" + reason.code() + "\",\"status\":" + reason.status() + '}';
+    answer.whole(reason.status(), headers, problem.getBytes(StandardCharsets.UTF_8));
+  }
+}
--- /dev/null
+++ b/relay/src/main/java/org/heatherspread/relay/call/PromptHeaders.java
@@ -0,0 +1,60 @@
+package org.heatherspread.relay.call;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.heatherspread.core.placement.PromptPart;
+import org.heatherspread.core.placement.Workload;
+
+/** Reads what a request states about its prompt. Unreadable statements count as none. */
+final class PromptHeaders {
+  private static final int HEX = 16;
+
+  private PromptHeaders() {}
+
+  /** Returns prompt and answer tokens from {@code "1460,80"}, or null. */
+  static int[] tokens(String header) {
+    if (header == null) {
+      return null;
+    }
+    int comma = header.indexOf(',');
+    if (comma < 0) {
+      return null;
+    }
+    try {
+      int prompt = Integer.parseInt(header.substring(0, comma).trim());
+      int answer = Integer.parseInt(header.substring(comma + 1).trim());
+      return prompt < 0 || answer < 0 ? null : new int[] {prompt, answer};
+    } catch (NumberFormatException e) {
+      return null;
+    }
+  }
+
+  /** Returns the work that the two headers state. */
+  static Workload work(String tokenCounts, String promptParts) {
+    int[] tokens = tokens(tokenCounts);
+    if (tokens == null) {
+      return Workload.NONE;
+    }
+    return new Workload(parts(promptParts), tokens[0], tokens[1]);
+  }
+
+  private static List<PromptPart> parts(String header) {
+    List<PromptPart> parts = new ArrayList<>();
+    if (header == null) {
+      return parts;
+    }
+    for (String entry : header.split(",")) {
+      int colon = entry.indexOf(':');
+      if (colon < 0) {
+        return List.of();
+      }
+      try {
+        long id = Long.parseUnsignedLong(entry.substring(0, colon).trim(), HEX);
+        parts.add(new PromptPart(id, Integer.parseInt(entry.substring(colon + 1).trim())));
+      } catch (NumberFormatException e) {
+        return List.of();
+      }
+    }
+    return parts;
+  }
+}
--- /dev/null
+++ b/relay/src/main/java/org/heatherspread/relay/call/RelayCall.java
@@ -0,0 +1,553 @@
+package org.heatherspread.relay.call;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.io.ByteArrayOutputStream;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.heatherspread.core.placement.EndpointChooser.Choice;
+import org.heatherspread.core.placement.EnginePace;
+import org.heatherspread.core.placement.TrackedEndpoint;
+import org.heatherspread.core.retry.RetryReason;
+import org.heatherspread.core.serving.CallKind;
+import org.heatherspread.core.serving.Route;
+import org.heatherspread.core.stream.EventSplitter;
+import org.heatherspread.relay.caller.CallerAnswer;
+import org.heatherspread.relay.endpoint.ConnectionPool;
+import org.heatherspread.relay.endpoint.EndpointConnection;
+import org.heatherspread.relay.endpoint.Exchange;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The life of one request after it was let in: it is sent to an endpoint, perhaps to further ones,
+ * and its answer is passed on.
+ *
+ * <p>Invariants: a request that may not be repeated is sent again only if the endpoint stated that
+ * it has not run, or nothing was sent; a status that promises "not run" is given only then; whole
+ * answers are passed on when complete, streams in whole events with rising ids; after the answer,
+ * or once the caller has left, nothing is sent any more. Confined to its event loop.
+ */
+final class RelayCall {
+  private static final Logger log = LoggerFactory.getLogger(RelayCall.class);
+
+  private static final EnginePace PACE = EnginePace.defaults();
+  private static final int MAX_EVENT_BYTES = 1 << 20;
+  private static final int MAX_ANSWER_BYTES = 8 << 20;
+  private static final int MISDIRECTED = 421;
+
+  /** Silence after which a stream goes on elsewhere, well before callers give it up. */
+  private static final long STREAM_SILENCE_MILLIS = 1_300;
+
+  /** Earliest time after which an idempotent request is sent elsewhere. */
+  private static final long MIN_ANSWER_SILENCE_MILLIS = 150;
+
+  /** Part of the time left after which an idempotent request is sent elsewhere. */
+  private static final double ANSWER_SILENCE_SHARE = 0.4;
+
+  /** Shortest and longest time after which refused callers should come back, in seconds. */
+  private static final double MIN_RETRY_SECONDS = 0.15;
+
+  private static final double MAX_RETRY_SECONDS = 0.5;
+
+  /** Time before its deadline below which a request is not sent again. */
+  private static final long MIN_LEFT_MILLIS = 10;
+
+  /** Most endpoints that may refuse a request before the caller is told to come back. */
+  private static final int MAX_REFUSALS = 3;
+
+  private final RelayState state;
+  private final RelayHeaders names;
+  private final Forwarding forwarding;
+  private final CallFacts facts;
+  private final boolean needsKey;
+  private final CallerAnswer answer;
+  private final OwnAnswer own;
+  private final Set<String> tried = new HashSet<>();
+  private final ScheduledFuture<?> deadline;
+  private Attempt current;
+  private int sends;
+  private int refusals;
+  private int mayHaveRun;
+  private boolean done;
+  private boolean begun;
+  private boolean counted;
+  private long lastEvent = -1;
+  private long firstMillis = -1;
+
+  private RelayCall(
+      RelayState state,
+      RelayHeaders names,
+      Forwarding forwarding,
+      CallFacts facts,
+      boolean needsKey,
+      CallerAnswer answer,
+      OwnAnswer own) {
+    this.state = state;
+    this.names = names;
+    this.forwarding = forwarding;
+    this.facts = facts;
+    this.needsKey = needsKey;
+    this.answer = answer;
+    this.own = own;
+    this.deadline =
+        state.loop().schedule(this::expired, Math.max(0, leftMillis()), TimeUnit.MILLISECONDS);
+  }
+
+  static void start(
+      RelayState state,
+      RelayHeaders names,
+      Forwarding forwarding,
+      CallFacts facts,
+      boolean needsKey,
+      CallerAnswer answer,
+      OwnAnswer own) {
+    RelayCall call = new RelayCall(state, names, forwarding, facts, needsKey, answer, own);
+    answer.onGone(call::callerGone);
+    state.budget(facts.service()).onRequest();
+    call.attempt();
+  }
+
+  // ---------------------------------------------------------------------------------------------
+  // Sending
+  // ---------------------------------------------------------------------------------------------
+
+  private void attempt() {
+    long now = state.clock().millis();
+    Optional<Choice> choice =
+        state
+            .chooser(facts.service())
+            .choose(
+                state.endpoints().of(facts.service()), facts.work(), tried, now, state.random());
+    if (choice.isEmpty()) {
+      giveUp(refusals > 0 ? Refusal.REFUSED_BY_ENDPOINTS : Refusal.NO_ENDPOINT);
+      return;
+    }
+    current = new Attempt(choice.get());
+    TrackedEndpoint endpoint = choice.get().endpoint();
+    tried.add(endpoint.id());
+    int limit = state.connectionLimit(facts.service());
+    state.pool().acquire(endpoint.registration().address(), limit, current);
+  }
+
+  /** Sends the request once more, if that is allowed; else ends it. */
+  private void again(RetryReason reason, Refusal otherwise) {
+    boolean time = leftMillis() > MIN_LEFT_MILLIS;
+    boolean attempts = mayHaveRun < facts.route().maxAttempts() && refusals <= MAX_REFUSALS;
+    if (!time || !attempts) {
+      giveUp(otherwise);
+      return;
+    }
+    if (sends > 0 && !state.budget(facts.service()).tryRepeat()) {
+      state.metrics().budgetSpent(facts.service());
+      giveUp(otherwise);
+      return;
+    }
+    state.metrics().repeated(reason.code());
+    attempt();
+  }
+
+  private long leftMillis() {
+    return facts.endsAtMillis() - state.clock().millis();
+  }
+
+  // ---------------------------------------------------------------------------------------------
+  // Ending
+  // ---------------------------------------------------------------------------------------------
+
+  private void expired() {
+    if (done) {
+      return;
+    }
+    Attempt last = current;
+    current = null;
+    if (last != null) {
+      last.abandon();
+    }
+    giveUp(mayHaveRun > 0 ? Refusal.EXPIRED : Refusal.EXPIRED_UNSENT);
+  }
+
+  private void callerGone() {
+    if (done) {
+      return;
+    }
+    Attempt last = current;
+    current = null;
+    finish("caller-gone", 0, last == null ? "" : last.endpoint.id());
+    if (last != null) {
+      last.abandon();
+    }
+  }
+
+  private void giveUp(Refusal reason) {
+    if (done) {
+      return;
+    }
+    current = null;
+    if (begun) {
+      finish("stream-cut:" + reason.code(), 0, "");
+      answer.abort();
+      return;
+    }
+    Refusal told = mayHaveRun > 0 && reason.status() == 503 ? Refusal.ANSWER_LOST : reason;
+    finish(told.code(), told.status(), "");
+    own.refuse(told, told.status() == 503 ? retryAfterSeconds() : 0);
+  }
+
+  private double retryAfterSeconds() {
+    return MIN_RETRY_SECONDS
+        + (MAX_RETRY_SECONDS - MIN_RETRY_SECONDS) * state.random().nextDouble();
+  }
+
+  private void finish(String outcome, int status, String endpoint) {
+    done = true;
+    deadline.cancel(false);
+    log.atInfo()
+        .addKeyValue("id", facts.id())
+        .addKeyValue("outcome", outcome)
+        .addKeyValue("status", status)
+        .addKeyValue("route", facts.route().name())
+        .addKeyValue("service", facts.service())
+        .addKeyValue("account", facts.account())
+        .addKeyValue("endpoint", endpoint)
+        .addKeyValue("sends", sends)
+        .addKeyValue("first_ms", firstMillis)
+        .addKeyValue("ms", state.clock().millis() - facts.request().arrivedMillis())
+        .addKeyValue("last_event", lastEvent)
+        .addKeyValue("config", facts.configVersion())
+        .log("request ended");
+  }
+
+  private void countUsage() {
+    if (!counted && !facts.account().isEmpty()) {
+      counted = true;
+      state.usage().began(facts.account(), state.time().unixMillis());
+    }
+  }
+
+  /** One sending of the request to one endpoint. */
+  private final class Attempt implements ConnectionPool.Receiver, Exchange {
+    private final TrackedEndpoint endpoint;
+    private final double expectedMillis;
+    private TrackedEndpoint.Run run;
+    private EndpointConnection connection;
+    private ScheduledFuture<?> silence;
+    private HttpHeaders headers;
+    private int status;
+    private boolean notExecuted;
+    private boolean streaming;
+    private EventSplitter splitter;
+    private ByteArrayOutputStream body;
+    private long sentMillis;
+    private boolean closed;
+
+    private Attempt(Choice choice) {
+      this.endpoint = choice.endpoint();
+      this.expectedMillis = choice.expectedMillis();
+      this.run = endpoint.start(facts.work());
+      if (facts.work().promptTokens() > 0) {
+        state.addWork(
+            facts.service(), PACE.workMillis(run.uncachedTokens(), facts.work().answerTokens()));
+      }
+    }
+
+    private boolean active() {
+      return !done && current == this && !closed;
+    }
+
+    @Override
+    public void connected(EndpointConnection opened) {
+      long now = state.clock().millis();
+      if (!active()) {
+        close();
+        opened.unused();
+        return;
+      }
+      boolean expired = leftMillis() <= 0;
+      if (expired || !endpoint.usable(now) || (needsKey && !state.trustsKeys())) {
+        close();
+        opened.unused();
+        if (expired) {
+          expired();
+        } else if (needsKey && !state.trustsKeys()) {
+          giveUp(Refusal.KEYS_TOO_OLD);
+        } else {
+          again(RetryReason.ENDPOINT_LEAVING, Refusal.NO_ENDPOINT);
+        }
+        return;
+      }
+      connection = opened;
+      sends++;
+      mayHaveRun++;
+      sentMillis = now;
+      long resumeAfter = begun ? lastEvent : -1;
+      connection.send(
+          forwarding.request(facts, endpoint.registration(), leftMillis(), resumeAfter),
+          facts.id().isEmpty() ? null : facts.id(),
+          this);
+      watchSilence(firstSilenceMillis());
+    }
+
+    @Override
+    public void failed(String reason) {
+      boolean wanted = active();
+      run.failed(state.clock().millis());
+      close();
+      if (wanted) {
+        note("not-connected", reason);
+        again(RetryReason.UNREACHABLE, Refusal.UNREACHABLE);
+      }
+    }
+
+    // -------------------------------------------------------------------------------------------
+    // Silence
+    // -------------------------------------------------------------------------------------------
+
+    private long firstSilenceMillis() {
+      Route route = facts.route();
+      if (!route.repeatable() || mayHaveRun >= route.maxAttempts()) {
+        return 0;
+      }
+      if (route.kind() == CallKind.STREAM) {
+        return Math.max(STREAM_SILENCE_MILLIS, (long) (2 * expectedMillis));
+      }
+      long share = (long) (ANSWER_SILENCE_SHARE * leftMillis());
+      return Math.max(MIN_ANSWER_SILENCE_MILLIS, share);
+    }
+
+    private void watchSilence(long millis) {
+      if (silence != null) {
+        silence.cancel(false);
+        silence = null;
+      }
+      if (millis > 0) {
+        silence = state.loop().schedule(this::silent, millis, TimeUnit.MILLISECONDS);
+      }
+    }
+
+    private void silent() {
+      if (!active()) {
+        return;
+      }
+      note("silent", "no progress in time");
+      run.failed(state.clock().millis());
+      abandon();
+      again(RetryReason.SILENT, Refusal.EXPIRED);
+    }
+
+    // -------------------------------------------------------------------------------------------
+    // The answer
+    // -------------------------------------------------------------------------------------------
+
+    @Override
+    public void head(HttpResponse response) {
+      status = response.status().code();
+      headers = response.headers();
+      notExecuted = headers.contains(names.notExecuted()) || status == MISDIRECTED;
+      boolean signed = headers.contains(names.signature());
+      if (status >= 200 && status < 300 && !signed) {
+        spoilt("success without a signature");
+        return;
+      }
+      streaming = facts.route().kind() == CallKind.STREAM && status == 200;
+      if (streaming) {
+        splitter = EventSplitter.create(MAX_EVENT_BYTES);
+      } else {
+        body = new ByteArrayOutputStream();
+      }
+    }
+
+    @Override
+    public void content(ByteBuf bytes) {
+      if (!active()) {
+        return;
+      }
+      byte[] copy = new byte[bytes.readableBytes()];
+      bytes.getBytes(bytes.readerIndex(), copy);
+      if (streaming) {
+        boolean fits = splitter.add(copy, this::event);
+        if (!fits && active()) {
+          spoilt("event too large");
+        }
+        return;
+      }
+      body.writeBytes(copy);
+      if (body.size() > MAX_ANSWER_BYTES) {
+        spoilt("answer too large");
+      }
+    }
+
+    private void event(byte[] bytes, long id) {
+      if (!active()) {
+        return;
+      }
+      if (id >= 0 && lastEvent >= 0 && id != lastEvent + 1) {
+        spoilt("event " + id + " after event " + lastEvent);
+        return;
+      }
+      if (!begun) {
+        begun = true;
+        answer.begin(status, forwarding.answer(headers));
+        answer.onWritable(this::callerCaughtUp);
+      }
+      long now = state.clock().millis();
+      if (firstMillis < 0) {
+        firstMillis = now - facts.request().arrivedMillis();
+      }
+      run.answered((now - sentMillis) / Math.max(1, expectedMillis), now);
+      countUsage();
+      if (id >= 0) {
+        lastEvent = id;
+      }
+      answer.part(bytes);
+      if (!answer.writable()) {
+        connection.reading(false);
+      }
+      boolean mayGoOn = facts.route().repeatable() && mayHaveRun < facts.route().maxAttempts();
+      watchSilence(mayGoOn ? STREAM_SILENCE_MILLIS : 0);
+    }
+
+    private void callerCaughtUp() {
+      if (active()) {
+        connection.reading(true);
+      }
+    }
+
+    @Override
+    public void end() {
+      if (!active()) {
+        close();
+        return;
+      }
+      if (streaming) {
+        endStream();
+        return;
+      }
+      if (notExecuted) {
+        refused();
+        return;
+      }
+      long now = state.clock().millis();
+      boolean serverError = status >= 500 || status == 429 || status == 408;
+      if (serverError) {
+        run.failed(now);
+      } else {
+        run.answered((now - sentMillis) / Math.max(1, expectedMillis), now);
+      }
+      close();
+      countUsage();
+      boolean more = mayHaveRun < facts.route().maxAttempts();
+      if (serverError && facts.route().kind() == CallKind.IDEMPOTENT && more) {
+        note("error", "status " + status);
+        againOr(RetryReason.ENDPOINT_ERROR, this::passOn);
+        return;
+      }
+      passOn();
+    }
+
+    /** Repeats the request if allowed; else does what is given. */
+    private void againOr(RetryReason reason, Runnable otherwise) {
+      boolean time = leftMillis() > MIN_LEFT_MILLIS;
+      if (!time || !state.budget(facts.service()).tryRepeat()) {
+        otherwise.run();
+        return;
+      }
+      state.metrics().repeated(reason.code());
+      attempt();
+    }
+
+    private void passOn() {
+      boolean claimsNotRun = status == 429 || status == 503 || status == 408;
+      if (claimsNotRun) {
+        // The endpoint did not state that the request has not run, so neither may the relay.
+        note("error", "status " + status);
+        giveUp(Refusal.ANSWER_LOST);
+        return;
+      }
+      if (firstMillis < 0) {
+        firstMillis = state.clock().millis() - facts.request().arrivedMillis();
+      }
+      state.metrics().answered(facts.service(), status, firstMillis);
+      finish("answered", status, endpoint.id());
+      answer.whole(status, forwarding.answer(headers), body.toByteArray());
+    }
+
+    private void endStream() {
+      if (splitter.midway()) {
+        spoilt("stream ended within an event");
+        return;
+      }
+      if (!begun) {
+        spoilt("stream without events");
+        return;
+      }
+      close();
+      state.metrics().answered(facts.service(), status, firstMillis);
+      finish("answered", status, endpoint.id());
+      answer.end();
+    }
+
+    private void refused() {
+      run.end();
+      close();
+      mayHaveRun--;
+      refusals++;
+      note("refused", "status " + status);
+      again(RetryReason.REFUSED, Refusal.REFUSED_BY_ENDPOINTS);
+    }
+
+    private void spoilt(String reason) {
+      connection.abandon();
+      broken(reason);
+    }
+
+    @Override
+    public void broken(String reason) {
+      boolean wanted = active();
+      run.failed(state.clock().millis());
+      close();
+      if (!wanted) {
+        return;
+      }
+      note("broken", reason);
+      if (!facts.route().repeatable()) {
+        countUsage();
+        giveUp(Refusal.ANSWER_LOST);
+        return;
+      }
+      again(RetryReason.CONNECTION_LOST, Refusal.ANSWER_LOST);
+    }
+
+    private void abandon() {
+      close();
+      if (connection != null) {
+        connection.abandon();
+      }
+    }
+
+    private void close() {
+      closed = true;
+      run.end();
+      if (silence != null) {
+        silence.cancel(false);
+        silence = null;
+      }
+    }
+
+    private void note(String outcome, String reason) {
+      log.atInfo()
+          .addKeyValue("id", facts.id())
+          .addKeyValue("endpoint", endpoint.id())
+          .addKeyValue("outcome", outcome)
+          .addKeyValue("reason", reason)
+          .addKeyValue("send", sends)
+          .addKeyValue("ms", sentMillis == 0 ? 0 : state.clock().millis() - sentMillis)
+          .addKeyValue("left_ms", leftMillis())
+          .log("attempt ended");
+    }
+  }
+}
--- /dev/null
+++ b/relay/src/main/java/org/heatherspread/relay/call/RelayState.java
@@ -0,0 +1,206 @@
+package org.heatherspread.relay.call;
+
+import io.netty.channel.EventLoop;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import org.heatherspread.core.freshness.StoreContact;
+import org.heatherspread.core.freshness.TrueTime;
+import org.heatherspread.core.placement.EndpointChooser;
+import org.heatherspread.core.placement.EndpointTable;
+import org.heatherspread.core.placement.EngineChooser;
+import org.heatherspread.core.placement.EnginePace;
+import org.heatherspread.core.placement.PlainChooser;
+import org.heatherspread.core.retry.WindowedRetryBudget;
+import org.heatherspread.core.routing.HealthPolicy;
+import org.heatherspread.core.serving.ClientLimits;
+import org.heatherspread.core.serving.EngineRule;
+import org.heatherspread.core.serving.ServiceRule;
+import org.heatherspread.core.serving.ServingConfig;
+import org.heatherspread.core.time.MonotonicClock;
+import org.heatherspread.core.usage.UsageWindows;
+import org.heatherspread.relay.endpoint.ConnectionPool;
+
+/**
+ * What the relay decides by, kept up by the control work on the same event loop. Confined to that
+ * loop. Invariant: the configuration's version only grows.
+ */
+public final class RelayState {
+  private static final long DEFAULT_CACHE_TOKENS = 100_000;
+
+  /** Part of an endpoint's memory that is counted on to keep prompts. */
+  private static final double CACHE_SHARE = 0.7;
+
+  private final EventLoop loop;
+  private final MonotonicClock clock;
+  private final RandomGenerator random;
+  private final RelaySettings settings;
+  private final StoreContact contact;
+  private final TrueTime time;
+  private final ConnectionPool pool;
+  private final CallMetrics metrics;
+  private final EndpointTable endpoints;
+  private final EngineChooser engineChooser = EngineChooser.create(EnginePace.defaults());
+  private final PlainChooser plainChooser = PlainChooser.create();
+  private final AccountGate accounts;
+  private final UsageWindows usage;
+  private final Map<String, WindowedRetryBudget> budgets = new HashMap<>();
+  private final Map<String, Double> work = new HashMap<>();
+  private ServingConfig config;
+  private int daemons = 1;
+
+  /** Creates the state of a daemon that knows nothing yet. */
+  public RelayState(
+      EventLoop loop,
+      MonotonicClock clock,
+      RandomGenerator random,
+      RelaySettings settings,
+      StoreContact contact,
+      TrueTime time,
+      ConnectionPool pool,
+      CallMetrics metrics,
+      UsageWindows usage,
+      HealthPolicy health) {
+    this.loop = loop;
+    this.clock = clock;
+    this.random = random;
+    this.settings = settings;
+    this.contact = contact;
+    this.time = time;
+    this.pool = pool;
+    this.metrics = metrics;
+    this.usage = usage;
+    this.accounts = AccountGate.create(clock);
+    this.endpoints = EndpointTable.create(health, this::cacheTokens);
+  }
+
+  private long cacheTokens(String service) {
+    return Optional.ofNullable(config)
+        .flatMap(known -> known.service(service))
+        .flatMap(ServiceRule::engine)
+        .map(EngineRule::cacheTokens)
+        .map(tokens -> (long) (CACHE_SHARE * tokens))
+        .orElse(DEFAULT_CACHE_TOKENS);
+  }
+
+  /** Takes in a configuration if it is newer; false if it is not. */
+  public boolean offer(ServingConfig next) {
+    if (config != null && next.version() <= config.version()) {
+      return false;
+    }
+    config = next;
+    return true;
+  }
+
+  /** Returns the configuration in force here. */
+  public Optional<ServingConfig> config() {
+    return Optional.ofNullable(config);
+  }
+
+  /** Returns the limits on what callers send. */
+  public ClientLimits limits() {
+    return config == null ? ClientLimits.defaults() : config.limits();
+  }
+
+  /** Tells whether keys may be trusted: the configuration was read recently enough. */
+  public boolean trustsKeys() {
+    return contact.ageMillis() <= settings.keyTrustMillis();
+  }
+
+  /** Returns the way to choose an endpoint of a service. */
+  public EndpointChooser chooser(String service) {
+    boolean engine =
+        config().flatMap(known -> known.service(service)).flatMap(ServiceRule::engine).isPresent();
+    return engine ? engineChooser : plainChooser;
+  }
+
+  /** Returns most connections that this daemon opens to one endpoint of a service. */
+  public int connectionLimit(String service) {
+    int limit =
+        config()
+            .flatMap(known -> known.service(service))
+            .map(ServiceRule::connectionLimit)
+            .orElse(0);
+    return limit <= 0 ? Integer.MAX_VALUE : Math.max(2, limit / (daemons + 1));
+  }
+
+  /** Returns this daemon's part in a service's retry budget. */
+  public WindowedRetryBudget budget(String service) {
+    return budgets.computeIfAbsent(
+        service,
+        name -> {
+          WindowedRetryBudget budget =
+              WindowedRetryBudget.create(
+                  clock, settings.retryRatio(), settings.retryWindowMillis());
+          budget.extra(settings.retryExtra() / (daemons + 1));
+          return budget;
+        });
+  }
+
+  /** Sets how many daemons share limits and budgets. */
+  public void daemons(int count) {
+    daemons = Math.max(1, count);
+    budgets.values().forEach(budget -> budget.extra(settings.retryExtra() / (daemons + 1)));
+  }
+
+  /** Counts work of a model service, in milliseconds of one endpoint. */
+  public void addWork(String service, double millis) {
+    work.merge(service, millis, Double::sum);
+  }
+
+  /** Returns the work of each model service since the start. */
+  public Map<String, Double> work() {
+    return Map.copyOf(work);
+  }
+
+  /** Returns the event loop that all of this is confined to. */
+  public EventLoop loop() {
+    return loop;
+  }
+
+  /** Returns the monotonic clock. */
+  public MonotonicClock clock() {
+    return clock;
+  }
+
+  /** Returns the source of random choices. */
+  public RandomGenerator random() {
+    return random;
+  }
+
+  /** Returns how fresh the knowledge of the store is. */
+  public StoreContact contact() {
+    return contact;
+  }
+
+  /** Returns the estimate of the Unix time. */
+  public TrueTime time() {
+    return time;
+  }
+
+  /** Returns the connections to endpoints. */
+  public ConnectionPool pool() {
+    return pool;
+  }
+
+  /** Returns the endpoints. */
+  public EndpointTable endpoints() {
+    return endpoints;
+  }
+
+  /** Returns the limits of client accounts. */
+  public AccountGate accounts() {
+    return accounts;
+  }
+
+  /** Returns the counts of requests that began to run. */
+  public UsageWindows usage() {
+    return usage;
+  }
+
+  /** Returns the counters. */
+  public CallMetrics metrics() {
+    return metrics;
+  }
+}
--- /dev/null
+++ b/relay/src/main/java/org/heatherspread/relay/call/package-info.java
@@ -0,0 +1,2 @@
+/** The life of one caller's request from its arrival to its answer. */
+package org.heatherspread.relay.call;
--- /dev/null
+++ b/relay/src/main/java/org/heatherspread/relay/caller/CallerAnswer.java
@@ -0,0 +1,33 @@
+package org.heatherspread.relay.caller;
+
+import io.netty.handler.codec.http.HttpHeaders;
+
+/**
+ * The answer to one request: either whole, or begun, continued and ended. Calls after the caller
+ * has left do nothing. Confined to the connection's event loop.
+ */
+public interface CallerAnswer {
+  /** Sends a whole answer. */
+  void whole(int status, HttpHeaders headers, byte[] body);
+
+  /** Begins an answer whose length is not known. */
+  void begin(int status, HttpHeaders headers);
+
+  /** Sends a part of the body. */
+  void part(byte[] bytes);
+
+  /** Ends a begun answer as complete. */
+  void end();
+
+  /** Closes the connection, so that the answer is seen to be incomplete. */
+  void abort();
+
+  /** Tells whether the caller reads as fast as parts are sent. */
+  boolean writable();
+
+  /** Sets what to do when the caller leaves before the answer is complete. */
+  void onGone(Runnable action);
+
+  /** Sets what to do when the caller has caught up with the parts sent. */
+  void onWritable(Runnable action);
+}
--- /dev/null
+++ b/relay/src/main/java/org/heatherspread/relay/caller/CallerHandler.java
@@ -0,0 +1,8 @@
+package org.heatherspread.relay.caller;
+
+/** Takes requests of callers. */
+@FunctionalInterface
+public interface CallerHandler {
+  /** Takes a request; the answer must be given, once, by the same event loop. */
+  void handle(CallerRequest request, CallerAnswer answer);
+}
--- /dev/null
+++ b/relay/src/main/java/org/heatherspread/relay/caller/CallerServer.java
@@ -0,0 +1,154 @@
+package org.heatherspread.relay.caller;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpServerCodec;
+import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Supplier;
+import org.heatherspread.core.serving.ClientLimits;
+import org.heatherspread.core.serving.HostPort;
+import org.heatherspread.core.time.MonotonicClock;
+
+/** Listens on one address and gives complete requests to a handler. Confined to its event loop. */
+public final class CallerServer {
+  private static final int MAX_LINE_BYTES = 8_192;
+  private static final int MAX_CHUNK_BYTES = 16_384;
+  private static final int BACKLOG = 1_024;
+
+  private final EventLoop loop;
+  private final MonotonicClock clock;
+  private final Supplier<ClientLimits> limits;
+  private final CallerHandler handler;
+  private final Set<CallerConnection> connections = new HashSet<>();
+  private Channel listener;
+  private boolean draining;
+
+  private CallerServer(
+      EventLoop loop, MonotonicClock clock, Supplier<ClientLimits> limits, CallerHandler handler) {
+    this.loop = loop;
+    this.clock = clock;
+    this.limits = limits;
+    this.handler = handler;
+  }
+
+  /** Creates a server that does not listen yet. */
+  public static CallerServer create(
+      EventLoop loop, MonotonicClock clock, Supplier<ClientLimits> limits, CallerHandler handler) {
+    return new CallerServer(loop, clock, limits, handler);
+  }
+
+  /** Starts to listen; fails if the address cannot be had. Called from outside the event loop. */
+  public void listen(HostPort address) throws InterruptedException {
+    ServerBootstrap bootstrap =
+        new ServerBootstrap()
+            .group(loop)
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(
+                new ChannelInitializer<SocketChannel>() {
+                  @Override
+                  protected void initChannel(SocketChannel channel) {
+                    CallerConnection connection = new CallerConnection(CallerServer.this);
+                    channel
+                        .pipeline()
+                        .addLast(new Arrivals(connection))
+                        .addLast(
+                            new HttpServerCodec(
+                                MAX_LINE_BYTES, limits.get().maxHeaderBytes(), MAX_CHUNK_BYTES))
+                        .addLast(connection);
+                  }
+                });
+    listener = bootstrap.bind(address.host(), address.port()).sync().channel();
+  }
+
+  /** Returns the port listened on. */
+  public int port() {
+    return ((java.net.InetSocketAddress) listener.localAddress()).getPort();
+  }
+
+  /** Takes no new connections; idle ones close, and each other one after its answer. */
+  public void drain() {
+    draining = true;
+    listener.close();
+    List.copyOf(connections).forEach(CallerConnection::drain);
+  }
+
+  /** Tells each connection's caller to close after its next answer, but goes on accepting. */
+  public void discourage() {
+    draining = true;
+  }
+
+  /** Returns the requests in progress. */
+  public long busy() {
+    return connections.stream().filter(CallerConnection::busy).count();
+  }
+
+  /** Returns the open connections. */
+  public int connections() {
+    return connections.size();
+  }
+
+  boolean draining() {
+    return draining;
+  }
+
+  ClientLimits limits() {
+    return limits.get();
+  }
+
+  CallerHandler handler() {
+    return handler;
+  }
+
+  long nowMillis() {
+    return clock.millis();
+  }
+
+  void opened(CallerConnection connection) {
+    connections.add(connection);
+  }
+
+  void closed(CallerConnection connection) {
+    connections.remove(connection);
+  }
+
+  HttpHeaders problemHeaders() {
+    return new DefaultHttpHeaders().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
+  }
+
+  byte[] problem(int status, String reason) {
+    String text = reason.replaceAll("[^\\x20-\\x7e]|[\"\\\\]", " ");
+    return ("{\"status\":" + status + ",\"title\":\"" + text + "\"}")
+        .getBytes(StandardCharsets.UTF_8);
+  }
+
+  /** Notes raw bytes before they are decoded, so that a head that never ends is seen. */
+  private static final class Arrivals extends ChannelInboundHandlerAdapter {
+    private final CallerConnection connection;
+
+    private Arrivals(CallerConnection connection) {
+      this.connection = connection;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+      connection.bytesArrived();
+      context.fireChannelRead(message);
+    }
+  }
+}
--- /dev/null
+++ b/relay/src/main/java/org/heatherspread/relay/endpoint/ConnectionPool.java
@@ -0,0 +1,164 @@
+package org.heatherspread.relay.endpoint;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpClientCodec;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import org.heatherspread.core.serving.HostPort;
+import org.heatherspread.core.time.MonotonicClock;
+
+/**
+ * Kept connections by address, the most recently used first, so that few are held open and those
+ * that fell silent are not found by requests. Confined to its event loop.
+ */
+public final class ConnectionPool {
+  private static final int MAX_LINE_BYTES = 8_192;
+  private static final int MAX_HEADER_BYTES = 32_768;
+  private static final int MAX_CHUNK_BYTES = 16_384;
+
+  private final EventLoop loop;
+  private final MonotonicClock clock;
+  private final PoolSettings settings;
+  private final String idHeader;
+  private final Map<HostPort, ArrayDeque<EndpointConnection>> idle = new HashMap<>();
+  private final Map<HostPort, Set<EndpointConnection>> open = new HashMap<>();
+  private final Set<HostPort> retired = new HashSet<>();
+  private long opened;
+
+  private ConnectionPool(
+      EventLoop loop, MonotonicClock clock, PoolSettings settings, String idHeader) {
+    this.loop = loop;
+    this.clock = clock;
+    this.settings = settings;
+    this.idHeader = idHeader;
+  }
+
+  /**
+   * Creates an empty pool.
+   *
+   * @param idHeader header by which answers name their requests, null where they don't
+   */
+  public static ConnectionPool create(
+      EventLoop loop, MonotonicClock clock, PoolSettings settings, String idHeader) {
+    return new ConnectionPool(loop, clock, settings, idHeader);
+  }
+
+  /** Receives a connection or the reason why there is none. */
+  public interface Receiver {
+    /** Gives a connection that carries nothing; it is to be used or given back. */
+    void connected(EndpointConnection connection);
+
+    /** No connection could be opened; nothing was sent. */
+    void failed(String reason);
+  }
+
+  /** Returns how many connections were opened since the start. */
+  public long opened() {
+    return opened;
+  }
+
+  /** Returns how many connections to an address are open. */
+  public int open(HostPort address) {
+    return open.getOrDefault(address, Set.of()).size();
+  }
+
+  /**
+   * Gives a kept connection at once, or opens one.
+   *
+   * @param limit most connections to the address
+   */
+  public void acquire(HostPort address, int limit, Receiver receiver) {
+    ArrayDeque<EndpointConnection> kept = idle.get(address);
+    long now = clock.millis();
+    while (kept != null && !kept.isEmpty()) {
+      EndpointConnection connection = kept.pop();
+      if (connection.usable(now, settings.maxIdleMillis())) {
+        receiver.connected(connection);
+        return;
+      }
+      connection.close();
+    }
+    if (open(address) >= limit) {
+      receiver.failed("connection limit of the endpoint reached");
+      return;
+    }
+    connect(address, receiver);
+  }
+
+  private void connect(HostPort address, Receiver receiver) {
+    retired.remove(address);
+    EndpointConnection connection = new EndpointConnection(this, address, idHeader);
+    open.computeIfAbsent(address, key -> new HashSet<>()).add(connection);
+    opened++;
+    Bootstrap bootstrap =
+        new Bootstrap()
+            .group(loop)
+            .channel(NioSocketChannel.class)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, settings.connectTimeoutMillis())
+            .handler(
+                new ChannelInitializer<SocketChannel>() {
+                  @Override
+                  protected void initChannel(SocketChannel channel) {
+                    channel
+                        .pipeline()
+                        .addLast(
+                            new HttpClientCodec(
+                                MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES, false, true))
+                        .addLast(connection);
+                  }
+                });
+    ChannelFuture connecting = bootstrap.connect(address.host(), address.port());
+    connection.opened(connecting.channel());
+    connecting.addListener(
+        done -> {
+          if (done.isSuccess()) {
+            connection.idleSince(clock.millis());
+            receiver.connected(connection);
+            return;
+          }
+          closed(connection);
+          receiver.failed("cannot connect: " + done.cause().getMessage());
+        });
+  }
+
+  void release(EndpointConnection connection) {
+    if (!connection.reusable() || retired.contains(connection.address())) {
+      connection.close();
+      return;
+    }
+    connection.idleSince(clock.millis());
+    idle.computeIfAbsent(connection.address(), key -> new ArrayDeque<>()).push(connection);
+  }
+
+  void closed(EndpointConnection connection) {
+    Set<EndpointConnection> ofAddress = open.get(connection.address());
+    if (ofAddress != null && ofAddress.remove(connection) && ofAddress.isEmpty()) {
+      open.remove(connection.address());
+    }
+    ArrayDeque<EndpointConnection> kept = idle.get(connection.address());
+    if (kept != null) {
+      kept.remove(connection);
+    }
+  }
+
+  /** Closes the idle connections to an address; those in use close when their exchange ends. */
+  public void retire(HostPort address) {
+    ArrayDeque<EndpointConnection> kept = idle.remove(address);
+    if (open.containsKey(address)) {
+      retired.add(address);
+    }
+    while (kept != null && !kept.isEmpty()) {
+      kept.pop().close();
+    }
+  }
+}
--- /dev/null
+++ b/relay/src/main/java/org/heatherspread/relay/endpoint/Exchange.java
@@ -0,0 +1,19 @@
+package org.heatherspread.relay.endpoint;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpResponse;
+
+/** Receives one answer; called on the connection's event loop. */
+public interface Exchange {
+  /** The head of the answer that belongs to the request. */
+  void head(HttpResponse head);
+
+  /** Bytes of the body; the receiver does not release them. */
+  void content(ByteBuf bytes);
+
+  /** The answer is whole. Nothing follows. */
+  void end();
+
+  /** The connection broke, or what came was no answer. Nothing follows. */
+  void broken(String reason);
+}
--- /dev/null
+++ b/relay/src/main/java/org/heatherspread/relay/endpoint/package-info.java
@@ -0,0 +1,2 @@
+/** Connections to endpoints and to the platform, one exchange at a time on each. */
+package org.heatherspread.relay.endpoint;
--- /dev/null
+++ b/relay/src/main/java/org/heatherspread/relay/rpc/RpcClient.java
@@ -0,0 +1,154 @@
+package org.heatherspread.relay.rpc;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.io.ByteArrayOutputStream;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.heatherspread.core.error.ErrorKind;
+import org.heatherspread.core.error.ServingException;
+import org.heatherspread.core.serving.HostPort;
+import org.heatherspread.core.time.MonotonicClock;
+import org.heatherspread.relay.endpoint.ConnectionPool;
+import org.heatherspread.relay.endpoint.EndpointConnection;
+import org.heatherspread.relay.endpoint.Exchange;
+import org.heatherspread.relay.endpoint.PoolSettings;
+
+/**
+ * Short calls to one address over kept connections. A call that is not answered in time closes its
+ * connection, so that a connection that fell silent is replaced. Futures complete on the event
+ * loop; confined to it.
+ */
+public final class RpcClient {
+  private static final int MAX_CONNECTIONS = 8;
+  private static final int CONNECT_TIMEOUT_MILLIS = 600;
+  private static final long MAX_IDLE_MILLIS = 8_000;
+
+  private final EventLoop loop;
+  private final HostPort address;
+  private final ConnectionPool pool;
+
+  private RpcClient(EventLoop loop, HostPort address, ConnectionPool pool) {
+    this.loop = loop;
+    this.address = address;
+    this.pool = pool;
+  }
+
+  /** Creates a client; no connection is opened yet. */
+  public static RpcClient create(EventLoop loop, MonotonicClock clock, HostPort address) {
+    PoolSettings settings = new PoolSettings(CONNECT_TIMEOUT_MILLIS, MAX_IDLE_MILLIS);
+    return new RpcClient(loop, address, ConnectionPool.create(loop, clock, settings, null));
+  }
+
+  /**
+   * Makes a call.
+   *
+   * @return fails with kind {@code STORE_UNAVAILABLE} where nothing was sent, with {@code
+   *     STORE_OUTCOME_UNKNOWN} where the call may have been carried out
+   */
+  public CompletableFuture<RpcReply> call(
+      HttpMethod method,
+      String target,
+      Map<String, String> headers,
+      byte[] body,
+      Duration timeout) {
+    CompletableFuture<RpcReply> result = new CompletableFuture<>();
+    FullHttpRequest request =
+        new DefaultFullHttpRequest(
+            HttpVersion.HTTP_1_1, method, target, Unpooled.wrappedBuffer(body));
+    request.headers().set(HttpHeaderNames.HOST, address.toString());
+    request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
+    if (body.length > 0) {
+      request.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
+    }
+    headers.forEach((name, value) -> request.headers().set(name, value));
+    new Call(request, result).start(timeout);
+    return result;
+  }
+
+  /** One call; ends exactly once. */
+  private final class Call implements ConnectionPool.Receiver, Exchange {
+    private final FullHttpRequest request;
+    private final CompletableFuture<RpcReply> result;
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private ScheduledFuture<?> timer;
+    private EndpointConnection connection;
+    private int status;
+
+    private Call(FullHttpRequest request, CompletableFuture<RpcReply> result) {
+      this.request = request;
+      this.result = result;
+    }
+
+    private void start(Duration timeout) {
+      timer = loop.schedule(this::timedOut, timeout.toMillis(), TimeUnit.MILLISECONDS);
+      pool.acquire(address, MAX_CONNECTIONS, this);
+    }
+
+    private void timedOut() {
+      if (connection == null) {
+        end(failure(ErrorKind.STORE_UNAVAILABLE, "no connection in time"));
+        return;
+      }
+      connection.abandon();
+      end(failure(ErrorKind.STORE_OUTCOME_UNKNOWN, "no answer in time"));
+    }
+
+    @Override
+    public void connected(EndpointConnection opened) {
+      if (result.isDone()) {
+        opened.unused();
+        return;
+      }
+      connection = opened;
+      opened.send(request, null, this);
+    }
+
+    @Override
+    public void failed(String reason) {
+      end(failure(ErrorKind.STORE_UNAVAILABLE, reason));
+    }
+
+    @Override
+    public void head(HttpResponse head) {
+      status = head.status().code();
+    }
+
+    @Override
+    public void content(ByteBuf bytes) {
+      byte[] copy = new byte[bytes.readableBytes()];
+      bytes.getBytes(bytes.readerIndex(), copy);
+      body.writeBytes(copy);
+    }
+
+    @Override
+    public void end() {
+      timer.cancel(false);
+      result.complete(new RpcReply(status, body.toByteArray()));
+    }
+
+    @Override
+    public void broken(String reason) {
+      end(failure(ErrorKind.STORE_OUTCOME_UNKNOWN, reason));
+    }
+
+    private void end(ServingException failure) {
+      timer.cancel(false);
+      result.completeExceptionally(failure);
+    }
+
+    private ServingException failure(ErrorKind kind, String reason) {
+      return ServingException.of(kind, address + ": " + reason);
+    }
+  }
+}
