--- a/core/src/main/java/org/heatherspread/core/capacity/EndpointPlan.java
+++ b/core/src/main/java/org/heatherspread/core/capacity/EndpointPlan.java
@@ -20,6 +20,9 @@
   private static final Comparator<Map.Entry<String, Double>> BY_PRICE =
       Map.Entry.<String, Double>comparingByValue().thenComparing(Map.Entry.comparingByKey());
 
+  /** Part of a domain's endpoints that should be lasting ones while reclaims come in a wave. */
+  private static final double WAVE_RESERVE = 0.5;
+
   private final double targetUse;
 
   private EndpointPlan(double targetUse) {
@@ -38,7 +41,7 @@
   /**
    * The endpoints of a domain as seen.
    *
-   * @param lasting lasting endpoints that take work
+   * @param lasting lasting endpoints that take work or are ordered
    * @param reclaimable reclaimable endpoints that take work
    * @param reclaimableToBeHad whether more reclaimable ones can be had, as far as known
    */
@@ -79,9 +82,13 @@
     return emptiest;
   }
 
-  /** Returns the orders that should stand. */
+  /**
+   * Returns the orders that should stand.
+   *
+   * @param wave whether reclaims were seen lately; more are to be expected, in other domains too
+   */
   public List<EndpointOrder> orders(
-      String service, Map<String, Integer> wanted, Map<String, DomainState> states) {
+      String service, Map<String, Integer> wanted, Map<String, DomainState> states, boolean wave) {
     List<EndpointOrder> orders = new ArrayList<>();
     for (Map.Entry<String, Integer> entry : wanted.entrySet()) {
       String domain = entry.getKey();
@@ -90,7 +97,9 @@
       int missing = Math.max(0, count - state.reclaimable());
       if (state.reclaimableToBeHad()) {
         orders.add(new EndpointOrder(service, domain, true, count));
-        orders.add(new EndpointOrder(service, domain, false, Math.min(state.lasting(), missing)));
+        int lasting = Math.min(state.lasting(), missing);
+        int reserve = wave ? (int) Math.ceil(WAVE_RESERVE * count) : 0;
+        orders.add(new EndpointOrder(service, domain, false, Math.max(lasting, reserve)));
       } else {
         orders.add(new EndpointOrder(service, domain, true, state.reclaimable()));
         orders.add(new EndpointOrder(service, domain, false, missing));
--- /dev/null
+++ b/core/src/main/java/org/heatherspread/core/limit/LimitSlack.java
@@ -0,0 +1,19 @@
+package org.heatherspread.core.limit;
+
+/**
+ * By how much all daemons together may exceed a limit in a window.
+ *
+ * @param windowSeconds length of the window in which limits are judged
+ * @param overshoot share of the limit by which a window may exceed it
+ * @param tolerance amount by which it may exceed it besides, in the limit's unit
+ */
+public record LimitSlack(double windowSeconds, double overshoot, double tolerance) {
+  /** Part of the slack that daemons use; the rest covers shares that are out of date. */
+  private static final double USED = 0.5;
+
+  /** Returns what may be saved up at a limit, so that large single requests find room. */
+  public double burst(double ratePerSecond, double burst) {
+    double window = ratePerSecond * windowSeconds + burst;
+    return burst + USED * (overshoot * window + tolerance);
+  }
+}
--- a/node/src/main/java/org/heatherspread/node/Node.java
+++ b/node/src/main/java/org/heatherspread/node/Node.java
@@ -20,6 +20,7 @@
 import org.heatherspread.core.fleet.DaemonState;
 import org.heatherspread.core.freshness.StoreContact;
 import org.heatherspread.core.freshness.TrueTime;
+import org.heatherspread.core.limit.LimitSlack;
 import org.heatherspread.core.routing.HealthPolicy;
 import org.heatherspread.core.serving.ClientLimits;
 import org.heatherspread.core.serving.HostPort;
@@ -58,7 +59,7 @@
   private static final double KEY_TRUST = 0.8;
 
   private static final int CONNECT_TIMEOUT_MILLIS = 500;
-  private static final long MAX_IDLE_MILLIS = 4_000;
+  private static final long MAX_IDLE_MILLIS = 15_000;
   private static final Duration STORE_TIMEOUT = Duration.ofMillis(900);
   private static final Duration CLOUD_TIMEOUT = Duration.ofMillis(1_000);
 
@@ -73,6 +74,7 @@
 
   private static final Duration STOP_POLL = Duration.ofMillis(50);
   private static final int KEPT_WINDOWS = 6;
+  private static final double MILLIS_PER_SECOND = 1_000;
 
   private final NodeSettings settings;
   private final EventLoop loop;
@@ -144,7 +146,11 @@
         (long) (KEY_TRUST * bounds.revocation().toMillis()),
         bounds.retryRatio(),
         bounds.retryWindow().toMillis(),
-        bounds.retryExtra());
+        bounds.retryExtra(),
+        new LimitSlack(
+            bounds.limitWindow().toMillis() / MILLIS_PER_SECOND,
+            bounds.limitOvershoot(),
+            bounds.limitTolerance()));
   }
 
   private static HealthPolicy healthPolicy() {
--- a/node/src/main/java/org/heatherspread/node/NodeMain.java
+++ b/node/src/main/java/org/heatherspread/node/NodeMain.java
@@ -14,6 +14,8 @@
 public final class NodeMain {
   private static final Logger log = LoggerFactory.getLogger(NodeMain.class);
   private static final String FILE_VARIABLE = "HEATHERSPREAD_NODE_FILE";
+  private static final String CHECK = "check";
+  private static final String HELP = "help";
   private static final int USAGE = 2;
 
   private NodeMain() {}
@@ -25,8 +27,8 @@
         parser
             .accepts("config", "settings file; default: the file that " + FILE_VARIABLE + " names")
             .withRequiredArg();
-    OptionSpec<Void> check = parser.accepts("check", "check the settings and end");
-    OptionSpec<Void> help = parser.accepts("help", "show this").forHelp();
+    parser.accepts(CHECK, "check the settings and end");
+    parser.accepts(HELP, "show this").forHelp();
     OptionSet options;
     try {
       options = parser.parse(arguments);
@@ -36,7 +38,7 @@
       System.exit(USAGE);
       return;
     }
-    if (options.has(help)) {
+    if (options.has(HELP)) {
       parser.printHelpOn(System.out);
       return;
     }
@@ -46,7 +48,7 @@
       System.exit(USAGE);
       return;
     }
-    run(Path.of(path), options.has(check));
+    run(Path.of(path), options.has(CHECK));
   }
 
   private static void run(Path path, boolean checkOnly) throws InterruptedException {
--- a/node/src/main/java/org/heatherspread/node/control/CapacityDuty.java
+++ b/node/src/main/java/org/heatherspread/node/control/CapacityDuty.java
@@ -24,12 +24,15 @@
   private static final Logger log = LoggerFactory.getLogger(CapacityDuty.class);
 
   /** Part of an endpoint's time that should be busy, low enough for first tokens on time. */
-  private static final double TARGET_USE = 0.5;
+  private static final double TARGET_USE = 0.8;
 
   /** How long a domain without reclaimable endpoints is not asked again. */
   private static final long DRY_MILLIS = 3_000;
 
-  private static final long PLAN_INTERVAL_MILLIS = 400;
+  /** How long after a reclaim further ones are expected, by the waves seen so far. */
+  private static final long WAVE_MILLIS = 8_000;
+
+  private static final long PLAN_INTERVAL_MILLIS = 150;
 
   /** Time beyond the boot time after which an order that shows no effect is given again. */
   private static final long EFFECT_MARGIN_MILLIS = 4_000;
@@ -42,7 +45,9 @@
   private final Map<String, DemandMeter> meters = new HashMap<>();
   private final Map<Subject, Standing> standing = new HashMap<>();
   private final Map<Subject, Long> dryUntil = new HashMap<>();
+  private final Map<Subject, Integer> lastSeen = new HashMap<>();
   private long nextPlanMillis;
+  private long waveUntilMillis;
 
   CapacityDuty(RelayState state, FleetView fleet, DutyCalls calls, String self) {
     this.state = state;
@@ -76,7 +81,7 @@
     meter.sample(totals(service));
     Map<String, DomainState> states = states(service, rule, now);
     Map<String, Integer> wanted = plan.wanted(rule, meter.busyEndpoints());
-    List<EndpointOrder> orders = plan.orders(service, wanted, states);
+    List<EndpointOrder> orders = plan.orders(service, wanted, states, now < waveUntilMillis);
     for (EndpointOrder order : orders) {
       give(order, seen(order, states), rule, fencing, now, meter.busyEndpoints());
     }
@@ -100,9 +105,7 @@
       RegisteredEndpoint registration = endpoint.registration();
       Subject subject = new Subject(service, registration.domain(), registration.reclaimable());
       if (registration.leaving() && registration.reclaimable()) {
-        // A notice concerns all reclaimable endpoints of the domain, and no new ones are to be had.
-        dryUntil.merge(subject, now + DRY_MILLIS, Math::max);
-        standing.remove(subject);
+        reclaimed(subject, now);
       }
       int[] kinds = counts.get(registration.domain());
       if (kinds != null && endpoint.usable(now)) {
@@ -112,13 +115,35 @@
     Map<String, DomainState> states = new HashMap<>();
     counts.forEach(
         (domain, kinds) -> {
+          noteVanished(new Subject(service, domain, true), kinds[1], now);
           long dry = dryUntil.getOrDefault(new Subject(service, domain, true), 0L);
           boolean sold = rule.reclaimablePrice() < 1;
-          states.put(domain, new DomainState(kinds[0], kinds[1], sold && now >= dry));
+          Standing lasting = standing.get(new Subject(service, domain, false));
+          int ordered = lasting == null ? 0 : lasting.count;
+          states.put(
+              domain, new DomainState(Math.max(kinds[0], ordered), kinds[1], sold && now >= dry));
         });
     return states;
   }
 
+  /** A notice concerns all reclaimable endpoints of the domain, and no new ones are to be had. */
+  private void reclaimed(Subject subject, long now) {
+    dryUntil.merge(subject, now + DRY_MILLIS, Math::max);
+    standing.remove(subject);
+    lastSeen.remove(subject);
+    waveUntilMillis = now + WAVE_MILLIS;
+  }
+
+  /** Some notices show only in that all reclaimable endpoints of a domain vanish at once. */
+  private void noteVanished(Subject subject, int seen, long now) {
+    Integer before = lastSeen.put(subject, seen);
+    Standing order = standing.get(subject);
+    boolean wanted = order == null || order.count > 0;
+    if (before != null && before > 0 && seen == 0 && wanted) {
+      reclaimed(subject, now);
+    }
+  }
+
   private static int seen(EndpointOrder order, Map<String, DomainState> states) {
     DomainState domain = states.get(order.domain());
     return order.reclaimable() ? domain.reclaimable() : domain.lasting();
--- a/node/src/main/java/org/heatherspread/node/control/ConfigurationListener.java
+++ b/node/src/main/java/org/heatherspread/node/control/ConfigurationListener.java
@@ -1,6 +1,8 @@
 package org.heatherspread.node.control;
 
+import java.util.StringJoiner;
 import java.util.function.Function;
+import org.heatherspread.core.serving.AccountRule;
 import org.heatherspread.core.serving.ServingConfig;
 import org.heatherspread.core.store.SharedReading;
 import org.heatherspread.core.store.SharedRow;
@@ -52,10 +54,19 @@
           .addKeyValue("version", next.version())
           .addKeyValue("before", before)
           .addKeyValue("row_version", row.version())
+          .addKeyValue("account_limits", limits(next))
           .log("configuration in force");
     }
   }
 
+  private static String limits(ServingConfig config) {
+    StringJoiner limits = new StringJoiner(" ");
+    for (AccountRule account : config.accounts()) {
+      limits.add(account.name() + '=' + (long) account.ratePerSecond());
+    }
+    return limits.toString();
+  }
+
   @Override
   public void failed(String reason) {
     // The watcher logs it; the age of the configuration is judged where it matters.
--- a/node/src/main/java/org/heatherspread/node/control/Control.java
+++ b/node/src/main/java/org/heatherspread/node/control/Control.java
@@ -18,6 +18,7 @@
 import org.heatherspread.core.duty.DutyCalls;
 import org.heatherspread.core.fleet.DaemonReport;
 import org.heatherspread.core.fleet.FleetView;
+import org.heatherspread.core.freshness.StoreContact;
 import org.heatherspread.core.lease.LeaseKeeper;
 import org.heatherspread.core.lease.LeaseSettings;
 import org.heatherspread.core.store.SharedStore;
@@ -32,11 +33,11 @@
 /** The control work of a daemon, as actors on its event loop. Confined to that loop. */
 public final class Control {
   /** How long a daemon counts as live without a new report. */
-  private static final long LIVE_MILLIS = 2_600;
+  private static final long LIVE_MILLIS = 3_800;
 
-  private static final Duration CONFIGURATION_WAIT = Duration.ofMillis(1_000);
-  private static final Duration ENDPOINT_WAIT = Duration.ofMillis(1_500);
-  private static final Duration FLEET_INTERVAL = Duration.ofMillis(1_000);
+  private static final Duration CONFIGURATION_WAIT = Duration.ofMillis(2_000);
+  private static final Duration ENDPOINT_WAIT = Duration.ofMillis(2_000);
+  private static final Duration FLEET_INTERVAL = Duration.ofMillis(1_500);
   private static final Duration WHOLE_EVERY = Duration.ofSeconds(15);
   private static final int LAST_RANK = 2;
 
@@ -123,14 +124,17 @@
         context,
         new TableWatcher.Plan(
             PlatformTables.OPERATORS, CONFIGURATION_WAIT, Duration.ZERO, WHOLE_EVERY),
+        state.contact(),
         new ConfigurationListener(state, PlatformTables.CONFIGURATION, ConfigurationFormat::read));
     watch(
         context,
         new TableWatcher.Plan(PlatformTables.ENDPOINTS, ENDPOINT_WAIT, Duration.ZERO, WHOLE_EVERY),
+        ownContact(),
         endpoints);
     watch(
         context,
         new TableWatcher.Plan(Reporter.TABLE, Duration.ZERO, FLEET_INTERVAL, WHOLE_EVERY),
+        ownContact(),
         new FleetListener(state, fleet, settings.name()));
     reporter =
         context.spawn(
@@ -141,10 +145,17 @@
     return Behaviors.empty();
   }
 
-  private void watch(ActorContext<Void> context, TableWatcher.Plan plan, TableListener listener) {
+  private StoreContact ownContact() {
+    return StoreContact.create(state.clock(), Clock.systemUTC());
+  }
+
+  private void watch(
+      ActorContext<Void> context,
+      TableWatcher.Plan plan,
+      StoreContact contact,
+      TableListener listener) {
     context.spawn(
-        restarting(TableWatcher.create(plan, store, state.contact(), listener)),
-        "watch-" + plan.table());
+        restarting(TableWatcher.create(plan, store, contact, listener)), "watch-" + plan.table());
   }
 
   private static <T> Behavior<T> restarting(Behavior<T> behavior) {
--- a/node/src/main/java/org/heatherspread/node/control/DutyKeeper.java
+++ b/node/src/main/java/org/heatherspread/node/control/DutyKeeper.java
@@ -21,6 +21,11 @@
 
   private static final Duration INTERVAL = Duration.ofMillis(200);
 
+  /** Daemons that look at the lease all the time; the others do now and then. */
+  private static final int CANDIDATES = 2;
+
+  private static final int SKIP = 20;
+
   /** What the actor is told. */
   enum Command {
     /** Do what is due. */
@@ -49,6 +54,7 @@
   private final Iterable<Duty> duties;
   private final WakeGuard guard;
   private boolean left;
+  private int skipped;
   private boolean held;
 
   private DutyKeeper(
@@ -97,7 +103,11 @@
         duty.perform(fencing.getAsLong());
       }
     }
-    lease.step(rank.rank());
+    int place = rank.rank();
+    if (place < CANDIDATES || ++skipped >= SKIP) {
+      skipped = 0;
+      lease.step(place);
+    }
     return this;
   }
 
--- a/node/src/main/java/org/heatherspread/node/control/Reporter.java
+++ b/node/src/main/java/org/heatherspread/node/control/Reporter.java
@@ -23,7 +23,7 @@
   /** Shared table of the reports, one row for each life of a daemon. */
   static final String TABLE = "daemons";
 
-  private static final Duration INTERVAL = Duration.ofSeconds(1);
+  private static final Duration INTERVAL = Duration.ofMillis(1_500);
 
   /** What the actor is told. */
   enum Command {
--- a/node/src/main/java/org/heatherspread/node/control/TableWatcher.java
+++ b/node/src/main/java/org/heatherspread/node/control/TableWatcher.java
@@ -74,6 +74,12 @@
     step();
   }
 
+  /**
+   * Creates a watcher.
+   *
+   * @param contact what this watcher's answers tell of the store; not shared between tables, as an
+   *     answer about one table says nothing about another
+   */
   static Behavior<Command> create(
       Plan plan, SharedStore store, StoreContact contact, TableListener listener) {
     return Behaviors.setup(
--- a/node/src/main/java/org/heatherspread/node/settings/NodeSettings.java
+++ b/node/src/main/java/org/heatherspread/node/settings/NodeSettings.java
@@ -44,6 +44,9 @@
    * @param retryWindow window of the retry budget
    * @param usageWindow window of usage reports
    * @param usageDue time after a window's end by which it is to be reported
+   * @param limitWindow window in which limits of client accounts are judged
+   * @param limitOvershoot share by which a window may exceed a limit
+   * @param limitTolerance amount by which it may exceed it besides
    * @param directoryTtlMax longest time for which callers keep an answer of the directory
    */
   public record Bounds(
@@ -55,11 +58,15 @@
       Duration retryWindow,
       Duration usageWindow,
       Duration usageDue,
+      Duration limitWindow,
+      double limitOvershoot,
+      double limitTolerance,
       Duration directoryTtlMax) {}
 
   private static final Duration MIN = Duration.ofMillis(100);
   private static final Duration MAX = Duration.ofMinutes(10);
   private static final int MAX_EXTRA = 1_000_000;
+  private static final double MAX_TOLERANCE = 1e12;
 
   /**
    * Loads a file.
@@ -105,6 +112,9 @@
         section.duration("retry_window", Duration.ofSeconds(10), MIN, MAX),
         section.duration("usage_window", Duration.ofSeconds(5), MIN, MAX),
         section.duration("usage_due", Duration.ofSeconds(10), MIN, MAX),
+        section.duration("limit_window", Duration.ofSeconds(8), MIN, MAX),
+        section.decimal("limit_overshoot", 0, 0, 10),
+        section.decimal("limit_tolerance", 0, 0, MAX_TOLERANCE),
         section.duration("directory_ttl_max", Duration.ofSeconds(5), MIN, MAX));
   }
 
--- a/relay/src/main/java/org/heatherspread/relay/call/AccountGate.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/AccountGate.java
@@ -7,6 +7,7 @@
 import org.heatherspread.core.limit.AccountLimiter;
 import org.heatherspread.core.limit.Amounts;
 import org.heatherspread.core.limit.LimitDecision;
+import org.heatherspread.core.limit.LimitSlack;
 import org.heatherspread.core.limit.ShareNegotiator;
 import org.heatherspread.core.limit.Usage;
 import org.heatherspread.core.limit.UsageReport;
@@ -27,17 +28,19 @@
   private static final double MILLIS_PER_SECOND = 1_000;
 
   private final MonotonicClock clock;
+  private final LimitSlack slack;
   private final Map<String, Part> parts = new HashMap<>();
   private Map<String, UsageReport> peers = Map.of();
   private int daemons = 1;
 
-  private AccountGate(MonotonicClock clock) {
+  private AccountGate(MonotonicClock clock, LimitSlack slack) {
     this.clock = clock;
+    this.slack = slack;
   }
 
   /** Creates the gate of a daemon that knows no peers. */
-  public static AccountGate create(MonotonicClock clock) {
-    return new AccountGate(clock);
+  public static AccountGate create(MonotonicClock clock, LimitSlack slack) {
+    return new AccountGate(clock, slack);
   }
 
   /**
@@ -121,7 +124,8 @@
     private Part(AccountRule account, double share) {
       this.rate = account.ratePerSecond();
       this.share = share;
-      double burstSeconds = account.burst() / account.ratePerSecond();
+      double burst = slack.burst(account.ratePerSecond(), account.burst());
+      double burstSeconds = burst / account.ratePerSecond();
       this.limiter = AccountLimiter.create(burstSeconds, amounts(share), clock.nanos());
     }
 
--- a/relay/src/main/java/org/heatherspread/relay/call/OwnAnswer.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/OwnAnswer.java
@@ -18,6 +18,8 @@
   private final String id;
   private final CallerRequest request;
   private final CallerAnswer answer;
+  private String account = "";
+  private double tokens;
 
   OwnAnswer(RelayState state, String id, CallerRequest request, CallerAnswer answer) {
     this.state = state;
@@ -26,6 +28,12 @@
     this.answer = answer;
   }
 
+  /** Adds what the log line says of the account. */
+  void account(String name, double amount) {
+    account = name;
+    tokens = amount;
+  }
+
   /**
    * Sends the final answer.
    *
@@ -37,6 +45,8 @@
         .addKeyValue("id", id)
         .addKeyValue("reason", reason.code())
         .addKeyValue("status", reason.status())
+        .addKeyValue("account", account)
+        .addKeyValue("tokens", tokens)
         .addKeyValue("retry_after", retryAfterSeconds)
         .addKeyValue("target", request.target())
         .addKeyValue("config", state.config().map(config -> config.version()).orElse(-1L))
--- a/relay/src/main/java/org/heatherspread/relay/call/Relay.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/Relay.java
@@ -69,7 +69,9 @@
     }
     CallFacts facts = facts(id, request, config, route, account);
     if (account.isPresent()) {
-      OptionalDouble wait = state.accounts().admit(account.get(), amount(account.get(), facts));
+      double amount = amount(account.get(), facts);
+      own.account(account.get().name(), amount);
+      OptionalDouble wait = state.accounts().admit(account.get(), amount);
       if (wait.isPresent()) {
         own.refuse(Refusal.ACCOUNT_LIMIT, wait.getAsDouble());
         return;
@@ -95,6 +97,7 @@
     HttpHeaders headers = request.headers();
     Workload work =
         PromptHeaders.work(headers.get(names.tokenCounts()), headers.get(names.promptParts()));
+    int expected = state.lengths().expected(route.name(), work.answerTokens());
     int urgency = route.priority();
     if (account.isPresent() && account.get().priority() >= 0) {
       urgency = account.get().priority();
@@ -105,7 +108,8 @@
         route,
         route.service(state.random().nextDouble()),
         account.map(AccountRule::name).orElse(""),
-        work,
+        new Workload(work.parts(), work.promptTokens(), expected),
+        work.promptTokens() + work.answerTokens(),
         urgency,
         request.arrivedMillis() + allowedMillis(headers, route),
         config.version());
@@ -134,8 +138,6 @@
     if (!account.countsTokens()) {
       return 1;
     }
-    Workload work = facts.work();
-    int tokens = work.promptTokens() + work.answerTokens();
-    return tokens > 0 ? tokens : account.unstatedTokens();
+    return facts.statedTokens() > 0 ? facts.statedTokens() : account.unstatedTokens();
   }
 }
--- a/relay/src/main/java/org/heatherspread/relay/call/RelayCall.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/RelayCall.java
@@ -213,6 +213,7 @@
         .addKeyValue("route", facts.route().name())
         .addKeyValue("service", facts.service())
         .addKeyValue("account", facts.account())
+        .addKeyValue("tokens", facts.statedTokens())
         .addKeyValue("endpoint", endpoint)
         .addKeyValue("sends", sends)
         .addKeyValue("first_ms", firstMillis)
@@ -486,11 +487,20 @@
         return;
       }
       close();
+      noteLength();
       state.metrics().answered(facts.service(), status, firstMillis);
       finish("answered", status, endpoint.id());
       answer.end();
     }
 
+    private void noteLength() {
+      int stated = facts.statedTokens() - facts.work().promptTokens();
+      long tokens = lastEvent * state.eventTokens(facts.service());
+      if (!facts.request().headers().contains(names.lastEvent())) {
+        state.lengths().made(facts.route().name(), stated, tokens);
+      }
+    }
+
     private void refused() {
       run.end();
       close();
--- a/relay/src/main/java/org/heatherspread/relay/call/RelayState.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/RelayState.java
@@ -7,6 +7,7 @@
 import java.util.random.RandomGenerator;
 import org.heatherspread.core.freshness.StoreContact;
 import org.heatherspread.core.freshness.TrueTime;
+import org.heatherspread.core.placement.AnswerLengths;
 import org.heatherspread.core.placement.EndpointChooser;
 import org.heatherspread.core.placement.EndpointTable;
 import org.heatherspread.core.placement.EngineChooser;
@@ -47,6 +48,7 @@
   private final UsageWindows usage;
   private final Map<String, WindowedRetryBudget> budgets = new HashMap<>();
   private final Map<String, Double> work = new HashMap<>();
+  private final AnswerLengths lengths = AnswerLengths.create();
   private ServingConfig config;
   private int daemons = 1;
 
@@ -71,7 +73,7 @@
     this.pool = pool;
     this.metrics = metrics;
     this.usage = usage;
-    this.accounts = AccountGate.create(clock);
+    this.accounts = AccountGate.create(clock, settings.slack());
     this.endpoints = EndpointTable.create(health, this::cacheTokens);
   }
 
@@ -149,6 +151,20 @@
     work.merge(service, millis, Double::sum);
   }
 
+  /** Returns how long answers get. */
+  public AnswerLengths lengths() {
+    return lengths;
+  }
+
+  /** Returns the tokens that one event of a service's streams holds. */
+  public int eventTokens(String service) {
+    return config()
+        .flatMap(known -> known.service(service))
+        .flatMap(ServiceRule::engine)
+        .map(EngineRule::eventTokens)
+        .orElse(1);
+  }
+
   /** Returns the work of each model service since the start. */
   public Map<String, Double> work() {
     return Map.copyOf(work);
@@ -169,7 +185,7 @@
     return random;
   }
 
-  /** Returns how fresh the knowledge of the store is. */
+  /** Returns how fresh the knowledge of the configuration is; fed by reads of it only. */
   public StoreContact contact() {
     return contact;
   }
--- a/relay/src/main/java/org/heatherspread/relay/caller/CallerConnection.java
+++ b/relay/src/main/java/org/heatherspread/relay/caller/CallerConnection.java
@@ -131,7 +131,6 @@
   }
 
   private void onHead(HttpRequest request) {
-    ClientLimits limits = server.limits();
     arrivedMillis = server.nowMillis();
     firstByteMillis = -1;
     String fault = framingFault(request);
@@ -139,6 +138,7 @@
       refuse(400, fault);
       return;
     }
+    ClientLimits limits = server.limits();
     if (HttpUtil.getContentLength(request, 0L) > limits.maxBodyBytes()) {
       refuse(413, "body larger than " + limits.maxBodyBytes() + " bytes");
       return;
--- a/relay/src/main/java/org/heatherspread/relay/endpoint/EndpointConnection.java
+++ b/relay/src/main/java/org/heatherspread/relay/endpoint/EndpointConnection.java
@@ -183,12 +183,12 @@
       fail("connection reset");
       return;
     }
-    Exchange ended = exchange;
-    exchange = null;
     channel.config().setAutoRead(true);
     if (!written.isDone()) {
       reusable = false;
     }
+    Exchange ended = exchange;
+    exchange = null;
     ended.end();
     if (reusable) {
       pool.release(this);
@@ -198,10 +198,10 @@
   }
 
   private void fail(String reason) {
-    Exchange failed = exchange;
-    exchange = null;
     reusable = false;
     channel.close();
+    Exchange failed = exchange;
+    exchange = null;
     if (failed != null) {
       failed.broken(reason);
     }
--- a/relay/src/main/java/org/heatherspread/relay/rpc/RpcClient.java
+++ b/relay/src/main/java/org/heatherspread/relay/rpc/RpcClient.java
@@ -62,7 +62,6 @@
       Map<String, String> headers,
       byte[] body,
       Duration timeout) {
-    CompletableFuture<RpcReply> result = new CompletableFuture<>();
     FullHttpRequest request =
         new DefaultFullHttpRequest(
             HttpVersion.HTTP_1_1, method, target, Unpooled.wrappedBuffer(body));
@@ -72,6 +71,7 @@
       request.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
     }
     headers.forEach((name, value) -> request.headers().set(name, value));
+    CompletableFuture<RpcReply> result = new CompletableFuture<>();
     new Call(request, result).start(timeout);
     return result;
   }
@@ -97,11 +97,11 @@
 
     private void timedOut() {
       if (connection == null) {
-        end(failure(ErrorKind.STORE_UNAVAILABLE, "no connection in time"));
+        endWith(failure(ErrorKind.STORE_UNAVAILABLE, "no connection in time"));
         return;
       }
       connection.abandon();
-      end(failure(ErrorKind.STORE_OUTCOME_UNKNOWN, "no answer in time"));
+      endWith(failure(ErrorKind.STORE_OUTCOME_UNKNOWN, "no answer in time"));
     }
 
     @Override
@@ -116,7 +116,7 @@
 
     @Override
     public void failed(String reason) {
-      end(failure(ErrorKind.STORE_UNAVAILABLE, reason));
+      endWith(failure(ErrorKind.STORE_UNAVAILABLE, reason));
     }
 
     @Override
@@ -139,10 +139,10 @@
 
     @Override
     public void broken(String reason) {
-      end(failure(ErrorKind.STORE_OUTCOME_UNKNOWN, reason));
+      endWith(failure(ErrorKind.STORE_OUTCOME_UNKNOWN, reason));
     }
 
-    private void end(ServingException failure) {
+    private void endWith(ServingException failure) {
       timer.cancel(false);
       result.completeExceptionally(failure);
     }
--- /dev/null
+++ b/relay/src/test/java/org/heatherspread/relay/FakeEndpoint.java
@@ -0,0 +1,184 @@
+package org.heatherspread.relay;
+
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+/** An endpoint that answers each request by a script, over real sockets. */
+public final class FakeEndpoint implements AutoCloseable {
+  private final ServerSocket listener;
+  private final Script script;
+  private final List<Request> requests = new CopyOnWriteArrayList<>();
+  private final List<Long> closedNanos = new CopyOnWriteArrayList<>();
+
+  private FakeEndpoint(ServerSocket listener, Script script) {
+    this.listener = listener;
+    this.script = script;
+  }
+
+  /** What an endpoint does with a request; a connection whose script throws is closed. */
+  public interface Script {
+    /** Answers a request. */
+    void answer(Request request, Connection connection) throws Exception;
+  }
+
+  /** A request as it arrived. */
+  public record Request(String line, Map<String, String> headers, String body) {
+    /** Returns a header, null if it is absent. */
+    public String header(String name) {
+      return headers.get(name.toLowerCase(Locale.ROOT));
+    }
+  }
+
+  /** The connection that a request came on. */
+  public record Connection(Socket socket, OutputStream out, InputStream in) {
+    /** Sends text as it stands. */
+    public void send(String text) throws IOException {
+      out.write(text.getBytes(StandardCharsets.UTF_8));
+      out.flush();
+    }
+
+    /** Sends a whole signed answer. */
+    public void answer(int status, String id, String body) throws IOException {
+      send("HTTP/1.1 " + status + " X\r\nAttempt-Id: " + id + "\r\nServer-Signature: sig-" + id);
+      send("\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+    }
+
+    /** Sends the head of a stream. */
+    public void beginStream(String id) throws IOException {
+      send("HTTP/1.1 200 OK\r\nAttempt-Id: " + id + "\r\nServer-Signature: sig\r\n");
+      send("Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+    }
+
+    /** Sends a part of a stream. */
+    public void chunk(String text) throws IOException {
+      send(Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
+    }
+
+    /** Sends an event. */
+    public void event(int id) throws IOException {
+      chunk("id: " + id + "\ndata: piece-" + id + "\n\n");
+    }
+
+    /** Ends a stream. */
+    public void endStream() throws IOException {
+      send("0\r\n\r\n");
+    }
+
+    /** Resets the connection. */
+    public void reset() throws IOException {
+      socket.setSoLinger(true, 0);
+      socket.close();
+    }
+  }
+
+  /** Starts an endpoint. */
+  public static FakeEndpoint start(Script script) throws IOException {
+    ServerSocket listener = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+    FakeEndpoint endpoint = new FakeEndpoint(listener, script);
+    daemon(endpoint::accept);
+    return endpoint;
+  }
+
+  /** Returns the port listened on. */
+  public int port() {
+    return listener.getLocalPort();
+  }
+
+  /** Returns the requests that arrived. */
+  public List<Request> requests() {
+    return requests;
+  }
+
+  /** Returns when connections were seen to close while a script waited for that. */
+  public List<Long> closedNanos() {
+    return closedNanos;
+  }
+
+  /** Waits until the other side closes. */
+  public void awaitClose(Connection connection) throws IOException {
+    while (connection.in().read() >= 0) {
+      continue;
+    }
+    closedNanos.add(System.nanoTime());
+  }
+
+  private void accept() {
+    while (!listener.isClosed()) {
+      try {
+        Socket socket = listener.accept();
+        daemon(() -> serve(socket));
+      } catch (IOException e) {
+        return;
+      }
+    }
+  }
+
+  private void serve(Socket socket) {
+    try (socket) {
+      socket.setTcpNoDelay(true);
+      InputStream in = new BufferedInputStream(socket.getInputStream());
+      Connection connection = new Connection(socket, socket.getOutputStream(), in);
+      Request request = read(in);
+      while (request != null) {
+        requests.add(request);
+        script.answer(request, connection);
+        request = read(in);
+      }
+    } catch (Exception e) {
+      // The script ended the connection.
+    }
+  }
+
+  private static Request read(InputStream in) throws IOException {
+    String line = line(in);
+    if (line == null) {
+      return null;
+    }
+    Map<String, String> headers = new TreeMap<>();
+    String header = line(in);
+    while (header != null && !header.isEmpty()) {
+      int colon = header.indexOf(':');
+      String name = header.substring(0, colon).toLowerCase(Locale.ROOT);
+      headers.put(name, header.substring(colon + 1).trim());
+      header = line(in);
+    }
+    int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
+    String body = new String(in.readNBytes(length), StandardCharsets.UTF_8);
+    return new Request(line, headers, body);
+  }
+
+  private static String line(InputStream in) throws IOException {
+    ByteArrayOutputStream line = new ByteArrayOutputStream();
+    int next = in.read();
+    while (next >= 0 && next != '\n') {
+      if (next != '\r') {
+        line.write(next);
+      }
+      next = in.read();
+    }
+    return next < 0 && line.size() == 0 ? null : line.toString(StandardCharsets.UTF_8);
+  }
+
+  private static void daemon(Runnable work) {
+    Thread thread = new Thread(work);
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  @Override
+  public void close() throws IOException {
+    listener.close();
+  }
+}
--- /dev/null
+++ b/relay/src/test/java/org/heatherspread/relay/RelayRig.java
@@ -0,0 +1,212 @@
+package org.heatherspread.relay;
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+import org.heatherspread.core.freshness.StoreContact;
+import org.heatherspread.core.freshness.TrueTime;
+import org.heatherspread.core.limit.LimitSlack;
+import org.heatherspread.core.routing.HealthPolicy;
+import org.heatherspread.core.serving.AccountRule;
+import org.heatherspread.core.serving.CallKind;
+import org.heatherspread.core.serving.ClientLimits;
+import org.heatherspread.core.serving.HostPort;
+import org.heatherspread.core.serving.RegisteredEndpoint;
+import org.heatherspread.core.serving.Route;
+import org.heatherspread.core.serving.ServiceRule;
+import org.heatherspread.core.serving.ServingConfig;
+import org.heatherspread.core.serving.TrafficShare;
+import org.heatherspread.core.store.SharedReading;
+import org.heatherspread.core.time.MonotonicClock;
+import org.heatherspread.core.usage.UsageWindows;
+import org.heatherspread.relay.call.CallMetrics;
+import org.heatherspread.relay.call.Relay;
+import org.heatherspread.relay.call.RelayHeaders;
+import org.heatherspread.relay.call.RelaySettings;
+import org.heatherspread.relay.call.RelayState;
+import org.heatherspread.relay.caller.CallerServer;
+import org.heatherspread.relay.endpoint.ConnectionPool;
+import org.heatherspread.relay.endpoint.PoolSettings;
+
+/** A relay on loopback with one service, four routes and one client account. */
+public final class RelayRig implements AutoCloseable {
+  /** The account's key. */
+  public static final String KEY = "key-1";
+
+  private static final HostPort ANY = new HostPort("127.0.0.1", 0);
+  private static final RelayHeaders NAMES =
+      new RelayHeaders(
+          "Attempt-Id",
+          "Deadline-Remaining",
+          "Expected-Instance",
+          "Tenant-Name",
+          "Server-Signature",
+          "Request-Not-Executed",
+          "Token-Counts",
+          "Prompt-Prefix",
+          "Request-Priority",
+          "Last-Event-Id",
+          Set.of("Expected-Instance", "Tenant-Name", "Kv-From"));
+
+  private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+  private final EventLoop loop = group.next();
+  private final RelayState state;
+  private final StoreContact contact;
+  private final CallerServer server;
+
+  private RelayRig() throws Exception {
+    MonotonicClock clock = MonotonicClock.system();
+    contact = StoreContact.create(clock, InstantSource.system());
+    state =
+        new RelayState(
+            loop,
+            clock,
+            new SplittableRandom(1),
+            new RelaySettings(4_000, 0.2, 10_000, 100, new LimitSlack(8, 0, 0)),
+            contact,
+            TrueTime.create(contact),
+            ConnectionPool.create(loop, clock, new PoolSettings(500, 4_000), "Attempt-Id"),
+            CallMetrics.create(new SimpleMeterRegistry()),
+            UsageWindows.create(5_000, 6),
+            HealthPolicy.defaults());
+    server = CallerServer.create(loop, clock, state::limits, Relay.create(state, NAMES));
+    server.listen(ANY);
+  }
+
+  /** Starts a relay that knows a configuration and no endpoints. */
+  public static RelayRig start() throws Exception {
+    RelayRig rig = new RelayRig();
+    rig.onLoop(state -> state.offer(config(1, 1_000_000)));
+    rig.heardStore();
+    return rig;
+  }
+
+  /** Makes a configuration whose account has a limit of tokens a second. */
+  public static ServingConfig config(long version, double limit) {
+    return ServingConfig.create(
+        version,
+        List.of(
+            route("/read/", CallKind.IDEMPOTENT, 2, false, 800),
+            route("/write/", CallKind.NON_IDEMPOTENT, 1, false, 800),
+            route("/draft/", CallKind.STREAM, 2, true, 5_000),
+            route("/reply/", CallKind.STREAM, 1, false, 5_000)),
+        List.of(new ServiceRule("s", 100, Optional.empty(), Optional.empty())),
+        List.of(new AccountRule("acme", Set.of(KEY), -1, true, 200, limit, limit)),
+        ClientLimits.defaults());
+  }
+
+  private static Route route(
+      String prefix, CallKind kind, int attempts, boolean resumable, int timeoutMillis) {
+    return new Route(
+        prefix,
+        "x.example",
+        prefix,
+        kind,
+        timeoutMillis,
+        100,
+        0,
+        List.of(new TrafficShare("s", 1)),
+        attempts,
+        false,
+        resumable,
+        400);
+  }
+
+  /** Notes that the store was read just now. */
+  public void heardStore() throws Exception {
+    onLoop(state -> contact.heard(contact.ask(), new SharedReading(List.of(), 1, 1_000)));
+  }
+
+  /** Registers endpoints named e0, e1 and so on. */
+  public void register(FakeEndpoint... endpoints) throws Exception {
+    for (int i = 0; i < endpoints.length; i++) {
+      HostPort address = new HostPort("127.0.0.1", endpoints[i].port());
+      RegisteredEndpoint endpoint =
+          new RegisteredEndpoint("e" + i, "s", address, "a", 6, false, false, -1, 1);
+      onLoop(state -> state.endpoints().put(endpoint));
+    }
+  }
+
+  /** Does something on the event loop and waits for it. */
+  public void onLoop(Consumer<RelayState> action) throws Exception {
+    loop.submit(() -> action.accept(state)).sync();
+  }
+
+  /** Opens a connection of a caller. */
+  public Caller caller() throws IOException {
+    return new Caller(new Socket("127.0.0.1", server.port()));
+  }
+
+  /** Sends one request on a connection of its own and returns all that comes back. */
+  public String call(String method, String path, String id, String... headers) throws IOException {
+    try (Caller caller = caller()) {
+      caller.request(method, path, id, "Connection: close", headers);
+      return caller.readAll();
+    }
+  }
+
+  @Override
+  public void close() {
+    group.shutdownGracefully(0, 100, java.util.concurrent.TimeUnit.MILLISECONDS);
+  }
+
+  /** A caller's connection. */
+  public record Caller(Socket socket) implements AutoCloseable {
+    /** Sends text as it stands. */
+    public void send(String text) throws IOException {
+      socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+      socket.getOutputStream().flush();
+    }
+
+    /** Sends a request without a body. */
+    public void request(String method, String path, String id, String first, String... headers)
+        throws IOException {
+      List<String> lines = new ArrayList<>();
+      lines.add(method + ' ' + path + " HTTP/1.1");
+      lines.add("Host: x.example");
+      lines.add("Attempt-Id: " + id);
+      lines.add("Authorization: Bearer " + KEY);
+      lines.add("Deadline-Remaining: 4000");
+      lines.add(first);
+      lines.addAll(List.of(headers));
+      send(String.join("\r\n", lines) + "\r\n\r\n");
+    }
+
+    /** Reads until the relay closes. */
+    public String readAll() throws IOException {
+      socket.setSoTimeout(10_000);
+      InputStream in = socket.getInputStream();
+      return new String(in.readAllBytes(), StandardCharsets.UTF_8);
+    }
+
+    /** Reads until the text given has arrived. */
+    public String readUntil(String end) throws IOException {
+      socket.setSoTimeout(10_000);
+      StringBuilder text = new StringBuilder();
+      while (text.indexOf(end) < 0) {
+        int next = socket.getInputStream().read();
+        if (next < 0) {
+          break;
+        }
+        text.append((char) next);
+      }
+      return text.toString();
+    }
+
+    @Override
+    public void close() throws IOException {
+      socket.close();
+    }
+  }
+}
