--- /dev/null
+++ b/core/src/test/java/org/heatherspread/core/fleet/FleetViewTest.java
@@ -0,0 +1,60 @@
+package org.heatherspread.core.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+class FleetViewTest {
+  private final FleetView fleet = FleetView.create(3_000);
+
+  private static DaemonReport report(String daemon, String life, long sequence) {
+    return new DaemonReport(
+        daemon,
+        life,
+        "1.2.3.4:5",
+        "a",
+        DaemonState.READY,
+        sequence,
+        0,
+        0,
+        Map.of(),
+        Map.of(),
+        Map.of(),
+        Map.of(),
+        Map.of());
+  }
+
+  @Test
+  void aDaemonWhoseReportsStopIsNotLive() {
+    fleet.put("a/1", report("a", "1", 1), 0);
+    fleet.put("b/1", report("b", "1", 1), 0);
+    fleet.put("b/1", report("b", "1", 2), 2_500);
+    fleet.read(3_500);
+    assertThat(fleet.live()).extracting(DaemonReport::daemon).containsExactly("b");
+    assertThat(fleet.all()).hasSize(2);
+  }
+
+  /** While nobody can read the store, nothing is concluded from reports that do not come. */
+  @Test
+  void anOutageOfTheStoreEndsNobodysLife() {
+    fleet.put("a/1", report("a", "1", 1), 1_000);
+    fleet.read(1_000);
+    assertThat(fleet.live()).hasSize(1);
+  }
+
+  @Test
+  void theNewestLifeStandsForADaemonThatStartedAgain() {
+    fleet.put("a/1", report("a", "1", 9), 1_000);
+    fleet.put("a/2", report("a", "2", 1), 1_500);
+    fleet.read(2_000);
+    assertThat(fleet.live()).extracting(DaemonReport::life).containsExactly("2");
+  }
+
+  @Test
+  void aLateWriteOfAnOlderReportIsKnown() {
+    fleet.put("a/1", report("a", "1", 9), 1_000);
+    assertThat(fleet.knows("a/1", 8)).isTrue();
+    assertThat(fleet.knows("a/1", 10)).isFalse();
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/heatherspread/core/placement/EndpointTableTest.java
@@ -0,0 +1,59 @@
+package org.heatherspread.core.placement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Set;
+import org.heatherspread.core.routing.HealthPolicy;
+import org.heatherspread.core.serving.HostPort;
+import org.heatherspread.core.serving.RegisteredEndpoint;
+import org.junit.jupiter.api.Test;
+
+class EndpointTableTest {
+  private final EndpointTable table =
+      EndpointTable.create(HealthPolicy.defaults(), service -> 10_000);
+
+  private static RegisteredEndpoint endpoint(String id, boolean leaving, long born) {
+    HostPort address = new HostPort("10.0.0.1", 80);
+    return new RegisteredEndpoint(id, "s", address, "a", 6, leaving, false, -1, born);
+  }
+
+  @Test
+  void givesNoWorkToAnEndpointThatLeaves() {
+    table.put(endpoint("e", false, 1));
+    assertThat(table.get("e").get().usable(0)).isTrue();
+    table.put(endpoint("e", true, 1));
+    assertThat(table.get("e").get().usable(0)).isFalse();
+  }
+
+  @Test
+  void usesAnEndpointWhoseRegistrationLapsedUntilTheTimeGiven() {
+    table.put(endpoint("e", false, 1));
+    table.missing("e", 500);
+    assertThat(table.get("e").get().usable(499)).isTrue();
+    assertThat(table.get("e").get().usable(500)).isFalse();
+    table.put(endpoint("e", false, 1));
+    assertThat(table.get("e").get().usable(500)).isTrue();
+  }
+
+  @Test
+  void forgetsWhatAnEarlierLifeOfTheSameIdentityHeld() {
+    table.put(endpoint("e", false, 1));
+    Workload work = new Workload(List.of(new PromptPart(7, 100), new PromptPart(8, 50)), 150, 10);
+    table.get("e").get().start(work).end();
+    assertThat(table.get("e").get().cachedTokens(work)).isEqualTo(150);
+    table.put(endpoint("e", false, 2));
+    assertThat(table.get("e").get().cachedTokens(work)).isZero();
+  }
+
+  @Test
+  void keepsAnEndpointThatIsGoneWhileItsRequestsRun() {
+    table.put(endpoint("e", false, 1));
+    TrackedEndpoint.Run run = table.get("e").get().start(Workload.NONE);
+    table.retain(Set.of(), 100);
+    assertThat(table.sweep(200)).isEmpty();
+    run.end();
+    assertThat(table.sweep(200)).hasSize(1);
+    assertThat(table.of("s")).isEmpty();
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/heatherspread/core/placement/EngineChooserTest.java
@@ -0,0 +1,81 @@
+package org.heatherspread.core.placement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.heatherspread.core.fleet.EndpointLoad;
+import org.heatherspread.core.routing.HealthPolicy;
+import org.heatherspread.core.serving.HostPort;
+import org.heatherspread.core.serving.RegisteredEndpoint;
+import org.junit.jupiter.api.Test;
+
+class EngineChooserTest {
+  private final EngineChooser chooser = EngineChooser.create(EnginePace.defaults());
+  private final SplittableRandom random = new SplittableRandom(7);
+
+  private static EndpointTable table(int endpoints) {
+    EndpointTable table = EndpointTable.create(HealthPolicy.defaults(), service -> 700_000);
+    for (int i = 0; i < endpoints; i++) {
+      HostPort address = new HostPort("10.0.0." + i, 80);
+      table.put(new RegisteredEndpoint("e" + i, "s", address, "a", 96, false, false, -1, 1));
+    }
+    return table;
+  }
+
+  private static Workload prompt(long subject, long session) {
+    List<PromptPart> parts =
+        List.of(
+            new PromptPart(1, 512),
+            new PromptPart(1_000 + subject, 4_870),
+            new PromptPart(100_000 + session, 6_610));
+    return new Workload(parts, 11_992, 380);
+  }
+
+  private String choose(EndpointTable table, Workload work) {
+    return chooser.choose(table.of("s"), work, Set.of(), 0, random).get().endpoint().id();
+  }
+
+  /** Daemons that do not talk send the same shared part to the same endpoint while it is calm. */
+  @Test
+  void independentDaemonsAgreeOnTheHomeOfASharedPart() {
+    int agreed = 0;
+    for (int subject = 0; subject < 100; subject++) {
+      String one = choose(table(6), prompt(subject, 1));
+      String other = choose(table(6), prompt(subject, 2));
+      agreed += one.equals(other) ? 1 : 0;
+    }
+    assertThat(agreed).isGreaterThan(90);
+  }
+
+  /** A part that is in a third of all prompts does not pile up on its home. */
+  @Test
+  void aHotPartSpillsOverWhenItsHomeIsBusy() {
+    EndpointTable table = table(6);
+    Map<String, Integer> counts = new HashMap<>();
+    for (int i = 0; i < 60; i++) {
+      var choice = chooser.choose(table.of("s"), prompt(1, i), Set.of(), 0, random).get();
+      choice.endpoint().start(prompt(1, i));
+      counts.merge(choice.endpoint().id(), 1, Integer::sum);
+    }
+    assertThat(counts.values()).allMatch(count -> count < 30);
+    assertThat(counts).hasSizeGreaterThan(2);
+  }
+
+  @Test
+  void countsTheLoadThatOtherDaemonsReported() {
+    EndpointTable table = table(2);
+    Map<String, EndpointLoad> others = new HashMap<>();
+    others.put("e0", new EndpointLoad(90, 400_000));
+    table.others(others);
+    List<String> chosen = new ArrayList<>();
+    for (int i = 0; i < 20; i++) {
+      chosen.add(choose(table, prompt(i, i)));
+    }
+    assertThat(chosen).containsOnly("e1");
+  }
+}
