Split account limits by demand at once; keep endpoints until demand is seen; judge silence by endpoint

(2) A new holder of the duties saw no demand and gave endpoints up. (3) Streams whose first token came late were sent elsewhere and added load. Ruled out: slow daemons (0.03 cores), engines that failed.

--- a/core/src/main/java/org/heatherspread/core/capacity/EndpointPlan.java
+++ b/core/src/main/java/org/heatherspread/core/capacity/EndpointPlan.java
@@ -23,19 +23,11 @@
   /** Part of a domain's endpoints that should be lasting ones while reclaims come in a wave. */
   private static final double WAVE_RESERVE = 0.5;
 
-  private final double targetUse;
+  private EndpointPlan() {}
 
-  private EndpointPlan(double targetUse) {
-    this.targetUse = targetUse;
-  }
-
-  /**
-   * Creates a plan.
-   *
-   * @param targetUse part of an endpoint's time that should be busy
-   */
-  public static EndpointPlan create(double targetUse) {
-    return new EndpointPlan(targetUse);
+  /** Creates a plan. */
+  public static EndpointPlan create() {
+    return new EndpointPlan();
   }
 
   /**
@@ -47,8 +39,8 @@
    */
   public record DomainState(int lasting, int reclaimable, boolean reclaimableToBeHad) {}
 
-  /** Returns the wanted number of endpoints for each domain. */
-  public Map<String, Integer> wanted(ScalingRule rule, double busyEndpoints) {
+  /** Returns how many endpoints each domain should have, of so many in total. */
+  public Map<String, Integer> spread(ScalingRule rule, int needed) {
     List<Map.Entry<String, Double>> domains = new ArrayList<>(rule.domainPrices().entrySet());
     domains.sort(BY_PRICE);
     Map<String, Integer> wanted = new HashMap<>();
@@ -57,7 +49,6 @@
       wanted.put(domain.getKey(), rule.minimum());
       total += rule.minimum();
     }
-    int needed = (int) Math.ceil(busyEndpoints / targetUse);
     while (total < needed) {
       String next = emptiest(domains, wanted, rule.maximum());
       if (next == null) {
@@ -85,20 +76,27 @@
   /**
    * Returns the orders that should stand.
    *
+   * @param wanted endpoints of each domain where reclaimable ones can be had
+   * @param required endpoints of each domain that dear, lasting ones have to make up
    * @param wave whether reclaims were seen lately; more are to be expected, in other domains too
    */
   public List<EndpointOrder> orders(
-      String service, Map<String, Integer> wanted, Map<String, DomainState> states, boolean wave) {
+      String service,
+      Map<String, Integer> wanted,
+      Map<String, Integer> required,
+      Map<String, DomainState> states,
+      boolean wave) {
     List<EndpointOrder> orders = new ArrayList<>();
     for (Map.Entry<String, Integer> entry : wanted.entrySet()) {
       String domain = entry.getKey();
       int count = entry.getValue();
       DomainState state = states.getOrDefault(domain, new DomainState(0, 0, true));
-      int missing = Math.max(0, count - state.reclaimable());
+      int enough = required.getOrDefault(domain, count);
+      int missing = Math.max(0, enough - state.reclaimable());
       if (state.reclaimableToBeHad()) {
         orders.add(new EndpointOrder(service, domain, true, count));
         int lasting = Math.min(state.lasting(), missing);
-        int reserve = wave ? (int) Math.ceil(WAVE_RESERVE * count) : 0;
+        int reserve = wave ? (int) Math.ceil(WAVE_RESERVE * enough) : 0;
         orders.add(new EndpointOrder(service, domain, false, Math.max(lasting, reserve)));
       } else {
         orders.add(new EndpointOrder(service, domain, true, state.reclaimable()));
--- a/core/src/main/java/org/heatherspread/core/fleet/FleetView.java
+++ b/core/src/main/java/org/heatherspread/core/fleet/FleetView.java
@@ -68,13 +68,18 @@
 
   /** Returns the latest report of each live daemon. */
   public List<DaemonReport> live() {
+    return reportedWithin(liveMillis);
+  }
+
+  /** Returns the latest report of each daemon that reported within a time before the last read. */
+  public List<DaemonReport> reportedWithin(long millis) {
     Map<String, Seen> newest = new HashMap<>();
     for (Seen seen : rows.values()) {
-      if (readMillis - seen.changedMillis > liveMillis) {
+      if (readMillis - seen.changedMillis > millis) {
         continue;
       }
       Seen other = newest.get(seen.report.daemon());
-      if (other == null || seen.changedMillis >= other.changedMillis) {
+      if (other == null || seen.report.atStoreMillis() >= other.report.atStoreMillis()) {
         newest.put(seen.report.daemon(), seen);
       }
     }
--- a/core/src/main/java/org/heatherspread/core/limit/ShareNegotiator.java
+++ b/core/src/main/java/org/heatherspread/core/limit/ShareNegotiator.java
@@ -35,11 +35,6 @@
     return share;
   }
 
-  /** Follows a change of the limits at once, by the same factor as every other daemon. */
-  public void rescale(double factor) {
-    share = share.times(factor);
-  }
-
   /**
    * Decides anew.
    *
--- a/core/src/main/java/org/heatherspread/core/placement/TrackedEndpoint.java
+++ b/core/src/main/java/org/heatherspread/core/placement/TrackedEndpoint.java
@@ -22,6 +22,7 @@
   private EndpointLoad others = EndpointLoad.NONE;
   private double slowness = 1;
   private long unusableAtMillis = Long.MAX_VALUE;
+  private long progressMillis = Long.MIN_VALUE;
 
   private TrackedEndpoint(RegisteredEndpoint registration, EndpointHealth health, HeldParts held) {
     this.registration = registration;
@@ -70,6 +71,16 @@
     return slowness;
   }
 
+  /** Notes that the endpoint sent something, to whichever request. */
+  public void progressed(long nowMillis) {
+    progressMillis = nowMillis;
+  }
+
+  /** Returns when the endpoint last sent something, {@code Long.MIN_VALUE} if never. */
+  public long progressMillis() {
+    return progressMillis;
+  }
+
   /** Tells whether new work may be sent. */
   public boolean usable(long nowMillis) {
     return !registration.leaving() && nowMillis < unusableAtMillis;
--- a/core/src/test/java/org/heatherspread/core/fleet/FleetViewTest.java
+++ b/core/src/test/java/org/heatherspread/core/fleet/FleetViewTest.java
@@ -16,7 +16,7 @@
         "a",
         DaemonState.READY,
         sequence,
-        0,
+        sequence,
         0,
         Map.of(),
         Map.of(),
@@ -26,7 +26,7 @@
   }
 
   @Test
-  void aDaemonWhoseReportsStopIsNotLive() {
+  void daemonsWhoseReportsStopAreNotLive() {
     fleet.put("a/1", report("a", "1", 1), 0);
     fleet.put("b/1", report("b", "1", 1), 0);
     fleet.put("b/1", report("b", "1", 2), 2_500);
@@ -37,22 +37,22 @@
 
   /** While nobody can read the store, nothing is concluded from reports that do not come. */
   @Test
-  void anOutageOfTheStoreEndsNobodysLife() {
+  void outagesOfTheStoreEndNobodysLife() {
     fleet.put("a/1", report("a", "1", 1), 1_000);
     fleet.read(1_000);
     assertThat(fleet.live()).hasSize(1);
   }
 
   @Test
-  void theNewestLifeStandsForADaemonThatStartedAgain() {
+  void theNewestLifeStandsForDaemonsThatStartedAgain() {
     fleet.put("a/1", report("a", "1", 9), 1_000);
-    fleet.put("a/2", report("a", "2", 1), 1_500);
+    fleet.put("a/2", report("a", "2", 10), 1_500);
     fleet.read(2_000);
     assertThat(fleet.live()).extracting(DaemonReport::life).containsExactly("2");
   }
 
   @Test
-  void aLateWriteOfAnOlderReportIsKnown() {
+  void lateWritesOfOlderReportsAreKnown() {
     fleet.put("a/1", report("a", "1", 9), 1_000);
     assertThat(fleet.knows("a/1", 8)).isTrue();
     assertThat(fleet.knows("a/1", 10)).isFalse();
--- a/core/src/test/java/org/heatherspread/core/freshness/StoreContactTest.java
+++ b/core/src/test/java/org/heatherspread/core/freshness/StoreContactTest.java
@@ -50,7 +50,7 @@
   }
 
   @Test
-  void doesNotTrustAReadingFromThePast() {
+  void doesNotTrustReadingsFromThePast() {
     read(0, 10_000);
     pass(5_000);
     assertThat(read(0, 12_000)).isFalse();
--- a/core/src/test/java/org/heatherspread/core/placement/EngineChooserTest.java
+++ b/core/src/test/java/org/heatherspread/core/placement/EngineChooserTest.java
@@ -42,7 +42,7 @@
 
   /** Daemons that do not talk send the same shared part to the same endpoint while it is calm. */
   @Test
-  void independentDaemonsAgreeOnTheHomeOfASharedPart() {
+  void independentDaemonsAgreeOnTheHomesOfSharedParts() {
     int agreed = 0;
     for (int subject = 0; subject < 100; subject++) {
       String one = choose(table(6), prompt(subject, 1));
@@ -54,7 +54,7 @@
 
   /** A part that is in a third of all prompts does not pile up on its home. */
   @Test
-  void aHotPartSpillsOverWhenItsHomeIsBusy() {
+  void hotPartsSpillOverWhenTheirHomeIsBusy() {
     EndpointTable table = table(6);
     Map<String, Integer> counts = new HashMap<>();
     for (int i = 0; i < 60; i++) {
--- a/core/src/test/java/org/heatherspread/core/stream/EventSplitterTest.java
+++ b/core/src/test/java/org/heatherspread/core/stream/EventSplitterTest.java
@@ -13,7 +13,8 @@
 
 class EventSplitterTest {
   private static final String STREAM =
-      "id: 1\ndata: a\n\nweight-versions: 2\nid: 2\ndata: b\n\nid:3\r\ndata: c\r\n\r\ndata: no id\n\n";
+      "id: 1\ndata: a\n\nweight-versions: 2\nid: 2\ndata: b\n\n"
+          + "id:3\r\ndata: c\r\n\r\ndata: no id\n\n";
 
   private final List<String> events = new ArrayList<>();
   private final List<Long> ids = new ArrayList<>();
--- a/node/src/main/java/org/heatherspread/node/Node.java
+++ b/node/src/main/java/org/heatherspread/node/Node.java
@@ -180,7 +180,7 @@
   // ---------------------------------------------------------------------------------------------
 
   private boolean ready() {
-    boolean serves = state.config().isPresent() && control.endpointsKnown();
+    boolean serves = state.config().isPresent() && control.fleetKnown();
     if (daemonState == DaemonState.STARTING && serves) {
       daemonState = DaemonState.READY;
     }
@@ -218,7 +218,7 @@
         state.contact().storeMillis(),
         state.contact().wallLessStoreMillis(),
         state.usage().snapshot(),
-        state.accounts().shares(),
+        state.accounts().report(),
         state.endpoints().ownLoads(),
         Map.of(),
         state.work());
--- a/node/src/main/java/org/heatherspread/node/control/CapacityDuty.java
+++ b/node/src/main/java/org/heatherspread/node/control/CapacityDuty.java
@@ -23,9 +23,15 @@
 final class CapacityDuty implements DutyKeeper.Duty {
   private static final Logger log = LoggerFactory.getLogger(CapacityDuty.class);
 
-  /** Part of an endpoint's time that should be busy, low enough for first tokens on time. */
+  /** Part of a cheap endpoint's time that should be busy, low enough for first tokens on time. */
   private static final double TARGET_USE = 0.55;
 
+  /** The same for lasting endpoints, which cost several times as much. */
+  private static final double LASTING_USE = 0.8;
+
+  /** How long a new holder of the duty keeps what is there, until it has seen the demand. */
+  private static final long LEARN_MILLIS = 8_000;
+
   /** How long a domain without reclaimable endpoints is not asked again. */
   private static final long DRY_MILLIS = 3_000;
 
@@ -41,8 +47,9 @@
   private final FleetView fleet;
   private final DutyCalls calls;
   private final String self;
-  private final EndpointPlan plan = EndpointPlan.create(TARGET_USE);
+  private final EndpointPlan plan = EndpointPlan.create();
   private final Map<String, DemandMeter> meters = new HashMap<>();
+  private final Map<String, Learner> learners = new HashMap<>();
   private final Map<Subject, Standing> standing = new HashMap<>();
   private final Map<Subject, Long> dryUntil = new HashMap<>();
   private final Map<Subject, Integer> lastSeen = new HashMap<>();
@@ -74,14 +81,38 @@
   @Override
   public void dropped() {
     standing.clear();
+    meters.clear();
+    learners.clear();
+  }
+
+  /** Returns how many endpoints are kept until the demand has been seen for a while. */
+  private int learning(
+      String service, Map<String, DomainState> states, DemandMeter meter, long now) {
+    Learner learner = learners.computeIfAbsent(service, name -> new Learner());
+    if (learner.untilMillis == 0) {
+      int present = 0;
+      for (DomainState domain : states.values()) {
+        present += domain.lasting() + domain.reclaimable();
+      }
+      learner.floor = Math.max(learner.floor, present);
+      if (meter.busyEndpoints() > 0) {
+        learner.untilMillis = now + LEARN_MILLIS;
+      }
+    }
+    return learner.untilMillis == 0 || now < learner.untilMillis ? learner.floor : 0;
   }
 
   private void plan(String service, ScalingRule rule, long fencing, long now) {
     DemandMeter meter = meters.computeIfAbsent(service, name -> DemandMeter.create());
     meter.sample(totals(service));
     Map<String, DomainState> states = states(service, rule, now);
-    Map<String, Integer> wanted = plan.wanted(rule, meter.busyEndpoints());
-    List<EndpointOrder> orders = plan.orders(service, wanted, states, now < waveUntilMillis);
+    int floor = learning(service, states, meter, now);
+    double busy = meter.busyEndpoints();
+    Map<String, Integer> wanted =
+        plan.spread(rule, Math.max(floor, (int) Math.ceil(busy / TARGET_USE)));
+    Map<String, Integer> required = plan.spread(rule, (int) Math.ceil(busy / LASTING_USE));
+    List<EndpointOrder> orders =
+        plan.orders(service, wanted, required, states, now < waveUntilMillis);
     for (EndpointOrder order : orders) {
       give(order, seen(order, states), rule, fencing, now, meter.busyEndpoints());
     }
@@ -104,7 +135,8 @@
     for (TrackedEndpoint endpoint : state.endpoints().of(service)) {
       RegisteredEndpoint registration = endpoint.registration();
       Subject subject = new Subject(service, registration.domain(), registration.reclaimable());
-      if (registration.leaving() && registration.reclaimable()) {
+      boolean notice = registration.leaving() && registration.leavesInMillis() >= 0;
+      if (notice && registration.reclaimable()) {
         reclaimed(subject, now);
       }
       int[] kinds = counts.get(registration.domain());
@@ -196,6 +228,12 @@
     }
   }
 
+  /** Keeps what a new holder found until it has seen the demand. */
+  private static final class Learner {
+    private int floor;
+    private long untilMillis;
+  }
+
   private record Subject(String service, String domain, boolean reclaimable) {}
 
   private record Standing(int count, long atMillis) {}
--- a/node/src/main/java/org/heatherspread/node/control/Control.java
+++ b/node/src/main/java/org/heatherspread/node/control/Control.java
@@ -35,7 +35,12 @@
   /** How long a daemon counts as live without a new report. */
   private static final long LIVE_MILLIS = 3_800;
 
-  private static final Duration CONFIGURATION_WAIT = Duration.ofMillis(2_000);
+  /**
+   * Knowledge of the configuration is up to twice as old as one wait, since it counts from when the
+   * last answered wait began; that has to stay well below the time for which keys are trusted.
+   */
+  private static final Duration CONFIGURATION_WAIT = Duration.ofMillis(1_200);
+
   private static final Duration ENDPOINT_WAIT = Duration.ofMillis(2_000);
   private static final Duration FLEET_INTERVAL = Duration.ofMillis(1_500);
   private static final Duration WHOLE_EVERY = Duration.ofSeconds(15);
@@ -58,6 +63,7 @@
   private final String life = UUID.randomUUID().toString().substring(0, 8);
   private final FleetView fleet = FleetView.create(LIVE_MILLIS);
   private final EndpointListener endpoints;
+  private final FleetListener daemons;
   private ActorSystem<Void> system;
   private ActorRef<Reporter.Command> reporter;
   private ActorRef<DutyKeeper.Command> duties;
@@ -76,6 +82,7 @@
     this.calls = calls;
     this.report = report;
     this.endpoints = new EndpointListener(state, RegistrationFormat::read);
+    this.daemons = new FleetListener(state, fleet, settings.name());
   }
 
   /**
@@ -103,9 +110,9 @@
     return fleet;
   }
 
-  /** Tells whether the endpoints have been read. */
-  public boolean endpointsKnown() {
-    return endpoints.known();
+  /** Tells whether the endpoints and the other daemons have been read. */
+  public boolean fleetKnown() {
+    return endpoints.known() && daemons.known();
   }
 
   /** Starts the actors; called from outside the event loop, which the start waits for. */
@@ -135,7 +142,7 @@
         context,
         new TableWatcher.Plan(Reporter.TABLE, Duration.ZERO, FLEET_INTERVAL, WHOLE_EVERY),
         ownContact(),
-        new FleetListener(state, fleet, settings.name()));
+        daemons);
     reporter =
         context.spawn(
             restarting(Reporter.create(settings.name() + '/' + life, report, store)), "reporter");
--- a/node/src/main/java/org/heatherspread/node/control/DutyKeeper.java
+++ b/node/src/main/java/org/heatherspread/node/control/DutyKeeper.java
@@ -104,7 +104,7 @@
       }
     }
     int place = rank.rank();
-    if (place < CANDIDATES || ++skipped >= SKIP) {
+    if (held || place < CANDIDATES || ++skipped >= SKIP) {
       skipped = 0;
       lease.step(place);
     }
--- a/node/src/main/java/org/heatherspread/node/control/FleetListener.java
+++ b/node/src/main/java/org/heatherspread/node/control/FleetListener.java
@@ -7,13 +7,12 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
+import org.heatherspread.core.fleet.AccountShare;
 import org.heatherspread.core.fleet.DaemonReport;
 import org.heatherspread.core.fleet.EndpointLoad;
 import org.heatherspread.core.fleet.FleetView;
-import org.heatherspread.core.limit.UsageReport;
 import org.heatherspread.core.store.SharedReading;
 import org.heatherspread.core.store.SharedRow;
-import org.heatherspread.relay.call.AccountGate;
 import org.heatherspread.relay.call.RelayState;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -25,10 +24,17 @@
 final class FleetListener implements TableListener {
   private static final Logger log = LoggerFactory.getLogger(FleetListener.class);
 
+  /**
+   * How long after its last report a daemon may still admit requests with keys: it trusts keys for
+   * a shorter time without the store.
+   */
+  private static final long ADMITTING_MILLIS = 6_500;
+
   private final RelayState state;
   private final FleetView fleet;
   private final String self;
   private Set<String> liveNames = Set.of();
+  private boolean known;
 
   FleetListener(RelayState state, FleetView fleet, String self) {
     this.state = state;
@@ -36,12 +42,18 @@
     this.self = self;
   }
 
+  /** Tells whether the daemons have been read at least once. */
+  boolean known() {
+    return known;
+  }
+
   @Override
   public void whole(SharedReading reading) {
     List<String> present = new ArrayList<>();
     for (SharedRow row : reading.rows()) {
       present.add(row.key());
     }
+    known = true;
     fleet.retain(present);
     changed(reading);
   }
@@ -70,7 +82,7 @@
   private void derive() {
     List<DaemonReport> live = fleet.live();
     Map<String, EndpointLoad> loads = new HashMap<>();
-    Map<String, UsageReport> shares = new HashMap<>();
+    List<Map<String, AccountShare>> shares = new ArrayList<>();
     List<Long> offsets = new ArrayList<>();
     offsets.add(state.contact().wallLessStoreMillis());
     Set<String> names = new TreeSet<>();
@@ -80,13 +92,17 @@
         continue;
       }
       report.loads().forEach((id, load) -> loads.merge(id, load, EndpointLoad::plus));
-      shares.put(report.daemon(), AccountGate.report(report.sequence(), report.accounts()));
       offsets.add(report.wallLessStoreMillis());
     }
+    for (DaemonReport report : fleet.reportedWithin(ADMITTING_MILLIS)) {
+      if (!report.daemon().equals(self)) {
+        shares.add(report.accounts());
+      }
+    }
     state.endpoints().others(loads);
     state.time().offsets(offsets);
     state.daemons(names.size());
-    state.config().ifPresent(config -> state.accounts().negotiate(config.accounts(), shares));
+    state.config().ifPresent(config -> state.accounts().peers(config.accounts(), shares));
     if (!names.equals(liveNames)) {
       liveNames = names;
       log.atInfo().addKeyValue("daemons", String.join(" ", names)).log("live daemons changed");
--- a/node/src/main/java/org/heatherspread/node/serve/DirectoryHandler.java
+++ b/node/src/main/java/org/heatherspread/node/serve/DirectoryHandler.java
@@ -10,9 +10,13 @@
 import org.heatherspread.relay.caller.CallerAnswer;
 import org.heatherspread.relay.caller.CallerHandler;
 import org.heatherspread.relay.caller.CallerRequest;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Tells callers which daemons to use. Stateless. */
 public final class DirectoryHandler implements CallerHandler {
+  private static final Logger log = LoggerFactory.getLogger(DirectoryHandler.class);
+
   private final String path;
   private final Supplier<Collection<String>> addresses;
   private final Function<Collection<String>, byte[]> format;
@@ -44,6 +48,7 @@
     }
     Collection<String> found = addresses.get();
     if (found.isEmpty()) {
+      log.atInfo().addKeyValue("target", request.target()).log("no addresses told");
       answer.whole(
           503, new DefaultHttpHeaders(), "no daemon is ready".getBytes(StandardCharsets.UTF_8));
       return;
--- a/relay/src/main/java/org/heatherspread/relay/call/RelayCall.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/RelayCall.java
@@ -40,9 +40,12 @@
   private static final int MAX_ANSWER_BYTES = 8 << 20;
   private static final int MISDIRECTED = 421;
 
-  /** Silence after which a stream goes on elsewhere, well before callers give it up. */
+  /** Silence of an endpoint towards all its requests after which a stream goes on elsewhere. */
   private static final long STREAM_SILENCE_MILLIS = 1_300;
 
+  /** Silence towards one stream while others progress, a little before callers give it up. */
+  private static final long STREAM_STARVED_MILLIS = 2_600;
+
   /** Earliest time after which an idempotent request is sent elsewhere. */
   private static final long MIN_ANSWER_SILENCE_MILLIS = 150;
 
@@ -78,6 +81,7 @@
   private boolean counted;
   private long lastEvent = -1;
   private long firstMillis = -1;
+  private long expectedMillis = -1;
 
   private RelayCall(
       RelayState state,
@@ -128,6 +132,9 @@
       return;
     }
     current = new Attempt(choice.get());
+    if (expectedMillis < 0) {
+      expectedMillis = (long) choice.get().expectedMillis();
+    }
     TrackedEndpoint endpoint = choice.get().endpoint();
     tried.add(endpoint.id());
     int limit = state.connectionLimit(facts.service());
@@ -217,6 +224,7 @@
         .addKeyValue("endpoint", endpoint)
         .addKeyValue("sends", sends)
         .addKeyValue("first_ms", firstMillis)
+        .addKeyValue("expected_ms", expectedMillis)
         .addKeyValue("ms", state.clock().millis() - facts.request().arrivedMillis())
         .addKeyValue("last_event", lastEvent)
         .addKeyValue("config", facts.configVersion())
@@ -244,6 +252,7 @@
     private EventSplitter splitter;
     private ByteArrayOutputStream body;
     private long sentMillis;
+    private long progressMillis;
     private boolean closed;
 
     private Attempt(Choice choice) {
@@ -285,6 +294,7 @@
       sends++;
       mayHaveRun++;
       sentMillis = now;
+      progressMillis = now;
       long resumeAfter = begun ? lastEvent : -1;
       connection.send(
           forwarding.request(facts, endpoint.registration(), leftMillis(), resumeAfter),
@@ -334,6 +344,15 @@
       if (!active()) {
         return;
       }
+      long now = state.clock().millis();
+      boolean streams = facts.route().kind() == CallKind.STREAM;
+      boolean others = now - endpoint.progressMillis() < STREAM_SILENCE_MILLIS;
+      long left = progressMillis + STREAM_STARVED_MILLIS - now;
+      if (streams && others && left > 0) {
+        // The endpoint works on others' prompts; sending this one elsewhere would only add work.
+        watchSilence(left);
+        return;
+      }
       note("silent", "no progress in time");
       run.failed(state.clock().millis());
       abandon();
@@ -367,6 +386,8 @@
       if (!active()) {
         return;
       }
+      progressMillis = state.clock().millis();
+      endpoint.progressed(progressMillis);
       byte[] copy = new byte[bytes.readableBytes()];
       bytes.getBytes(bytes.readerIndex(), copy);
       if (streaming) {
--- a/relay/src/test/java/org/heatherspread/relay/call/RelayTest.java
+++ b/relay/src/test/java/org/heatherspread/relay/call/RelayTest.java
@@ -125,7 +125,7 @@
   }
 
   @Test
-  void goesOnWithAStreamElsewhereAfterTheLastWholeEvent() throws Exception {
+  void goesOnWithStreamsElsewhereAfterTheLastWholeEvent() throws Exception {
     FakeEndpoint.Script script =
         (request, out) -> {
           out.beginStream(request.header("attempt-id"));
@@ -152,7 +152,7 @@
   }
 
   @Test
-  void showsThatAStreamIsIncompleteWhereItMayNotGoOn() throws Exception {
+  void showsThatStreamsAreIncompleteWhereTheyMayNotGoOn() throws Exception {
     FakeEndpoint endpoint =
         endpoint(
             (request, out) -> {
@@ -209,7 +209,7 @@
   }
 
   @Test
-  void saysThatARequestDidNotRunWhenNoEndpointCanBeConnectedTo() throws Exception {
+  void saysThatNothingRanWhenNoEndpointCanBeConnectedTo() throws Exception {
     RegisteredEndpoint gone =
         new RegisteredEndpoint(
             "e9", "s", new HostPort("127.0.0.1", 1), "a", 6, false, false, -1, 1);
