Refuse model requests at once that would miss their target; stop requests that crash endpoints

OverloadGate refuses by the expected time to the first token, less urgent requests sooner; expected times count the waits seen a moment ago. CrashGuard drives the ledger of suspects and spreads its evidence with the daemons' reports.

--- a/core/src/main/java/org/heatherspread/core/fleet/DaemonReport.java
+++ b/core/src/main/java/org/heatherspread/core/fleet/DaemonReport.java
@@ -1,6 +1,8 @@
 package org.heatherspread.core.fleet;
 
+import java.util.List;
 import java.util.Map;
+import org.heatherspread.core.poison.Evidence;
 
 /**
  * What a daemon tells all others about itself, in full each time.
@@ -16,7 +18,7 @@
  * @param usage requests that began to run, by window and client account
  * @param accounts its part in the limits of client accounts
  * @param loads the load that it puts on endpoints, by endpoint id
- * @param crashes endpoints lost while they ran a request, by the request's fingerprint
+ * @param crashes requests that were running when endpoints crashed
  * @param work work of each model service since the start, in milliseconds of one endpoint
  */
 public record DaemonReport(
@@ -31,5 +33,5 @@
     Map<Long, Map<String, Integer>> usage,
     Map<String, AccountShare> accounts,
     Map<String, EndpointLoad> loads,
-    Map<String, Integer> crashes,
+    List<Evidence> crashes,
     Map<String, Double> work) {}
--- a/core/src/main/java/org/heatherspread/core/placement/EndpointChooser.java
+++ b/core/src/main/java/org/heatherspread/core/placement/EndpointChooser.java
@@ -27,7 +27,8 @@
   /**
    * A chosen endpoint.
    *
-   * @param expectedMillis expected time to the answer or its first event
+   * @param baseMillis time to the answer or its first event by what is known to be waiting there
+   * @param expectedMillis the same with the waits that were seen a moment ago
    */
-  record Choice(TrackedEndpoint endpoint, double expectedMillis) {}
+  record Choice(TrackedEndpoint endpoint, double baseMillis, double expectedMillis) {}
 }
--- a/core/src/main/java/org/heatherspread/core/placement/EngineChooser.java
+++ b/core/src/main/java/org/heatherspread/core/placement/EngineChooser.java
@@ -68,7 +68,9 @@
       if (!anyHealth && !endpoint.health().admits(nowMillis)) {
         continue;
       }
-      double cost = cost(endpoint, work, endpoint.id().equals(home), random);
+      double cost =
+          cost(endpoint, work, endpoint.id().equals(home), random)
+              + endpoint.observedWaitMillis(nowMillis);
       if (cost < bestCost) {
         bestCost = cost;
         best = endpoint;
@@ -77,10 +79,11 @@
     if (best == null) {
       return Optional.empty();
     }
-    return Optional.of(new Choice(best, expectedMillis(best, work)));
+    double base = expectedMillis(best, work);
+    return Optional.of(new Choice(best, base, base + best.observedWaitMillis(nowMillis)));
   }
 
-  /** Returns the expected time to the first token at an endpoint. */
+  /** Returns the time to the first token at an endpoint by what is known to be waiting there. */
   public double expectedMillis(TrackedEndpoint endpoint, Workload work) {
     long uncached = Math.max(0, work.promptTokens() - endpoint.cachedTokens(work));
     double prefill = pace.prefillMillis(endpoint.load().promptTokens() + uncached);
--- a/core/src/main/java/org/heatherspread/core/placement/PlainChooser.java
+++ b/core/src/main/java/org/heatherspread/core/placement/PlainChooser.java
@@ -61,6 +61,6 @@
     if (best == null) {
       return Optional.empty();
     }
-    return Optional.of(new Choice(best, TYPICAL_MILLIS * bestCost));
+    return Optional.of(new Choice(best, TYPICAL_MILLIS * bestCost, TYPICAL_MILLIS * bestCost));
   }
 }
--- a/core/src/main/java/org/heatherspread/core/placement/TrackedEndpoint.java
+++ b/core/src/main/java/org/heatherspread/core/placement/TrackedEndpoint.java
@@ -13,6 +13,10 @@
 public final class TrackedEndpoint {
   private static final double SLOWNESS_SMOOTHING = 0.15;
   private static final double SLOWNESS_MAX = 20;
+  private static final double WAIT_SMOOTHING = 0.4;
+
+  /** Time in which what was seen of a line loses most of its meaning. */
+  private static final double WAIT_FADE_MILLIS = 800;
 
   private final EndpointHealth health;
   private final HeldParts held;
@@ -21,6 +25,8 @@
   private long pendingTokens;
   private EndpointLoad others = EndpointLoad.NONE;
   private double slowness = 1;
+  private double waitMillis;
+  private long waitAtMillis;
   private long unusableAtMillis = Long.MAX_VALUE;
   private long progressMillis = Long.MIN_VALUE;
 
@@ -66,6 +72,17 @@
     return others.plus(ownLoad());
   }
 
+  /** Returns how much longer than expected first tokens took a moment ago, fading with time. */
+  public double observedWaitMillis(long nowMillis) {
+    return waitMillis * Math.exp(-(nowMillis - waitAtMillis) / WAIT_FADE_MILLIS);
+  }
+
+  private void observeWait(double millis, long nowMillis) {
+    double faded = observedWaitMillis(nowMillis);
+    waitMillis = faded + WAIT_SMOOTHING * (millis - faded);
+    waitAtMillis = nowMillis;
+  }
+
   /** Returns how many times longer answers take than expected. */
   public double slowness() {
     return slowness;
@@ -134,13 +151,15 @@
       return uncached;
     }
 
-    /** Notes the first event or the answer, and how it compares with the expected time. */
-    public void answered(double observedOverExpected, long nowMillis) {
+    /** Notes the first event or the answer, and how long it took. */
+    public void answered(double observedMillis, double expectedMillis, long nowMillis) {
       if (prefilled || ended) {
         return;
       }
       prefilled = true;
       pendingTokens -= uncached;
+      observeWait(Math.max(0, observedMillis - expectedMillis), nowMillis);
+      double observedOverExpected = observedMillis / Math.max(1, expectedMillis);
       double ratio = Math.min(SLOWNESS_MAX, observedOverExpected);
       slowness += SLOWNESS_SMOOTHING * (ratio - slowness);
       health.succeeded(observedOverExpected, nowMillis);
--- a/core/src/test/java/org/heatherspread/core/fleet/FleetViewTest.java
+++ b/core/src/test/java/org/heatherspread/core/fleet/FleetViewTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 
@@ -21,7 +22,7 @@
         Map.of(),
         Map.of(),
         Map.of(),
-        Map.of(),
+        List.of(),
         Map.of());
   }
 
--- a/node/src/main/java/org/heatherspread/node/Node.java
+++ b/node/src/main/java/org/heatherspread/node/Node.java
@@ -12,7 +12,6 @@
 import java.time.InstantSource;
 import java.util.Collection;
 import java.util.List;
-import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.TreeSet;
 import java.util.concurrent.CountDownLatch;
@@ -220,7 +219,7 @@
         state.usage().snapshot(),
         state.accounts().report(),
         state.endpoints().ownLoads(),
-        Map.of(),
+        state.crashes().evidence(),
         state.work());
   }
 
--- a/node/src/main/java/org/heatherspread/node/control/EndpointListener.java
+++ b/node/src/main/java/org/heatherspread/node/control/EndpointListener.java
@@ -78,6 +78,11 @@
     RegisteredEndpoint next = read.get();
     Optional<RegisteredEndpoint> before =
         state.endpoints().get(next.id()).map(TrackedEndpoint::registration);
+    state
+        .endpoints()
+        .get(next.id())
+        .filter(known -> known.registration().bornMillis() != next.bornMillis())
+        .ifPresent(state.crashes()::crashed);
     state.endpoints().put(next);
     if (before.isEmpty() || !before.get().equals(next)) {
       log.atInfo()
--- a/node/src/main/java/org/heatherspread/node/control/FleetListener.java
+++ b/node/src/main/java/org/heatherspread/node/control/FleetListener.java
@@ -93,6 +93,7 @@
       }
       report.loads().forEach((id, load) -> loads.merge(id, load, EndpointLoad::plus));
       offsets.add(report.wallLessStoreMillis());
+      state.crashes().heard(report.crashes());
     }
     for (DaemonReport report : fleet.reportedWithin(ADMITTING_MILLIS)) {
       if (!report.daemon().equals(self)) {
--- /dev/null
+++ b/relay/src/main/java/org/heatherspread/relay/call/CrashGuard.java
@@ -0,0 +1,103 @@
+package org.heatherspread.relay.call;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.time.InstantSource;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.heatherspread.core.placement.TrackedEndpoint;
+import org.heatherspread.core.poison.EndpointLife;
+import org.heatherspread.core.poison.Evidence;
+import org.heatherspread.core.poison.Fingerprints;
+import org.heatherspread.core.poison.PoisonLedger;
+import org.heatherspread.core.poison.PoisonLimits;
+import org.heatherspread.core.poison.Standing;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Stops requests that crash the endpoints that run them, at all daemons, by {@link PoisonLedger}. A
+ * broken connection is a crash if the endpoint then refuses connections, and none if it accepts
+ * one. Confined to one thread.
+ */
+public final class CrashGuard {
+  private static final Logger log = LoggerFactory.getLogger(CrashGuard.class);
+
+  private final PoisonLedger ledger;
+  private final Map<String, Evidence> told = new HashMap<>();
+  private boolean suspects;
+
+  private CrashGuard(PoisonLedger ledger) {
+    this.ledger = ledger;
+  }
+
+  /** Creates a guard that knows no crashes. */
+  public static CrashGuard create(PoisonLimits limits, InstantSource clock) {
+    return new CrashGuard(PoisonLedger.create(limits, clock));
+  }
+
+  /** Tells whether a request must not run any more. */
+  boolean refuses(CallFacts facts) {
+    return suspects && ledger.standing(fingerprint(facts)) == Standing.POISONED;
+  }
+
+  /** Notes that a connection broke while the endpoint had the request. */
+  void lost(TrackedEndpoint endpoint, CallFacts facts) {
+    ledger.lost(fingerprint(facts), life(endpoint));
+  }
+
+  /** Notes that the endpoint accepted a connection. */
+  void accepted(TrackedEndpoint endpoint) {
+    ledger.notCrashed(life(endpoint));
+  }
+
+  /** Notes that the endpoint refused a connection, or that its life has ended. */
+  public void crashed(TrackedEndpoint endpoint) {
+    for (Evidence evidence : ledger.crashed(life(endpoint))) {
+      keep(evidence);
+    }
+  }
+
+  /** Takes in what another daemon found. */
+  public void heard(List<Evidence> evidence) {
+    for (Evidence theirs : evidence) {
+      keep(theirs);
+      ledger.heard(theirs).forEach(this::keep);
+    }
+  }
+
+  /** Returns what was found so far, for this daemon's report. */
+  public List<Evidence> evidence() {
+    return List.copyOf(told.values());
+  }
+
+  private void keep(Evidence evidence) {
+    suspects = true;
+    Evidence before = told.get(evidence.fingerprint());
+    Evidence joined = before == null ? evidence : before.join(evidence);
+    if (joined.equals(before)) {
+      return;
+    }
+    told.put(evidence.fingerprint(), joined);
+    log.atInfo()
+        .addKeyValue("fingerprint", joined.fingerprint())
+        .addKeyValue("crashes", joined.crashes().size())
+        .addKeyValue("refused", joined.poisoned())
+        .log("request suspected of crashes");
+  }
+
+  private static EndpointLife life(TrackedEndpoint endpoint) {
+    return new EndpointLife(endpoint.id(), endpoint.registration().bornMillis());
+  }
+
+  private static String fingerprint(CallFacts facts) {
+    ByteArrayOutputStream request = new ByteArrayOutputStream();
+    request.writeBytes(facts.request().target().getBytes(StandardCharsets.UTF_8));
+    request.write(0);
+    request.writeBytes(facts.account().getBytes(StandardCharsets.UTF_8));
+    request.write(0);
+    request.writeBytes(facts.request().body());
+    return Fingerprints.of(facts.service(), request.toByteArray());
+  }
+}
--- a/relay/src/main/java/org/heatherspread/relay/call/RelayCall.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/RelayCall.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.heatherspread.core.admission.OverloadGate;
 import org.heatherspread.core.placement.EndpointChooser.Choice;
 import org.heatherspread.core.placement.EnginePace;
 import org.heatherspread.core.placement.TrackedEndpoint;
@@ -112,6 +113,10 @@
       OwnAnswer own) {
     RelayCall call = new RelayCall(state, names, forwarding, facts, needsKey, answer, own);
     answer.onGone(call::callerGone);
+    if (state.crashes().refuses(facts)) {
+      call.giveUp(Refusal.CRASHES_ENDPOINTS);
+      return;
+    }
     state.budget(facts.service()).onRequest();
     call.attempt();
   }
@@ -131,9 +136,15 @@
       giveUp(refusals > 0 ? Refusal.REFUSED_BY_ENDPOINTS : Refusal.NO_ENDPOINT);
       return;
     }
+    double expected = choice.get().expectedMillis();
+    boolean first = sends == 0 && refusals == 0;
+    if (first && engineWork() && !admits(expected)) {
+      overloaded(expected);
+      return;
+    }
     current = new Attempt(choice.get());
     if (expectedMillis < 0) {
-      expectedMillis = (long) choice.get().expectedMillis();
+      expectedMillis = (long) expected;
     }
     TrackedEndpoint endpoint = choice.get().endpoint();
     tried.add(endpoint.id());
@@ -141,6 +152,22 @@
     state.pool().acquire(endpoint.registration().address(), limit, current);
   }
 
+  private boolean engineWork() {
+    return facts.work().promptTokens() > 0;
+  }
+
+  private boolean admits(double expected) {
+    return OverloadGate.admits(expected, facts.route().targetMillis(), facts.urgency());
+  }
+
+  private void overloaded(double expected) {
+    expectedMillis = (long) expected;
+    int target = facts.route().targetMillis();
+    double wait = OverloadGate.retryAfterSeconds(expected, target, state.random().nextDouble());
+    finish(Refusal.OVERLOADED.code(), Refusal.OVERLOADED.status(), "");
+    own.refuse(Refusal.OVERLOADED, wait);
+  }
+
   /** Sends the request once more, if that is allowed; else ends it. */
   private void again(RetryReason reason, Refusal otherwise) {
     boolean time = leftMillis() > MIN_LEFT_MILLIS;
@@ -241,7 +268,7 @@
   /** One sending of the request to one endpoint. */
   private final class Attempt implements ConnectionPool.Receiver, Exchange {
     private final TrackedEndpoint endpoint;
-    private final double expectedMillis;
+    private final double baseMillis;
     private TrackedEndpoint.Run run;
     private EndpointConnection connection;
     private ScheduledFuture<?> silence;
@@ -257,9 +284,9 @@
 
     private Attempt(Choice choice) {
       this.endpoint = choice.endpoint();
-      this.expectedMillis = choice.expectedMillis();
+      this.baseMillis = choice.baseMillis();
       this.run = endpoint.start(facts.work());
-      if (facts.work().promptTokens() > 0) {
+      if (engineWork()) {
         state.addWork(
             facts.service(), PACE.workMillis(run.uncachedTokens(), facts.work().answerTokens()));
       }
@@ -291,6 +318,9 @@
         return;
       }
       connection = opened;
+      if (opened.fresh()) {
+        state.crashes().accepted(endpoint);
+      }
       sends++;
       mayHaveRun++;
       sentMillis = now;
@@ -304,10 +334,13 @@
     }
 
     @Override
-    public void failed(String reason) {
+    public void failed(String reason, boolean refused) {
       boolean wanted = active();
       run.failed(state.clock().millis());
       close();
+      if (refused) {
+        state.crashes().crashed(endpoint);
+      }
       if (wanted) {
         note("not-connected", reason);
         again(RetryReason.UNREACHABLE, Refusal.UNREACHABLE);
@@ -324,7 +357,7 @@
         return 0;
       }
       if (route.kind() == CallKind.STREAM) {
-        return Math.max(STREAM_SILENCE_MILLIS, (long) (2 * expectedMillis));
+        return Math.max(STREAM_SILENCE_MILLIS, (long) (2 * baseMillis));
       }
       long share = (long) (ANSWER_SILENCE_SHARE * leftMillis());
       return Math.max(MIN_ANSWER_SILENCE_MILLIS, share);
@@ -420,7 +453,7 @@
       if (firstMillis < 0) {
         firstMillis = now - facts.request().arrivedMillis();
       }
-      run.answered((now - sentMillis) / Math.max(1, expectedMillis), now);
+      run.answered(now - sentMillis, baseMillis, now);
       countUsage();
       if (id >= 0) {
         lastEvent = id;
@@ -458,7 +491,7 @@
       if (serverError) {
         run.failed(now);
       } else {
-        run.answered((now - sentMillis) / Math.max(1, expectedMillis), now);
+        run.answered(now - sentMillis, baseMillis, now);
       }
       close();
       countUsage();
@@ -545,6 +578,7 @@
         return;
       }
       note("broken", reason);
+      state.crashes().lost(endpoint, facts);
       if (!facts.route().repeatable()) {
         countUsage();
         giveUp(Refusal.ANSWER_LOST);
--- a/relay/src/main/java/org/heatherspread/relay/call/RelayState.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/RelayState.java
@@ -1,6 +1,8 @@
 package org.heatherspread.relay.call;
 
 import io.netty.channel.EventLoop;
+import java.time.Duration;
+import java.time.Instant;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -13,6 +15,7 @@
 import org.heatherspread.core.placement.EngineChooser;
 import org.heatherspread.core.placement.EnginePace;
 import org.heatherspread.core.placement.PlainChooser;
+import org.heatherspread.core.poison.PoisonLimits;
 import org.heatherspread.core.retry.WindowedRetryBudget;
 import org.heatherspread.core.routing.HealthPolicy;
 import org.heatherspread.core.serving.ClientLimits;
@@ -30,6 +33,12 @@
 public final class RelayState {
   private static final long DEFAULT_CACHE_TOKENS = 100_000;
 
+  /** Crashes after which a request is refused; fewer could be chance when many endpoints fail. */
+  private static final int POISON_CRASHES = 3;
+
+  private static final Duration POISON_MEMORY = Duration.ofMinutes(10);
+  private static final int POISON_CAPACITY = 1_000;
+
   /** Part of an endpoint's memory that is counted on to keep prompts. */
   private static final double CACHE_SHARE = 0.7;
 
@@ -48,6 +57,7 @@
   private final UsageWindows usage;
   private final Map<String, WindowedRetryBudget> budgets = new HashMap<>();
   private final Map<String, Double> work = new HashMap<>();
+  private final CrashGuard crashes;
   private final AnswerLengths lengths = AnswerLengths.create();
   private ServingConfig config;
   private int daemons = 1;
@@ -73,6 +83,10 @@
     this.pool = pool;
     this.metrics = metrics;
     this.usage = usage;
+    this.crashes =
+        CrashGuard.create(
+            new PoisonLimits(POISON_CRASHES, POISON_MEMORY, POISON_CAPACITY),
+            () -> Instant.ofEpochMilli(clock.millis()));
     this.accounts = AccountGate.create(clock, settings.slack());
     this.endpoints = EndpointTable.create(health, this::cacheTokens);
   }
@@ -151,6 +165,11 @@
     work.merge(service, millis, Double::sum);
   }
 
+  /** Returns which requests crashed endpoints. */
+  public CrashGuard crashes() {
+    return crashes;
+  }
+
   /** Returns how long answers get. */
   public AnswerLengths lengths() {
     return lengths;
--- a/relay/src/main/java/org/heatherspread/relay/endpoint/ConnectionPool.java
+++ b/relay/src/main/java/org/heatherspread/relay/endpoint/ConnectionPool.java
@@ -4,10 +4,12 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
+import java.net.ConnectException;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -57,8 +59,12 @@
     /** Gives a connection that carries nothing; it is to be used or given back. */
     void connected(EndpointConnection connection);
 
-    /** No connection could be opened; nothing was sent. */
-    void failed(String reason);
+    /**
+     * No connection could be opened; nothing was sent.
+     *
+     * @param refused whether nobody listens at the address
+     */
+    void failed(String reason, boolean refused);
   }
 
   /** Returns how many connections were opened since the start. */
@@ -88,7 +94,7 @@
       connection.close();
     }
     if (open(address) >= limit) {
-      receiver.failed("connection limit of the endpoint reached");
+      receiver.failed("connection limit of the endpoint reached", false);
       return;
     }
     connect(address, receiver);
@@ -127,7 +133,10 @@
             return;
           }
           closed(connection);
-          receiver.failed("cannot connect: " + done.cause().getMessage());
+          Throwable cause = done.cause();
+          boolean refused =
+              cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
+          receiver.failed("cannot connect: " + cause.getMessage(), refused);
         });
   }
 
--- a/relay/src/main/java/org/heatherspread/relay/endpoint/EndpointConnection.java
+++ b/relay/src/main/java/org/heatherspread/relay/endpoint/EndpointConnection.java
@@ -34,6 +34,7 @@
   private Exchange exchange;
   private String expectedId;
   private ChannelFuture written;
+  private boolean fresh = true;
   private boolean headSeen;
   private boolean skipping;
   private boolean reusable = true;
@@ -72,6 +73,7 @@
    * @param requestId id that the answer must carry, null where answers carry none
    */
   public void send(FullHttpRequest request, String requestId, Exchange receiver) {
+    fresh = false;
     exchange = receiver;
     expectedId = requestId;
     headSeen = false;
@@ -79,6 +81,11 @@
     written = channel.writeAndFlush(request);
   }
 
+  /** Tells whether the connection was opened just now and has carried nothing. */
+  public boolean fresh() {
+    return fresh;
+  }
+
   /** Pauses or resumes reading, for a slow receiver. */
   public void reading(boolean on) {
     channel.config().setAutoRead(on);
--- a/relay/src/main/java/org/heatherspread/relay/rpc/RpcClient.java
+++ b/relay/src/main/java/org/heatherspread/relay/rpc/RpcClient.java
@@ -115,7 +115,7 @@
     }
 
     @Override
-    public void failed(String reason) {
+    public void failed(String reason, boolean refused) {
       endWith(failure(ErrorKind.STORE_UNAVAILABLE, reason));
     }
 
