--- a/core/src/main/java/org/heatherspread/core/capacity/EndpointPlan.java
+++ b/core/src/main/java/org/heatherspread/core/capacity/EndpointPlan.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 import org.heatherspread.core.duty.DutyCalls.EndpointOrder;
 import org.heatherspread.core.serving.ScalingRule;
 
@@ -12,17 +13,17 @@
  * Plans how many endpoints of one service each failure domain should have, and of which kind.
  *
  * <p>Answers reclaims that take all reclaimable endpoints of a domain at once while no others are
- * to be had: work is spread evenly over the domains, reclaimable endpoints are used wherever they
- * can be had, lasting ones fill the gap from the notice on and are given up only when reclaimable
- * ones serve again. Stateless.
+ * to be had there: reclaimable endpoints are spread over the domains that have some to give;
+ * lasting ones make up what is missing from the notice on, and are given up only when reclaimable
+ * ones serve again. No domain falls below its minimum. Stateless.
  */
 public final class EndpointPlan {
+  /** Part of the required endpoints that should be lasting ones while reclaims come in a wave. */
+  private static final double WAVE_RESERVE = 0.5;
+
   private static final Comparator<Map.Entry<String, Double>> BY_PRICE =
       Map.Entry.<String, Double>comparingByValue().thenComparing(Map.Entry.comparingByKey());
 
-  /** Part of a domain's endpoints that should be lasting ones while reclaims come in a wave. */
-  private static final double WAVE_RESERVE = 0.5;
-
   private EndpointPlan() {}
 
   /** Creates a plan. */
@@ -39,70 +40,108 @@
    */
   public record DomainState(int lasting, int reclaimable, boolean reclaimableToBeHad) {}
 
-  /** Returns how many endpoints each domain should have, of so many in total. */
-  public Map<String, Integer> spread(ScalingRule rule, int needed) {
+  /**
+   * How many endpoints are needed in all domains together.
+   *
+   * @param wanted where reclaimable ones can be had
+   * @param required what dear, lasting ones have to make up
+   * @param wave whether reclaims were seen lately; more are to be expected, in other domains too
+   */
+  public record Need(int wanted, int required, boolean wave) {}
+
+  /** Returns the orders that should stand. */
+  public List<EndpointOrder> orders(
+      String service, ScalingRule rule, Need need, Map<String, DomainState> states) {
     List<Map.Entry<String, Double>> domains = new ArrayList<>(rule.domainPrices().entrySet());
     domains.sort(BY_PRICE);
-    Map<String, Integer> wanted = new HashMap<>();
+    Map<String, Integer> reclaimable = reclaimable(domains, rule, need, states);
+    Map<String, Integer> lasting = lasting(domains, rule, need, states, reclaimable);
+    List<EndpointOrder> orders = new ArrayList<>();
+    for (Map.Entry<String, Double> domain : domains) {
+      String name = domain.getKey();
+      orders.add(new EndpointOrder(service, name, true, reclaimable.get(name)));
+      orders.add(new EndpointOrder(service, name, false, lasting.get(name)));
+    }
+    return orders;
+  }
+
+  /** Spreads what is wanted over the domains that have reclaimable endpoints to give. */
+  private static Map<String, Integer> reclaimable(
+      List<Map.Entry<String, Double>> domains,
+      ScalingRule rule,
+      Need need,
+      Map<String, DomainState> states) {
+    Map<String, Integer> counts = new HashMap<>();
     int total = 0;
     for (Map.Entry<String, Double> domain : domains) {
-      wanted.put(domain.getKey(), rule.minimum());
-      total += rule.minimum();
+      DomainState state = states.get(domain.getKey());
+      int count = state.reclaimableToBeHad() ? rule.minimum() : state.reclaimable();
+      counts.put(domain.getKey(), count);
+      total += count;
     }
-    while (total < needed) {
-      String next = emptiest(domains, wanted, rule.maximum());
-      if (next == null) {
-        break;
-      }
-      wanted.merge(next, 1, Integer::sum);
+    Predicate<String> open =
+        name -> states.get(name).reclaimableToBeHad() && counts.get(name) < rule.maximum();
+    while (total < need.wanted() && addToEmptiest(domains, counts, open)) {
       total++;
     }
-    return wanted;
+    return counts;
   }
 
-  private static String emptiest(
-      List<Map.Entry<String, Double>> byPrice, Map<String, Integer> wanted, int maximum) {
-    String emptiest = null;
-    for (Map.Entry<String, Double> domain : byPrice) {
-      int count = wanted.get(domain.getKey());
-      boolean room = count < maximum;
-      if (room && (emptiest == null || count < wanted.get(emptiest))) {
-        emptiest = domain.getKey();
-      }
+  private static Map<String, Integer> lasting(
+      List<Map.Entry<String, Double>> domains,
+      ScalingRule rule,
+      Need need,
+      Map<String, DomainState> states,
+      Map<String, Integer> reclaimable) {
+    Map<String, Integer> counts = new HashMap<>();
+    int serving = 0;
+    int starting = 0;
+    int present = 0;
+    int total = 0;
+    for (Map.Entry<String, Double> domain : domains) {
+      String name = domain.getKey();
+      DomainState state = states.get(name);
+      serving += state.reclaimable();
+      starting += Math.max(0, reclaimable.get(name) - state.reclaimable());
+      present += state.lasting();
+      int missing = Math.max(0, rule.minimum() - state.reclaimable());
+      int least = state.reclaimableToBeHad() ? Math.min(missing, state.lasting()) : missing;
+      counts.put(name, least);
+      total += least;
+    }
+    int gap = Math.max(0, need.required() - serving);
+    int needed = Math.max(gap - starting, Math.min(gap, present));
+    if (need.wave()) {
+      needed = Math.max(needed, (int) Math.ceil(WAVE_RESERVE * need.required()));
     }
-    return emptiest;
+    Predicate<String> room =
+        name -> counts.get(name) + states.get(name).reclaimable() < rule.maximum();
+    Predicate<String> there = name -> counts.get(name) < states.get(name).lasting();
+    while (total < needed
+        && (addToEmptiest(domains, counts, room.and(there))
+            || addToEmptiest(domains, counts, room))) {
+      total++;
+    }
+    return counts;
   }
 
-  /**
-   * Returns the orders that should stand.
-   *
-   * @param wanted endpoints of each domain where reclaimable ones can be had
-   * @param required endpoints of each domain that dear, lasting ones have to make up
-   * @param wave whether reclaims were seen lately; more are to be expected, in other domains too
-   */
-  public List<EndpointOrder> orders(
-      String service,
-      Map<String, Integer> wanted,
-      Map<String, Integer> required,
-      Map<String, DomainState> states,
-      boolean wave) {
-    List<EndpointOrder> orders = new ArrayList<>();
-    for (Map.Entry<String, Integer> entry : wanted.entrySet()) {
-      String domain = entry.getKey();
-      int count = entry.getValue();
-      DomainState state = states.getOrDefault(domain, new DomainState(0, 0, true));
-      int enough = required.getOrDefault(domain, count);
-      int missing = Math.max(0, enough - state.reclaimable());
-      if (state.reclaimableToBeHad()) {
-        orders.add(new EndpointOrder(service, domain, true, count));
-        int lasting = Math.min(state.lasting(), missing);
-        int reserve = wave ? (int) Math.ceil(WAVE_RESERVE * enough) : 0;
-        orders.add(new EndpointOrder(service, domain, false, Math.max(lasting, reserve)));
-      } else {
-        orders.add(new EndpointOrder(service, domain, true, state.reclaimable()));
-        orders.add(new EndpointOrder(service, domain, false, missing));
+  /** Adds one to the domain with the fewest, the cheapest of several; false if none may take it. */
+  private static boolean addToEmptiest(
+      List<Map.Entry<String, Double>> byPrice,
+      Map<String, Integer> counts,
+      Predicate<String> allowed) {
+    String emptiest = null;
+    for (Map.Entry<String, Double> domain : byPrice) {
+      String name = domain.getKey();
+      boolean fewer = emptiest == null || counts.get(name) < counts.get(emptiest);
+      if (fewer && allowed.test(name)) {
+        emptiest = name;
       }
     }
-    return orders;
+    if (emptiest == null) {
+      return false;
+    }
+    counts.merge(emptiest, 1, Integer::sum);
+    return true;
   }
 }
--- a/node/src/main/java/org/heatherspread/node/control/CapacityDuty.java
+++ b/node/src/main/java/org/heatherspread/node/control/CapacityDuty.java
@@ -7,6 +7,7 @@
 import org.heatherspread.core.capacity.DemandMeter;
 import org.heatherspread.core.capacity.EndpointPlan;
 import org.heatherspread.core.capacity.EndpointPlan.DomainState;
+import org.heatherspread.core.capacity.EndpointPlan.Need;
 import org.heatherspread.core.duty.DutyCalls;
 import org.heatherspread.core.duty.DutyCalls.EndpointOrder;
 import org.heatherspread.core.fleet.DaemonReport;
@@ -106,13 +107,12 @@
     DemandMeter meter = meters.computeIfAbsent(service, name -> DemandMeter.create());
     meter.sample(totals(service));
     Map<String, DomainState> states = states(service, rule, now);
-    int floor = learning(service, states, meter, now);
     double busy = meter.busyEndpoints();
-    Map<String, Integer> wanted =
-        plan.spread(rule, Math.max(floor, (int) Math.ceil(busy / TARGET_USE)));
-    Map<String, Integer> required = plan.spread(rule, (int) Math.ceil(busy / LASTING_USE));
-    List<EndpointOrder> orders =
-        plan.orders(service, wanted, required, states, now < waveUntilMillis);
+    int floor = learning(service, states, meter, now);
+    int wanted = Math.max(floor, (int) Math.ceil(busy / TARGET_USE));
+    int required = Math.max(floor, (int) Math.ceil(busy / LASTING_USE));
+    Need need = new Need(wanted, required, now < waveUntilMillis);
+    List<EndpointOrder> orders = plan.orders(service, rule, need, states);
     for (EndpointOrder order : orders) {
       give(order, seen(order, states), rule, fencing, now, meter.busyEndpoints());
     }
--- /dev/null
+++ b/node/src/test/java/org/heatherspread/node/NodeTest.java
@@ -0,0 +1,157 @@
+package org.heatherspread.node;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+import org.heatherspread.node.settings.NodeSettings;
+import org.heatherspread.platform.PlatformStandin;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** One daemon against a stand-in of the platform's store, with outages. */
+class NodeTest {
+  private static final String CONFIGURATION =
+      """
+      {"version": %d,
+       "routes": [{"name": "r", "hostname": "localhost", "prefix": "/%s/",
+         "route-kind": "idempotent", "service": "s", "timeout-ms": 500, "max-attempts": 1}],
+       "services": [{"name": "s"}],
+       "tenants": [{"name": "acme", "api-keys": ["%s"]}]}
+      """;
+
+  private static final String ENDPOINT =
+      """
+      {"service": "s", "address": "127.0.0.1:1", "zone": "z", "concurrency-slots": 1,
+       "state": "ready", "sequence-number": 1}
+      """;
+
+  private final HttpClient client = HttpClient.newHttpClient();
+  private final int callers = freePort();
+  private final int readiness = freePort();
+  private final int directory = freePort();
+  private PlatformStandin platform;
+  private Node node;
+
+  NodeTest() throws IOException {}
+
+  private static int freePort() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0)) {
+      return socket.getLocalPort();
+    }
+  }
+
+  @BeforeEach
+  void start() throws Exception {
+    platform = PlatformStandin.start();
+    configure(1, "a", "key-1");
+    platform.write("servers", "i-1", ENDPOINT);
+    String settings =
+        """
+        [daemon]
+        name = "daemon-1"
+        domain = "z"
+        [listen]
+        callers = "127.0.0.1:%d"
+        readiness = "127.0.0.1:%d"
+        directory = "127.0.0.1:%d"
+        metrics = "127.0.0.1:%d"
+        [store]
+        address = "%s"
+        [cloud]
+        address = "%s"
+        [bounds]
+        grace = "3s"
+        """
+            .formatted(
+                callers, readiness, directory, freePort(), platform.address(), platform.address());
+    node = Node.create(NodeSettings.parse("test", settings));
+    node.start();
+    await(() -> status(readiness, "/", "") == 200);
+  }
+
+  @AfterEach
+  void stop() {
+    platform.close();
+  }
+
+  private void configure(long version, String prefix, String key) {
+    platform.write("op", "config", CONFIGURATION.formatted(version, prefix, key));
+  }
+
+  private int status(int port, String path, String key) throws Exception {
+    HttpRequest request =
+        HttpRequest.newBuilder(URI.create("http://localhost:" + port + path))
+            .header("Authorization", "Bearer " + key)
+            .timeout(Duration.ofSeconds(5))
+            .build();
+    return client.send(request, HttpResponse.BodyHandlers.discarding()).statusCode();
+  }
+
+  private static void await(Callable<Boolean> condition) throws Exception {
+    long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
+    while (!condition.call()) {
+      assertThat(System.nanoTime()).isLessThan(end);
+      TimeUnit.MILLISECONDS.sleep(20);
+    }
+  }
+
+  @Test
+  void bringsConfigurationsIntoForceAndNeverGoesBack() throws Exception {
+    assertThat(status(callers, "/a/x", "key-1")).isEqualTo(503);
+    assertThat(status(callers, "/b/x", "key-1")).isEqualTo(404);
+    configure(5, "b", "key-1");
+    await(() -> status(callers, "/b/x", "key-1") == 503);
+    configure(4, "a", "key-1");
+    TimeUnit.MILLISECONDS.sleep(300);
+    assertThat(status(callers, "/a/x", "key-1")).isEqualTo(404);
+  }
+
+  @Test
+  void findsChangesAlthoughTheHistoryWasDropped() throws Exception {
+    platform.write("other", "x", "y");
+    platform.dropHistory();
+    configure(5, "b", "key-1");
+    platform.dropHistory();
+    await(() -> status(callers, "/b/x", "key-1") == 503);
+  }
+
+  /**
+   * The store answers for other tables, but not for the configuration: a key revoked meanwhile must
+   * not be trusted past the bound.
+   */
+  @Test
+  void refusesKeysWhileTheConfigurationCannotBeRead() throws Exception {
+    assertThat(status(callers, "/a/x", "key-2")).isEqualTo(401);
+    platform.silentTable("op");
+    TimeUnit.MILLISECONDS.sleep(4_400);
+    assertThat(platform.reads()).isPositive();
+    assertThat(status(callers, "/a/x", "key-2")).isEqualTo(503);
+    assertThat(status(readiness, "/", "")).isEqualTo(503);
+    assertThat(status(directory, "/v1/resolution?name=x", "")).isEqualTo(503);
+    platform.silentTable("");
+    await(() -> status(readiness, "/", "") == 200);
+    assertThat(status(directory, "/v1/resolution?name=x", "")).isEqualTo(200);
+  }
+
+  @Test
+  void reportsUsageOnceForEachWindowAndLeavesInOrder() throws Exception {
+    await(() -> platform.cloudCalls().stream().anyMatch(call -> call.startsWith("/usage")));
+    long distinct =
+        platform.cloudCalls().stream().filter(call -> call.contains("/usage")).distinct().count();
+    assertThat(platform.cloudCalls().stream().filter(call -> call.contains("/usage")).count())
+        .isEqualTo(distinct);
+    long start = System.nanoTime();
+    node.stop();
+    assertThat(System.nanoTime() - start).isLessThan(TimeUnit.MILLISECONDS.toNanos(3_000));
+    assertThat(platform.anyValue("daemons")).contains("LEAVING");
+  }
+}
--- /dev/null
+++ b/node/src/test/java/org/heatherspread/node/PlatformWordsTest.java
@@ -0,0 +1,78 @@
+package org.heatherspread.node;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.junit.AnalyzeClasses;
+import com.tngtech.archunit.junit.ArchTest;
+import com.tngtech.archunit.lang.ArchRule;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+
+/** The platform's formats and words stay in one folder. */
+@AnalyzeClasses(
+    packages = "org.heatherspread",
+    importOptions = ImportOption.DoNotIncludeTests.class)
+class PlatformWordsTest {
+  /** Names on the platform's wire that the code of the product must not know. */
+  private static final List<String> WIRE_WORDS =
+      List.of(
+          "\"Attempt-Id\"",
+          "\"Deadline-Remaining\"",
+          "\"Tenant-Name\"",
+          "\"Request-Not-Executed\"",
+          "\"Server-Signature\"",
+          "\"tenants\"",
+          "\"api-keys\"",
+          "\"spot-capacity\"",
+          "\"rows-",
+          "/v1/rows",
+          "/v1/resolution",
+          "\"Fencing-Token\"",
+          "\"Duty-Holder\"");
+
+  @ArchTest
+  static final ArchRule coreAndRelayDoNotKnowThePlatform =
+      noClasses()
+          .that()
+          .resideInAnyPackage("org.heatherspread.core..", "org.heatherspread.relay..")
+          .should()
+          .dependOnClassesThat()
+          .resideInAPackage("org.heatherspread.platform..");
+
+  @ArchTest
+  static final ArchRule platformDecidesNothing =
+      noClasses()
+          .that()
+          .resideInAPackage("org.heatherspread.platform..")
+          .should()
+          .dependOnClassesThat()
+          .resideInAnyPackage(
+              "org.heatherspread.core.placement..",
+              "org.heatherspread.core.admission..",
+              "org.heatherspread.core.capacity..",
+              "org.heatherspread.core.lease..",
+              "org.heatherspread.core.limit..",
+              "org.heatherspread.core.retry..");
+
+  @Test
+  void onlyThePlatformFolderSpellsWireNames() throws IOException {
+    List<String> found = new ArrayList<>();
+    for (String module : List.of("core", "relay", "node")) {
+      Path sources = Path.of("..", module, "src", "main", "java");
+      try (Stream<Path> files = Files.walk(sources)) {
+        for (Path file : files.filter(path -> path.toString().endsWith(".java")).toList()) {
+          String text = Files.readString(file);
+          WIRE_WORDS.stream().filter(text::contains).forEach(word -> found.add(file + " " + word));
+        }
+      }
+    }
+    assertThat(found).isEmpty();
+  }
+}
