--- a/cli/src/main/java/org/heatherspread/cli/impl/CommandTable.java
+++ b/cli/src/main/java/org/heatherspread/cli/impl/CommandTable.java
@@ -16,6 +16,7 @@
     all.addAll(IntentCommands.all());
     all.addAll(PlanCommands.all());
     all.addAll(KeyCommands.all());
+    all.addAll(ExplainCommand.all());
     return List.copyOf(all);
   }
 
--- a/relay/src/main/java/org/heatherspread/relay/call/RelayCall.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/RelayCall.java
@@ -335,12 +335,12 @@
 
     @Override
     public void failed(String reason, boolean refused) {
-      boolean wanted = active();
-      run.failed(state.clock().millis());
-      close();
       if (refused) {
         state.crashes().crashed(endpoint);
       }
+      boolean wanted = active();
+      run.failed(state.clock().millis());
+      close();
       if (wanted) {
         note("not-connected", reason);
         again(RetryReason.UNREACHABLE, Refusal.UNREACHABLE);
