--- a/core/src/main/java/org/heatherspread/core/capacity/DemandMeter.java
+++ b/core/src/main/java/org/heatherspread/core/capacity/DemandMeter.java
@@ -11,7 +11,7 @@
  */
 public final class DemandMeter {
   private static final double RISE = 0.8;
-  private static final double FALL = 0.04;
+  private static final double FALL = 0.12;
 
   private final Map<String, Total> totals = new HashMap<>();
   private double rate;
--- a/core/src/main/java/org/heatherspread/core/placement/EngineChooser.java
+++ b/core/src/main/java/org/heatherspread/core/placement/EngineChooser.java
@@ -25,7 +25,10 @@
   private static final double SLOWDOWN_WEIGHT = 0.05;
 
   /** Share of a part's prefill that is saved by sending it to its home, if nobody holds it yet. */
-  private static final double HOME_WEIGHT = 0.6;
+  private static final double HOME_WEIGHT = 0.9;
+
+  /** What it counts to read a shared part again, besides the time: it drives out other parts. */
+  private static final double REREAD_WEIGHT = 2;
 
   private final EnginePace pace;
 
@@ -95,15 +98,18 @@
       TrackedEndpoint endpoint, Workload work, boolean atHome, RandomGenerator random) {
     int cached = endpoint.cachedTokens(work);
     double uncached = Math.max(0, work.promptTokens() - cached);
-    if (atHome && cached == 0) {
-      uncached -= HOME_WEIGHT * sharedTokens(work);
+    double reread = Math.max(0, sharedTokens(work) - cached);
+    if (atHome) {
+      uncached -= HOME_WEIGHT * reread;
+      reread -= HOME_WEIGHT * reread;
     }
     int running = endpoint.load().running();
     double wait = pace.prefillMillis(endpoint.load().promptTokens());
     double prefill = Math.max(0, uncached) / pace.promptTokensPerMilli();
     double slowdown = SLOWDOWN_WEIGHT * running * prefill;
     double decode = pace.stepMillisPerRequest() * running * Math.max(1, work.answerTokens()) / 4;
-    double cost = pace.firstMillis() + wait + prefill + slowdown + decode;
+    double again = REREAD_WEIGHT * reread / pace.promptTokensPerMilli();
+    double cost = pace.firstMillis() + wait + prefill + again + slowdown + decode;
     if (running >= endpoint.registration().slots()) {
       cost += FULL_BATCH_MILLIS * (1 + running - endpoint.registration().slots());
     }
--- a/node/src/main/java/org/heatherspread/node/LogSetup.java
+++ b/node/src/main/java/org/heatherspread/node/LogSetup.java
@@ -1,6 +1,5 @@
 package org.heatherspread.node;
 
-import ch.qos.logback.classic.AsyncAppender;
 import ch.qos.logback.classic.Level;
 import ch.qos.logback.classic.Logger;
 import ch.qos.logback.classic.LoggerContext;
@@ -16,7 +15,6 @@
  * standard output, through a bounded queue that drops lines rather than block.
  */
 public final class LogSetup extends ContextAwareBase implements Configurator {
-  private static final int QUEUED_LINES = 4_096;
   private static final int LOGGER_NAME_LENGTH = 24;
 
   @Override
@@ -36,11 +34,8 @@
     console.setContext(context);
     console.setEncoder(encoder);
     console.start();
-    AsyncAppender bounded = new AsyncAppender();
+    BoundedLog bounded = new BoundedLog();
     bounded.setContext(context);
-    bounded.setQueueSize(QUEUED_LINES);
-    bounded.setDiscardingThreshold(0);
-    bounded.setNeverBlock(true);
     bounded.addAppender(console);
     bounded.start();
     Logger root = context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
--- a/node/src/main/java/org/heatherspread/node/Node.java
+++ b/node/src/main/java/org/heatherspread/node/Node.java
@@ -42,6 +42,7 @@
 import org.heatherspread.relay.endpoint.ConnectionPool;
 import org.heatherspread.relay.endpoint.PoolSettings;
 import org.heatherspread.relay.rpc.RpcClient;
+import org.heatherspread.relay.rpc.RpcMetrics;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -95,6 +96,7 @@
     this.settings = settings;
     this.loop = new NioEventLoopGroup(1).next();
     this.registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    RpcMetrics rpcs = RpcMetrics.create(registry);
     MonotonicClock clock = MonotonicClock.system();
     InstantSource wall = Clock.systemUTC();
     NodeSettings.Bounds bounds = settings.bounds();
@@ -113,15 +115,17 @@
             UsageWindows.create(bounds.usageWindow().toMillis(), KEPT_WINDOWS),
             healthPolicy());
     PlatformStore store =
-        PlatformStore.create(RpcClient.create(loop, clock, settings.store()), STORE_TIMEOUT);
+        PlatformStore.create(RpcClient.create(loop, clock, settings.store(), rpcs), STORE_TIMEOUT);
     PlatformCloud cloud =
         settings.cloud().isEmpty()
             ? null
             : PlatformCloud.create(
-                RpcClient.create(loop, clock, HostPort.parse(settings.cloud())), CLOUD_TIMEOUT);
+                RpcClient.create(loop, clock, HostPort.parse(settings.cloud()), rpcs),
+                CLOUD_TIMEOUT);
     this.control = Control.create(settings, state, store, store, cloud, this::report);
     Relay relay = Relay.create(state, PlatformHeaders.relay());
     this.callers = CallerServer.create(loop, clock, state::limits, relay);
+    NodeMetrics.create(registry, state, control, callers);
     this.directory =
         CallerServer.create(
             loop,
--- a/node/src/main/java/org/heatherspread/node/NodeMain.java
+++ b/node/src/main/java/org/heatherspread/node/NodeMain.java
@@ -1,5 +1,6 @@
 package org.heatherspread.node;
 
+import ch.qos.logback.classic.LoggerContext;
 import java.nio.file.Path;
 import joptsimple.OptionException;
 import joptsimple.OptionParser;
@@ -58,6 +59,13 @@
     run(Path.of(path), options.has(CHECK));
   }
 
+  /** Stops a daemon and ends the process without the virtual machine's own clean-up. */
+  private static void stop(Node node) {
+    node.stop();
+    ((LoggerContext) LoggerFactory.getILoggerFactory()).stop();
+    Runtime.getRuntime().halt(0);
+  }
+
   private static void run(Path path, boolean checkOnly) throws InterruptedException {
     NodeSettings settings;
     try {
@@ -72,7 +80,7 @@
       return;
     }
     Node node = Node.create(settings);
-    Runtime.getRuntime().addShutdownHook(new Thread(node::stop, "stop"));
+    Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node), "stop"));
     node.start();
     SettingsWatch.create(path, settings).start();
     log.atInfo().addKeyValue("name", settings.name()).log("daemon started");
--- a/node/src/main/java/org/heatherspread/node/control/CapacityDuty.java
+++ b/node/src/main/java/org/heatherspread/node/control/CapacityDuty.java
@@ -25,10 +25,10 @@
   private static final Logger log = LoggerFactory.getLogger(CapacityDuty.class);
 
   /** Part of a cheap endpoint's time that should be busy, low enough for first tokens on time. */
-  private static final double TARGET_USE = 0.55;
+  private static final double TARGET_USE = 0.65;
 
   /** The same for lasting endpoints, which cost several times as much. */
-  private static final double LASTING_USE = 0.8;
+  private static final double LASTING_USE = 0.9;
 
   /** How long a new holder of the duty keeps what is there, until it has seen the demand. */
   private static final long LEARN_MILLIS = 8_000;
--- a/node/src/main/java/org/heatherspread/node/control/Control.java
+++ b/node/src/main/java/org/heatherspread/node/control/Control.java
@@ -64,6 +64,7 @@
   private final FleetView fleet = FleetView.create(LIVE_MILLIS);
   private final EndpointListener endpoints;
   private final FleetListener daemons;
+  private LeaseKeeper lease;
   private ActorSystem<Void> system;
   private ActorRef<Reporter.Command> reporter;
   private ActorRef<DutyKeeper.Command> duties;
@@ -105,6 +106,11 @@
     return life;
   }
 
+  /** Tells whether this daemon has the duties, as far as its lease certainly holds. */
+  public boolean holdsDuties() {
+    return lease != null && lease.fencing().isPresent();
+  }
+
   /** Returns the daemons as last read. */
   public FleetView fleet() {
     return fleet;
@@ -171,7 +177,7 @@
 
   private Behavior<DutyKeeper.Command> duties() {
     Supplier<String> ids = () -> UUID.randomUUID().toString();
-    LeaseKeeper lease =
+    lease =
         LeaseKeeper.create("duties", settings.name() + '/' + life, LEASE, rows, state.clock(), ids);
     List<DutyKeeper.Duty> list = new ArrayList<>();
     list.add(
--- a/relay/src/main/java/org/heatherspread/relay/rpc/RpcClient.java
+++ b/relay/src/main/java/org/heatherspread/relay/rpc/RpcClient.java
@@ -37,17 +37,28 @@
   private final EventLoop loop;
   private final HostPort address;
   private final ConnectionPool pool;
-
-  private RpcClient(EventLoop loop, HostPort address, ConnectionPool pool) {
+  private final MonotonicClock clock;
+  private final RpcMetrics metrics;
+
+  private RpcClient(
+      EventLoop loop,
+      HostPort address,
+      ConnectionPool pool,
+      MonotonicClock clock,
+      RpcMetrics metrics) {
     this.loop = loop;
     this.address = address;
     this.pool = pool;
+    this.clock = clock;
+    this.metrics = metrics;
   }
 
   /** Creates a client; no connection is opened yet. */
-  public static RpcClient create(EventLoop loop, MonotonicClock clock, HostPort address) {
+  public static RpcClient create(
+      EventLoop loop, MonotonicClock clock, HostPort address, RpcMetrics metrics) {
     PoolSettings settings = new PoolSettings(CONNECT_TIMEOUT_MILLIS, MAX_IDLE_MILLIS);
-    return new RpcClient(loop, address, ConnectionPool.create(loop, clock, settings, null));
+    ConnectionPool pool = ConnectionPool.create(loop, clock, settings, null);
+    return new RpcClient(loop, address, pool, clock, metrics);
   }
 
   /**
@@ -84,6 +95,7 @@
     private ScheduledFuture<?> timer;
     private EndpointConnection connection;
     private int status;
+    private final long startMillis = clock.millis();
 
     private Call(FullHttpRequest request, CompletableFuture<RpcReply> result) {
       this.request = request;
@@ -134,6 +146,7 @@
     @Override
     public void end() {
       timer.cancel(false);
+      metrics.ended(request.uri(), Integer.toString(status), clock.millis() - startMillis);
       result.complete(new RpcReply(status, body.toByteArray()));
     }
 
@@ -144,6 +157,7 @@
 
     private void endWith(ServingException failure) {
       timer.cancel(false);
+      metrics.ended(request.uri(), failure.kind().code(), clock.millis() - startMillis);
       result.completeExceptionally(failure);
     }
 
