Keep what a new holder of the duties found, not all that it orders; wait for daemons that are cut off

Usage of windows in which daemons were cut off from the store was reported without their counts. Two daemons were killed at the end of the grace: the end of the process waited up to a second for its log.

--- a/node/src/main/java/org/heatherspread/node/BoundedLog.java
+++ b/node/src/main/java/org/heatherspread/node/BoundedLog.java
@@ -10,6 +10,10 @@
  */
 public final class BoundedLog extends AsyncAppender {
   private static final int QUEUED_LINES = 4_096;
+
+  /** Time that the end of the process waits for lines to be written. */
+  private static final int FLUSH_MILLIS = 200;
+
   private static final AtomicLong DROPPED = new AtomicLong();
 
   /** Creates an appender that is not started. */
@@ -17,6 +21,7 @@
     setQueueSize(QUEUED_LINES);
     setDiscardingThreshold(0);
     setNeverBlock(true);
+    setMaxFlushTime(FLUSH_MILLIS);
   }
 
   /** Returns the lines dropped since the start of the process. */
--- a/node/src/main/java/org/heatherspread/node/Node.java
+++ b/node/src/main/java/org/heatherspread/node/Node.java
@@ -71,7 +71,7 @@
   private static final Duration ACCEPT_ON = Duration.ofMillis(1_200);
 
   /** Time before the end of the grace at which the process ends in any case. */
-  private static final Duration END_MARGIN = Duration.ofMillis(700);
+  private static final Duration END_MARGIN = Duration.ofMillis(1_200);
 
   /** Age of the newest read of the store above which this daemon tells no addresses. */
   private static final long DIRECTORY_TRUST_MILLIS = 3_200;
--- a/node/src/main/java/org/heatherspread/node/control/CapacityDuty.java
+++ b/node/src/main/java/org/heatherspread/node/control/CapacityDuty.java
@@ -95,7 +95,7 @@
       for (DomainState domain : states.values()) {
         present += domain.lasting() + domain.reclaimable();
       }
-      learner.floor = Math.max(learner.floor, present);
+      learner.floor = learner.floor == 0 ? present : learner.floor;
       if (meter.busyEndpoints() > 0) {
         learner.untilMillis = now + LEARN_MILLIS;
       }
--- a/node/src/main/java/org/heatherspread/node/control/Control.java
+++ b/node/src/main/java/org/heatherspread/node/control/Control.java
@@ -46,6 +46,9 @@
   private static final Duration WHOLE_EVERY = Duration.ofSeconds(15);
   private static final int LAST_RANK = 2;
 
+  /** How long after its last report a daemon counts as a candidate for the duties. */
+  private static final long CANDIDATE_MILLIS = 2_200;
+
   /** Shorter than the usual lease, as an endpoint's notice of leaving is shorter than that. */
   private static final LeaseSettings LEASE =
       new LeaseSettings(
@@ -197,7 +200,7 @@
 
   private int rank() {
     List<String> names = new ArrayList<>();
-    for (DaemonReport daemon : fleet.live()) {
+    for (DaemonReport daemon : fleet.reportedWithin(CANDIDATE_MILLIS)) {
       names.add(daemon.daemon());
     }
     names.sort(null);
--- a/node/src/main/java/org/heatherspread/node/control/UsageDuty.java
+++ b/node/src/main/java/org/heatherspread/node/control/UsageDuty.java
@@ -43,7 +43,10 @@
   private static final long SETTLE_MILLIS = 400;
 
   /** Part of the time allowed after which missing daemons are no longer waited for. */
-  private static final double PATIENCE = 0.55;
+  private static final double PATIENCE = 0.8;
+
+  /** How long a daemon that stopped reporting is waited for; it may be cut off and come back. */
+  private static final long AWAITED_MILLIS = 12_000;
 
   private static final int OLD_WINDOWS = 3;
 
@@ -96,10 +99,10 @@
     done.clear();
   }
 
-  /** Tells whether every live daemon has reported since the window's end. */
+  /** Tells whether every daemon that may have counted has reported since the window's end. */
   private boolean complete(long endedMillis) {
     long endStoreMillis = state.contact().storeMillis() - endedMillis;
-    for (DaemonReport report : fleet.live()) {
+    for (DaemonReport report : fleet.reportedWithin(AWAITED_MILLIS)) {
       if (report.atStoreMillis() < endStoreMillis + SETTLE_MILLIS) {
         return false;
       }
--- a/node/src/test/java/org/heatherspread/node/BoundedLogTest.java
+++ b/node/src/test/java/org/heatherspread/node/BoundedLogTest.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
+import org.slf4j.LoggerFactory;
 
 class BoundedLogTest {
   private static final int LINES = 20_000;
@@ -32,7 +33,7 @@
 
   @Test
   void blocksNobodyAndCountsWhatIsDropped() {
-    LoggerContext context = new LoggerContext();
+    LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
     Stuck stuck = new Stuck();
     stuck.setContext(context);
     stuck.start();
@@ -41,6 +42,7 @@
     bounded.addAppender(stuck);
     bounded.start();
     Logger logger = context.getLogger("test");
+    logger.setAdditive(false);
     logger.addAppender(bounded);
     long before = BoundedLog.dropped();
     long start = System.nanoTime();
@@ -50,6 +52,7 @@
     assertThat(System.nanoTime() - start).isLessThan(TimeUnit.SECONDS.toNanos(5));
     assertThat(BoundedLog.dropped() - before).isBetween((long) LINES - MOST_HELD, (long) LINES);
     stuck.open.countDown();
-    context.stop();
+    logger.detachAppender(bounded);
+    bounded.stop();
   }
 }
