--- /dev/null
+++ b/core/src/test/java/org/heatherspread/core/capacity/DemandMeterTest.java
@@ -0,0 +1,52 @@
+package org.heatherspread.core.capacity;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Map;
+import org.heatherspread.core.capacity.DemandMeter.Total;
+import org.junit.jupiter.api.Test;
+
+class DemandMeterTest {
+  private final DemandMeter meter = DemandMeter.create();
+
+  private void sample(double one, double other, long atMillis) {
+    meter.sample(Map.of("a", new Total(one, atMillis), "b", new Total(other, atMillis)));
+  }
+
+  @Test
+  void addsUpTheWorkOfAllDaemons() {
+    sample(0, 0, 1_000);
+    for (int second = 1; second <= 10; second++) {
+      sample(1_500 * second, 500 * second, 1_000 + 1_000 * second);
+    }
+    assertThat(meter.busyEndpoints()).isBetween(1.95, 2.05);
+  }
+
+  @Test
+  void risesWithinSecondsAndFallsSlowly() {
+    sample(0, 0, 0);
+    sample(4_000, 4_000, 1_000);
+    assertThat(meter.busyEndpoints()).isGreaterThan(6);
+    sample(4_000, 4_000, 2_000);
+    assertThat(meter.busyEndpoints()).isGreaterThan(5);
+  }
+
+  /** The same reports seen again say nothing new. */
+  @Test
+  void ignoresReportsThatHaveNotChanged() {
+    sample(0, 0, 0);
+    sample(4_000, 4_000, 1_000);
+    double before = meter.busyEndpoints();
+    sample(4_000, 4_000, 1_000);
+    assertThat(meter.busyEndpoints()).isEqualTo(before);
+  }
+
+  /** A daemon that started again counts from zero; that is not negative work. */
+  @Test
+  void ignoresTotalsOfDaemonsThatStartedAgain() {
+    sample(9_000, 9_000, 1_000);
+    sample(10_000, 10_000, 2_000);
+    sample(10, 11_000, 3_000);
+    assertThat(meter.busyEndpoints()).isPositive();
+  }
+}
--- a/node/src/main/java/org/heatherspread/node/control/CapacityDuty.java
+++ b/node/src/main/java/org/heatherspread/node/control/CapacityDuty.java
@@ -64,6 +64,23 @@
     this.self = self;
   }
 
+  /** Measures the demand, so that a daemon that takes the duty over knows it at once. */
+  @Override
+  public void observe() {
+    if (state.config().isEmpty()) {
+      return;
+    }
+    for (ServiceRule service : state.config().get().services()) {
+      if (service.scaling().isPresent()) {
+        meter(service.name()).sample(totals(service.name()));
+      }
+    }
+  }
+
+  private DemandMeter meter(String service) {
+    return meters.computeIfAbsent(service, name -> DemandMeter.create());
+  }
+
   @Override
   public void perform(long fencing) {
     long now = state.clock().millis();
@@ -82,7 +99,6 @@
   @Override
   public void dropped() {
     standing.clear();
-    meters.clear();
     learners.clear();
   }
 
@@ -104,8 +120,7 @@
   }
 
   private void plan(String service, ScalingRule rule, long fencing, long now) {
-    DemandMeter meter = meters.computeIfAbsent(service, name -> DemandMeter.create());
-    meter.sample(totals(service));
+    DemandMeter meter = meter(service);
     Map<String, DomainState> states = states(service, rule, now);
     double busy = meter.busyEndpoints();
     int floor = learning(service, states, meter, now);
--- a/node/src/main/java/org/heatherspread/node/control/DutyKeeper.java
+++ b/node/src/main/java/org/heatherspread/node/control/DutyKeeper.java
@@ -36,6 +36,9 @@
 
   /** A duty of one daemon at a time. */
   interface Duty {
+    /** Follows what a holder would have to know; called whether or not the lease is held. */
+    default void observe() {}
+
     /** Does what is due; the fencing number holds for calls made now. */
     void perform(long fencing);
 
@@ -96,6 +99,7 @@
     if (left) {
       return this;
     }
+    duties.forEach(Duty::observe);
     OptionalLong fencing = lease.fencing();
     noteChange(fencing);
     if (fencing.isPresent()) {
