Move streams with their memory away from endpoints that leave

A stream that still runs 0.9 s after its endpoint's notice is stopped there, its memory is copied to another endpoint, and it goes on there after the last event, on routes that may not be resumed too. Capacity: what is kept until demand is seen counts the endpoints found, which register one after another; more of the cheap ones.

--- a/core/src/main/java/org/heatherspread/core/serving/EngineRule.java
+++ b/core/src/main/java/org/heatherspread/core/serving/EngineRule.java
@@ -6,5 +6,6 @@
  * @param slots requests that run in one batch
  * @param cacheTokens tokens that the KV cache holds
  * @param eventTokens tokens in one event of a stream
+ * @param movesRuns whether runs can be moved to another endpoint with their memory
  */
-public record EngineRule(int slots, long cacheTokens, int eventTokens) {}
+public record EngineRule(int slots, long cacheTokens, int eventTokens, boolean movesRuns) {}
--- a/node/src/main/java/org/heatherspread/node/Node.java
+++ b/node/src/main/java/org/heatherspread/node/Node.java
@@ -32,6 +32,7 @@
 import org.heatherspread.node.settings.NodeSettings;
 import org.heatherspread.platform.DirectoryFormat;
 import org.heatherspread.platform.PlatformCloud;
+import org.heatherspread.platform.PlatformEngines;
 import org.heatherspread.platform.PlatformHeaders;
 import org.heatherspread.platform.PlatformStore;
 import org.heatherspread.relay.call.CallMetrics;
@@ -62,6 +63,7 @@
   private static final int CONNECT_TIMEOUT_MILLIS = 500;
   private static final long MAX_IDLE_MILLIS = 15_000;
   private static final Duration STORE_TIMEOUT = Duration.ofMillis(900);
+  private static final Duration MOVE_TIMEOUT = Duration.ofMillis(900);
   private static final Duration CLOUD_TIMEOUT = Duration.ofMillis(1_000);
 
   /** How long callers may keep an answer of the directory. */
@@ -113,7 +115,9 @@
             ConnectionPool.create(loop, clock, pool, PlatformHeaders.relay().requestId()),
             CallMetrics.create(registry),
             UsageWindows.create(bounds.usageWindow().toMillis(), KEPT_WINDOWS),
-            healthPolicy());
+            healthPolicy(),
+            PlatformEngines.create(
+                address -> RpcClient.create(loop, clock, address, rpcs), MOVE_TIMEOUT));
     PlatformStore store =
         PlatformStore.create(RpcClient.create(loop, clock, settings.store(), rpcs), STORE_TIMEOUT);
     PlatformCloud cloud =
--- a/node/src/main/java/org/heatherspread/node/NodeMain.java
+++ b/node/src/main/java/org/heatherspread/node/NodeMain.java
@@ -25,13 +25,13 @@
   /** Runs the daemon until it is stopped. */
   public static void main(String[] arguments) throws Exception {
     OptionParser parser = new OptionParser();
+    parser.accepts(CHECK, "check the settings and end");
+    parser.accepts(REHEARSE, "start once on loopback and end, to make a class-data archive");
+    parser.accepts(HELP, "show this").forHelp();
     OptionSpec<String> file =
         parser
             .accepts("config", "settings file; default: the file that " + FILE_VARIABLE + " names")
             .withRequiredArg();
-    parser.accepts(CHECK, "check the settings and end");
-    parser.accepts(REHEARSE, "start once on loopback and end, to make a class-data archive");
-    parser.accepts(HELP, "show this").forHelp();
     OptionSet options;
     try {
       options = parser.parse(arguments);
--- a/node/src/main/java/org/heatherspread/node/NodeMetrics.java
+++ b/node/src/main/java/org/heatherspread/node/NodeMetrics.java
@@ -23,7 +23,6 @@
 
   static NodeMetrics create(
       MeterRegistry registry, RelayState state, Control control, CallerServer callers) {
-    NodeMetrics metrics = new NodeMetrics();
     gauge(registry, "heatherspread.config.version", state, NodeMetrics::version);
     gauge(registry, "heatherspread.config.age.ms", state, s -> s.contact().ageMillis());
     gauge(registry, "heatherspread.endpoints.usable", state, NodeMetrics::usable);
@@ -34,6 +33,7 @@
     gauge(registry, "heatherspread.duties.held", control, c -> c.holdsDuties() ? 1 : 0);
     gauge(registry, "heatherspread.callers.connections", callers, CallerServer::connections);
     gauge(registry, "heatherspread.callers.requests", callers, CallerServer::busy);
+    NodeMetrics metrics = new NodeMetrics();
     gauge(registry, "heatherspread.log.dropped", metrics, m -> BoundedLog.dropped());
     metrics.watchDropped(state.loop());
     return metrics;
--- a/node/src/main/java/org/heatherspread/node/control/CapacityDuty.java
+++ b/node/src/main/java/org/heatherspread/node/control/CapacityDuty.java
@@ -25,14 +25,17 @@
   private static final Logger log = LoggerFactory.getLogger(CapacityDuty.class);
 
   /** Part of a cheap endpoint's time that should be busy, low enough for first tokens on time. */
-  private static final double TARGET_USE = 0.65;
+  private static final double TARGET_USE = 0.5;
 
   /** The same for lasting endpoints, which cost several times as much. */
-  private static final double LASTING_USE = 0.9;
+  private static final double LASTING_USE = 0.85;
 
   /** How long a new holder of the duty keeps what is there, until it has seen the demand. */
   private static final long LEARN_MILLIS = 8_000;
 
+  /** How many cheap endpoints are ordered until then for each one that was there. */
+  private static final double UNKNOWN_DEMAND = 1.33;
+
   /** How long a domain without reclaimable endpoints is not asked again. */
   private static final long DRY_MILLIS = 3_000;
 
@@ -107,11 +110,15 @@
       String service, Map<String, DomainState> states, DemandMeter meter, long now) {
     Learner learner = learners.computeIfAbsent(service, name -> new Learner());
     if (learner.untilMillis == 0) {
-      int present = 0;
+      int lasting = 0;
+      int reclaimable = 0;
       for (DomainState domain : states.values()) {
-        present += domain.lasting() + domain.reclaimable();
+        lasting += domain.lasting();
+        reclaimable += domain.reclaimable();
       }
-      learner.floor = learner.floor == 0 ? present : learner.floor;
+      // Reclaimable ones count only as found: those that come later stand for lasting ones.
+      learner.found = learner.found < 0 ? reclaimable : learner.found;
+      learner.floor = Math.max(learner.floor, learner.found + lasting);
       if (meter.busyEndpoints() > 0) {
         learner.untilMillis = now + LEARN_MILLIS;
       }
@@ -124,7 +131,8 @@
     Map<String, DomainState> states = states(service, rule, now);
     double busy = meter.busyEndpoints();
     int floor = learning(service, states, meter, now);
-    int wanted = Math.max(floor, (int) Math.ceil(busy / TARGET_USE));
+    int unknown = (int) Math.ceil(UNKNOWN_DEMAND * floor);
+    int wanted = Math.max(unknown, (int) Math.ceil(busy / TARGET_USE));
     int required = Math.max(floor, (int) Math.ceil(busy / LASTING_USE));
     Need need = new Need(wanted, required, now < waveUntilMillis);
     List<EndpointOrder> orders = plan.orders(service, rule, need, states);
@@ -245,6 +253,7 @@
 
   /** Keeps what a new holder found until it has seen the demand. */
   private static final class Learner {
+    private int found = -1;
     private int floor;
     private long untilMillis;
   }
--- a/node/src/main/java/org/heatherspread/node/control/EndpointListener.java
+++ b/node/src/main/java/org/heatherspread/node/control/EndpointListener.java
@@ -59,6 +59,7 @@
       if (row.deleted()) {
         log.atInfo().addKeyValue("endpoint", row.key()).log("endpoint registration gone");
         state.endpoints().missing(row.key(), unusableAt());
+        state.evacuate(row.key());
       } else {
         put(row);
       }
@@ -84,6 +85,9 @@
         .filter(known -> known.registration().bornMillis() != next.bornMillis())
         .ifPresent(state.crashes()::crashed);
     state.endpoints().put(next);
+    if (next.leaving() && before.isPresent() && !before.get().leaving()) {
+      state.evacuate(next.id());
+    }
     if (before.isEmpty() || !before.get().equals(next)) {
       log.atInfo()
           .addKeyValue("endpoint", next.id())
--- a/relay/src/main/java/org/heatherspread/relay/call/Forwarding.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/Forwarding.java
@@ -53,9 +53,10 @@
    * Makes the request for an endpoint.
    *
    * @param lastEvent id after which a stream goes on, -1 to leave the caller's own
+   * @param copy memory that the run goes on from, null for none
    */
   FullHttpRequest request(
-      CallFacts facts, RegisteredEndpoint endpoint, long leftMillis, long lastEvent) {
+      CallFacts facts, RegisteredEndpoint endpoint, long leftMillis, long lastEvent, String copy) {
     var sent = facts.request();
     FullHttpRequest request =
         new DefaultFullHttpRequest(
@@ -79,6 +80,9 @@
     if (!facts.work().parts().isEmpty()) {
       headers.set(names.urgency(), Integer.toString(Math.min(9, facts.urgency())));
     }
+    if (copy != null) {
+      headers.set(names.continueFrom(), copy);
+    }
     if (lastEvent >= 0) {
       headers.set(names.lastEvent(), Long.toString(lastEvent));
     }
--- a/relay/src/main/java/org/heatherspread/relay/call/RelayCall.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/RelayCall.java
@@ -10,11 +10,13 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.heatherspread.core.admission.OverloadGate;
+import org.heatherspread.core.engine.EngineMoves;
 import org.heatherspread.core.placement.EndpointChooser.Choice;
 import org.heatherspread.core.placement.EnginePace;
 import org.heatherspread.core.placement.TrackedEndpoint;
 import org.heatherspread.core.retry.RetryReason;
 import org.heatherspread.core.serving.CallKind;
+import org.heatherspread.core.serving.HostPort;
 import org.heatherspread.core.serving.Route;
 import org.heatherspread.core.stream.EventSplitter;
 import org.heatherspread.relay.caller.CallerAnswer;
@@ -142,11 +144,20 @@
       overloaded(expected);
       return;
     }
-    current = new Attempt(choice.get());
     if (expectedMillis < 0) {
       expectedMillis = (long) expected;
     }
-    TrackedEndpoint endpoint = choice.get().endpoint();
+    send(choice.get(), null);
+  }
+
+  /**
+   * Sends the request to an endpoint.
+   *
+   * @param copy memory that the run goes on from, null for none
+   */
+  private void send(Choice choice, String copy) {
+    current = new Attempt(choice, copy);
+    TrackedEndpoint endpoint = choice.endpoint();
     tried.add(endpoint.id());
     int limit = state.connectionLimit(facts.service());
     state.pool().acquire(endpoint.registration().address(), limit, current);
@@ -266,9 +277,10 @@
   }
 
   /** One sending of the request to one endpoint. */
-  private final class Attempt implements ConnectionPool.Receiver, Exchange {
+  private final class Attempt implements ConnectionPool.Receiver, Exchange, RelayState.Movable {
     private final TrackedEndpoint endpoint;
     private final double baseMillis;
+    private final String copy;
     private TrackedEndpoint.Run run;
     private EndpointConnection connection;
     private ScheduledFuture<?> silence;
@@ -281,8 +293,11 @@
     private long sentMillis;
     private long progressMillis;
     private boolean closed;
+    private boolean moving;
+    private String brokenMeanwhile;
 
-    private Attempt(Choice choice) {
+    private Attempt(Choice choice, String copy) {
+      this.copy = copy;
       this.endpoint = choice.endpoint();
       this.baseMillis = choice.baseMillis();
       this.run = endpoint.start(facts.work());
@@ -322,15 +337,18 @@
         state.crashes().accepted(endpoint);
       }
       sends++;
-      mayHaveRun++;
+      mayHaveRun += copy == null ? 1 : 0;
       sentMillis = now;
       progressMillis = now;
       long resumeAfter = begun ? lastEvent : -1;
       connection.send(
-          forwarding.request(facts, endpoint.registration(), leftMillis(), resumeAfter),
+          forwarding.request(facts, endpoint.registration(), leftMillis(), resumeAfter, copy),
           facts.id().isEmpty() ? null : facts.id(),
           this);
       watchSilence(firstSilenceMillis());
+      if (facts.route().kind() == CallKind.STREAM) {
+        state.streaming(endpoint.id(), this);
+      }
     }
 
     @Override
@@ -374,7 +392,7 @@
     }
 
     private void silent() {
-      if (!active()) {
+      if (!active() || moving) {
         return;
       }
       long now = state.clock().millis();
@@ -555,10 +573,64 @@
       }
     }
 
+    // -------------------------------------------------------------------------------------------
+    // Moving
+    // -------------------------------------------------------------------------------------------
+
+    @Override
+    public void move() {
+      Optional<EngineMoves> moves = state.moves(facts.service());
+      if (!active() || !begun || moving || moves.isEmpty() || facts.id().isEmpty()) {
+        return;
+      }
+      Optional<Choice> target = moveTarget();
+      if (target.isEmpty() || !state.budget(facts.service()).tryRepeat()) {
+        return;
+      }
+      moving = true;
+      HostPort source = endpoint.registration().address();
+      HostPort to = target.get().endpoint().registration().address();
+      moves
+          .get()
+          .move(source, facts.id(), to)
+          .whenComplete((moved, failure) -> moved(moves.get(), target.get(), moved, failure));
+    }
+
+    private Optional<Choice> moveTarget() {
+      return state
+          .chooser(facts.service())
+          .choose(
+              state.endpoints().of(facts.service()),
+              facts.work(),
+              Set.of(endpoint.id()),
+              state.clock().millis(),
+              state.random());
+    }
+
+    private void moved(
+        EngineMoves moves, Choice target, Optional<String> moved, Throwable failure) {
+      moving = false;
+      boolean done = failure == null && moved.isPresent();
+      note(done ? "moved" : "not-moved", "endpoint leaves");
+      if (!done) {
+        if (brokenMeanwhile != null) {
+          broken(brokenMeanwhile);
+        }
+        return;
+      }
+      if (!active()) {
+        moves.drop(endpoint.registration().address(), moved.get());
+        return;
+      }
+      abandon();
+      state.metrics().repeated(RetryReason.ENDPOINT_LEAVING.code());
+      send(target, moved.get());
+    }
+
     private void refused() {
       run.end();
       close();
-      mayHaveRun--;
+      mayHaveRun -= copy == null ? 1 : 0;
       refusals++;
       note("refused", "status " + status);
       again(RetryReason.REFUSED, Refusal.REFUSED_BY_ENDPOINTS);
@@ -571,6 +643,12 @@
 
     @Override
     public void broken(String reason) {
+      if (moving && active()) {
+        // The endpoint stops the run before its memory has been copied.
+        brokenMeanwhile = reason;
+        watchSilence(0);
+        return;
+      }
       boolean wanted = active();
       run.failed(state.clock().millis());
       close();
@@ -597,6 +675,7 @@
     private void close() {
       closed = true;
       run.end();
+      state.streamed(endpoint.id(), this);
       if (silence != null) {
         silence.cancel(false);
         silence = null;
--- a/relay/src/main/java/org/heatherspread/relay/call/RelayHeaders.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/RelayHeaders.java
@@ -16,6 +16,7 @@
  * @param promptParts the prompt's parts in order
  * @param urgency rank of the request at the endpoint, 0 for the most urgent
  * @param lastEvent id of the last event that was received of a stream
+ * @param continueFrom names the copy of a run's memory that a request goes on from
  * @param reserved headers that only the system may set
  */
 public record RelayHeaders(
@@ -29,6 +30,7 @@
     String promptParts,
     String urgency,
     String lastEvent,
+    String continueFrom,
     Set<String> reserved) {
   /** Copies the set. */
   public RelayHeaders {
--- a/relay/src/main/java/org/heatherspread/relay/call/RelayState.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/RelayState.java
@@ -4,9 +4,14 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
+import org.heatherspread.core.engine.EngineMoves;
 import org.heatherspread.core.freshness.StoreContact;
 import org.heatherspread.core.freshness.TrueTime;
 import org.heatherspread.core.placement.AnswerLengths;
@@ -39,6 +44,12 @@
   private static final Duration POISON_MEMORY = Duration.ofMinutes(10);
   private static final int POISON_CAPACITY = 1_000;
 
+  /**
+   * Time from an endpoint's notice to the moves: many streams end by themselves, and enough time is
+   * left before the endpoint is gone.
+   */
+  private static final long EVACUATION_DELAY_MILLIS = 900;
+
   /** Part of an endpoint's memory that is counted on to keep prompts. */
   private static final double CACHE_SHARE = 0.7;
 
@@ -57,12 +68,18 @@
   private final UsageWindows usage;
   private final Map<String, WindowedRetryBudget> budgets = new HashMap<>();
   private final Map<String, Double> work = new HashMap<>();
+  private final EngineMoves moves;
+  private final Map<String, Set<Movable>> movables = new HashMap<>();
   private final CrashGuard crashes;
   private final AnswerLengths lengths = AnswerLengths.create();
   private ServingConfig config;
   private int daemons = 1;
 
-  /** Creates the state of a daemon that knows nothing yet. */
+  /**
+   * Creates the state of a daemon that knows nothing yet.
+   *
+   * @param moves null where runs cannot be moved
+   */
   public RelayState(
       EventLoop loop,
       MonotonicClock clock,
@@ -73,7 +90,8 @@
       ConnectionPool pool,
       CallMetrics metrics,
       UsageWindows usage,
-      HealthPolicy health) {
+      HealthPolicy health,
+      EngineMoves moves) {
     this.loop = loop;
     this.clock = clock;
     this.random = random;
@@ -83,6 +101,7 @@
     this.pool = pool;
     this.metrics = metrics;
     this.usage = usage;
+    this.moves = moves;
     this.crashes =
         CrashGuard.create(
             new PoisonLimits(POISON_CRASHES, POISON_MEMORY, POISON_CAPACITY),
@@ -165,6 +184,47 @@
     work.merge(service, millis, Double::sum);
   }
 
+  /** A stream that can go on at another endpoint with its memory. */
+  interface Movable {
+    /** Moves the stream if it still runs. */
+    void move();
+  }
+
+  /** Returns how runs of a service are moved; empty where they cannot be. */
+  Optional<EngineMoves> moves(String service) {
+    boolean can =
+        config()
+            .flatMap(known -> known.service(service))
+            .flatMap(ServiceRule::engine)
+            .map(EngineRule::movesRuns)
+            .orElse(false);
+    return can ? Optional.ofNullable(moves) : Optional.empty();
+  }
+
+  /** Notes a stream that runs at an endpoint. */
+  void streaming(String endpoint, Movable stream) {
+    movables.computeIfAbsent(endpoint, id -> new HashSet<>()).add(stream);
+  }
+
+  /** Notes that a stream no longer runs at an endpoint. */
+  void streamed(String endpoint, Movable stream) {
+    Set<Movable> streams = movables.get(endpoint);
+    if (streams != null && streams.remove(stream) && streams.isEmpty()) {
+      movables.remove(endpoint);
+    }
+  }
+
+  /** Moves the streams that still run at an endpoint some time after it began to leave. */
+  public void evacuate(String endpoint) {
+    loop.schedule(() -> moveAll(endpoint), EVACUATION_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  private void moveAll(String endpoint) {
+    for (Movable stream : List.copyOf(movables.getOrDefault(endpoint, Set.of()))) {
+      stream.move();
+    }
+  }
+
   /** Returns which requests crashed endpoints. */
   public CrashGuard crashes() {
     return crashes;
--- a/relay/src/test/java/org/heatherspread/relay/RelayRig.java
+++ b/relay/src/test/java/org/heatherspread/relay/RelayRig.java
@@ -14,6 +14,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
+import org.heatherspread.core.engine.EngineMoves;
 import org.heatherspread.core.freshness.StoreContact;
 import org.heatherspread.core.freshness.TrueTime;
 import org.heatherspread.core.limit.LimitSlack;
@@ -21,6 +22,7 @@
 import org.heatherspread.core.serving.AccountRule;
 import org.heatherspread.core.serving.CallKind;
 import org.heatherspread.core.serving.ClientLimits;
+import org.heatherspread.core.serving.EngineRule;
 import org.heatherspread.core.serving.HostPort;
 import org.heatherspread.core.serving.RegisteredEndpoint;
 import org.heatherspread.core.serving.Route;
@@ -44,6 +46,8 @@
   /** The account's key. */
   public static final String KEY = "key-1";
 
+  private static final Optional<EngineRule> ENGINE =
+      Optional.of(new EngineRule(6, 10_000, 1, true));
   private static final HostPort ANY = new HostPort("127.0.0.1", 0);
   private static final RelayHeaders NAMES =
       new RelayHeaders(
@@ -57,6 +61,7 @@
           "Prompt-Prefix",
           "Request-Priority",
           "Last-Event-Id",
+          "Kv-From",
           Set.of("Expected-Instance", "Tenant-Name", "Kv-From"));
 
   private final NioEventLoopGroup group = new NioEventLoopGroup(1);
@@ -65,7 +70,7 @@
   private final StoreContact contact;
   private final CallerServer server;
 
-  private RelayRig() throws Exception {
+  private RelayRig(EngineMoves moves) throws Exception {
     MonotonicClock clock = MonotonicClock.system();
     contact = StoreContact.create(clock, InstantSource.system());
     state =
@@ -79,14 +84,20 @@
             ConnectionPool.create(loop, clock, new PoolSettings(500, 4_000), "Attempt-Id"),
             CallMetrics.create(new SimpleMeterRegistry()),
             UsageWindows.create(5_000, 6),
-            HealthPolicy.defaults());
+            HealthPolicy.defaults(),
+            moves);
     server = CallerServer.create(loop, clock, state::limits, Relay.create(state, NAMES));
     server.listen(ANY);
   }
 
   /** Starts a relay that knows a configuration and no endpoints. */
   public static RelayRig start() throws Exception {
-    RelayRig rig = new RelayRig();
+    return start(null);
+  }
+
+  /** Starts the same relay with a way to move runs. */
+  public static RelayRig start(EngineMoves moves) throws Exception {
+    RelayRig rig = new RelayRig(moves);
     rig.onLoop(state -> state.offer(config(1, 1_000_000)));
     rig.heardStore();
     return rig;
@@ -101,7 +112,7 @@
             route("/write/", CallKind.NON_IDEMPOTENT, 1, false, 800),
             route("/draft/", CallKind.STREAM, 2, true, 5_000),
             route("/reply/", CallKind.STREAM, 1, false, 5_000)),
-        List.of(new ServiceRule("s", 100, Optional.empty(), Optional.empty())),
+        List.of(new ServiceRule("s", 100, ENGINE, Optional.empty())),
         List.of(new AccountRule("acme", Set.of(KEY), -1, true, 200, limit, limit)),
         ClientLimits.defaults());
   }
@@ -138,6 +149,22 @@
     }
   }
 
+  /** Makes e0 leave, and registers e1 as the endpoint that remains. */
+  public void registerLeaving(FakeEndpoint leaving, FakeEndpoint remaining) throws Exception {
+    HostPort other = new HostPort("127.0.0.1", remaining.port());
+    HostPort address = new HostPort("127.0.0.1", leaving.port());
+    onLoop(
+        state -> {
+          state
+              .endpoints()
+              .put(new RegisteredEndpoint("e1", "s", other, "a", 6, false, false, -1, 1));
+          state
+              .endpoints()
+              .put(new RegisteredEndpoint("e0", "s", address, "a", 6, true, true, -1, 1));
+          state.evacuate("e0");
+        });
+  }
+
   /** Does something on the event loop and waits for it. */
   public void onLoop(Consumer<RelayState> action) throws Exception {
     loop.submit(() -> action.accept(state)).sync();
--- a/relay/src/test/java/org/heatherspread/relay/call/RelayTest.java
+++ b/relay/src/test/java/org/heatherspread/relay/call/RelayTest.java
@@ -2,7 +2,14 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import org.heatherspread.core.engine.EngineMoves;
 import org.heatherspread.core.serving.HostPort;
 import org.heatherspread.core.serving.RegisteredEndpoint;
 import org.heatherspread.relay.FakeEndpoint;
@@ -243,4 +250,58 @@
     }
     assertThat(last).startsWith("HTTP/1.1 429").containsIgnoringCase("retry-after: ");
   }
+
+  /** A stream that may not be resumed survives the announced end of its endpoint. */
+  @Test
+  void movesStreamsAwayFromEndpointsThatLeave() throws Exception {
+    rig.close();
+    FakeEndpoint[] source = new FakeEndpoint[1];
+    List<FakeEndpoint.Connection> running = new CopyOnWriteArrayList<>();
+    EngineMoves moves =
+        new EngineMoves() {
+          @Override
+          public CompletableFuture<Optional<String>> move(
+              HostPort from, String requestId, HostPort to) {
+            try {
+              running.get(0).reset();
+            } catch (IOException e) {
+              throw new UncheckedIOException(e);
+            }
+            return CompletableFuture.supplyAsync(
+                () -> Optional.of(from + "/h-" + requestId),
+                CompletableFuture.delayedExecutor(50, TimeUnit.MILLISECONDS));
+          }
+
+          @Override
+          public void drop(HostPort from, String copy) {}
+        };
+    rig = RelayRig.start(moves);
+    source[0] =
+        endpoint(
+            (request, out) -> {
+              out.beginStream(request.header("attempt-id"));
+              out.event(1);
+              out.event(2);
+              running.add(out);
+              source[0].awaitClose(out);
+            });
+    FakeEndpoint target =
+        endpoint(
+            (request, out) -> {
+              out.beginStream(request.header("attempt-id"));
+              out.event(3);
+              out.endStream();
+            });
+    rig.register(source[0]);
+    try (RelayRig.Caller caller = rig.caller()) {
+      caller.request("POST", "/reply/a", "id-1", "Connection: close");
+      caller.readUntil("piece-2");
+      rig.registerLeaving(source[0], target);
+      String rest = caller.readAll();
+      assertThat(rest).contains("piece-3").endsWith("0\r\n\r\n");
+    }
+    FakeEndpoint.Request moved = target.requests().get(0);
+    assertThat(moved.header("kv-from")).endsWith("/h-id-1");
+    assertThat(moved.header("last-event-id")).isEqualTo("2");
+  }
 }
