--- a/node/src/main/java/org/heatherspread/node/NodeMain.java
+++ b/node/src/main/java/org/heatherspread/node/NodeMain.java
@@ -5,7 +5,6 @@
 import joptsimple.OptionException;
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
-import joptsimple.OptionSpec;
 import org.heatherspread.node.settings.NodeSettings;
 import org.heatherspread.settings.SettingsException;
 import org.slf4j.Logger;
@@ -15,6 +14,7 @@
 public final class NodeMain {
   private static final Logger log = LoggerFactory.getLogger(NodeMain.class);
   private static final String FILE_VARIABLE = "HEATHERSPREAD_NODE_FILE";
+  private static final String CONFIG = "config";
   private static final String CHECK = "check";
   private static final String HELP = "help";
   private static final String REHEARSE = "rehearse";
@@ -25,13 +25,12 @@
   /** Runs the daemon until it is stopped. */
   public static void main(String[] arguments) throws Exception {
     OptionParser parser = new OptionParser();
+    parser
+        .accepts(CONFIG, "settings file; default: the file that " + FILE_VARIABLE + " names")
+        .withRequiredArg();
     parser.accepts(CHECK, "check the settings and end");
     parser.accepts(REHEARSE, "start once on loopback and end, to make a class-data archive");
     parser.accepts(HELP, "show this").forHelp();
-    OptionSpec<String> file =
-        parser
-            .accepts("config", "settings file; default: the file that " + FILE_VARIABLE + " names")
-            .withRequiredArg();
     OptionSet options;
     try {
       options = parser.parse(arguments);
@@ -50,7 +49,8 @@
       System.exit(0);
       return;
     }
-    String path = options.has(file) ? options.valueOf(file) : System.getenv(FILE_VARIABLE);
+    String path =
+        options.has(CONFIG) ? options.valueOf(CONFIG).toString() : System.getenv(FILE_VARIABLE);
     if (path == null) {
       System.err.println("no settings file: give --config or set " + FILE_VARIABLE);
       System.exit(USAGE);
--- a/node/src/test/java/org/heatherspread/node/OperationsPageTest.java
+++ b/node/src/test/java/org/heatherspread/node/OperationsPageTest.java
@@ -55,7 +55,7 @@
     Set<String> metrics = found(METRIC, "node", "relay");
     assertThat(metrics).hasSizeGreaterThan(10);
     assertThat(metrics).allSatisfy(metric -> assertThat(page).contains("`" + metric + "`"));
-    Set<String> messages = found(MESSAGE, "node", "relay");
+    Set<String> messages = found(MESSAGE, "node", "relay", "platform");
     messages.removeAll(BUILD_ONLY);
     assertThat(messages).hasSizeGreaterThan(15);
     assertThat(messages).allSatisfy(message -> assertThat(page).contains("`" + message + "`"));
