--- a/node/src/main/java/org/heatherspread/node/control/Control.java
+++ b/node/src/main/java/org/heatherspread/node/control/Control.java
@@ -193,6 +193,7 @@
             settings.name(),
             settings.bounds().usageDue().toMillis(),
             ids));
+    list.add(new CleanupDuty(state, fleet, store));
     list.add(new CapacityDuty(state, fleet, calls, settings.name()));
     WakeGuard guard = new WakeGuard(state.clock(), Clock.systemUTC());
     return DutyKeeper.create(lease, this::rank, list, guard);
--- a/node/src/main/java/org/heatherspread/node/control/UsageDuty.java
+++ b/node/src/main/java/org/heatherspread/node/control/UsageDuty.java
@@ -37,7 +37,9 @@
   private static final Logger log = LoggerFactory.getLogger(UsageDuty.class);
   private static final ObjectMapper MAPPER = new ObjectMapper();
   private static final TypeReference<TreeMap<String, Integer>> COUNTS = new TypeReference<>() {};
-  private static final String TABLE = "usage";
+
+  /** Shared table of the counts reported, one row for each window. */
+  static final String TABLE = "usage";
 
   /** Time after a window's end in which counts may still be on their way. */
   private static final long SETTLE_MILLIS = 400;
--- /dev/null
+++ b/node/src/test/java/org/heatherspread/node/control/CleanupDutyTest.java
@@ -0,0 +1,110 @@
+package org.heatherspread.node.control;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import org.heatherspread.core.fleet.DaemonReport;
+import org.heatherspread.core.fleet.DaemonState;
+import org.heatherspread.core.fleet.FleetView;
+import org.heatherspread.core.freshness.StoreContact;
+import org.heatherspread.core.freshness.TrueTime;
+import org.heatherspread.core.limit.LimitSlack;
+import org.heatherspread.core.routing.HealthPolicy;
+import org.heatherspread.core.store.SharedReading;
+import org.heatherspread.core.store.SharedRow;
+import org.heatherspread.core.store.SharedStore;
+import org.heatherspread.core.time.ManualClock;
+import org.heatherspread.core.usage.UsageWindows;
+import org.heatherspread.relay.call.CallMetrics;
+import org.heatherspread.relay.call.RelaySettings;
+import org.heatherspread.relay.call.RelayState;
+import org.junit.jupiter.api.Test;
+
+class CleanupDutyTest {
+  private static final long WINDOW_MILLIS = 5_000;
+
+  /** Remembers what is deleted, and holds usage rows of old and new windows. */
+  private static final class Store implements SharedStore {
+    private final List<String> deleted = new ArrayList<>();
+    private final List<SharedRow> usage = new ArrayList<>();
+
+    @Override
+    public CompletableFuture<SharedReading> read(String table) {
+      return CompletableFuture.completedFuture(new SharedReading(usage, 1, 1));
+    }
+
+    @Override
+    public CompletableFuture<SharedReading> changes(String table, long after, Duration wait) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public CompletableFuture<Void> write(
+        String table, Map<String, byte[]> puts, List<String> deletes) {
+      deletes.forEach(row -> deleted.add(table + ' ' + row));
+      return CompletableFuture.completedFuture(null);
+    }
+  }
+
+  private final ManualClock clock = ManualClock.create();
+  private final StoreContact contact = StoreContact.create(clock, InstantSource.system());
+  private final FleetView fleet = FleetView.create(3_000);
+  private final Store store = new Store();
+  private final RelayState state =
+      new RelayState(
+          null,
+          clock,
+          new SplittableRandom(1),
+          new RelaySettings(4_000, 0.2, 10_000, 56, new LimitSlack(8, 0, 0)),
+          contact,
+          TrueTime.create(contact),
+          null,
+          CallMetrics.create(new SimpleMeterRegistry()),
+          UsageWindows.create(WINDOW_MILLIS, 6),
+          HealthPolicy.defaults(),
+          null);
+
+  private static DaemonReport report(String daemon) {
+    return new DaemonReport(
+        daemon,
+        "1",
+        "1.2.3.4:5",
+        "a",
+        DaemonState.READY,
+        1,
+        0,
+        0,
+        Map.of(),
+        Map.of(),
+        Map.of(),
+        List.of(),
+        Map.of());
+  }
+
+  @Test
+  void dropsReportsOfDaemonsLongGoneAndUsageLongReported() {
+    contact.heard(contact.ask(), new SharedReading(List.of(), 1, 1_000));
+    long current = state.usage().window(state.time().unixMillis());
+    for (long window : new long[] {current, current - 5, current - 30}) {
+      byte[] counts = "{}".getBytes(StandardCharsets.UTF_8);
+      store.usage.add(new SharedRow(Long.toString(window), counts, 1, false));
+    }
+    CleanupDuty duty = new CleanupDuty(state, fleet, store);
+    fleet.put("gone/1", report("gone"), clock.millis());
+    clock.advance(Duration.ofSeconds(70));
+    fleet.put("here/1", report("here"), clock.millis());
+    fleet.read(clock.millis());
+    duty.perform(1);
+    assertThat(store.deleted).containsExactly("daemons gone/1", "usage " + (current - 30));
+    duty.perform(1);
+    assertThat(store.deleted).hasSize(2);
+  }
+}
