--- a/node/src/main/java/org/heatherspread/node/Node.java
+++ b/node/src/main/java/org/heatherspread/node/Node.java
@@ -11,7 +11,6 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.Collection;
-import java.util.List;
 import java.util.SplittableRandom;
 import java.util.TreeSet;
 import java.util.concurrent.CountDownLatch;
@@ -75,7 +74,7 @@
   /** Time before the end of the grace at which the process ends in any case. */
   private static final Duration END_MARGIN = Duration.ofMillis(1_200);
 
-  /** Age of the newest read of the store above which this daemon tells no addresses. */
+  /** Age of the newest read of the store above which this daemon does not tell its own address. */
   private static final long DIRECTORY_TRUST_MILLIS = 3_200;
 
   private static final Duration STOP_POLL = Duration.ofMillis(50);
@@ -202,11 +201,9 @@
         addresses.add(report.address());
       }
     }
-    if (state.contact().ageMillis() > DIRECTORY_TRUST_MILLIS) {
-      // Out of touch with the store: callers should ask a daemon that knows who is there.
-      return List.of();
-    }
-    if (ready()) {
+    // Out of touch with the store, the others as last known are better than no answer: callers ask
+    // few daemons, and all of these may be out of touch.
+    if (ready() && state.contact().ageMillis() <= DIRECTORY_TRUST_MILLIS) {
       addresses.add(settings.callers().toString());
     }
     return addresses;
--- a/node/src/test/java/org/heatherspread/node/NodeTest.java
+++ b/node/src/test/java/org/heatherspread/node/NodeTest.java
@@ -34,6 +34,13 @@
        "state": "ready", "sequence-number": 1}
       """;
 
+  private static final String OTHER =
+      """
+      {"daemon": "other", "life": "1", "address": "10.0.0.9:80", "domain": "z", "state": "READY",
+       "sequence": 1, "atStoreMillis": 1, "wallLessStoreMillis": 1, "usage": {}, "accounts": {},
+       "loads": {}, "crashes": [], "work": {}}
+      """;
+
   private final HttpClient client = HttpClient.newHttpClient();
   private final int callers = freePort();
   private final int readiness = freePort();
@@ -137,6 +144,8 @@
     assertThat(status(callers, "/a/x", "key-2")).isEqualTo(503);
     assertThat(status(readiness, "/", "")).isEqualTo(503);
     assertThat(status(directory, "/v1/resolution?name=x", "")).isEqualTo(503);
+    platform.write("daemons", "other/1", OTHER);
+    await(() -> status(directory, "/v1/resolution?name=x", "") == 200);
     platform.silentTable("");
     await(() -> status(readiness, "/", "") == 200);
     assertThat(status(directory, "/v1/resolution?name=x", "")).isEqualTo(200);
