--- a/core/src/main/java/org/heatherspread/core/fleet/FleetView.java
+++ b/core/src/main/java/org/heatherspread/core/fleet/FleetView.java
@@ -9,14 +9,19 @@
 /**
  * The daemons as last read from the store.
  *
- * <p>Answers kills, freezes and store outages: a daemon counts as live while its report was new at
- * a recent read, so that an outage, in which nobody reads, changes nothing. Reports of daemons that
- * are gone are kept for their usage counts until their rows are dropped. Confined to one thread.
+ * <p>Answers kills, freezes and store outages: a daemon counts as live while its report is not much
+ * older than the newest of all, so that an outage, in which nobody writes, changes nothing; after
+ * it each daemon has a while to write again. Reports of daemons that are gone are kept for their
+ * usage counts until their rows are dropped. Confined to one thread.
  */
 public final class FleetView {
+  /** Time after an outage within which daemons that were live before have to report again. */
+  private static final long RETURN_MILLIS = 2_500;
+
   private final long liveMillis;
   private final Map<String, Seen> rows = new HashMap<>();
   private long readMillis;
+  private long newestMillis;
 
   private FleetView(long liveMillis) {
     this.liveMillis = liveMillis;
@@ -38,9 +43,23 @@
 
   /** Takes in a report that changed. */
   public void put(String row, DaemonReport report, long nowMillis) {
+    if (nowMillis - newestMillis > liveMillis) {
+      outageEnded(nowMillis);
+    }
+    newestMillis = nowMillis;
     rows.put(row, new Seen(report, nowMillis));
   }
 
+  /** Nobody had reported for a while: counts the silence of those that were live as shorter. */
+  private void outageEnded(long nowMillis) {
+    long changed = nowMillis - liveMillis + RETURN_MILLIS;
+    rows.replaceAll(
+        (row, seen) ->
+            newestMillis - seen.changedMillis <= liveMillis
+                ? new Seen(seen.report, Math.max(seen.changedMillis, changed))
+                : seen);
+  }
+
   /** Drops a report. */
   public void remove(String row) {
     rows.remove(row);
@@ -71,11 +90,11 @@
     return reportedWithin(liveMillis);
   }
 
-  /** Returns the latest report of each daemon that reported within a time before the last read. */
+  /** Returns the latest report of each daemon that reported within a time before the newest one. */
   public List<DaemonReport> reportedWithin(long millis) {
     Map<String, Seen> newest = new HashMap<>();
     for (Seen seen : rows.values()) {
-      if (readMillis - seen.changedMillis > millis) {
+      if (newestMillis - seen.changedMillis > millis) {
         continue;
       }
       Seen other = newest.get(seen.report.daemon());
