--- a/core/src/main/java/org/heatherspread/core/fleet/FleetView.java
+++ b/core/src/main/java/org/heatherspread/core/fleet/FleetView.java
@@ -15,10 +15,10 @@
  * usage counts until their rows are dropped. Confined to one thread.
  */
 public final class FleetView {
-  /** Time after an outage within which daemons that were live before have to report again. */
-  private static final long RETURN_MILLIS = 2_500;
+  /** Part of the time of life that daemons have to report again after an outage. */
+  private static final double RETURN_SHARE = 0.66;
 
-  private final long liveMillis;
+  private long liveMillis;
   private final Map<String, Seen> rows = new HashMap<>();
   private long readMillis;
   private long newestMillis;
@@ -36,6 +36,11 @@
     return new FleetView(liveMillis);
   }
 
+  /** Sets how long a daemon counts as live, as the pace of reports follows the fleet. */
+  public void liveFor(long millis) {
+    liveMillis = millis;
+  }
+
   /** Notes that the store was read, whether or not anything had changed. */
   public void read(long nowMillis) {
     readMillis = nowMillis;
@@ -52,7 +57,7 @@
 
   /** Nobody had reported for a while: counts the silence of those that were live as shorter. */
   private void outageEnded(long nowMillis) {
-    long changed = nowMillis - liveMillis + RETURN_MILLIS;
+    long changed = nowMillis - (long) ((1 - RETURN_SHARE) * liveMillis);
     rows.replaceAll(
         (row, seen) ->
             newestMillis - seen.changedMillis <= liveMillis
--- a/core/src/main/java/org/heatherspread/core/limit/DemandShares.java
+++ b/core/src/main/java/org/heatherspread/core/limit/DemandShares.java
@@ -12,8 +12,11 @@
  * they trust keys admit nothing and need no part. Stateless.
  */
 public final class DemandShares {
-  /** Part of a limit that is split evenly, so that a daemon whose demand rises has room. */
-  private static final double EVEN = 0.4;
+  /**
+   * Part of a limit that is split evenly. Callers spread over the daemons, so that what is seen at
+   * one of many is mostly chance; the rest follows daemons that are really asked more.
+   */
+  private static final double EVEN = 0.75;
 
   private DemandShares() {}
 
--- a/node/src/main/java/org/heatherspread/node/control/Control.java
+++ b/node/src/main/java/org/heatherspread/node/control/Control.java
@@ -21,6 +21,7 @@
 import org.heatherspread.core.freshness.StoreContact;
 import org.heatherspread.core.lease.LeaseKeeper;
 import org.heatherspread.core.lease.LeaseSettings;
+import org.heatherspread.core.limit.ReportPace;
 import org.heatherspread.core.store.SharedStore;
 import org.heatherspread.core.store.TableStore;
 import org.heatherspread.node.settings.NodeSettings;
@@ -33,7 +34,7 @@
 /** The control work of a daemon, as actors on its event loop. Confined to that loop. */
 public final class Control {
   /** How long a daemon counts as live without a new report. */
-  private static final long LIVE_MILLIS = 3_800;
+  private static final Duration LIVE = Duration.ofMillis(3_800);
 
   /**
    * Knowledge of the configuration is up to twice as old as one wait, since it counts from when the
@@ -42,13 +43,18 @@
   private static final Duration CONFIGURATION_WAIT = Duration.ofMillis(1_200);
 
   private static final Duration ENDPOINT_WAIT = Duration.ofMillis(2_000);
-  private static final Duration FLEET_INTERVAL = Duration.ofMillis(1_500);
+
+  /** Reports of all daemons stay within what the store carries beside its other work. */
+  private static final ReportPace PACE = new ReportPace(Duration.ofMillis(1_500), 26);
+
   private static final Duration WHOLE_EVERY = Duration.ofSeconds(15);
   private static final int LAST_RANK = 2;
 
   /** How long after its last report a daemon counts as a candidate for the duties. */
   private static final long CANDIDATE_MILLIS = 2_200;
 
+  private static final double CANDIDATE_INTERVALS = 1.5;
+
   /** Shorter than the usual lease, as an endpoint's notice of leaving is shorter than that. */
   private static final LeaseSettings LEASE =
       new LeaseSettings(
@@ -64,7 +70,7 @@
   private final DutyCalls calls;
   private final Supplier<DaemonReport> report;
   private final String life = UUID.randomUUID().toString().substring(0, 8);
-  private final FleetView fleet = FleetView.create(LIVE_MILLIS);
+  private final FleetView fleet = FleetView.create(LIVE.toMillis());
   private final EndpointListener endpoints;
   private final FleetListener daemons;
   private LeaseKeeper lease;
@@ -86,7 +92,7 @@
     this.calls = calls;
     this.report = report;
     this.endpoints = new EndpointListener(state, RegistrationFormat::read);
-    this.daemons = new FleetListener(state, fleet, settings.name());
+    this.daemons = new FleetListener(state, fleet, settings.name(), PACE, LIVE);
   }
 
   /**
@@ -139,22 +145,25 @@
     watch(
         context,
         new TableWatcher.Plan(
-            PlatformTables.OPERATORS, CONFIGURATION_WAIT, Duration.ZERO, WHOLE_EVERY),
+            PlatformTables.OPERATORS, CONFIGURATION_WAIT, () -> Duration.ZERO, WHOLE_EVERY),
         state.contact(),
         new ConfigurationListener(state, PlatformTables.CONFIGURATION, ConfigurationFormat::read));
     watch(
         context,
-        new TableWatcher.Plan(PlatformTables.ENDPOINTS, ENDPOINT_WAIT, Duration.ZERO, WHOLE_EVERY),
+        new TableWatcher.Plan(
+            PlatformTables.ENDPOINTS, ENDPOINT_WAIT, () -> Duration.ZERO, WHOLE_EVERY),
         ownContact(),
         endpoints);
     watch(
         context,
-        new TableWatcher.Plan(Reporter.TABLE, Duration.ZERO, FLEET_INTERVAL, WHOLE_EVERY),
+        new TableWatcher.Plan(Reporter.TABLE, Duration.ZERO, this::interval, WHOLE_EVERY),
         ownContact(),
         daemons);
     reporter =
         context.spawn(
-            restarting(Reporter.create(settings.name() + '/' + life, report, store)), "reporter");
+            restarting(
+                Reporter.create(settings.name() + '/' + life, report, store, this::interval)),
+            "reporter");
     if (calls != null) {
       duties = context.spawn(restarting(duties()), "duties");
     }
@@ -199,9 +208,15 @@
     return DutyKeeper.create(lease, this::rank, list, guard);
   }
 
+  private Duration interval() {
+    return PACE.interval(state.daemonCount());
+  }
+
   private int rank() {
     List<String> names = new ArrayList<>();
-    for (DaemonReport daemon : fleet.reportedWithin(CANDIDATE_MILLIS)) {
+    for (DaemonReport daemon :
+        fleet.reportedWithin(
+            Math.max(CANDIDATE_MILLIS, (long) (CANDIDATE_INTERVALS * interval().toMillis())))) {
       names.add(daemon.daemon());
     }
     names.sort(null);
--- a/node/src/main/java/org/heatherspread/node/control/FleetListener.java
+++ b/node/src/main/java/org/heatherspread/node/control/FleetListener.java
@@ -1,5 +1,6 @@
 package org.heatherspread.node.control;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -11,6 +12,7 @@
 import org.heatherspread.core.fleet.DaemonReport;
 import org.heatherspread.core.fleet.EndpointLoad;
 import org.heatherspread.core.fleet.FleetView;
+import org.heatherspread.core.limit.ReportPace;
 import org.heatherspread.core.store.SharedReading;
 import org.heatherspread.core.store.SharedRow;
 import org.heatherspread.relay.call.RelayState;
@@ -24,22 +26,26 @@
 final class FleetListener implements TableListener {
   private static final Logger log = LoggerFactory.getLogger(FleetListener.class);
 
-  /**
-   * How long after its last report a daemon may still admit requests with keys: it trusts keys for
-   * a shorter time without the store.
-   */
-  private static final long ADMITTING_MILLIS = 6_500;
-
   private final RelayState state;
   private final FleetView fleet;
   private final String self;
+  private final ReportPace pace;
+  private final Duration live;
   private Set<String> liveNames = Set.of();
   private boolean known;
 
-  FleetListener(RelayState state, FleetView fleet, String self) {
+  /**
+   * Creates a listener.
+   *
+   * @param pace how often daemons report
+   * @param live how long a daemon counts as live at least
+   */
+  FleetListener(RelayState state, FleetView fleet, String self, ReportPace pace, Duration live) {
     this.state = state;
     this.fleet = fleet;
     this.self = self;
+    this.pace = pace;
+    this.live = live;
   }
 
   /** Tells whether the daemons have been read at least once. */
@@ -79,14 +85,23 @@
     derive();
   }
 
+  /**
+   * Returns how long after its last report a daemon may still admit requests with keys: as long as
+   * it trusts keys without the store, and its report may be two intervals old.
+   */
+  private long admittingMillis() {
+    return state.keyTrustMillis() + 2 * pace.interval(state.daemonCount()).toMillis();
+  }
+
   private void derive() {
-    List<DaemonReport> live = fleet.live();
+    fleet.liveFor(pace.lifetime(state.daemonCount(), live).toMillis());
+    List<DaemonReport> reports = fleet.live();
     Map<String, EndpointLoad> loads = new HashMap<>();
     List<Map<String, AccountShare>> shares = new ArrayList<>();
     List<Long> offsets = new ArrayList<>();
     offsets.add(state.contact().wallLessStoreMillis());
     Set<String> names = new TreeSet<>();
-    for (DaemonReport report : live) {
+    for (DaemonReport report : reports) {
       names.add(report.daemon());
       if (report.daemon().equals(self)) {
         continue;
@@ -95,7 +110,7 @@
       offsets.add(report.wallLessStoreMillis());
       state.crashes().heard(report.crashes());
     }
-    for (DaemonReport report : fleet.reportedWithin(ADMITTING_MILLIS)) {
+    for (DaemonReport report : fleet.reportedWithin(admittingMillis())) {
       if (!report.daemon().equals(self)) {
         shares.add(report.accounts());
       }
--- a/node/src/main/java/org/heatherspread/node/control/Reporter.java
+++ b/node/src/main/java/org/heatherspread/node/control/Reporter.java
@@ -23,8 +23,6 @@
   /** Shared table of the reports, one row for each life of a daemon. */
   static final String TABLE = "daemons";
 
-  private static final Duration INTERVAL = Duration.ofMillis(1_500);
-
   /** What the actor is told. */
   enum Command {
     /** Write a report, now. */
@@ -38,6 +36,8 @@
   private final String row;
   private final Supplier<DaemonReport> report;
   private final SharedStore store;
+  private final TimerScheduler<Command> timers;
+  private final Supplier<Duration> interval;
   private boolean writing;
   private boolean again;
   private boolean failing;
@@ -47,18 +47,29 @@
       TimerScheduler<Command> timers,
       String row,
       Supplier<DaemonReport> report,
-      SharedStore store) {
+      SharedStore store,
+      Supplier<Duration> interval) {
     super(context);
+    this.timers = timers;
+    this.interval = interval;
     this.row = row;
     this.report = report;
     this.store = store;
-    timers.startTimerWithFixedDelay(Command.REPORT, Duration.ZERO, INTERVAL);
+    context.getSelf().tell(Command.REPORT);
   }
 
-  static Behavior<Command> create(String row, Supplier<DaemonReport> report, SharedStore store) {
+  /**
+   * Creates a reporter.
+   *
+   * @param row key of this life's row
+   * @param interval time between two reports, asked for after each
+   */
+  static Behavior<Command> create(
+      String row, Supplier<DaemonReport> report, SharedStore store, Supplier<Duration> interval) {
     return Behaviors.setup(
         context ->
-            Behaviors.withTimers(timers -> new Reporter(context, timers, row, report, store)));
+            Behaviors.withTimers(
+                timers -> new Reporter(context, timers, row, report, store, interval)));
   }
 
   @Override
@@ -71,6 +82,7 @@
   }
 
   private Behavior<Command> onReport() {
+    timers.startSingleTimer(Command.REPORT, interval.get());
     if (writing) {
       again = true;
       return this;
--- a/node/src/main/java/org/heatherspread/node/control/TableWatcher.java
+++ b/node/src/main/java/org/heatherspread/node/control/TableWatcher.java
@@ -1,6 +1,7 @@
 package org.heatherspread.node.control;
 
 import java.time.Duration;
+import java.util.function.Supplier;
 import org.apache.pekko.actor.typed.Behavior;
 import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
 import org.apache.pekko.actor.typed.javadsl.ActorContext;
@@ -56,7 +57,7 @@
    * @param interval pause between watches
    * @param wholeEvery how often the table is read whole all the same
    */
-  record Plan(String table, Duration hold, Duration interval, Duration wholeEvery) {}
+  record Plan(String table, Duration hold, Supplier<Duration> interval, Duration wholeEvery) {}
 
   private TableWatcher(
       ActorContext<Command> context,
@@ -134,10 +135,11 @@
       version = Math.max(version, answer.reading.version());
       listener.changed(answer.reading);
     }
-    if (plan.interval().isZero()) {
+    Duration interval = plan.interval().get();
+    if (interval.isZero()) {
       step();
     } else {
-      timers.startSingleTimer(Step.GO, plan.interval());
+      timers.startSingleTimer(Step.GO, interval);
     }
     return this;
   }
--- a/relay/src/main/java/org/heatherspread/relay/call/RelayState.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/RelayState.java
@@ -173,6 +173,16 @@
         });
   }
 
+  /** Returns how many daemons share limits and budgets. */
+  public int daemonCount() {
+    return daemons;
+  }
+
+  /** Returns how old the configuration may be by which keys are accepted. */
+  public long keyTrustMillis() {
+    return settings.keyTrustMillis();
+  }
+
   /** Sets how many daemons share limits and budgets. */
   public void daemons(int count) {
     daemons = Math.max(1, count);
