--- a/relay/src/test/java/org/heatherspread/relay/RelayRig.java
+++ b/relay/src/test/java/org/heatherspread/relay/RelayRig.java
@@ -111,7 +111,8 @@
             route("/read/", CallKind.IDEMPOTENT, 2, false, 800),
             route("/write/", CallKind.NON_IDEMPOTENT, 1, false, 800),
             route("/draft/", CallKind.STREAM, 2, true, 5_000),
-            route("/reply/", CallKind.STREAM, 1, false, 5_000)),
+            route("/reply/", CallKind.STREAM, 1, false, 5_000),
+            route("/once/", CallKind.STREAM, 2, false, 5_000)),
         List.of(new ServiceRule("s", 100, ENGINE, Optional.empty())),
         List.of(new AccountRule("acme", Set.of(KEY), -1, true, 200, limit, limit)),
         ClientLimits.defaults());
--- a/relay/src/test/java/org/heatherspread/relay/call/RelayTest.java
+++ b/relay/src/test/java/org/heatherspread/relay/call/RelayTest.java
@@ -36,6 +36,9 @@
     return FakeEndpoint.start(script);
   }
 
+  private static final String NOT_RUN =
+      "HTTP/1.1 503 X\r\nRequest-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+
   private static FakeEndpoint healthy() throws Exception {
     return endpoint((request, out) -> out.answer(200, request.header("attempt-id"), "hello"));
   }
@@ -304,4 +307,78 @@
     assertThat(moved.header("kv-from")).endsWith("/h-id-1");
     assertThat(moved.header("last-event-id")).isEqualTo("2");
   }
+
+  /** A caller that reads slowly gets all of a stream that another endpoint went on with. */
+  @Test
+  void slowCallersGetTheWholeOfStreamsThatWentOnElsewhere() throws Exception {
+    int events = 40_000;
+    FakeEndpoint.Script script =
+        (request, out) -> {
+          out.beginStream(request.header("attempt-id"));
+          if (request.header("last-event-id") == null) {
+            out.event(1);
+            out.reset();
+          }
+          for (int i = 2; i <= events; i++) {
+            out.event(i);
+          }
+          out.endStream();
+        };
+    rig.register(endpoint(script), endpoint(script));
+    try (RelayRig.Caller caller = rig.caller()) {
+      caller.request("POST", "/draft/a", "id-1", "Connection: close");
+      TimeUnit.MILLISECONDS.sleep(700);
+      String all = caller.readAll();
+      assertThat(all).contains("piece-" + events).endsWith("0\r\n\r\n");
+    }
+  }
+
+  /** A stream that may not be resumed and whose copy is refused is not sent anywhere again. */
+  @Test
+  void sendsNoStreamAgainWhoseCopyWasRefused() throws Exception {
+    rig.close();
+    FakeEndpoint[] source = new FakeEndpoint[1];
+    EngineMoves moves =
+        new EngineMoves() {
+          @Override
+          public CompletableFuture<Optional<String>> move(
+              HostPort from, String requestId, HostPort to) {
+            return CompletableFuture.completedFuture(Optional.of(from + "/h"));
+          }
+
+          @Override
+          public void drop(HostPort from, String copy) {}
+        };
+    rig = RelayRig.start(moves);
+    source[0] =
+        endpoint(
+            (request, out) -> {
+              out.beginStream(request.header("attempt-id"));
+              out.event(1);
+              source[0].awaitClose(out);
+            });
+    FakeEndpoint target =
+        endpoint(
+            (request, out) -> {
+              TimeUnit.MILLISECONDS.sleep(300);
+              out.send(NOT_RUN);
+            });
+    FakeEndpoint third = healthy();
+    rig.register(source[0]);
+    try (RelayRig.Caller caller = rig.caller()) {
+      caller.request("POST", "/once/a", "id-1", "Connection: close");
+      caller.readUntil("piece-1");
+      rig.registerLeaving(source[0], target);
+      RegisteredEndpoint other =
+          new RegisteredEndpoint(
+              "e2", "s", new HostPort("127.0.0.1", third.port()), "a", 1, false, false, -1, 1);
+      for (int i = 0; i < 1_000 && target.requests().isEmpty(); i++) {
+        TimeUnit.MILLISECONDS.sleep(5);
+      }
+      assertThat(target.requests()).hasSize(1);
+      rig.onLoop(state -> state.endpoints().put(other));
+      assertThat(caller.readAll()).doesNotContain("0\r\n\r\n");
+    }
+    assertThat(third.requests()).isEmpty();
+  }
 }
