--- a/relay/src/test/java/org/heatherspread/relay/call/RelayTest.java
+++ b/relay/src/test/java/org/heatherspread/relay/call/RelayTest.java
@@ -311,7 +311,7 @@
   /** A caller that reads slowly gets all of a stream that another endpoint went on with. */
   @Test
   void slowCallersGetTheWholeOfStreamsThatWentOnElsewhere() throws Exception {
-    int events = 40_000;
+    int events = 400_000;
     FakeEndpoint.Script script =
         (request, out) -> {
           out.beginStream(request.header("attempt-id"));
