--- a/core/src/main/java/org/heatherspread/core/freshness/StoreContact.java
+++ b/core/src/main/java/org/heatherspread/core/freshness/StoreContact.java
@@ -1,7 +1,6 @@
 package org.heatherspread.core.freshness;
 
 import java.time.InstantSource;
-import java.util.concurrent.TimeUnit;
 import org.heatherspread.core.store.SharedReading;
 import org.heatherspread.core.time.MonotonicClock;
 
@@ -38,7 +37,7 @@
 
   /** Marks the start of a read, to be given to {@link #heard} with its answer. */
   public Asked ask() {
-    return new Asked(monoMillis(), wall.millis());
+    return new Asked(clock.millis(), wall.millis());
   }
 
   /** Takes in an answer; false if it is older than what is known already. */
@@ -53,7 +52,7 @@
     }
     heard = true;
     storeMillis = reading.storeMillis();
-    storeAtMonoMillis = monoMillis();
+    storeAtMonoMillis = clock.millis();
     return true;
   }
 
@@ -62,12 +61,12 @@
     if (!heard) {
       return Long.MAX_VALUE;
     }
-    return Math.max(monoMillis() - askedMonoMillis, wall.millis() - askedWallMillis);
+    return Math.max(clock.millis() - askedMonoMillis, wall.millis() - askedWallMillis);
   }
 
   /** Returns what the store's clock shows now, by the newest sound read; 0 before the first. */
   public long storeMillis() {
-    return heard ? storeMillis + (monoMillis() - storeAtMonoMillis) : 0;
+    return heard ? storeMillis + (clock.millis() - storeAtMonoMillis) : 0;
   }
 
   /** Returns this machine's time of day less the store's clock. */
@@ -75,10 +74,6 @@
     return wall.millis() - storeMillis();
   }
 
-  private long monoMillis() {
-    return TimeUnit.NANOSECONDS.toMillis(clock.nanos());
-  }
-
   /** When a read was asked for, on both clocks. */
   public record Asked(long monoMillis, long wallMillis) {}
 }
--- a/core/src/main/java/org/heatherspread/core/placement/EngineChooser.java
+++ b/core/src/main/java/org/heatherspread/core/placement/EngineChooser.java
@@ -48,42 +48,20 @@
       Set<String> excluded,
       long nowMillis,
       RandomGenerator random) {
-    Optional<Choice> healthy = cheapest(endpoints, work, excluded, nowMillis, random, false);
-    return healthy.isPresent()
-        ? healthy
-        : cheapest(endpoints, work, excluded, nowMillis, random, true);
+    String home = home(endpoints, work, nowMillis);
+    return CheapestEndpoint.find(
+            endpoints,
+            excluded,
+            nowMillis,
+            each ->
+                cost(each, work, each.id().equals(home), random)
+                    + each.observedWaitMillis(nowMillis))
+        .map(found -> choice(found.endpoint(), work, nowMillis));
   }
 
-  private Optional<Choice> cheapest(
-      List<TrackedEndpoint> endpoints,
-      Workload work,
-      Set<String> excluded,
-      long nowMillis,
-      RandomGenerator random,
-      boolean anyHealth) {
-    String home = home(endpoints, work, nowMillis);
-    TrackedEndpoint best = null;
-    double bestCost = Double.MAX_VALUE;
-    for (TrackedEndpoint endpoint : endpoints) {
-      if (!endpoint.usable(nowMillis) || excluded.contains(endpoint.id())) {
-        continue;
-      }
-      if (!anyHealth && !endpoint.health().admits(nowMillis)) {
-        continue;
-      }
-      double cost =
-          cost(endpoint, work, endpoint.id().equals(home), random)
-              + endpoint.observedWaitMillis(nowMillis);
-      if (cost < bestCost) {
-        bestCost = cost;
-        best = endpoint;
-      }
-    }
-    if (best == null) {
-      return Optional.empty();
-    }
-    double base = expectedMillis(best, work);
-    return Optional.of(new Choice(best, base, base + best.observedWaitMillis(nowMillis)));
+  private Choice choice(TrackedEndpoint endpoint, Workload work, long nowMillis) {
+    double base = expectedMillis(endpoint, work);
+    return new Choice(endpoint, base, base + endpoint.observedWaitMillis(nowMillis));
   }
 
   /** Returns the time to the first token at an endpoint by what is known to be waiting there. */
--- a/core/src/main/java/org/heatherspread/core/placement/PlainChooser.java
+++ b/core/src/main/java/org/heatherspread/core/placement/PlainChooser.java
@@ -31,36 +31,17 @@
       Set<String> excluded,
       long nowMillis,
       RandomGenerator random) {
-    Optional<Choice> healthy = least(endpoints, excluded, nowMillis, random, false);
-    return healthy.isPresent() ? healthy : least(endpoints, excluded, nowMillis, random, true);
+    return CheapestEndpoint.find(endpoints, excluded, nowMillis, each -> cost(each, random))
+        .map(found -> choice(found.endpoint(), TYPICAL_MILLIS * found.cost()));
   }
 
-  private static Optional<Choice> least(
-      List<TrackedEndpoint> endpoints,
-      Set<String> excluded,
-      long nowMillis,
-      RandomGenerator random,
-      boolean anyHealth) {
-    TrackedEndpoint best = null;
-    double bestCost = Double.MAX_VALUE;
-    for (TrackedEndpoint endpoint : endpoints) {
-      if (!endpoint.usable(nowMillis) || excluded.contains(endpoint.id())) {
-        continue;
-      }
-      if (!anyHealth && !endpoint.health().admits(nowMillis)) {
-        continue;
-      }
-      int slots = Math.max(1, endpoint.registration().slots());
-      double busy = (endpoint.load().running() + JITTER * random.nextDouble()) / slots;
-      double cost = (1 + busy) * endpoint.slowness();
-      if (cost < bestCost) {
-        bestCost = cost;
-        best = endpoint;
-      }
-    }
-    if (best == null) {
-      return Optional.empty();
-    }
-    return Optional.of(new Choice(best, TYPICAL_MILLIS * bestCost, TYPICAL_MILLIS * bestCost));
+  private static double cost(TrackedEndpoint endpoint, RandomGenerator random) {
+    int slots = Math.max(1, endpoint.registration().slots());
+    double busy = (endpoint.load().running() + JITTER * random.nextDouble()) / slots;
+    return (1 + busy) * endpoint.slowness();
+  }
+
+  private static Choice choice(TrackedEndpoint endpoint, double millis) {
+    return new Choice(endpoint, millis, millis);
   }
 }
--- a/relay/src/main/java/org/heatherspread/relay/call/Attempt.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/Attempt.java
@@ -1,6 +1,7 @@
 package org.heatherspread.relay.call;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.ScheduledFuture;
@@ -235,8 +236,7 @@
     }
     progressMillis = state.clock().millis();
     endpoint.progressed(progressMillis);
-    byte[] part = new byte[bytes.readableBytes()];
-    bytes.getBytes(bytes.readerIndex(), part);
+    byte[] part = ByteBufUtil.getBytes(bytes);
     if (streaming) {
       boolean fits = splitter.add(part, this::event);
       if (!fits && active()) {
--- a/relay/src/main/java/org/heatherspread/relay/call/RelayState.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/RelayState.java
@@ -110,10 +110,16 @@
     this.endpoints = EndpointTable.create(health, this::cacheTokens);
   }
 
+  private Optional<ServiceRule> service(String name) {
+    return config().flatMap(known -> known.service(name));
+  }
+
+  private Optional<EngineRule> engine(String service) {
+    return service(service).flatMap(ServiceRule::engine);
+  }
+
   private long cacheTokens(String service) {
-    return Optional.ofNullable(config)
-        .flatMap(known -> known.service(service))
-        .flatMap(ServiceRule::engine)
+    return engine(service)
         .map(EngineRule::cacheTokens)
         .map(tokens -> (long) (CACHE_SHARE * tokens))
         .orElse(DEFAULT_CACHE_TOKENS);
@@ -145,18 +151,13 @@
 
   /** Returns the way to choose an endpoint of a service. */
   public EndpointChooser chooser(String service) {
-    boolean engine =
-        config().flatMap(known -> known.service(service)).flatMap(ServiceRule::engine).isPresent();
+    boolean engine = engine(service).isPresent();
     return engine ? engineChooser : plainChooser;
   }
 
   /** Returns most connections that this daemon opens to one endpoint of a service. */
   public int connectionLimit(String service) {
-    int limit =
-        config()
-            .flatMap(known -> known.service(service))
-            .map(ServiceRule::connectionLimit)
-            .orElse(0);
+    int limit = service(service).map(ServiceRule::connectionLimit).orElse(0);
     return limit <= 0 ? Integer.MAX_VALUE : Math.max(2, limit / (daemons + 1));
   }
 
@@ -202,12 +203,7 @@
 
   /** Returns how runs of a service are moved; empty where they cannot be. */
   Optional<EngineMoves> moves(String service) {
-    boolean can =
-        config()
-            .flatMap(known -> known.service(service))
-            .flatMap(ServiceRule::engine)
-            .map(EngineRule::movesRuns)
-            .orElse(false);
+    boolean can = engine(service).map(EngineRule::movesRuns).orElse(false);
     return can ? Optional.ofNullable(moves) : Optional.empty();
   }
 
@@ -247,11 +243,7 @@
 
   /** Returns the tokens that one event of a service's streams holds. */
   public int eventTokens(String service) {
-    return config()
-        .flatMap(known -> known.service(service))
-        .flatMap(ServiceRule::engine)
-        .map(EngineRule::eventTokens)
-        .orElse(1);
+    return engine(service).map(EngineRule::eventTokens).orElse(1);
   }
 
   /** Returns the work of each model service since the start. */
--- a/relay/src/main/java/org/heatherspread/relay/caller/CallerConnection.java
+++ b/relay/src/main/java/org/heatherspread/relay/caller/CallerConnection.java
@@ -1,5 +1,6 @@
 package org.heatherspread.relay.caller;
 
+import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
@@ -187,9 +188,7 @@
       refuse(413, "body larger than " + server.limits().maxBodyBytes() + " bytes");
       return;
     }
-    byte[] bytes = new byte[size];
-    content.content().getBytes(content.content().readerIndex(), bytes);
-    body.writeBytes(bytes);
+    body.writeBytes(ByteBufUtil.getBytes(content.content()));
     if (content instanceof LastHttpContent) {
       complete();
     }
--- a/relay/src/main/java/org/heatherspread/relay/rpc/RpcClient.java
+++ b/relay/src/main/java/org/heatherspread/relay/rpc/RpcClient.java
@@ -1,6 +1,7 @@
 package org.heatherspread.relay.rpc;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -138,9 +139,7 @@
 
     @Override
     public void content(ByteBuf bytes) {
-      byte[] copy = new byte[bytes.readableBytes()];
-      bytes.getBytes(bytes.readerIndex(), copy);
-      body.writeBytes(copy);
+      body.writeBytes(ByteBufUtil.getBytes(bytes));
     }
 
     @Override
