--- a/core/src/main/java/org/heatherspread/core/freshness/StoreContact.java
+++ b/core/src/main/java/org/heatherspread/core/freshness/StoreContact.java
@@ -75,5 +75,10 @@
   }
 
   /** When a read was asked for, on both clocks. */
-  public record Asked(long monoMillis, long wallMillis) {}
+  public record Asked(long monoMillis, long wallMillis) {
+    /** Returns the time so much earlier, at which what was passed on had been known. */
+    public Asked earlier(long millis) {
+      return new Asked(monoMillis - millis, wallMillis - millis);
+    }
+  }
 }
--- a/core/src/main/java/org/heatherspread/core/limit/AccountLimiter.java
+++ b/core/src/main/java/org/heatherspread/core/limit/AccountLimiter.java
@@ -43,6 +43,14 @@
     return new AccountLimiter(burstSeconds, share, nowNanos);
   }
 
+  /** Creates a limiter with empty buckets, which fill from now on. */
+  public static AccountLimiter empty(double burstSeconds, Amounts share, long nowNanos) {
+    AccountLimiter limiter = new AccountLimiter(burstSeconds, share, nowNanos);
+    limiter.requestTokens = 0;
+    limiter.tokens = 0;
+    return limiter;
+  }
+
   /** Replaces the share; what is in the buckets stays, up to the new capacity. */
   public synchronized void share(Amounts next, long nowNanos) {
     refill(nowNanos);
--- /dev/null
+++ b/core/src/main/java/org/heatherspread/core/limit/LimitPeers.java
@@ -0,0 +1,28 @@
+package org.heatherspread.core.limit;
+
+import java.util.OptionalDouble;
+import java.util.concurrent.CompletableFuture;
+
+/** Asks the daemons that keep limits. Confined to one thread, on which futures complete. */
+@FunctionalInterface
+public interface LimitPeers {
+  /**
+   * Asks whether a request is within its account's limit, and counts it there if it is.
+   *
+   * @param daemon name of the daemon that keeps the limit
+   * @param amount requests or tokens, as the account counts
+   * @return fails where no answer came in time; the request may have been counted then
+   */
+  CompletableFuture<Answer> ask(String daemon, String account, double amount);
+
+  /**
+   * The answer of a daemon.
+   *
+   * @param keeps whether the daemon counts itself as the keeper; if not, nothing was decided
+   * @param waitSeconds empty if admitted, else when the account has room again
+   */
+  record Answer(boolean keeps, OptionalDouble waitSeconds) {
+    /** The answer of a daemon that does not keep the limit. */
+    public static final Answer NOT_KEPT = new Answer(false, OptionalDouble.empty());
+  }
+}
--- a/core/src/main/java/org/heatherspread/core/store/SharedReading.java
+++ b/core/src/main/java/org/heatherspread/core/store/SharedReading.java
@@ -7,10 +7,16 @@
  *
  * @param version newest transaction that the answer covers
  * @param storeMillis the store's own steady clock
+ * @param ageMillis how old the knowledge was when it was passed on; 0 straight from the store
  */
-public record SharedReading(List<SharedRow> rows, long version, long storeMillis) {
+public record SharedReading(List<SharedRow> rows, long version, long storeMillis, long ageMillis) {
   /** Copies the rows. */
   public SharedReading {
     rows = List.copyOf(rows);
   }
+
+  /** Creates a reading straight from the store. */
+  public SharedReading(List<SharedRow> rows, long version, long storeMillis) {
+    this(rows, version, storeMillis, 0);
+  }
 }
--- /dev/null
+++ b/core/src/test/java/org/heatherspread/core/fleet/DomainReaderTest.java
@@ -0,0 +1,61 @@
+package org.heatherspread.core.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+class DomainReaderTest {
+  private static DaemonReport report(
+      String daemon, String domain, double linkMbps, DaemonState state) {
+    return new DaemonReport(
+        daemon,
+        "1",
+        "1.2.3.4:5",
+        "1.2.3.4:6",
+        domain,
+        linkMbps,
+        state,
+        1,
+        0,
+        0,
+        Map.of(),
+        Map.of(),
+        List.of(),
+        Map.of());
+  }
+
+  private static List<DaemonReport> fleet() {
+    List<DaemonReport> fleet = new ArrayList<>();
+    for (String name : List.of("c", "b", "d", "e")) {
+      fleet.add(report(name, "north", 10, DaemonState.READY));
+    }
+    return fleet;
+  }
+
+  @Test
+  void allDaemonsChooseTheSameInWhateverOrderTheyReadTheReports() {
+    List<DaemonReport> fleet = fleet();
+    for (int i = 0; i < fleet.size(); i++) {
+      Collections.rotate(fleet, 1);
+      assertThat(DomainReader.choose(fleet, "north").map(DaemonReport::daemon)).contains("b");
+    }
+  }
+
+  @Test
+  void theFastestLinkGoesFirstAndDaemonsThatLeaveDoNotCount() {
+    List<DaemonReport> fleet = fleet();
+    fleet.add(report("y", "north", 200, DaemonState.READY));
+    fleet.add(report("z", "north", 400, DaemonState.LEAVING));
+    fleet.add(report("x", "south", 400, DaemonState.READY));
+    assertThat(DomainReader.choose(fleet, "north").map(DaemonReport::daemon)).contains("y");
+  }
+
+  @Test
+  void daemonsOfSmallDomainsReadForThemselves() {
+    assertThat(DomainReader.choose(fleet().subList(0, 3), "north")).isEmpty();
+  }
+}
--- a/core/src/test/java/org/heatherspread/core/fleet/FleetViewTest.java
+++ b/core/src/test/java/org/heatherspread/core/fleet/FleetViewTest.java
@@ -14,14 +14,15 @@
         daemon,
         life,
         "1.2.3.4:5",
+        "1.2.3.4:6",
         "a",
+        10,
         DaemonState.READY,
         sequence,
         sequence,
         0,
         Map.of(),
         Map.of(),
-        Map.of(),
         List.of(),
         Map.of());
   }
--- /dev/null
+++ b/core/src/test/java/org/heatherspread/core/limit/KeptLimitsTest.java
@@ -0,0 +1,162 @@
+package org.heatherspread.core.limit;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalDouble;
+import java.util.Set;
+import java.util.SplittableRandom;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.heatherspread.core.serving.AccountRule;
+import org.heatherspread.core.time.MonotonicClock;
+import org.junit.jupiter.api.Test;
+
+class KeptLimitsTest {
+  private static final int WINDOW_SECONDS = 8;
+  private static final LimitSlack SLACK = new LimitSlack(WINDOW_SECONDS, 0.1, 140_000);
+  private static final long STEP_MILLIS = 10;
+
+  private long nowNanos = 1_000_000_000L;
+  private final MonotonicClock clock = () -> nowNanos;
+
+  private static AccountRule account(double rate) {
+    return new AccountRule("acme", Set.of("k"), -1, true, 200, rate, rate);
+  }
+
+  private static List<String> names(int daemons) {
+    List<String> names = new ArrayList<>();
+    for (int i = 0; i < daemons; i++) {
+      names.add("daemon-" + i);
+    }
+    return names;
+  }
+
+  /** All daemons, of which some cannot reach the keeper. */
+  private final class Fleet {
+    private final Map<String, KeptLimits> limits = new HashMap<>();
+    private final AccountRule account;
+    private Set<String> cutOff = Set.of();
+
+    private Fleet(int daemons, AccountRule account) {
+      this.account = account;
+      for (String name : names(daemons)) {
+        limits.put(name, KeptLimits.create(name, clock, SLACK));
+      }
+      know(names(daemons));
+    }
+
+    private void know(List<String> names) {
+      limits.values().forEach(each -> each.daemons(names, List.of(account)));
+    }
+
+    private OptionalDouble send(String daemon, double tokens) {
+      KeptLimits own = limits.get(daemon);
+      var keeper = own.ask(account.name());
+      if (keeper.isPresent() && cutOff.contains(daemon)) {
+        own.unanswered(keeper.get());
+        return own.admit(account, tokens);
+      }
+      return keeper.map(limits::get).orElse(own).admit(account, tokens);
+    }
+  }
+
+  /**
+   * Large requests of one account far below its limit, each at another of 77 daemons: split evenly,
+   * each daemon's part would let about one in five of them in.
+   */
+  @Test
+  void admitsWhatIsBelowTheLimitHoweverManyDaemonsItReaches() {
+    double rate = 60_000;
+    Fleet fleet = new Fleet(77, account(rate));
+    SplittableRandom random = new SplittableRandom(1);
+    nowNanos += 4_000_000_000L;
+    int sent = 0;
+    int refused = 0;
+    double offered = 0;
+    double seconds = 40;
+    for (double at = 0; at < seconds; at += 0.2) {
+      nowNanos += 200_000_000L;
+      double tokens = 1_000 + random.nextDouble() * 12_000;
+      offered += tokens;
+      sent++;
+      refused += fleet.send("daemon-" + random.nextInt(77), tokens).isPresent() ? 1 : 0;
+    }
+    assertThat(offered / seconds).isLessThan(0.7 * rate);
+    assertThat(refused).isLessThan(sent / 50);
+  }
+
+  @Property(tries = 40)
+  void neverAdmitsMoreThanTheWindowAllowsWhileKeepersAreLost(
+      @ForAll long seed, @ForAll @IntRange(min = 1, max = 40) int daemons) {
+    double rate = 200_000;
+    AccountRule account = account(rate);
+    Fleet fleet = new Fleet(daemons, account);
+    SplittableRandom random = new SplittableRandom(seed);
+    ArrayDeque<double[]> window = new ArrayDeque<>();
+    double inWindow = 0;
+    double bound = (rate * WINDOW_SECONDS + account.burst()) * 1.1 + 140_000;
+    for (long millis = 0; millis < 30_000; millis += STEP_MILLIS) {
+      nowNanos += STEP_MILLIS * 1_000_000;
+      if (millis % 3_000 == 0) {
+        Set<String> cut = new java.util.HashSet<>();
+        double share = random.nextInt(3) == 0 ? 0.35 : 0;
+        fleet.limits.keySet().stream().filter(x -> random.nextDouble() < share).forEach(cut::add);
+        fleet.cutOff = cut;
+      }
+      double tokens = 500 + random.nextDouble() * 15_000;
+      boolean admitted = fleet.send("daemon-" + random.nextInt(daemons), tokens).isEmpty();
+      if (admitted) {
+        window.add(new double[] {millis, tokens});
+        inWindow += tokens;
+      }
+      while (!window.isEmpty() && window.peek()[0] <= millis - WINDOW_SECONDS * 1_000) {
+        inWindow -= window.poll()[1];
+      }
+      assertThat(inWindow).isLessThanOrEqualTo(bound);
+    }
+  }
+
+  @Test
+  void newKeepersStartWithNothingSavedUp() {
+    Fleet fleet = new Fleet(4, account(10_000));
+    nowNanos += 60_000_000_000L;
+    String first = fleet.limits.get("daemon-0").keeper("acme");
+    List<String> rest = new ArrayList<>(names(4));
+    rest.remove(first);
+    fleet.know(rest);
+    String next = fleet.limits.get(rest.get(0)).keeper("acme");
+    nowNanos += 1_000_000L;
+    assertThat(fleet.send(next, 5_000)).isEmpty();
+    assertThat(fleet.send(next, 5_000)).isPresent();
+  }
+
+  @Test
+  void daemonsThatKnowNoOthersAdmitSmallParts() {
+    KeptLimits limits = KeptLimits.create("daemon-0", clock, SLACK);
+    AccountRule account = account(120_000);
+    limits.admit(account, 1);
+    nowNanos += 500_000_000L;
+    double admitted = 0;
+    while (limits.admit(account, 1_000).isEmpty()) {
+      admitted += 1_000;
+    }
+    assertThat(admitted).isBetween(5_000.0, 6_000.0);
+  }
+
+  @Test
+  void silentKeepersAreNotAskedAtOnce() {
+    KeptLimits limits = KeptLimits.create("daemon-0", clock, SLACK);
+    limits.daemons(List.of("daemon-1"), List.of(account(10_000)));
+    assertThat(limits.ask("acme")).contains("daemon-1");
+    limits.unanswered("daemon-1");
+    assertThat(limits.ask("acme")).isEmpty();
+    nowNanos += 1_100_000_000L;
+    assertThat(limits.ask("acme")).contains("daemon-1");
+  }
+}
--- a/node/src/main/java/org/heatherspread/node/Node.java
+++ b/node/src/main/java/org/heatherspread/node/Node.java
@@ -19,6 +19,7 @@
 import org.heatherspread.core.fleet.DaemonState;
 import org.heatherspread.core.freshness.StoreContact;
 import org.heatherspread.core.freshness.TrueTime;
+import org.heatherspread.core.limit.KeptLimits;
 import org.heatherspread.core.limit.LimitSlack;
 import org.heatherspread.core.routing.HealthPolicy;
 import org.heatherspread.core.serving.ClientLimits;
@@ -26,6 +27,7 @@
 import org.heatherspread.core.time.MonotonicClock;
 import org.heatherspread.core.usage.UsageWindows;
 import org.heatherspread.node.control.Control;
+import org.heatherspread.node.peer.PeerClient;
 import org.heatherspread.node.serve.DirectoryHandler;
 import org.heatherspread.node.serve.ProbeHandler;
 import org.heatherspread.node.settings.NodeSettings;
@@ -34,6 +36,7 @@
 import org.heatherspread.platform.PlatformEngines;
 import org.heatherspread.platform.PlatformHeaders;
 import org.heatherspread.platform.PlatformStore;
+import org.heatherspread.relay.call.AccountGate;
 import org.heatherspread.relay.call.CallMetrics;
 import org.heatherspread.relay.call.Relay;
 import org.heatherspread.relay.call.RelaySettings;
@@ -90,6 +93,8 @@
   private final CallerServer directory;
   private final CallerServer readiness;
   private final CallerServer metrics;
+  private final PeerClient peers;
+  private final CallerServer peerServer;
   private DaemonState daemonState = DaemonState.STARTING;
   private long sequence;
 
@@ -103,6 +108,7 @@
     NodeSettings.Bounds bounds = settings.bounds();
     StoreContact contact = StoreContact.create(clock, wall);
     PoolSettings pool = new PoolSettings(CONNECT_TIMEOUT_MILLIS, MAX_IDLE_MILLIS);
+    this.peers = PeerClient.create(address -> RpcClient.create(loop, clock, address, rpcs));
     this.state =
         new RelayState(
             loop,
@@ -116,7 +122,9 @@
             UsageWindows.create(bounds.usageWindow().toMillis(), KEPT_WINDOWS),
             healthPolicy(),
             PlatformEngines.create(
-                address -> RpcClient.create(loop, clock, address, rpcs), MOVE_TIMEOUT));
+                address -> RpcClient.create(loop, clock, address, rpcs), MOVE_TIMEOUT),
+            AccountGate.create(
+                KeptLimits.create(settings.name(), clock, limitSlack(bounds)), peers));
     PlatformStore store =
         PlatformStore.create(RpcClient.create(loop, clock, settings.store(), rpcs), STORE_TIMEOUT);
     PlatformCloud cloud =
@@ -125,7 +133,7 @@
             : PlatformCloud.create(
                 RpcClient.create(loop, clock, HostPort.parse(settings.cloud()), rpcs),
                 CLOUD_TIMEOUT);
-    this.control = Control.create(settings, state, store, store, cloud, this::report);
+    this.control = Control.create(settings, state, store, store, cloud, peers, this::report);
     Relay relay = Relay.create(state, PlatformHeaders.relay());
     this.callers = CallerServer.create(loop, clock, state::limits, relay);
     NodeMetrics.create(registry, state, control, callers);
@@ -138,6 +146,8 @@
                 DirectoryFormat.PATH,
                 this::addresses,
                 found -> DirectoryFormat.write(found, ttl(bounds))));
+    this.peerServer =
+        CallerServer.create(loop, clock, ClientLimits::defaults, control.peerHandler());
     this.readiness =
         CallerServer.create(
             loop, clock, ClientLimits::defaults, ProbeHandler.readiness(this::ready));
@@ -156,11 +166,14 @@
         (long) (KEY_TRUST * bounds.revocation().toMillis()),
         bounds.retryRatio(),
         bounds.retryWindow().toMillis(),
-        bounds.retryExtra(),
-        new LimitSlack(
-            bounds.limitWindow().toMillis() / MILLIS_PER_SECOND,
-            bounds.limitOvershoot(),
-            bounds.limitTolerance()));
+        bounds.retryExtra());
+  }
+
+  private static LimitSlack limitSlack(NodeSettings.Bounds bounds) {
+    return new LimitSlack(
+        bounds.limitWindow().toMillis() / MILLIS_PER_SECOND,
+        bounds.limitOvershoot(),
+        bounds.limitTolerance());
   }
 
   private static HealthPolicy healthPolicy() {
@@ -216,13 +229,14 @@
         settings.name(),
         control.life(),
         settings.callers().toString(),
+        settings.peers().toString(),
         settings.domain(),
+        settings.linkMbps(),
         daemonState,
         sequence,
         state.contact().storeMillis(),
         state.contact().wallLessStoreMillis(),
         state.usage().snapshot(),
-        state.accounts().report(),
         state.endpoints().ownLoads(),
         state.crashes().evidence(),
         state.work());
@@ -240,6 +254,7 @@
     directory.listen(settings.directory());
     readiness.listen(settings.readiness());
     metrics.listen(settings.metrics());
+    peerServer.listen(settings.peers());
   }
 
   /** Stops in order: no new callers, requests in progress end, then all is closed. */
--- a/node/src/main/java/org/heatherspread/node/Rehearsal.java
+++ b/node/src/main/java/org/heatherspread/node/Rehearsal.java
@@ -35,12 +35,13 @@
       get(settings.directory().toString());
     }
     get(settings.metrics().toString());
+    get(settings.peers().toString());
     log.atInfo().addKeyValue("classes", loadOwnClasses()).log("rehearsal done");
   }
 
   private static String settings() throws IOException {
     StringBuilder text = new StringBuilder("[daemon]\nname = \"a\"\ndomain = \"z\"\n[listen]\n");
-    for (String name : List.of("callers", "readiness", "directory", "metrics")) {
+    for (String name : List.of("callers", "readiness", "directory", "metrics", "peers")) {
       text.append(name).append(" = \"127.0.0.1:").append(freePort()).append("\"\n");
     }
     String nowhere = "address = \"127.0.0.1:" + freePort() + "\"\n";
--- a/node/src/main/java/org/heatherspread/node/control/Control.java
+++ b/node/src/main/java/org/heatherspread/node/control/Control.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.UUID;
 import java.util.function.Supplier;
 import org.apache.pekko.actor.BootstrapSetup;
@@ -24,11 +25,17 @@
 import org.heatherspread.core.limit.ReportPace;
 import org.heatherspread.core.store.SharedStore;
 import org.heatherspread.core.store.TableStore;
+import org.heatherspread.node.peer.LoadExchange;
+import org.heatherspread.node.peer.MirroredTable;
+import org.heatherspread.node.peer.PeerClient;
+import org.heatherspread.node.peer.PeerHandler;
+import org.heatherspread.node.peer.RelayedStore;
 import org.heatherspread.node.settings.NodeSettings;
 import org.heatherspread.platform.ConfigurationFormat;
 import org.heatherspread.platform.PlatformTables;
 import org.heatherspread.platform.RegistrationFormat;
 import org.heatherspread.relay.call.RelayState;
+import org.heatherspread.relay.caller.CallerHandler;
 import scala.concurrent.ExecutionContext;
 
 /** The control work of a daemon, as actors on its event loop. Confined to that loop. */
@@ -44,10 +51,22 @@
 
   private static final Duration ENDPOINT_WAIT = Duration.ofMillis(2_000);
 
+  /**
+   * Wait for changes where one daemon reads for its failure domain, short enough that the others
+   * notice within about a second when it has lost the store.
+   */
+  private static final Duration RELAYED_WAIT = Duration.ofMillis(300);
+
+  /** Pause after an answer there, in which changes gather. */
+  private static final Duration RELAYED_PAUSE = Duration.ofMillis(200);
+
+  /** Pause between two readings of the other daemons' reports there. */
+  private static final Duration RELAYED_FLEET_PAUSE = Duration.ofMillis(700);
+
   /** Reports of all daemons stay within what the store carries beside its other work. */
   private static final ReportPace PACE = new ReportPace(Duration.ofMillis(1_500), 26);
 
-  private static final Duration WHOLE_EVERY = Duration.ofSeconds(15);
+  private static final Duration WHOLE_EVERY = Duration.ofSeconds(20);
   private static final int LAST_RANK = 2;
 
   /** How long after its last report a daemon counts as a candidate for the duties. */
@@ -66,6 +85,9 @@
   private final NodeSettings settings;
   private final RelayState state;
   private final SharedStore store;
+  private final SharedStore followed;
+  private final LoadExchange exchange;
+  private final PeerHandler peerHandler;
   private final TableStore rows;
   private final DutyCalls calls;
   private final Supplier<DaemonReport> report;
@@ -84,6 +106,7 @@
       SharedStore store,
       TableStore rows,
       DutyCalls calls,
+      PeerClient peers,
       Supplier<DaemonReport> report) {
     this.settings = settings;
     this.state = state;
@@ -92,13 +115,19 @@
     this.calls = calls;
     this.report = report;
     this.endpoints = new EndpointListener(state, RegistrationFormat::read);
-    this.daemons = new FleetListener(state, fleet, settings.name(), PACE, LIVE);
+    this.exchange = LoadExchange.create(state, settings.name(), peers, this::readers);
+    this.daemons =
+        new FleetListener(
+            state, fleet, settings.name(), settings.domain(), peers, exchange::fresh, PACE, LIVE);
+    this.followed = RelayedStore.create(store, this::otherReader, peers, state.clock());
+    this.peerHandler = PeerHandler.create(state, this::reads, exchange);
   }
 
   /**
    * Creates control work that is not started.
    *
    * @param calls null where this daemon has no duties
+   * @param peers calls to the other daemons
    */
   public static Control create(
       NodeSettings settings,
@@ -106,8 +135,9 @@
       SharedStore store,
       TableStore rows,
       DutyCalls calls,
+      PeerClient peers,
       Supplier<DaemonReport> report) {
-    return new Control(settings, state, store, rows, calls, report);
+    return new Control(settings, state, store, rows, calls, peers, report);
   }
 
   /** Returns the random number of this process's life. */
@@ -130,6 +160,28 @@
     return endpoints.known() && daemons.known();
   }
 
+  /** Returns what answers the other daemons. */
+  public CallerHandler peerHandler() {
+    return peerHandler;
+  }
+
+  /** Tells whether this daemon reads the store for its failure domain. */
+  private boolean reads() {
+    return daemons.reader().equals(Optional.of(settings.name()));
+  }
+
+  private LoadExchange.Readers readers() {
+    return daemons.readers();
+  }
+
+  private Optional<String> otherReader() {
+    return reads() ? Optional.empty() : daemons.reader();
+  }
+
+  private Duration relayed(Duration there, Duration elsewhere) {
+    return daemons.reader().isPresent() ? there : elsewhere;
+  }
+
   /** Starts the actors; called from outside the event loop, which the start waits for. */
   public void start(Config config) {
     BootstrapSetup bootstrap =
@@ -145,18 +197,28 @@
     watch(
         context,
         new TableWatcher.Plan(
-            PlatformTables.OPERATORS, CONFIGURATION_WAIT, () -> Duration.ZERO, WHOLE_EVERY),
+            PlatformTables.OPERATORS,
+            () -> relayed(RELAYED_WAIT, CONFIGURATION_WAIT),
+            () -> relayed(RELAYED_PAUSE, Duration.ZERO),
+            WHOLE_EVERY),
         state.contact(),
         new ConfigurationListener(state, PlatformTables.CONFIGURATION, ConfigurationFormat::read));
     watch(
         context,
         new TableWatcher.Plan(
-            PlatformTables.ENDPOINTS, ENDPOINT_WAIT, () -> Duration.ZERO, WHOLE_EVERY),
+            PlatformTables.ENDPOINTS,
+            () -> relayed(RELAYED_WAIT, ENDPOINT_WAIT),
+            () -> relayed(RELAYED_PAUSE, Duration.ZERO),
+            WHOLE_EVERY),
         ownContact(),
         endpoints);
     watch(
         context,
-        new TableWatcher.Plan(Reporter.TABLE, Duration.ZERO, this::interval, WHOLE_EVERY),
+        new TableWatcher.Plan(
+            Reporter.TABLE,
+            () -> relayed(RELAYED_WAIT, Duration.ZERO),
+            () -> relayed(RELAYED_FLEET_PAUSE, interval()),
+            WHOLE_EVERY),
         ownContact(),
         daemons);
     reporter =
@@ -164,6 +226,7 @@
             restarting(
                 Reporter.create(settings.name() + '/' + life, report, store, this::interval)),
             "reporter");
+    exchange.start();
     if (calls != null) {
       duties = context.spawn(restarting(duties()), "duties");
     }
@@ -179,8 +242,11 @@
       TableWatcher.Plan plan,
       StoreContact contact,
       TableListener listener) {
+    MirroredTable mirror = new MirroredTable(state.loop(), contact);
+    peerHandler.table(plan.table(), mirror);
+    TableListener both = new MirroringListener(listener, mirror);
     context.spawn(
-        restarting(TableWatcher.create(plan, store, contact, listener)), "watch-" + plan.table());
+        restarting(TableWatcher.create(plan, followed, contact, both)), "watch-" + plan.table());
   }
 
   private static <T> Behavior<T> restarting(Behavior<T> behavior) {
--- a/node/src/main/java/org/heatherspread/node/control/FleetListener.java
+++ b/node/src/main/java/org/heatherspread/node/control/FleetListener.java
@@ -8,13 +8,20 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
-import org.heatherspread.core.fleet.AccountShare;
+import java.util.function.BooleanSupplier;
 import org.heatherspread.core.fleet.DaemonReport;
+import org.heatherspread.core.fleet.DaemonState;
+import org.heatherspread.core.fleet.DomainReader;
 import org.heatherspread.core.fleet.EndpointLoad;
 import org.heatherspread.core.fleet.FleetView;
 import org.heatherspread.core.limit.ReportPace;
+import org.heatherspread.core.serving.AccountRule;
+import org.heatherspread.core.serving.HostPort;
+import org.heatherspread.core.serving.ServingConfig;
 import org.heatherspread.core.store.SharedReading;
 import org.heatherspread.core.store.SharedRow;
+import org.heatherspread.node.peer.LoadExchange;
+import org.heatherspread.node.peer.PeerClient;
 import org.heatherspread.relay.call.RelayState;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -29,21 +36,39 @@
   private final RelayState state;
   private final FleetView fleet;
   private final String self;
+  private final String domain;
+  private final PeerClient peers;
+  private final BooleanSupplier loadsExchanged;
   private final ReportPace pace;
   private final Duration live;
   private Set<String> liveNames = Set.of();
+  private Map<String, String> readers = Map.of();
   private boolean known;
 
   /**
    * Creates a listener.
    *
+   * @param domain this daemon's failure domain
+   * @param peers told where the other daemons are
+   * @param loadsExchanged whether newer loads than those of reports are known
    * @param pace how often daemons report
    * @param live how long a daemon counts as live at least
    */
-  FleetListener(RelayState state, FleetView fleet, String self, ReportPace pace, Duration live) {
+  FleetListener(
+      RelayState state,
+      FleetView fleet,
+      String self,
+      String domain,
+      PeerClient peers,
+      BooleanSupplier loadsExchanged,
+      ReportPace pace,
+      Duration live) {
     this.state = state;
     this.fleet = fleet;
     this.self = self;
+    this.domain = domain;
+    this.peers = peers;
+    this.loadsExchanged = loadsExchanged;
     this.pace = pace;
     this.live = live;
   }
@@ -85,19 +110,10 @@
     derive();
   }
 
-  /**
-   * Returns how long after its last report a daemon may still admit requests with keys: as long as
-   * it trusts keys without the store, and its report may be two intervals old.
-   */
-  private long admittingMillis() {
-    return state.keyTrustMillis() + 2 * pace.interval(state.daemonCount()).toMillis();
-  }
-
   private void derive() {
     fleet.liveFor(pace.lifetime(state.daemonCount(), live).toMillis());
     List<DaemonReport> reports = fleet.live();
     Map<String, EndpointLoad> loads = new HashMap<>();
-    List<Map<String, AccountShare>> shares = new ArrayList<>();
     List<Long> offsets = new ArrayList<>();
     offsets.add(state.contact().wallLessStoreMillis());
     Set<String> names = new TreeSet<>();
@@ -110,21 +126,64 @@
       offsets.add(report.wallLessStoreMillis());
       state.crashes().heard(report.crashes());
     }
-    for (DaemonReport report : fleet.reportedWithin(admittingMillis())) {
-      if (!report.daemon().equals(self)) {
-        shares.add(report.accounts());
-      }
+    if (!loadsExchanged.getAsBoolean()) {
+      state.endpoints().others(loads);
     }
-    state.endpoints().others(loads);
     state.time().offsets(offsets);
     state.daemons(names.size());
-    state.config().ifPresent(config -> state.accounts().peers(config.accounts(), shares));
+    peers(reports);
     if (!names.equals(liveNames)) {
       liveNames = names;
       log.atInfo().addKeyValue("daemons", String.join(" ", names)).log("live daemons changed");
     }
   }
 
+  /** Takes in where the other daemons are, and which of them may keep limits. */
+  private void peers(List<DaemonReport> reports) {
+    Map<String, HostPort> addresses = new HashMap<>();
+    Set<String> keepers = new TreeSet<>();
+    for (DaemonReport report : reports) {
+      if (report.peerAddress().isEmpty()) {
+        continue;
+      }
+      addresses.put(report.daemon(), HostPort.parse(report.peerAddress()));
+      if (report.state() == DaemonState.READY) {
+        keepers.add(report.daemon());
+      }
+    }
+    peers.addresses(addresses);
+    List<AccountRule> accounts = state.config().map(ServingConfig::accounts).orElse(List.of());
+    state.accounts().daemons(keepers, accounts);
+    Map<String, String> found = new HashMap<>();
+    for (DaemonReport report : reports) {
+      if (!found.containsKey(report.domain())) {
+        DomainReader.choose(reports, report.domain())
+            .ifPresent(reader -> found.put(reader.domain(), reader.daemon()));
+      }
+    }
+    readers = found;
+  }
+
+  /** Returns the daemon that reads the store for this failure domain, if one does. */
+  Optional<String> reader() {
+    return Optional.ofNullable(readers.get(domain));
+  }
+
+  /** Returns the daemons that read for the failure domains. */
+  LoadExchange.Readers readers() {
+    if (!readers.containsKey(domain)) {
+      return LoadExchange.Readers.NONE;
+    }
+    List<String> others = new ArrayList<>();
+    readers.forEach(
+        (where, daemon) -> {
+          if (!where.equals(domain)) {
+            others.add(daemon);
+          }
+        });
+    return new LoadExchange.Readers(readers.get(domain), others);
+  }
+
   @Override
   public void failed(String reason) {
     // Nothing is concluded from silence: all that was known stays.
--- /dev/null
+++ b/node/src/main/java/org/heatherspread/node/control/MirroringListener.java
@@ -0,0 +1,25 @@
+package org.heatherspread.node.control;
+
+import org.heatherspread.core.store.SharedReading;
+import org.heatherspread.node.peer.MirroredTable;
+
+/** Passes what a table holds to a listener, and to the mirror for other daemons. */
+record MirroringListener(TableListener listener, MirroredTable mirror) implements TableListener {
+  @Override
+  public void whole(SharedReading reading) {
+    listener.whole(reading);
+    mirror.whole(reading);
+  }
+
+  @Override
+  public void changed(SharedReading reading) {
+    listener.changed(reading);
+    mirror.changed(reading);
+  }
+
+  @Override
+  public void failed(String reason) {
+    listener.failed(reason);
+    mirror.failed();
+  }
+}
--- a/node/src/main/java/org/heatherspread/node/control/TableWatcher.java
+++ b/node/src/main/java/org/heatherspread/node/control/TableWatcher.java
@@ -57,7 +57,8 @@
    * @param interval pause between watches
    * @param wholeEvery how often the table is read whole all the same
    */
-  record Plan(String table, Duration hold, Supplier<Duration> interval, Duration wholeEvery) {}
+  record Plan(
+      String table, Supplier<Duration> hold, Supplier<Duration> interval, Duration wholeEvery) {}
 
   private TableWatcher(
       ActorContext<Command> context,
@@ -108,7 +109,7 @@
     boolean whole =
         readWhole || asked.monoMillis() - readWholeAtMillis >= plan.wholeEvery().toMillis();
     // After a failure the store is asked for an answer at once, as keys may wait for it.
-    Duration hold = failing ? Duration.ZERO : plan.hold();
+    Duration hold = failing ? Duration.ZERO : plan.hold().get();
     var reading = whole ? store.read(plan.table()) : store.changes(plan.table(), version, hold);
     getContext()
         .pipeToSelf(
@@ -118,7 +119,7 @@
   }
 
   private Behavior<Command> onAnswer(Answer answer) {
-    if (!contact.heard(answer.asked, answer.reading)) {
+    if (!contact.heard(answer.asked.earlier(answer.reading.ageMillis()), answer.reading)) {
       return onFailure(new Failure(new IllegalStateException("the reading is out of date")));
     }
     if (failing) {
--- /dev/null
+++ b/node/src/main/java/org/heatherspread/node/peer/PeerClient.java
@@ -0,0 +1,112 @@
+package org.heatherspread.node.peer;
+
+import io.netty.handler.codec.http.HttpMethod;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+import org.heatherspread.core.error.ErrorKind;
+import org.heatherspread.core.error.ServingException;
+import org.heatherspread.core.fleet.EndpointLoad;
+import org.heatherspread.core.limit.LimitPeers;
+import org.heatherspread.core.serving.HostPort;
+import org.heatherspread.core.store.SharedReading;
+import org.heatherspread.core.store.SharedStore;
+import org.heatherspread.relay.rpc.RpcClient;
+import org.heatherspread.relay.rpc.RpcReply;
+
+/**
+ * Calls to other daemons by their names. Confined to the event loop of its clients.
+ *
+ * <p>A daemon that is not known, does not answer in time or answers an error fails the call with a
+ * {@link ServingException}.
+ */
+public final class PeerClient implements LimitPeers, LoadExchange.Calls {
+  /**
+   * Longest wait for a decision about a limit: well above a round trip on a busy instance, and
+   * small beside the targets of requests.
+   */
+  private static final Duration LIMIT_TIMEOUT = Duration.ofMillis(150);
+
+  /** Wait for an answer beyond the wait that was asked for. */
+  private static final Duration CHANGES_TIMEOUT = Duration.ofMillis(300);
+
+  /** Longest wait for loads, below the time between two exchanges. */
+  private static final Duration LOADS_TIMEOUT = Duration.ofMillis(200);
+
+  private static final int GONE = 410;
+  private static final byte[] EMPTY = new byte[0];
+
+  private final Function<HostPort, RpcClient> factory;
+  private final Map<String, HostPort> addresses = new HashMap<>();
+  private final Map<HostPort, RpcClient> clients = new HashMap<>();
+
+  private PeerClient(Function<HostPort, RpcClient> factory) {
+    this.factory = factory;
+  }
+
+  /** Creates calls that open a client for each daemon. */
+  public static PeerClient create(Function<HostPort, RpcClient> factory) {
+    return new PeerClient(factory);
+  }
+
+  /** Replaces the addresses at which daemons are found. */
+  public void addresses(Map<String, HostPort> next) {
+    addresses.clear();
+    addresses.putAll(next);
+    clients.keySet().retainAll(addresses.values());
+  }
+
+  @Override
+  public CompletableFuture<Answer> ask(String daemon, String account, double amount) {
+    byte[] body = PeerFormat.writeQuestion(new PeerFormat.LimitQuestion(account, amount));
+    return call(daemon, HttpMethod.POST, PeerFormat.LIMIT, body, LIMIT_TIMEOUT)
+        .thenApply(reply -> PeerFormat.readAnswer(ok(daemon, reply).body()));
+  }
+
+  /** Waits for rows of a table that changed after a version, as the daemon has read them. */
+  CompletableFuture<SharedReading> changes(String daemon, String table, long after, Duration wait) {
+    String target = PeerFormat.changes(table, after, wait);
+    return call(daemon, HttpMethod.GET, target, EMPTY, CHANGES_TIMEOUT.plus(wait))
+        .thenApply(
+            reply -> {
+              if (reply.status() == GONE) {
+                throw new SharedStore.HistoryLostException(table);
+              }
+              return PeerFormat.readReading(ok(daemon, reply).body());
+            });
+  }
+
+  @Override
+  public CompletableFuture<Map<String, EndpointLoad>> tell(
+      String reader, String self, Map<String, EndpointLoad> loads) {
+    byte[] body = PeerFormat.writeTold(new PeerFormat.ToldLoads(self, loads));
+    return call(reader, HttpMethod.POST, PeerFormat.LOADS, body, LOADS_TIMEOUT)
+        .thenApply(reply -> PeerFormat.readLoads(ok(reader, reply).body()));
+  }
+
+  @Override
+  public CompletableFuture<Map<String, EndpointLoad>> domain(String reader) {
+    return call(reader, HttpMethod.GET, PeerFormat.DOMAIN_LOADS, EMPTY, LOADS_TIMEOUT)
+        .thenApply(reply -> PeerFormat.readLoads(ok(reader, reply).body()));
+  }
+
+  private CompletableFuture<RpcReply> call(
+      String daemon, HttpMethod method, String target, byte[] body, Duration timeout) {
+    HostPort address = addresses.get(daemon);
+    if (address == null) {
+      return CompletableFuture.failedFuture(
+          ServingException.of(ErrorKind.STORE_UNAVAILABLE, "daemon " + daemon + " is not known"));
+    }
+    return clients.computeIfAbsent(address, factory).call(method, target, Map.of(), body, timeout);
+  }
+
+  private static RpcReply ok(String daemon, RpcReply reply) {
+    if (!reply.ok()) {
+      throw ServingException.of(
+          ErrorKind.STORE_UNAVAILABLE, "daemon " + daemon + " answered " + reply.status());
+    }
+    return reply;
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/heatherspread/node/peer/PeerHandler.java
@@ -0,0 +1,141 @@
+package org.heatherspread.node.peer;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+import org.heatherspread.core.limit.LimitPeers;
+import org.heatherspread.core.serving.AccountRule;
+import org.heatherspread.core.serving.ServingConfig;
+import org.heatherspread.relay.call.RelayState;
+import org.heatherspread.relay.caller.CallerAnswer;
+import org.heatherspread.relay.caller.CallerHandler;
+import org.heatherspread.relay.caller.CallerRequest;
+
+/**
+ * Answers other daemons: about limits that this daemon keeps, and about tables and loads that it
+ * gathers for its failure domain. Confined to the event loop.
+ */
+public final class PeerHandler implements CallerHandler {
+  private static final int OK = 200;
+  private static final int BAD_REQUEST = 400;
+  private static final int NOT_FOUND = 404;
+  private static final int NOT_THE_READER = 409;
+  private static final int GONE = 410;
+  private static final int TOO_LARGE = 413;
+  private static final int UNAVAILABLE = 503;
+
+  /** Longest time for which a question is held, in milliseconds. */
+  private static final long MAX_WAIT_MILLIS = 2_000;
+
+  /**
+   * Largest answer, in bytes. Larger changes are read from the store by each daemon, as they would
+   * fill the link of one daemon that sends them to all others.
+   */
+  private static final int MAX_BYTES = 64 << 10;
+
+  private static final byte[] EMPTY = new byte[0];
+
+  private final RelayState state;
+  private final BooleanSupplier reader;
+  private final LoadExchange exchange;
+  private final Map<String, MirroredTable> tables = new HashMap<>();
+
+  private PeerHandler(RelayState state, BooleanSupplier reader, LoadExchange exchange) {
+    this.state = state;
+    this.reader = reader;
+    this.exchange = exchange;
+  }
+
+  /**
+   * Creates a handler.
+   *
+   * @param reader whether this daemon reads for its failure domain
+   */
+  public static PeerHandler create(
+      RelayState state, BooleanSupplier reader, LoadExchange exchange) {
+    return new PeerHandler(state, reader, exchange);
+  }
+
+  /** Adds a table. */
+  public void table(String name, MirroredTable table) {
+    tables.put(name, table);
+  }
+
+  @Override
+  public void handle(CallerRequest request, CallerAnswer answer) {
+    QueryStringDecoder target = new QueryStringDecoder(request.target());
+    try {
+      switch (target.path()) {
+        case PeerFormat.LIMIT -> limit(request, answer);
+        case PeerFormat.CHANGES -> changes(target.parameters(), answer);
+        case PeerFormat.LOADS -> loads(request, answer);
+        case PeerFormat.DOMAIN_LOADS ->
+            whole(answer, OK, PeerFormat.writeLoads(exchange.ofDomain()));
+        default -> whole(answer, NOT_FOUND, EMPTY);
+      }
+    } catch (RuntimeException e) {
+      whole(answer, BAD_REQUEST, EMPTY);
+    }
+  }
+
+  private void limit(CallerRequest request, CallerAnswer answer) {
+    PeerFormat.LimitQuestion question = PeerFormat.readQuestion(request.body());
+    Optional<AccountRule> account = state.config().flatMap(config -> named(config, question));
+    LimitPeers.Answer decision =
+        account
+            .map(rule -> state.accounts().decide(rule, question.amount()))
+            .orElse(LimitPeers.Answer.NOT_KEPT);
+    whole(answer, OK, PeerFormat.writeAnswer(decision));
+  }
+
+  private static Optional<AccountRule> named(
+      ServingConfig config, PeerFormat.LimitQuestion question) {
+    return config.accounts().stream()
+        .filter(account -> account.name().equals(question.account()))
+        .findFirst();
+  }
+
+  private void loads(CallerRequest request, CallerAnswer answer) {
+    PeerFormat.ToldLoads told = PeerFormat.readTold(request.body());
+    whole(answer, OK, PeerFormat.writeLoads(exchange.told(told.daemon(), told.loads())));
+  }
+
+  private void changes(Map<String, List<String>> query, CallerAnswer answer) {
+    MirroredTable table = tables.get(query.get("table").get(0));
+    if (table == null) {
+      whole(answer, NOT_FOUND, EMPTY);
+      return;
+    }
+    if (!reader.getAsBoolean()) {
+      whole(answer, NOT_THE_READER, EMPTY);
+      return;
+    }
+    long after = Long.parseLong(query.get("after").get(0));
+    long wait = Math.min(MAX_WAIT_MILLIS, Long.parseLong(query.get("wait").get(0)));
+    table.changes(after, wait, found -> changes(found, answer));
+  }
+
+  private static void changes(MirroredTable.Answer found, CallerAnswer answer) {
+    if (found instanceof MirroredTable.Unreachable) {
+      whole(answer, UNAVAILABLE, EMPTY);
+    } else if (found instanceof MirroredTable.HistoryLost) {
+      whole(answer, GONE, EMPTY);
+    } else if (found instanceof MirroredTable.Found changes) {
+      byte[] body = PeerFormat.writeReading(changes.reading());
+      boolean fits = body.length <= MAX_BYTES;
+      whole(answer, fits ? OK : TOO_LARGE, fits ? body : EMPTY);
+    }
+  }
+
+  private static void whole(CallerAnswer answer, int status, byte[] body) {
+    answer.whole(
+        status,
+        new DefaultHttpHeaders().set(HttpHeaderNames.CONTENT_TYPE, "application/json"),
+        body);
+  }
+}
--- a/node/src/main/java/org/heatherspread/node/settings/NodeSettings.java
+++ b/node/src/main/java/org/heatherspread/node/settings/NodeSettings.java
@@ -16,6 +16,8 @@
  * @param readiness where readiness is asked for
  * @param directory where callers ask for addresses
  * @param metrics where metrics are read
+ * @param peers where other daemons connect
+ * @param linkMbps bandwidth of this instance's link in Mbit/s, 0 if not known
  * @param store the shared store
  * @param cloud the cloud calls; empty text where no duty is assigned
  * @param duties names of the duties assigned
@@ -28,6 +30,8 @@
     HostPort readiness,
     HostPort directory,
     HostPort metrics,
+    HostPort peers,
+    double linkMbps,
     HostPort store,
     String cloud,
     List<String> duties,
@@ -65,6 +69,7 @@
 
   private static final Duration MIN = Duration.ofMillis(100);
   private static final Duration MAX = Duration.ofMinutes(10);
+  private static final double MAX_LINK_MBPS = 1e6;
   private static final int MAX_EXTRA = 1_000_000;
   private static final double MAX_TOLERANCE = 1e12;
 
@@ -94,6 +99,8 @@
             address(listen, "readiness"),
             address(listen, "directory"),
             address(listen, "metrics"),
+            address(listen, "peers"),
+            listen.decimal("link_mbps", 0, 0, MAX_LINK_MBPS),
             address(reader.section("store"), "address"),
             cloud.text("address", ""),
             List.of(cloud.text("duties", "").split(",")),
--- /dev/null
+++ b/node/src/test/java/org/heatherspread/node/NodeFleetTest.java
@@ -0,0 +1,186 @@
+package org.heatherspread.node;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.heatherspread.node.settings.NodeSettings;
+import org.heatherspread.platform.PlatformStandin;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Several daemons of one failure domain against a stand-in of the platform's store. */
+class NodeFleetTest {
+  private static final int DAEMONS = 5;
+
+  /** Bound for a configuration to be in force, of the deployments served. */
+  private static final long IN_FORCE_MILLIS = 2_000;
+
+  private static final String CONFIGURATION =
+      """
+      {"version": %d,
+       "routes": [{"name": "r", "hostname": "localhost", "prefix": "/%s/",
+         "route-kind": "idempotent", "service": "s", "timeout-ms": 500, "max-attempts": 1}],
+       "services": [{"name": "s"}],
+       "tenants": [{"name": "acme", "api-keys": ["key"], "requests-per-s": %d, "burst-size": 1}]}
+      """;
+
+  private final HttpClient client = HttpClient.newHttpClient();
+  private final List<Node> nodes = new ArrayList<>();
+  private final List<Integer> callers = new ArrayList<>();
+  private final List<Integer> readiness = new ArrayList<>();
+  private PlatformStandin platform;
+
+  private static int freePort() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0)) {
+      return socket.getLocalPort();
+    }
+  }
+
+  @BeforeEach
+  void start() throws Exception {
+    platform = PlatformStandin.start();
+    configure(1, "a", 0);
+    for (int i = 0; i < DAEMONS; i++) {
+      callers.add(freePort());
+      readiness.add(freePort());
+      String settings =
+          """
+          [daemon]
+          name = "daemon-%d"
+          domain = "z"
+          [listen]
+          callers = "127.0.0.1:%d"
+          readiness = "127.0.0.1:%d"
+          directory = "127.0.0.1:%d"
+          metrics = "127.0.0.1:%d"
+          peers = "127.0.0.1:%d"
+          link_mbps = %d
+          [store]
+          address = "%s"
+          [bounds]
+          grace = "3s"
+          """
+              .formatted(
+                  i,
+                  callers.get(i),
+                  readiness.get(i),
+                  freePort(),
+                  freePort(),
+                  freePort(),
+                  DAEMONS - i,
+                  platform.address());
+      Node node = Node.create(NodeSettings.parse("test", settings));
+      node.start();
+      nodes.add(node);
+    }
+    await(() -> readiness.stream().allMatch(port -> status(port, "/") == 200), 10_000);
+    // Every daemon has to have read that all others are ready.
+    TimeUnit.MILLISECONDS.sleep(3_500);
+  }
+
+  @AfterEach
+  void stop() {
+    platform.close();
+  }
+
+  private void configure(long version, String prefix, int rate) {
+    platform.write("op", "config", CONFIGURATION.formatted(version, prefix, rate));
+  }
+
+  private int status(int port, String path) {
+    HttpRequest request =
+        HttpRequest.newBuilder(URI.create("http://localhost:" + port + path))
+            .header("Authorization", "Bearer key")
+            .timeout(Duration.ofSeconds(5))
+            .build();
+    try {
+      return client.send(request, HttpResponse.BodyHandlers.discarding()).statusCode();
+    } catch (IOException e) {
+      return 0;
+    } catch (InterruptedException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private interface Check {
+    boolean holds();
+  }
+
+  private static void await(Check check, long millis) throws InterruptedException {
+    long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+    while (!check.holds()) {
+      assertThat(System.nanoTime()).isLessThan(end);
+      TimeUnit.MILLISECONDS.sleep(10);
+    }
+  }
+
+  private boolean inForce(List<Integer> ports, String prefix) {
+    return ports.stream().allMatch(port -> status(port, "/" + prefix + "/x") == 503);
+  }
+
+  /** Returns how often the store was asked for configurations; each daemon alone would 4 times. */
+  private long waitsInTwoSeconds() {
+    long before = platform.waits("op");
+    try {
+      TimeUnit.SECONDS.sleep(2);
+    } catch (InterruptedException e) {
+      throw new IllegalStateException(e);
+    }
+    long waits = platform.waits("op") - before;
+    assertThat(waits).isPositive();
+    return waits;
+  }
+
+  @Test
+  void oneDaemonFollowsTheStoreForTheOthers() throws Exception {
+    // Waits that were begun before all daemons knew of each other end first.
+    await(() -> waitsInTwoSeconds() <= 5, 15_000);
+    configure(5, "b", 0);
+    await(() -> inForce(callers, "b"), IN_FORCE_MILLIS);
+  }
+
+  @Test
+  void theOthersGoOnWhenTheReaderLeaves() throws Exception {
+    configure(5, "b", 0);
+    await(() -> inForce(callers, "b"), IN_FORCE_MILLIS);
+    Thread stop = new Thread(nodes.get(0)::stop);
+    stop.start();
+    List<Integer> others = callers.subList(1, DAEMONS);
+    for (int version = 6; version < 12; version++) {
+      configure(version, "v" + version, 0);
+      String prefix = "v" + version;
+      await(() -> inForce(others, prefix), IN_FORCE_MILLIS);
+      TimeUnit.MILLISECONDS.sleep(400);
+    }
+    stop.join();
+  }
+
+  /** An account may send two requests a second, whichever daemons they reach. */
+  @Test
+  void allDaemonsTogetherKeepTheLimitOfAnAccount() throws Exception {
+    configure(5, "b", 2);
+    await(() -> inForce(callers.subList(0, 1), "b"), IN_FORCE_MILLIS);
+    TimeUnit.SECONDS.sleep(3);
+    int admitted = 0;
+    int refused = 0;
+    for (int i = 0; i < 40; i++) {
+      int status = status(callers.get(i % DAEMONS), "/b/x");
+      admitted += status == 503 ? 1 : 0;
+      refused += status == 429 ? 1 : 0;
+      TimeUnit.MILLISECONDS.sleep(50);
+    }
+    assertThat(admitted + refused).isEqualTo(40);
+    // Two seconds, the burst, and what the limit lets through besides.
+    assertThat(admitted).isBetween(4, 7);
+  }
+}
--- a/node/src/test/java/org/heatherspread/node/NodeTest.java
+++ b/node/src/test/java/org/heatherspread/node/NodeTest.java
@@ -37,7 +37,7 @@
   private static final String OTHER =
       """
       {"daemon": "other", "life": "1", "address": "10.0.0.9:80", "domain": "z", "state": "READY",
-       "sequence": 1, "atStoreMillis": 1, "wallLessStoreMillis": 1, "usage": {}, "accounts": {},
+       "sequence": 1, "atStoreMillis": 1, "wallLessStoreMillis": 1, "usage": {},
        "loads": {}, "crashes": [], "work": {}}
       """;
 
@@ -71,6 +71,7 @@
         readiness = "127.0.0.1:%d"
         directory = "127.0.0.1:%d"
         metrics = "127.0.0.1:%d"
+        peers = "127.0.0.1:%d"
         [store]
         address = "%s"
         [cloud]
@@ -79,7 +80,13 @@
         grace = "3s"
         """
             .formatted(
-                callers, readiness, directory, freePort(), platform.address(), platform.address());
+                callers,
+                readiness,
+                directory,
+                freePort(),
+                freePort(),
+                platform.address(),
+                platform.address());
     node = Node.create(NodeSettings.parse("test", settings));
     node.start();
     await(() -> status(readiness, "/", "") == 200);
--- a/node/src/test/java/org/heatherspread/node/control/CleanupDutyTest.java
+++ b/node/src/test/java/org/heatherspread/node/control/CleanupDutyTest.java
@@ -16,7 +16,6 @@
 import org.heatherspread.core.fleet.FleetView;
 import org.heatherspread.core.freshness.StoreContact;
 import org.heatherspread.core.freshness.TrueTime;
-import org.heatherspread.core.limit.LimitSlack;
 import org.heatherspread.core.routing.HealthPolicy;
 import org.heatherspread.core.store.SharedReading;
 import org.heatherspread.core.store.SharedRow;
@@ -63,13 +62,14 @@
           null,
           clock,
           new SplittableRandom(1),
-          new RelaySettings(4_000, 0.2, 10_000, 56, new LimitSlack(8, 0, 0)),
+          new RelaySettings(4_000, 0.2, 10_000, 56),
           contact,
           TrueTime.create(contact),
           null,
           CallMetrics.create(new SimpleMeterRegistry()),
           UsageWindows.create(WINDOW_MILLIS, 6),
           HealthPolicy.defaults(),
+          null,
           null);
 
   private static DaemonReport report(String daemon) {
@@ -77,14 +77,15 @@
         daemon,
         "1",
         "1.2.3.4:5",
+        "1.2.3.4:6",
         "a",
+        10,
         DaemonState.READY,
         1,
         0,
         0,
         Map.of(),
         Map.of(),
-        Map.of(),
         List.of(),
         Map.of());
   }
--- /dev/null
+++ b/node/src/test/java/org/heatherspread/node/peer/LoadExchangeTest.java
@@ -0,0 +1,115 @@
+package org.heatherspread.node.peer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import org.heatherspread.core.fleet.EndpointLoad;
+import org.heatherspread.core.freshness.StoreContact;
+import org.heatherspread.core.freshness.TrueTime;
+import org.heatherspread.core.placement.TrackedEndpoint;
+import org.heatherspread.core.placement.Workload;
+import org.heatherspread.core.routing.HealthPolicy;
+import org.heatherspread.core.serving.HostPort;
+import org.heatherspread.core.serving.RegisteredEndpoint;
+import org.heatherspread.core.time.ManualClock;
+import org.heatherspread.core.usage.UsageWindows;
+import org.heatherspread.relay.call.CallMetrics;
+import org.heatherspread.relay.call.RelaySettings;
+import org.heatherspread.relay.call.RelayState;
+import org.junit.jupiter.api.Test;
+
+/** Two failure domains of two daemons each, which all send to one endpoint. */
+class LoadExchangeTest {
+  private static final String ENDPOINT = "e1";
+  private static final Workload WORK = new Workload(List.of(), 1_000, 10);
+
+  private final ManualClock clock = ManualClock.create();
+  private final Map<String, LoadExchange> exchanges = new HashMap<>();
+  private final Map<String, RelayState> states = new HashMap<>();
+
+  private final LoadExchange.Calls calls =
+      new LoadExchange.Calls() {
+        @Override
+        public CompletableFuture<Map<String, EndpointLoad>> tell(
+            String reader, String self, Map<String, EndpointLoad> loads) {
+          return CompletableFuture.completedFuture(exchanges.get(reader).told(self, loads));
+        }
+
+        @Override
+        public CompletableFuture<Map<String, EndpointLoad>> domain(String reader) {
+          return CompletableFuture.completedFuture(exchanges.get(reader).ofDomain());
+        }
+      };
+
+  LoadExchangeTest() {
+    daemon("a1", new LoadExchange.Readers("a1", List.of("b1")));
+    daemon("a2", new LoadExchange.Readers("a1", List.of("b1")));
+    daemon("b1", new LoadExchange.Readers("b1", List.of("a1")));
+    daemon("b2", new LoadExchange.Readers("b1", List.of("a1")));
+  }
+
+  private void daemon(String name, LoadExchange.Readers readers) {
+    StoreContact contact = StoreContact.create(clock, InstantSource.system());
+    RelayState state =
+        new RelayState(
+            null,
+            clock,
+            new SplittableRandom(1),
+            new RelaySettings(4_000, 0.2, 10_000, 56),
+            contact,
+            TrueTime.create(contact),
+            null,
+            CallMetrics.create(new SimpleMeterRegistry()),
+            UsageWindows.create(5_000, 6),
+            HealthPolicy.defaults(),
+            null,
+            null);
+    HostPort address = new HostPort("127.0.0.1", 1);
+    state
+        .endpoints()
+        .put(new RegisteredEndpoint(ENDPOINT, "s", address, "z", 6, false, false, -1, 1));
+    states.put(name, state);
+    exchanges.put(name, new LoadExchange(state, name, calls, () -> readers));
+  }
+
+  private TrackedEndpoint endpoint(String daemon) {
+    return states.get(daemon).endpoints().get(ENDPOINT).orElseThrow();
+  }
+
+  private void rounds(int rounds) {
+    for (int i = 0; i < rounds; i++) {
+      clock.advance(Duration.ofMillis(250));
+      exchanges.values().forEach(LoadExchange::exchange);
+    }
+  }
+
+  @Test
+  void everyDaemonSeesWhatAllSendWithinThreeRounds() {
+    List<String> names = List.of("a1", "a2", "b1", "b2");
+    for (int i = 0; i < names.size(); i++) {
+      for (int sent = 0; sent <= i; sent++) {
+        endpoint(names.get(i)).start(WORK);
+      }
+    }
+    rounds(3);
+    for (String name : names) {
+      assertThat(endpoint(name).load()).isEqualTo(new EndpointLoad(10, 10_000));
+      assertThat(exchanges.get(name).fresh()).isTrue();
+    }
+  }
+
+  /** The reader of a domain is gone: its members fall back on the reports. */
+  @Test
+  void membersWhoseReaderIsGoneKnowThatTheirLoadsAreOld() {
+    rounds(3);
+    clock.advance(Duration.ofMillis(1_300));
+    assertThat(exchanges.get("a2").fresh()).isFalse();
+  }
+}
--- a/relay/src/main/java/org/heatherspread/relay/call/AccountGate.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/AccountGate.java
@@ -1,147 +1,90 @@
 package org.heatherspread.relay.call;
 
-import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalDouble;
-import org.heatherspread.core.fleet.AccountShare;
-import org.heatherspread.core.limit.AccountLimiter;
-import org.heatherspread.core.limit.Amounts;
-import org.heatherspread.core.limit.DemandShares;
-import org.heatherspread.core.limit.LimitDecision;
-import org.heatherspread.core.limit.LimitSlack;
+import java.util.concurrent.CompletableFuture;
+import org.heatherspread.core.limit.KeptLimits;
+import org.heatherspread.core.limit.LimitPeers;
 import org.heatherspread.core.serving.AccountRule;
-import org.heatherspread.core.time.MonotonicClock;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
- * This daemon's part in the limits of client accounts, which bind all daemons together.
- *
- * <p>Parts follow the demand by {@link DemandShares}. Until the other daemons are known, the part
- * is a small one. Confined to one thread.
+ * Admits requests of client accounts, by asking the daemon that keeps an account's limit or alone
+ * where that one does not answer. Confined to one event loop.
  */
 public final class AccountGate {
-  /** Stands for no limit, in units a second. */
-  private static final double UNLIMITED = 1e12;
+  private static final Logger log = LoggerFactory.getLogger(AccountGate.class);
 
-  /** Daemons assumed to share a limit before any report was read. */
-  private static final int UNKNOWN_DAEMONS = 12;
+  private final KeptLimits limits;
+  private final LimitPeers peers;
 
-  private static final double MILLIS_PER_SECOND = 1_000;
-
-  private final MonotonicClock clock;
-  private final LimitSlack slack;
-  private final Map<String, Part> parts = new HashMap<>();
-  private Collection<Map<String, AccountShare>> peers;
-
-  private AccountGate(MonotonicClock clock, LimitSlack slack) {
-    this.clock = clock;
-    this.slack = slack;
+  private AccountGate(KeptLimits limits, LimitPeers peers) {
+    this.limits = limits;
+    this.peers = peers;
   }
 
-  /** Creates the gate of a daemon that knows no peers. */
-  public static AccountGate create(MonotonicClock clock, LimitSlack slack) {
-    return new AccountGate(clock, slack);
+  /** Creates a gate. */
+  public static AccountGate create(KeptLimits limits, LimitPeers peers) {
+    return new AccountGate(limits, peers);
   }
 
   /**
-   * Admits a request.
+   * Whether a request may run.
    *
-   * @param amount requests or tokens, as the account counts
-   * @return empty if admitted, else seconds until the account has room again here
+   * @param waitSeconds empty if it may, else when its account has room again
+   * @param decidedBy the daemon that decided
    */
-  public OptionalDouble admit(AccountRule account, double amount) {
-    if (account.ratePerSecond() <= 0) {
-      return OptionalDouble.empty();
-    }
-    AccountLimiter limiter = part(account).limiter;
-    LimitDecision decision = limiter.admit((long) amount, clock.nanos());
-    if (decision.admitted()) {
-      limiter.release(0, clock.nanos());
-      return OptionalDouble.empty();
-    }
-    return OptionalDouble.of(decision.retryAfter().toMillis() / MILLIS_PER_SECOND);
-  }
+  record Admission(OptionalDouble waitSeconds, String decidedBy) {}
 
   /**
-   * Takes in what is asked of the other daemons, and decides this daemon's parts anew.
+   * Admits a request or tells when to come back.
    *
-   * @param reports latest shares of each other daemon that may admit requests
+   * @param amount requests or tokens, as the account counts
+   * @return completes at once where no other daemon has to be asked; does not fail
    */
-  public void peers(Iterable<AccountRule> accounts, Collection<Map<String, AccountShare>> reports) {
-    peers = List.copyOf(reports);
-    for (AccountRule account : accounts) {
-      if (account.ratePerSecond() > 0) {
-        part(account);
-      }
+  CompletableFuture<Admission> admit(AccountRule account, double amount) {
+    boolean limited = account.ratePerSecond() > 0;
+    Optional<String> keeper = limited ? limits.ask(account.name()) : Optional.empty();
+    if (keeper.isEmpty()) {
+      return CompletableFuture.completedFuture(alone(account, amount));
     }
+    return peers
+        .ask(keeper.get(), account.name(), amount)
+        .handle(
+            (answer, failure) -> {
+              if (failure == null && answer.keeps()) {
+                return new Admission(answer.waitSeconds(), keeper.get());
+              }
+              unanswered(account, keeper.get(), failure);
+              return alone(account, amount);
+            });
   }
 
-  /** Measures the demand and returns this daemon's parts, for its report. */
-  public Map<String, AccountShare> report() {
-    Map<String, AccountShare> shares = new HashMap<>();
-    parts.forEach(
-        (name, part) -> {
-          part.demand = part.limiter.takeDemand(clock.nanos()).tokens();
-          shares.put(name, new AccountShare(part.demand, part.share));
-        });
-    return shares;
+  private void unanswered(AccountRule account, String keeper, Throwable failure) {
+    limits.unanswered(keeper);
+    log.atInfo()
+        .addKeyValue("account", account.name())
+        .addKeyValue("keeper", keeper)
+        .addKeyValue("reason", failure == null ? "not kept there" : failure.getMessage())
+        .log("limit is decided without its keeper");
   }
 
-  private Part part(AccountRule account) {
-    Part part = parts.computeIfAbsent(account.name(), name -> new Part(account));
-    part.apply(account);
-    return part;
+  private Admission alone(AccountRule account, double amount) {
+    return new Admission(limits.admit(account, amount), "self");
   }
 
-  private double share(AccountRule account, double demand) {
-    double rate = account.ratePerSecond();
-    if (peers == null) {
-      return rate / UNKNOWN_DAEMONS;
-    }
-    List<Double> others = new ArrayList<>();
-    for (Map<String, AccountShare> peer : peers) {
-      AccountShare share = peer.get(account.name());
-      others.add(share == null ? 0 : share.demand());
+  /** Decides for another daemon, as the keeper of the account's limit. */
+  public LimitPeers.Answer decide(AccountRule account, double amount) {
+    if (!limits.keeps(account.name())) {
+      return LimitPeers.Answer.NOT_KEPT;
     }
-    return DemandShares.part(rate, demand, others);
+    return new LimitPeers.Answer(true, limits.admit(account, amount));
   }
 
-  /** The part in one account's limit. */
-  private final class Part {
-    private AccountLimiter limiter;
-    private double rate;
-    private double share;
-    private double demand;
-    private Collection<Map<String, AccountShare>> decidedBy;
-
-    private Part(AccountRule account) {
-      start(account);
-    }
-
-    private void start(AccountRule account) {
-      rate = account.ratePerSecond();
-      share = share(account, demand);
-      decidedBy = peers;
-      double burst = slack.burst(rate, account.burst());
-      limiter = AccountLimiter.create(burst / rate, amounts(share), clock.nanos());
-    }
-
-    private void apply(AccountRule account) {
-      if (rate != account.ratePerSecond()) {
-        start(account);
-        return;
-      }
-      if (decidedBy != peers) {
-        decidedBy = peers;
-        share = share(account, demand);
-        limiter.share(amounts(share), clock.nanos());
-      }
-    }
-
-    private static Amounts amounts(double tokens) {
-      return new Amounts(UNLIMITED, tokens, UNLIMITED);
-    }
+  /** Takes in which daemons may keep limits. */
+  public void daemons(Collection<String> names, Collection<AccountRule> accounts) {
+    limits.daemons(names, accounts);
   }
 }
--- a/relay/src/main/java/org/heatherspread/relay/call/OwnAnswer.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/OwnAnswer.java
@@ -20,6 +20,7 @@
   private final CallerAnswer answer;
   private String account = "";
   private double tokens;
+  private String decidedBy = "";
 
   OwnAnswer(RelayState state, String id, CallerRequest request, CallerAnswer answer) {
     this.state = state;
@@ -28,10 +29,11 @@
     this.answer = answer;
   }
 
-  /** Adds what the log line says of the account. */
-  void account(String name, double amount) {
+  /** Adds what the log line says of the account and of the daemon that decided on its limit. */
+  void account(String name, double amount, String by) {
     account = name;
     tokens = amount;
+    decidedBy = by;
   }
 
   /**
@@ -47,6 +49,7 @@
         .addKeyValue("status", reason.status())
         .addKeyValue("account", account)
         .addKeyValue("tokens", tokens)
+        .addKeyValue("decided_by", decidedBy)
         .addKeyValue("retry_after", retryAfterSeconds)
         .addKeyValue("target", request.target())
         .addKeyValue("config", state.config().map(config -> config.version()).orElse(-1L))
--- a/relay/src/main/java/org/heatherspread/relay/call/Relay.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/Relay.java
@@ -3,7 +3,6 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import org.heatherspread.core.placement.Workload;
 import org.heatherspread.core.serving.AccountRule;
 import org.heatherspread.core.serving.Route;
@@ -68,15 +67,31 @@
       return;
     }
     CallFacts facts = facts(id, request, config, route, account);
-    if (account.isPresent()) {
-      double amount = amount(account.get(), facts);
-      own.account(account.get().name(), amount);
-      OptionalDouble wait = state.accounts().admit(account.get(), amount);
-      if (wait.isPresent()) {
-        own.refuse(Refusal.ACCOUNT_LIMIT, wait.getAsDouble());
-        return;
-      }
+    if (account.isEmpty()) {
+      start(facts, needsKey, answer, own);
+      return;
     }
+    double amount = amount(account.get(), facts);
+    state
+        .accounts()
+        .admit(account.get(), amount)
+        .thenAccept(
+            admission -> {
+              own.account(account.get().name(), amount, admission.decidedBy());
+              admitted(admission, facts, answer, own);
+            });
+  }
+
+  private void admitted(
+      AccountGate.Admission admission, CallFacts facts, CallerAnswer answer, OwnAnswer own) {
+    if (admission.waitSeconds().isPresent()) {
+      own.refuse(Refusal.ACCOUNT_LIMIT, admission.waitSeconds().getAsDouble());
+      return;
+    }
+    start(facts, true, answer, own);
+  }
+
+  private void start(CallFacts facts, boolean needsKey, CallerAnswer answer, OwnAnswer own) {
     RelayCall.start(state, names, forwarding, facts, needsKey, answer, own);
   }
 
--- a/relay/src/main/java/org/heatherspread/relay/call/RelaySettings.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/RelaySettings.java
@@ -1,7 +1,5 @@
 package org.heatherspread.relay.call;
 
-import org.heatherspread.core.limit.LimitSlack;
-
 /**
  * Limits of the relay.
  *
@@ -9,11 +7,6 @@
  * @param retryRatio repeats allowed for each request of a service
  * @param retryWindowMillis window of the retry budget
  * @param retryExtra repeats allowed besides, by all daemons together in a window
- * @param slack by how much the limits of client accounts may be exceeded
  */
 public record RelaySettings(
-    long keyTrustMillis,
-    double retryRatio,
-    long retryWindowMillis,
-    double retryExtra,
-    LimitSlack slack) {}
+    long keyTrustMillis, double retryRatio, long retryWindowMillis, double retryExtra) {}
--- a/relay/src/main/java/org/heatherspread/relay/call/RelayState.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/RelayState.java
@@ -79,6 +79,7 @@
    * Creates the state of a daemon that knows nothing yet.
    *
    * @param moves null where runs cannot be moved
+   * @param accounts the limits of client accounts
    */
   public RelayState(
       EventLoop loop,
@@ -91,7 +92,8 @@
       CallMetrics metrics,
       UsageWindows usage,
       HealthPolicy health,
-      EngineMoves moves) {
+      EngineMoves moves,
+      AccountGate accounts) {
     this.loop = loop;
     this.clock = clock;
     this.random = random;
@@ -106,7 +108,7 @@
         CrashGuard.create(
             new PoisonLimits(POISON_CRASHES, POISON_MEMORY, POISON_CAPACITY),
             () -> Instant.ofEpochMilli(clock.millis()));
-    this.accounts = AccountGate.create(clock, settings.slack());
+    this.accounts = accounts;
     this.endpoints = EndpointTable.create(health, this::cacheTokens);
   }
 
--- a/relay/src/main/java/org/heatherspread/relay/caller/CallerAnswer.java
+++ b/relay/src/main/java/org/heatherspread/relay/caller/CallerAnswer.java
@@ -25,7 +25,7 @@
   /** Tells whether the caller reads as fast as parts are sent. */
   boolean writable();
 
-  /** Sets what to do when the caller leaves before the answer is complete. */
+  /** Sets what to do when the caller leaves before the answer is complete, or has left already. */
   void onGone(Runnable action);
 
   /** Sets what to do when the caller has caught up with the parts sent. */
--- a/relay/src/main/java/org/heatherspread/relay/caller/CallerConnection.java
+++ b/relay/src/main/java/org/heatherspread/relay/caller/CallerConnection.java
@@ -341,8 +341,8 @@
     }
     Answer open = answer;
     answer = null;
-    if (open != null && open.gone != null) {
-      open.gone.run();
+    if (open != null) {
+      open.left();
     }
   }
 
@@ -364,6 +364,7 @@
   /** The answer to the request in progress. */
   private final class Answer implements CallerAnswer {
     private Runnable gone;
+    private boolean left;
     private Runnable writableAgain;
 
     private boolean current() {
@@ -436,6 +437,16 @@
     @Override
     public void onGone(Runnable action) {
       gone = action;
+      if (left) {
+        action.run();
+      }
+    }
+
+    private void left() {
+      left = true;
+      if (gone != null) {
+        gone.run();
+      }
     }
 
     @Override
--- a/relay/src/test/java/org/heatherspread/relay/FakeEndpoint.java
+++ b/relay/src/test/java/org/heatherspread/relay/FakeEndpoint.java
@@ -148,15 +148,22 @@
     }
     Map<String, String> headers = new TreeMap<>();
     String header = line(in);
-    while (header != null && !header.isEmpty()) {
+    while (header == null || !header.isEmpty()) {
+      if (header == null) {
+        // The connection ended within the head: this is no request.
+        return null;
+      }
       int colon = header.indexOf(':');
       String name = header.substring(0, colon).toLowerCase(Locale.ROOT);
       headers.put(name, header.substring(colon + 1).trim());
       header = line(in);
     }
     int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
-    String body = new String(in.readNBytes(length), StandardCharsets.UTF_8);
-    return new Request(line, headers, body);
+    byte[] body = in.readNBytes(length);
+    if (body.length < length) {
+      return null;
+    }
+    return new Request(line, headers, new String(body, StandardCharsets.UTF_8));
   }
 
   private static String line(InputStream in) throws IOException {
@@ -168,7 +175,7 @@
       }
       next = in.read();
     }
-    return next < 0 && line.size() == 0 ? null : line.toString(StandardCharsets.UTF_8);
+    return next < 0 ? null : line.toString(StandardCharsets.UTF_8);
   }
 
   private static void daemon(Runnable work) {
--- a/relay/src/test/java/org/heatherspread/relay/RelayRig.java
+++ b/relay/src/test/java/org/heatherspread/relay/RelayRig.java
@@ -13,10 +13,13 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.heatherspread.core.engine.EngineMoves;
 import org.heatherspread.core.freshness.StoreContact;
 import org.heatherspread.core.freshness.TrueTime;
+import org.heatherspread.core.limit.KeptLimits;
+import org.heatherspread.core.limit.LimitPeers;
 import org.heatherspread.core.limit.LimitSlack;
 import org.heatherspread.core.routing.HealthPolicy;
 import org.heatherspread.core.serving.AccountRule;
@@ -32,6 +35,7 @@
 import org.heatherspread.core.store.SharedReading;
 import org.heatherspread.core.time.MonotonicClock;
 import org.heatherspread.core.usage.UsageWindows;
+import org.heatherspread.relay.call.AccountGate;
 import org.heatherspread.relay.call.CallMetrics;
 import org.heatherspread.relay.call.Relay;
 import org.heatherspread.relay.call.RelayHeaders;
@@ -46,6 +50,9 @@
   /** The account's key. */
   public static final String KEY = "key-1";
 
+  /** Name of the daemon that the relay belongs to. */
+  public static final String SELF = "self";
+
   private static final Optional<EngineRule> ENGINE =
       Optional.of(new EngineRule(6, 10_000, 1, true));
   private static final HostPort ANY = new HostPort("127.0.0.1", 0);
@@ -70,22 +77,24 @@
   private final StoreContact contact;
   private final CallerServer server;
 
-  private RelayRig(EngineMoves moves) throws Exception {
+  private RelayRig(EngineMoves moves, LimitPeers peers) throws Exception {
     MonotonicClock clock = MonotonicClock.system();
+    KeptLimits limits = KeptLimits.create(SELF, clock, new LimitSlack(8, 0, 0));
     contact = StoreContact.create(clock, InstantSource.system());
     state =
         new RelayState(
             loop,
             clock,
             new SplittableRandom(1),
-            new RelaySettings(4_000, 0.2, 10_000, 100, new LimitSlack(8, 0, 0)),
+            new RelaySettings(4_000, 0.2, 10_000, 100),
             contact,
             TrueTime.create(contact),
             ConnectionPool.create(loop, clock, new PoolSettings(500, 4_000), "Attempt-Id"),
             CallMetrics.create(new SimpleMeterRegistry()),
             UsageWindows.create(5_000, 6),
             HealthPolicy.defaults(),
-            moves);
+            moves,
+            AccountGate.create(limits, peers));
     server = CallerServer.create(loop, clock, state::limits, Relay.create(state, NAMES));
     server.listen(ANY);
   }
@@ -97,8 +106,20 @@
 
   /** Starts the same relay with a way to move runs. */
   public static RelayRig start(EngineMoves moves) throws Exception {
-    RelayRig rig = new RelayRig(moves);
-    rig.onLoop(state -> state.offer(config(1, 1_000_000)));
+    return start(
+        moves,
+        (daemon, account, amount) ->
+            CompletableFuture.failedFuture(new IllegalStateException("no other daemons")),
+        SELF);
+  }
+
+  /** Starts the same relay whose limits are kept by a daemon. */
+  public static RelayRig start(EngineMoves moves, LimitPeers peers, String keeper)
+      throws Exception {
+    RelayRig rig = new RelayRig(moves, peers);
+    ServingConfig config = config(1, 1_000_000);
+    rig.onLoop(state -> state.offer(config));
+    rig.onLoop(state -> state.accounts().daemons(List.of(keeper), config.accounts()));
     rig.heardStore();
     return rig;
   }
