--- /dev/null
+++ b/node/src/test/java/org/heatherspread/node/soak/FaultProxy.java
@@ -0,0 +1,157 @@
+package org.heatherspread.node.soak;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * A TCP proxy on loopback between two programs, which harms the connections through it. Safe for
+ * use by any thread.
+ */
+final class FaultProxy implements AutoCloseable {
+  private static final int BUFFER_BYTES = 8_192;
+  private static final int POLL_MILLIS = 20;
+
+  /** What happens to bytes on their way. */
+  enum Mode {
+    /** Bytes pass. */
+    PASS,
+    /** Bytes pass after a delay. */
+    DELAY,
+    /** Nothing passes in either direction, and connections stay open. */
+    SILENT,
+    /** Nothing passes to the server; its answers do. */
+    CUT_TO_SERVER,
+    /** Requests pass; nothing comes back. */
+    CUT_TO_CLIENT,
+    /** New connections are closed at once. */
+    REFUSE
+  }
+
+  private final ServerSocket listener;
+  private final int target;
+  private final long delayMillis;
+  private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+  private volatile Mode mode = Mode.PASS;
+
+  private FaultProxy(ServerSocket listener, int target, long delayMillis) {
+    this.listener = listener;
+    this.target = target;
+    this.delayMillis = delayMillis;
+  }
+
+  /**
+   * Starts a proxy.
+   *
+   * @param target port of the server behind it
+   * @param delayMillis delay of bytes in mode {@link Mode#DELAY}
+   */
+  static FaultProxy start(int target, long delayMillis) throws IOException {
+    ServerSocket listener = new ServerSocket(0, 200, InetAddress.getByName("127.0.0.1"));
+    FaultProxy proxy = new FaultProxy(listener, target, delayMillis);
+    Threads.start("proxy-" + target, proxy::accept);
+    return proxy;
+  }
+
+  int port() {
+    return listener.getLocalPort();
+  }
+
+  void mode(Mode next) {
+    mode = next;
+  }
+
+  /** Resets all connections that are open now. */
+  void reset() {
+    for (Socket socket : sockets) {
+      try {
+        socket.setSoLinger(true, 0);
+        socket.close();
+      } catch (IOException e) {
+        // Closed by its own end in the meantime.
+        sockets.remove(socket);
+      }
+    }
+  }
+
+  private void accept() {
+    while (!listener.isClosed()) {
+      try {
+        Socket client = listener.accept();
+        if (mode == Mode.REFUSE) {
+          client.close();
+          continue;
+        }
+        Threads.start("proxied-" + target, () -> connect(client));
+      } catch (IOException e) {
+        return;
+      }
+    }
+  }
+
+  private void connect(Socket client) {
+    try (client;
+        Socket server = new Socket("127.0.0.1", target)) {
+      client.setTcpNoDelay(true);
+      server.setTcpNoDelay(true);
+      sockets.add(client);
+      sockets.add(server);
+      Thread back = Threads.start("back-" + target, () -> copy(server, client, Mode.CUT_TO_CLIENT));
+      copy(client, server, Mode.CUT_TO_SERVER);
+      back.join();
+    } catch (IOException e) {
+      // The server does not listen, or one end has closed: so does the other.
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    } finally {
+      sockets.remove(client);
+    }
+  }
+
+  private void copy(Socket from, Socket to, Mode cut) {
+    byte[] buffer = new byte[BUFFER_BYTES];
+    try {
+      InputStream in = from.getInputStream();
+      OutputStream out = to.getOutputStream();
+      int read = in.read(buffer);
+      while (read >= 0) {
+        if (mode == Mode.DELAY) {
+          TimeUnit.MILLISECONDS.sleep(delayMillis);
+        }
+        while (mode == Mode.SILENT || mode == cut) {
+          TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
+        }
+        out.write(buffer, 0, read);
+        read = in.read(buffer);
+      }
+    } catch (IOException e) {
+      // One end has closed or was reset: so is the other, below.
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    } finally {
+      close(from);
+      close(to);
+    }
+  }
+
+  private void close(Socket socket) {
+    sockets.remove(socket);
+    try {
+      socket.close();
+    } catch (IOException e) {
+      // Nothing is left to close.
+    }
+  }
+
+  @Override
+  public void close() throws IOException {
+    listener.close();
+    reset();
+  }
+}
--- /dev/null
+++ b/node/src/test/java/org/heatherspread/node/soak/SoakDaemon.java
@@ -0,0 +1,142 @@
+package org.heatherspread.node.soak;
+
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.heatherspread.node.NodeMain;
+
+/**
+ * One daemon as a process of its own, behind a proxy to the store. Started processes are ended by
+ * their ids only. Confined to the thread that injects faults.
+ */
+final class SoakDaemon implements AutoCloseable {
+  private static final String SETTINGS =
+      """
+      [daemon]
+      name = "%s"
+      domain = "%s"
+      [listen]
+      callers = "127.0.0.1:%d"
+      readiness = "127.0.0.1:%d"
+      directory = "127.0.0.1:%d"
+      metrics = "127.0.0.1:%d"
+      peers = "127.0.0.1:%d"
+      [store]
+      address = "127.0.0.1:%d"
+      [cloud]
+      address = "127.0.0.1:%d"
+      [bounds]
+      grace = "%dms"
+      usage_window = "1s"
+      usage_due = "4s"
+      """;
+
+  private final String name;
+  private final Path folder;
+  private final Path file;
+  private final int callers = freePort();
+  private final int directory = freePort();
+  private final FaultProxy store;
+  private Process process;
+  private boolean expectedToRun;
+  private int lives;
+
+  SoakDaemon(String name, String domain, Path folder, int storePort, long graceMillis)
+      throws IOException {
+    this.name = name;
+    this.folder = folder;
+    this.store = FaultProxy.start(storePort, 150);
+    this.file = folder.resolve(name + ".toml");
+    Files.writeString(
+        file,
+        SETTINGS.formatted(
+            name,
+            domain,
+            callers,
+            freePort(),
+            directory,
+            freePort(),
+            freePort(),
+            store.port(),
+            store.port(),
+            graceMillis));
+  }
+
+  private static int freePort() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0)) {
+      return socket.getLocalPort();
+    }
+  }
+
+  String name() {
+    return name;
+  }
+
+  int callers() {
+    return callers;
+  }
+
+  int directory() {
+    return directory;
+  }
+
+  /** Returns the proxy between this daemon and the store. */
+  FaultProxy store() {
+    return store;
+  }
+
+  void start() throws IOException {
+    lives++;
+    Path log = folder.resolve(name + "." + lives + ".log");
+    process =
+        new ProcessBuilder(
+                List.of(
+                    Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                    "-Xmx96m",
+                    "-XX:+UseSerialGC",
+                    "-XX:TieredStopAtLevel=1",
+                    "-cp",
+                    System.getProperty("java.class.path"),
+                    NodeMain.class.getName(),
+                    "--config",
+                    file.toString()))
+            .redirectErrorStream(true)
+            .redirectOutput(log.toFile())
+            .start();
+    expectedToRun = true;
+  }
+
+  /** Tells whether the process ended although nobody ended it. */
+  boolean endedByItself() {
+    return expectedToRun && !process.isAlive();
+  }
+
+  /** Kills the process and waits for its end. */
+  void kill() throws InterruptedException {
+    expectedToRun = false;
+    process.destroyForcibly().waitFor();
+  }
+
+  /** Asks the process to stop; false if it is still there after the time given. */
+  boolean terminate(long withinMillis) throws InterruptedException {
+    expectedToRun = false;
+    process.destroy();
+    return process.waitFor(withinMillis, TimeUnit.MILLISECONDS);
+  }
+
+  /** Sends a signal such as {@code STOP} to the process. */
+  void signal(String signal) throws IOException, InterruptedException {
+    new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
+  }
+
+  @Override
+  public void close() throws IOException {
+    if (process != null) {
+      process.destroyForcibly();
+    }
+    store.close();
+  }
+}
