Count demand daemon by daemon and as offered; keep reclaimable endpoints in a wave; expect lines

Three faults of the estimate: a reading counted only the daemons that had reported since the last one (at 77 daemons about a third); work was priced for a batch of 40 where endpoints have 24 places, without attention over long prompts; refused requests did not count.

Change: DemandMeter keeps a rate for each daemon; work is counted once a request, whether or not it is let in; EndpointPlan gives no reclaimable endpoint up in a wave; EnginePace knows places and pairs; a refusal counts as a wait there. Daemons that are no candidates look at the lease less often in large fleets. Each of the four changes has a test that failed before it.

--- a/core/src/main/java/org/heatherspread/core/capacity/EndpointPlan.java
+++ b/core/src/main/java/org/heatherspread/core/capacity/EndpointPlan.java
@@ -15,7 +15,8 @@
  * <p>Answers reclaims that take all reclaimable endpoints of a domain at once while no others are
  * to be had there: reclaimable endpoints are spread over the domains that have some to give;
  * lasting ones make up what is missing from the notice on, and are given up only when reclaimable
- * ones serve again. No domain falls below its minimum. Stateless.
+ * ones serve again. While reclaims come in a wave, no reclaimable endpoint is given up, as it could
+ * not be had again. No domain falls below its minimum. Stateless.
  */
 public final class EndpointPlan {
   /** Part of the required endpoints that should be lasting ones while reclaims come in a wave. */
@@ -75,7 +76,9 @@
     int total = 0;
     for (Map.Entry<String, Double> domain : domains) {
       DomainState state = states.get(domain.getKey());
-      int count = state.reclaimableToBeHad() ? rule.minimum() : state.reclaimable();
+      boolean keep = need.wave() || !state.reclaimableToBeHad();
+      int count = keep ? state.reclaimable() : rule.minimum();
+      count = state.reclaimableToBeHad() ? Math.max(rule.minimum(), count) : count;
       counts.put(domain.getKey(), count);
       total += count;
     }
--- a/core/src/main/java/org/heatherspread/core/placement/EngineChooser.java
+++ b/core/src/main/java/org/heatherspread/core/placement/EngineChooser.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
+import org.heatherspread.core.fleet.EndpointLoad;
 
 /**
  * Places a model request where its first token is expected soonest, counting what it costs the
@@ -66,10 +67,15 @@
 
   /** Returns the time to the first token at an endpoint by what is known to be waiting there. */
   public double expectedMillis(TrackedEndpoint endpoint, Workload work) {
-    long uncached = Math.max(0, work.promptTokens() - endpoint.cachedTokens(work));
-    double prefill = pace.prefillMillis(endpoint.load().promptTokens() + uncached);
-    double step = pace.stepMillis(endpoint.load().running() + 1);
-    return (pace.firstMillis() + prefill + step) * Math.max(1, endpoint.slowness());
+    long cached = Math.min(work.promptTokens(), endpoint.cachedTokens(work));
+    EndpointLoad load = endpoint.load();
+    int slots = endpoint.registration().slots();
+    double waiting = pace.prefillMillis(load.promptTokens());
+    double prefill = pace.prefillMillis(work.promptTokens() - cached, cached);
+    double step = pace.stepMillis(Math.min(slots, load.running() + 1));
+    double place = pace.placeMillis(load.running(), slots);
+    return (pace.firstMillis() + waiting + prefill + step + place)
+        * Math.max(1, endpoint.slowness());
   }
 
   private double cost(
--- a/core/src/main/java/org/heatherspread/core/placement/TrackedEndpoint.java
+++ b/core/src/main/java/org/heatherspread/core/placement/TrackedEndpoint.java
@@ -18,6 +18,9 @@
   /** Time in which what was seen of a line loses most of its meaning. */
   private static final double WAIT_FADE_MILLIS = 800;
 
+  /** Wait that a refusal stands for, about that of a line which an endpoint no longer takes. */
+  private static final double REFUSED_MILLIS = 1_500;
+
   private final EndpointHealth health;
   private final HeldParts held;
   private RegisteredEndpoint registration;
@@ -173,6 +176,12 @@
       end();
     }
 
+    /** Notes that the endpoint stated that it did not run the request, as it is full. */
+    public void refused(long nowMillis) {
+      observeWait(REFUSED_MILLIS, nowMillis);
+      end();
+    }
+
     /** Notes that the request ended, by whatever cause. */
     public void end() {
       if (ended) {
--- a/core/src/test/java/org/heatherspread/core/capacity/DemandMeterTest.java
+++ b/core/src/test/java/org/heatherspread/core/capacity/DemandMeterTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.HashMap;
 import java.util.Map;
 import org.heatherspread.core.capacity.DemandMeter.Total;
 import org.junit.jupiter.api.Test;
@@ -41,6 +42,21 @@
     assertThat(meter.busyEndpoints()).isEqualTo(before);
   }
 
+  /**
+   * Each of many daemons reports at a moment of its own, so that each reading holds few new ones.
+   */
+  @Test
+  void countsDaemonsThatHaveNotReportedSinceTheLastReading() {
+    int daemons = 30;
+    Map<String, Total> samples = new HashMap<>();
+    for (long millis = 0; millis <= 20_000; millis += 100) {
+      int reporting = (int) (millis / 100 % daemons);
+      samples.put("d" + reporting, new Total(0.5 * millis, millis));
+      meter.sample(samples);
+    }
+    assertThat(meter.busyEndpoints()).isBetween(14.0, 16.0);
+  }
+
   /** A daemon that started again counts from zero; that is not negative work. */
   @Test
   void ignoresTotalsOfDaemonsThatStartedAgain() {
--- a/core/src/test/java/org/heatherspread/core/capacity/EndpointPlanTest.java
+++ b/core/src/test/java/org/heatherspread/core/capacity/EndpointPlanTest.java
@@ -83,6 +83,15 @@
         .containsEntry("c!", 2);
   }
 
+  /** While domains are reclaimed one after the other, what is given up cannot be had again. */
+  @Test
+  void givesNoReclaimableEndpointUpDuringReclaims() {
+    DomainState three = new DomainState(0, 3, true);
+    assertThat(orders(new Need(3, 3, true), three, three, DRY))
+        .containsEntry("a", 3)
+        .containsEntry("b", 3);
+  }
+
   @Test
   void holdsLastingEndpointsInReserveDuringReclaims() {
     DomainState two = new DomainState(0, 2, true);
--- a/core/src/test/java/org/heatherspread/core/placement/EngineChooserTest.java
+++ b/core/src/test/java/org/heatherspread/core/placement/EngineChooserTest.java
@@ -66,6 +66,40 @@
     assertThat(counts).hasSizeGreaterThan(2);
   }
 
+  /** Requests beyond the batch wait for places; a caller's request must not join a long line. */
+  @Test
+  void expectsToWaitForPlacesBehindFullBatches() {
+    EndpointTable table = table(1);
+    double idle = expected(table);
+    table.others(Map.of("e0", new EndpointLoad(90, 0)));
+    double busy = expected(table);
+    table.others(Map.of("e0", new EndpointLoad(96 + 48, 0)));
+    assertThat(busy).isLessThan(idle + 20);
+    assertThat(expected(table)).isGreaterThan(idle + 500);
+  }
+
+  private double expected(EndpointTable table) {
+    return chooser.choose(table.of("s"), prompt(1, 1), Set.of(), 0, random).get().expectedMillis();
+  }
+
+  /** An endpoint that has just refused is full, whatever was reported of it. */
+  @Test
+  void avoidsEndpointsThatJustRefused() {
+    EndpointTable table = table(2);
+    Workload work = new Workload(List.of(), 200, 100);
+    for (int i = 0; i < 20; i++) {
+      var choice = chooser.choose(table.of("s"), work, Set.of(), 0, random).get();
+      if (choice.endpoint().id().equals("e0")) {
+        choice.endpoint().start(work).refused(0);
+      }
+    }
+    List<String> chosen = new ArrayList<>();
+    for (int i = 0; i < 20; i++) {
+      chosen.add(choose(table, work));
+    }
+    assertThat(chosen).containsOnly("e1");
+  }
+
   @Test
   void countsTheLoadThatOtherDaemonsReported() {
     EndpointTable table = table(2);
--- a/node/src/main/java/org/heatherspread/node/control/Control.java
+++ b/node/src/main/java/org/heatherspread/node/control/Control.java
@@ -271,13 +271,26 @@
     list.add(new CleanupDuty(state, fleet, store));
     list.add(new CapacityDuty(state, fleet, calls, settings.name()));
     WakeGuard guard = new WakeGuard(state.clock(), Clock.systemUTC());
-    return DutyKeeper.create(lease, this::rank, list, guard);
+    return DutyKeeper.create(lease, new Rank(), list, guard);
   }
 
   private Duration interval() {
     return PACE.interval(state.daemonCount());
   }
 
+  /** This daemon's place by name among those that reported lately. */
+  private final class Rank implements DutyKeeper.Rank {
+    @Override
+    public int rank() {
+      return Control.this.rank();
+    }
+
+    @Override
+    public int daemons() {
+      return state.daemonCount();
+    }
+  }
+
   private int rank() {
     List<String> names = new ArrayList<>();
     for (DaemonReport daemon :
--- a/node/src/main/java/org/heatherspread/node/control/DutyKeeper.java
+++ b/node/src/main/java/org/heatherspread/node/control/DutyKeeper.java
@@ -24,8 +24,12 @@
   /** Daemons that look at the lease all the time; the others do now and then. */
   private static final int CANDIDATES = 2;
 
+  /** Ticks after which the others look at the lease in a small fleet. */
   private static final int SKIP = 20;
 
+  /** Ticks more for each daemon, so that all looks together stay at one a second or so. */
+  private static final int SKIP_PER_DAEMON = 5;
+
   /** What the actor is told. */
   enum Command {
     /** Do what is due. */
@@ -50,6 +54,9 @@
   interface Rank {
     /** Returns the place, 0 for the first. */
     int rank();
+
+    /** Returns how many daemons there are. */
+    int daemons();
   }
 
   private final LeaseKeeper lease;
@@ -108,7 +115,7 @@
       }
     }
     int place = rank.rank();
-    if (held || place < CANDIDATES || ++skipped >= SKIP) {
+    if (held || place < CANDIDATES || ++skipped >= SKIP + SKIP_PER_DAEMON * rank.daemons()) {
       skipped = 0;
       lease.step(place);
     }
--- a/relay/src/main/java/org/heatherspread/relay/call/Attempt.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/Attempt.java
@@ -11,7 +11,6 @@
 import java.util.concurrent.TimeUnit;
 import org.heatherspread.core.engine.EngineMoves;
 import org.heatherspread.core.placement.EndpointChooser.Choice;
-import org.heatherspread.core.placement.EnginePace;
 import org.heatherspread.core.placement.TrackedEndpoint;
 import org.heatherspread.core.retry.RetryReason;
 import org.heatherspread.core.serving.CallKind;
@@ -35,8 +34,6 @@
 final class Attempt implements ConnectionPool.Receiver, Exchange, RelayState.Movable {
   private static final Logger log = LoggerFactory.getLogger(Attempt.class);
 
-  private static final EnginePace PACE = EnginePace.defaults();
-
   private static final int MAX_EVENT_BYTES = 1 << 20;
 
   private static final int MAX_ANSWER_BYTES = 8 << 20;
@@ -93,10 +90,6 @@
     this.endpoint = choice.endpoint();
     this.baseMillis = choice.baseMillis();
     this.run = endpoint.start(facts.work());
-    if (facts.work().promptTokens() > 0) {
-      state.addWork(
-          facts.service(), PACE.workMillis(run.uncachedTokens(), facts.work().answerTokens()));
-    }
   }
 
   String endpointId() {
@@ -425,7 +418,7 @@
   }
 
   private void refused() {
-    run.end();
+    run.refused(state.clock().millis());
     close();
     progress.mayHaveRun -= copy == null ? 1 : 0;
     progress.refusals++;
--- a/relay/src/main/java/org/heatherspread/relay/call/RelayCall.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/RelayCall.java
@@ -7,7 +7,9 @@
 import java.util.concurrent.TimeUnit;
 import org.heatherspread.core.admission.OverloadGate;
 import org.heatherspread.core.placement.EndpointChooser.Choice;
+import org.heatherspread.core.placement.EnginePace;
 import org.heatherspread.core.placement.TrackedEndpoint;
+import org.heatherspread.core.placement.Workload;
 import org.heatherspread.core.retry.RetryReason;
 import org.heatherspread.relay.caller.CallerAnswer;
 import org.slf4j.Logger;
@@ -36,6 +38,11 @@
   /** Most endpoints that may refuse a request before the caller is told to come back. */
   private static final int MAX_REFUSALS = 3;
 
+  private static final EnginePace PACE = EnginePace.defaults();
+
+  /** Requests in a full batch where no endpoint is known. */
+  private static final int USUAL_SLOTS = 24;
+
   private final RelayState state;
   private final RelayHeaders names;
   private final Forwarding forwarding;
@@ -48,6 +55,7 @@
   private Attempt current;
   private final CallProgress progress = new CallProgress();
   private boolean done;
+  private boolean demanded;
   private long expectedMillis = -1;
 
   private RelayCall(
@@ -98,6 +106,7 @@
             .chooser(facts.service())
             .choose(
                 state.endpoints().of(facts.service()), facts.work(), tried, now, state.random());
+    noteDemand(choice);
     if (choice.isEmpty()) {
       giveUp(progress.refusals > 0 ? Refusal.REFUSED_BY_ENDPOINTS : Refusal.NO_ENDPOINT);
       return;
@@ -114,6 +123,20 @@
     send(choice.get(), null);
   }
 
+  /** Counts the work that the request asks for, once, whether or not it is let in. */
+  private void noteDemand(Optional<Choice> choice) {
+    if (demanded || !engineWork()) {
+      return;
+    }
+    demanded = true;
+    Workload work = facts.work();
+    int cached = choice.map(found -> found.endpoint().cachedTokens(work)).orElse(0);
+    int uncached = Math.max(0, work.promptTokens() - cached);
+    int slots = choice.map(found -> found.endpoint().registration().slots()).orElse(USUAL_SLOTS);
+    double millis = PACE.workMillis(work.promptTokens(), uncached, work.answerTokens(), slots);
+    state.addWork(facts.service(), millis);
+  }
+
   /**
    * Sends the request to an endpoint.
    *
