Tell evidence of crashes only where it was found; do the duties that are assigned; spare the reader

Left from before: CrashGuard kept a copy of the ledger's entries without bound and every daemon told again what it had heard, so evidence never expired; it now follows from the ledger, and each daemon tells what it found itself (CrashGuardTest). cloud.duties was read and unused: it now decides which duties are done. bounds.endpoint_drain was read and unused and is gone.

The reader of a failure domain was distrusted for 3 s when changes were too large to pass on or when it did not yet know that it is the reader (log of Oberland grown: 72 answers 413 at once, 76 answers 409 at the start). The first now says nothing of it, the second 1 s (RelayedStoreTest). Endpoint changes gather for 150 ms outside such domains, as each of the 60 registrations at the start woke every daemon.

--- a/core/src/main/java/org/heatherspread/core/poison/PoisonLedger.java
+++ b/core/src/main/java/org/heatherspread/core/poison/PoisonLedger.java
@@ -64,6 +64,12 @@
     return false;
   }
 
+  /** Returns what is known of a request, empty if nothing is or it was forgotten. */
+  public synchronized Optional<Evidence> find(String fingerprint) {
+    forgetOld();
+    return Optional.ofNullable(entries.get(fingerprint)).map(Entry::evidence);
+  }
+
   /**
    * Tells whether the next finding may condemn the request: its endpoint was lost a moment ago, and
    * if that was a crash it is one too many.
--- a/node/src/main/java/org/heatherspread/node/control/Control.java
+++ b/node/src/main/java/org/heatherspread/node/control/Control.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.UUID;
 import java.util.function.Supplier;
 import org.apache.pekko.actor.BootstrapSetup;
@@ -51,6 +52,9 @@
 
   private static final Duration ENDPOINT_WAIT = Duration.ofMillis(2_000);
 
+  /** Pause after an answer about endpoints, in which changes gather. */
+  private static final Duration ENDPOINT_PAUSE = Duration.ofMillis(150);
+
   /**
    * Wait for changes where one daemon reads for its failure domain, short enough that the others
    * notice within about a second when it has lost the store.
@@ -208,7 +212,7 @@
         new TableWatcher.Plan(
             PlatformTables.ENDPOINTS,
             () -> relayed(RELAYED_WAIT, ENDPOINT_WAIT),
-            () -> relayed(RELAYED_PAUSE, Duration.ZERO),
+            () -> relayed(RELAYED_PAUSE, ENDPOINT_PAUSE),
             WHOLE_EVERY),
         ownContact(),
         endpoints);
@@ -257,19 +261,24 @@
     Supplier<String> ids = () -> UUID.randomUUID().toString();
     lease =
         LeaseKeeper.create("duties", settings.name() + '/' + life, LEASE, rows, state.clock(), ids);
+    Set<NodeSettings.Duty> assigned = settings.duties();
     List<DutyKeeper.Duty> list = new ArrayList<>();
-    list.add(
-        new UsageDuty(
-            state,
-            fleet,
-            rows,
-            calls,
-            lease,
-            settings.name(),
-            settings.bounds().usageDue().toMillis(),
-            ids));
+    if (assigned.contains(NodeSettings.Duty.USAGE_REPORTING)) {
+      list.add(
+          new UsageDuty(
+              state,
+              fleet,
+              rows,
+              calls,
+              lease,
+              settings.name(),
+              settings.bounds().usageDue().toMillis(),
+              ids));
+    }
+    if (assigned.contains(NodeSettings.Duty.AUTOSCALING)) {
+      list.add(new CapacityDuty(state, fleet, calls, settings.name()));
+    }
     list.add(new CleanupDuty(state, fleet, store));
-    list.add(new CapacityDuty(state, fleet, calls, settings.name()));
     WakeGuard guard = new WakeGuard(state.clock(), Clock.systemUTC());
     return DutyKeeper.create(lease, new Rank(), list, guard);
   }
--- a/node/src/main/java/org/heatherspread/node/peer/PeerClient.java
+++ b/node/src/main/java/org/heatherspread/node/peer/PeerClient.java
@@ -35,7 +35,6 @@
   /** Longest wait for loads, below the time between two exchanges. */
   private static final Duration LOADS_TIMEOUT = Duration.ofMillis(200);
 
-  private static final int GONE = 410;
   private static final byte[] EMPTY = new byte[0];
 
   private final Function<HostPort, RpcClient> factory;
@@ -71,7 +70,7 @@
     return call(daemon, HttpMethod.GET, target, EMPTY, CHANGES_TIMEOUT.plus(wait))
         .thenApply(
             reply -> {
-              if (reply.status() == GONE) {
+              if (reply.status() == PeerFormat.GONE) {
                 throw new SharedStore.HistoryLostException(table);
               }
               return PeerFormat.readReading(ok(daemon, reply).body());
@@ -104,8 +103,13 @@
 
   private static RpcReply ok(String daemon, RpcReply reply) {
     if (!reply.ok()) {
-      throw ServingException.of(
-          ErrorKind.STORE_UNAVAILABLE, "daemon " + daemon + " answered " + reply.status());
+      ErrorKind kind =
+          switch (reply.status()) {
+            case PeerFormat.NOT_THE_READER -> ErrorKind.NOT_READY;
+            case PeerFormat.TOO_LARGE -> ErrorKind.BODY_TOO_LARGE;
+            default -> ErrorKind.STORE_UNAVAILABLE;
+          };
+      throw ServingException.of(kind, "daemon " + daemon + " answered " + reply.status());
     }
     return reply;
   }
--- a/node/src/main/java/org/heatherspread/node/peer/PeerFormat.java
+++ b/node/src/main/java/org/heatherspread/node/peer/PeerFormat.java
@@ -33,6 +33,15 @@
   /** Path on which the loads of a failure domain are asked for. */
   static final String DOMAIN_LOADS = "/v1/domain-loads";
 
+  /** Status of an answer by a daemon that does not read for its failure domain. */
+  static final int NOT_THE_READER = 409;
+
+  /** Status of an answer by a daemon that does not know all changes asked for. */
+  static final int GONE = 410;
+
+  /** Status where the changes are too large to be passed on. */
+  static final int TOO_LARGE = 413;
+
   private static final ObjectMapper MAPPER = new ObjectMapper();
 
   private PeerFormat() {}
--- a/node/src/main/java/org/heatherspread/node/peer/PeerHandler.java
+++ b/node/src/main/java/org/heatherspread/node/peer/PeerHandler.java
@@ -24,9 +24,6 @@
   private static final int OK = 200;
   private static final int BAD_REQUEST = 400;
   private static final int NOT_FOUND = 404;
-  private static final int NOT_THE_READER = 409;
-  private static final int GONE = 410;
-  private static final int TOO_LARGE = 413;
   private static final int UNAVAILABLE = 503;
 
   /** Longest time for which a question is held, in milliseconds. */
@@ -112,7 +109,7 @@
       return;
     }
     if (!reader.getAsBoolean()) {
-      whole(answer, NOT_THE_READER, EMPTY);
+      whole(answer, PeerFormat.NOT_THE_READER, EMPTY);
       return;
     }
     long after = Long.parseLong(query.get("after").get(0));
@@ -124,11 +121,11 @@
     if (found instanceof MirroredTable.Unreachable) {
       whole(answer, UNAVAILABLE, EMPTY);
     } else if (found instanceof MirroredTable.HistoryLost) {
-      whole(answer, GONE, EMPTY);
+      whole(answer, PeerFormat.GONE, EMPTY);
     } else if (found instanceof MirroredTable.Found changes) {
       byte[] body = PeerFormat.writeReading(changes.reading());
       boolean fits = body.length <= MAX_BYTES;
-      whole(answer, fits ? OK : TOO_LARGE, fits ? body : EMPTY);
+      whole(answer, fits ? OK : PeerFormat.TOO_LARGE, fits ? body : EMPTY);
     }
   }
 
--- a/node/src/main/java/org/heatherspread/node/peer/RelayedStore.java
+++ b/node/src/main/java/org/heatherspread/node/peer/RelayedStore.java
@@ -35,6 +35,9 @@
   /** Time for which a reader that failed is not asked again, in milliseconds. */
   private static final long DISTRUST_MILLIS = 3_000;
 
+  /** The same for a daemon that does not yet know that it is the reader, about a reading. */
+  private static final long NOT_READY_MILLIS = 1_000;
+
   private final SharedStore store;
   private final Supplier<Optional<String>> reader;
   private final Changes changes;
@@ -109,8 +112,8 @@
   }
 
   private void distrust(String daemon, String table, Throwable failure) {
-    distrustUntilMillis = clock.millis() + DISTRUST_MILLIS;
     Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+    distrustUntilMillis = clock.millis() + distrustMillis(cause);
     log.atInfo()
         .addKeyValue("table", table)
         .addKeyValue("reader", daemon)
@@ -118,6 +121,23 @@
         .log("changes are read from the store itself");
   }
 
+  /**
+   * Returns how long the reader is not asked; what it only could not pass on says nothing of it.
+   */
+  private static long distrustMillis(Throwable cause) {
+    if (cause instanceof HistoryLostException) {
+      return 0;
+    }
+    if (cause instanceof ServingException told) {
+      return switch (told.kind()) {
+        case BODY_TOO_LARGE -> 0;
+        case NOT_READY -> NOT_READY_MILLIS;
+        default -> DISTRUST_MILLIS;
+      };
+    }
+    return DISTRUST_MILLIS;
+  }
+
   @Override
   public CompletableFuture<Void> write(
       String table, Map<String, byte[]> puts, List<String> deletes) {
--- a/node/src/main/java/org/heatherspread/node/settings/NodeSettings.java
+++ b/node/src/main/java/org/heatherspread/node/settings/NodeSettings.java
@@ -2,7 +2,8 @@
 
 import java.nio.file.Path;
 import java.time.Duration;
-import java.util.List;
+import java.util.EnumSet;
+import java.util.Set;
 import org.heatherspread.core.serving.HostPort;
 import org.heatherspread.settings.Section;
 import org.heatherspread.settings.SettingsReader;
@@ -20,7 +21,7 @@
  * @param linkMbps bandwidth of this instance's link in Mbit/s, 0 if not known
  * @param store the shared store
  * @param cloud the cloud calls; empty text where no duty is assigned
- * @param duties names of the duties assigned
+ * @param duties the duties assigned
  * @param bounds the deployment's time limits and ratios
  */
 public record NodeSettings(
@@ -34,15 +35,22 @@
     double linkMbps,
     HostPort store,
     String cloud,
-    List<String> duties,
+    Set<Duty> duties,
     Bounds bounds) {
 
+  /** A duty of one daemon at a time; its name in lower case is its name in settings. */
+  public enum Duty {
+    /** Reports what client accounts used. */
+    USAGE_REPORTING,
+    /** Orders endpoints. */
+    AUTOSCALING
+  }
+
   /**
    * Time limits and ratios that the deployment states.
    *
    * @param revocation time after which a revoked key must not work
    * @param grace time from SIGTERM to SIGKILL
-   * @param endpointDrain time within which a leaving endpoint gets no more work
    * @param retryRatio repeats allowed for each request
    * @param retryExtra repeats allowed besides in a window, by all daemons together
    * @param retryWindow window of the retry budget
@@ -56,7 +64,6 @@
   public record Bounds(
       Duration revocation,
       Duration grace,
-      Duration endpointDrain,
       double retryRatio,
       int retryExtra,
       Duration retryWindow,
@@ -103,7 +110,7 @@
             listen.decimal("link_mbps", 0, 0, MAX_LINK_MBPS),
             address(reader.section("store"), "address"),
             cloud.text("address", ""),
-            List.of(cloud.text("duties", "").split(",")),
+            duties(cloud.text("duties", "usage_reporting,autoscaling")),
             bounds(reader.section("bounds")));
     reader.finish();
     return settings;
@@ -113,7 +120,6 @@
     return new Bounds(
         section.duration("revocation", Duration.ofSeconds(5), MIN, MAX),
         section.duration("grace", Duration.ofSeconds(8), MIN, MAX),
-        section.duration("endpoint_drain", Duration.ofSeconds(2), MIN, MAX),
         section.decimal("retry_ratio", 0.2, 0, 10),
         section.integer("retry_extra", 56, 0, MAX_EXTRA),
         section.duration("retry_window", Duration.ofSeconds(10), MIN, MAX),
@@ -125,6 +131,19 @@
         section.duration("directory_ttl_max", Duration.ofSeconds(5), MIN, MAX));
   }
 
+  /** Reads the duties; later ones that this version does not know are left to others. */
+  private static Set<Duty> duties(String names) {
+    Set<Duty> duties = EnumSet.noneOf(Duty.class);
+    for (String name : names.split(",")) {
+      for (Duty duty : Duty.values()) {
+        if (duty.name().equalsIgnoreCase(name.trim())) {
+          duties.add(duty);
+        }
+      }
+    }
+    return duties;
+  }
+
   private static HostPort address(Section section, String name) {
     String text = section.text(name);
     try {
--- a/node/src/test/java/org/heatherspread/node/peer/RelayedStoreTest.java
+++ b/node/src/test/java/org/heatherspread/node/peer/RelayedStoreTest.java
@@ -8,6 +8,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import org.heatherspread.core.error.ErrorKind;
+import org.heatherspread.core.error.ServingException;
 import org.heatherspread.core.store.SharedReading;
 import org.heatherspread.core.store.SharedStore;
 import org.heatherspread.core.time.ManualClock;
@@ -81,6 +83,16 @@
     assertThat(version()).isEqualTo(10);
   }
 
+  /** What is too large to pass on is read from the store; the reader is as sound as before. */
+  @Test
+  void asksTheReaderAgainAfterChangesThatWereTooLarge() {
+    relayed =
+        CompletableFuture.failedFuture(ServingException.of(ErrorKind.BODY_TOO_LARGE, "too large"));
+    assertThat(version()).isEqualTo(9);
+    relayed = CompletableFuture.completedFuture(new SharedReading(List.of(), 10, 0, 0));
+    assertThat(version()).isEqualTo(10);
+  }
+
   @Test
   void readsWholeTablesAndWritesAtTheStore() {
     store.read("op").join();
--- /dev/null
+++ b/node/src/test/java/org/heatherspread/node/settings/NodeSettingsTest.java
@@ -0,0 +1,45 @@
+package org.heatherspread.node.settings;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import org.heatherspread.node.settings.NodeSettings.Duty;
+import org.heatherspread.settings.SettingsException;
+import org.junit.jupiter.api.Test;
+
+class NodeSettingsTest {
+  private static final String LEAST =
+      """
+      [daemon]
+      name = "a"
+      domain = "z"
+      [listen]
+      callers = "1.2.3.4:1"
+      readiness = "1.2.3.4:2"
+      directory = "1.2.3.4:3"
+      metrics = "1.2.3.4:4"
+      peers = "1.2.3.4:5"
+      [store]
+      address = "1.2.3.4:6"
+      """;
+
+  private static NodeSettings parse(String more) {
+    return NodeSettings.parse("test", LEAST + more);
+  }
+
+  @Test
+  void dutiesAreThoseAssignedThatAreKnown() {
+    assertThat(parse("").duties()).containsExactlyInAnyOrder(Duty.values());
+    assertThat(parse("[cloud]\nduties = \"usage_reporting, later_one\"\n").duties())
+        .containsExactly(Duty.USAGE_REPORTING);
+  }
+
+  @Test
+  void tellsAllFaultsAtOnce() {
+    assertThatThrownBy(() -> NodeSettings.parse("test", LEAST.replace("1.2.3.4:", "nowhere")))
+        .isInstanceOf(SettingsException.class)
+        .hasMessageContaining("callers")
+        .hasMessageContaining("peers")
+        .hasMessageContaining("address");
+  }
+}
--- a/relay/src/main/java/org/heatherspread/relay/call/CrashGuard.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/CrashGuard.java
@@ -3,9 +3,11 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.time.InstantSource;
-import java.util.HashMap;
+import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
 import org.heatherspread.core.placement.TrackedEndpoint;
 import org.heatherspread.core.poison.EndpointLife;
 import org.heatherspread.core.poison.Evidence;
@@ -25,7 +27,7 @@
   private static final Logger log = LoggerFactory.getLogger(CrashGuard.class);
 
   private final PoisonLedger ledger;
-  private final Map<String, Evidence> told = new HashMap<>();
+  private final Set<String> found = new HashSet<>();
   private boolean suspects;
 
   private CrashGuard(PoisonLedger ledger) {
@@ -55,35 +57,41 @@
   /** Notes that the endpoint refused a connection, or that its life has ended. */
   public void crashed(TrackedEndpoint endpoint) {
     for (Evidence evidence : ledger.crashed(life(endpoint))) {
-      keep(evidence);
+      found.add(evidence.fingerprint());
+      note(evidence);
     }
   }
 
   /** Takes in what another daemon found. */
   public void heard(List<Evidence> evidence) {
     for (Evidence theirs : evidence) {
-      keep(theirs);
-      ledger.heard(theirs).forEach(this::keep);
+      Optional<Evidence> before = ledger.find(theirs.fingerprint());
+      List<Evidence> changed = ledger.heard(theirs);
+      Optional<Evidence> after = ledger.find(theirs.fingerprint());
+      changed.forEach(this::note);
+      if (!changed.contains(theirs) && !after.equals(before)) {
+        after.ifPresent(this::note);
+      }
     }
   }
 
-  /** Returns what was found so far, for this daemon's report. */
+  /**
+   * Returns what this daemon itself found and has not forgotten, for its report. What others found
+   * they report themselves; told again by everybody, it would never be forgotten.
+   */
   public List<Evidence> evidence() {
-    return List.copyOf(told.values());
+    List<Evidence> own = new ArrayList<>();
+    found.removeIf(fingerprint -> ledger.find(fingerprint).isEmpty());
+    found.forEach(fingerprint -> ledger.find(fingerprint).ifPresent(own::add));
+    return own;
   }
 
-  private void keep(Evidence evidence) {
+  private void note(Evidence evidence) {
     suspects = true;
-    Evidence before = told.get(evidence.fingerprint());
-    Evidence joined = before == null ? evidence : before.join(evidence);
-    if (joined.equals(before)) {
-      return;
-    }
-    told.put(evidence.fingerprint(), joined);
     log.atInfo()
-        .addKeyValue("fingerprint", joined.fingerprint())
-        .addKeyValue("crashes", joined.crashes().size())
-        .addKeyValue("refused", joined.poisoned())
+        .addKeyValue("fingerprint", evidence.fingerprint())
+        .addKeyValue("crashes", evidence.crashes().size())
+        .addKeyValue("refused", evidence.poisoned())
         .log("request suspected of crashes");
   }
 
--- /dev/null
+++ b/relay/src/test/java/org/heatherspread/relay/call/CrashGuardTest.java
@@ -0,0 +1,88 @@
+package org.heatherspread.relay.call;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.time.Duration;
+import java.util.List;
+import org.heatherspread.core.placement.EndpointTable;
+import org.heatherspread.core.placement.TrackedEndpoint;
+import org.heatherspread.core.placement.Workload;
+import org.heatherspread.core.poison.PoisonLimits;
+import org.heatherspread.core.routing.HealthPolicy;
+import org.heatherspread.core.serving.CallKind;
+import org.heatherspread.core.serving.HostPort;
+import org.heatherspread.core.serving.RegisteredEndpoint;
+import org.heatherspread.core.serving.Route;
+import org.heatherspread.core.serving.TrafficShare;
+import org.heatherspread.core.time.ManualClock;
+import org.heatherspread.relay.caller.CallerRequest;
+import org.junit.jupiter.api.Test;
+
+class CrashGuardTest {
+  private static final Duration MEMORY = Duration.ofMinutes(10);
+
+  private final ManualClock clock = ManualClock.create();
+  private final CrashGuard finder = guard();
+  private final CrashGuard hearer = guard();
+
+  private CrashGuard guard() {
+    return CrashGuard.create(new PoisonLimits(3, MEMORY, 100), clock);
+  }
+
+  private static CallFacts facts() {
+    Route route =
+        new Route(
+            "r",
+            "h",
+            "/r/",
+            CallKind.STREAM,
+            100,
+            100,
+            0,
+            List.of(new TrafficShare("s", 1)),
+            3,
+            false,
+            true,
+            400);
+    CallerRequest request =
+        new CallerRequest(HttpMethod.POST, "/r/x", new DefaultHttpHeaders(), new byte[] {1}, 0);
+    return new CallFacts("id", request, route, "s", "acme", Workload.NONE, 0, 0, 1_000, 1);
+  }
+
+  private static TrackedEndpoint endpoint(String id) {
+    EndpointTable table = EndpointTable.create(HealthPolicy.defaults(), service -> 1_000);
+    HostPort address = new HostPort("127.0.0.1", 1);
+    table.put(new RegisteredEndpoint(id, "s", address, "z", 6, false, false, -1, 1));
+    return table.get(id).orElseThrow();
+  }
+
+  private void crash(String id) {
+    TrackedEndpoint endpoint = endpoint(id);
+    finder.lost(endpoint, facts());
+    finder.crashed(endpoint);
+  }
+
+  @Test
+  void otherDaemonsRefuseWhatCrashedEndpointsAtOne() {
+    crash("e1");
+    crash("e2");
+    hearer.heard(finder.evidence());
+    assertThat(hearer.refuses(facts())).isFalse();
+    crash("e3");
+    hearer.heard(finder.evidence());
+    assertThat(hearer.refuses(facts())).isTrue();
+  }
+
+  /** Told again by all that heard it, evidence would be kept alive for ever. */
+  @Test
+  void evidenceIsToldByItsFinderOnlyAndForgotten() {
+    crash("e1");
+    hearer.heard(finder.evidence());
+    assertThat(finder.evidence()).hasSize(1);
+    assertThat(hearer.evidence()).isEmpty();
+    clock.advance(MEMORY.plusSeconds(1));
+    assertThat(finder.evidence()).isEmpty();
+  }
+}
