End a daemon that cannot listen; keep the soak's ports out of the range that systems give out

Traced by its log (BindException) and by no daemon of the run having logged no-route: a test run beside it had taken the port. The soak now takes ports below those that systems give out.

Of the daemon: what Netty fails a bind with is thrown undeclared, so NodeMain never saw it, and threads already running kept the process alive. It now logs "daemon cannot start" and ends with 1.

--- a/node/src/main/java/org/heatherspread/node/NodeMain.java
+++ b/node/src/main/java/org/heatherspread/node/NodeMain.java
@@ -19,6 +19,7 @@
   private static final String HELP = "help";
   private static final String REHEARSE = "rehearse";
   private static final int USAGE = 2;
+  private static final int FAILED = 1;
 
   private NodeMain() {}
 
@@ -62,10 +63,15 @@
   /** Stops a daemon and ends the process without the virtual machine's own clean-up. */
   private static void stop(Node node) {
     node.stop();
-    ((LoggerContext) LoggerFactory.getILoggerFactory()).stop();
+    stopLogging();
     Runtime.getRuntime().halt(0);
   }
 
+  /** Writes out what is queued. */
+  private static void stopLogging() {
+    ((LoggerContext) LoggerFactory.getILoggerFactory()).stop();
+  }
+
   private static void run(Path path, boolean checkOnly) throws InterruptedException {
     NodeSettings settings;
     try {
@@ -81,7 +87,16 @@
     }
     Node node = Node.create(settings);
     Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node), "stop"));
-    node.start();
+    try {
+      node.start();
+    } catch (Exception e) {
+      // Netty throws what a bind fails with undeclared. Threads that run already would keep a
+      // process
+      // alive that serves nobody.
+      log.atError().setCause(e).log("daemon cannot start");
+      stopLogging();
+      Runtime.getRuntime().halt(FAILED);
+    }
     SettingsWatch.create(path, settings).start();
     log.atInfo().addKeyValue("name", settings.name()).log("daemon started");
   }
--- a/node/src/test/java/org/heatherspread/node/soak/SoakDaemon.java
+++ b/node/src/test/java/org/heatherspread/node/soak/SoakDaemon.java
@@ -1,10 +1,13 @@
 package org.heatherspread.node.soak;
 
 import java.io.IOException;
+import java.net.BindException;
+import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.heatherspread.node.NodeMain;
 
@@ -34,6 +37,10 @@
       usage_due = "4s"
       """;
 
+  private static final int FIRST_PORT = 12_000;
+  private static final int LAST_PORT = 32_000;
+  private static final int MAX_TRIES = 100;
+
   private final String name;
   private final Path folder;
   private final Path file;
@@ -65,10 +72,21 @@
             graceMillis));
   }
 
+  /**
+   * Returns a port that nobody listens on, below those that systems give out by themselves: while a
+   * daemon is down, no other program may take its port.
+   */
   private static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0)) {
-      return socket.getLocalPort();
+    for (int tries = 0; tries < MAX_TRIES; tries++) {
+      int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT);
+      try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+        return socket.getLocalPort();
+      } catch (BindException e) {
+        // Taken; the next draw is another one.
+        continue;
+      }
     }
+    throw new IOException("no free port found");
   }
 
   String name() {
