Give a limit no second keeper while the first, cut off, may still admit

Change: daemons that fell silent count as keepers until they surely admit nothing any more (trust of keys and two reports); those that say they leave do not. Where nobody listens at the keeper's address, it is dead, and all daemons together admit the whole limit between them; a keeper that is silent leaves them 0.3 of it.

--- a/core/src/main/java/org/heatherspread/core/limit/KeptLimits.java
+++ b/core/src/main/java/org/heatherspread/core/limit/KeptLimits.java
@@ -2,10 +2,12 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.Set;
 import org.heatherspread.core.routing.Rendezvous;
 import org.heatherspread.core.serving.AccountRule;
 import org.heatherspread.core.time.MonotonicClock;
@@ -56,6 +58,7 @@
   private final Map<String, Bucket> alone = new HashMap<>();
   private final Map<String, String> keepers = new HashMap<>();
   private final Map<String, Long> suspectUntilMillis = new HashMap<>();
+  private final Set<String> deadKeepers = new HashSet<>();
   private List<String> daemons = List.of();
 
   private KeptLimits(String self, MonotonicClock clock, LimitSlack slack) {
@@ -80,13 +83,16 @@
   /**
    * Takes in which daemons may keep limits.
    *
-   * @param names daemons that take callers, this one included if it does
+   * @param names daemons that take callers, this one included if it does, and those that fell
+   *     silent so lately that they may still admit requests: a keeper that is cut off goes on for a
+   *     while
    * @param accounts all accounts, so that a new keeper counts from now on
    */
   public void daemons(Collection<String> names, Collection<AccountRule> accounts) {
     daemons = List.copyOf(names);
     keepers.clear();
     suspectUntilMillis.keySet().retainAll(names);
+    deadKeepers.retainAll(names);
     for (AccountRule account : accounts) {
       if (account.ratePerSecond() > 0 && self.equals(keeper(account.name()))) {
         bucket(kept, account, account.ratePerSecond());
@@ -124,9 +130,18 @@
     return suspect ? Optional.empty() : Optional.of(keeper);
   }
 
-  /** Notes that a keeper did not answer, or that it does not count itself as the keeper. */
-  public void unanswered(String keeper) {
+  /**
+   * Notes that a keeper did not answer, or that it does not count itself as the keeper.
+   *
+   * @param dead whether it surely admits nothing
+   */
+  public void unanswered(String keeper, boolean dead) {
     suspectUntilMillis.put(keeper, clock.millis() + SUSPECT_MILLIS);
+    if (dead) {
+      deadKeepers.add(keeper);
+    } else {
+      deadKeepers.remove(keeper);
+    }
   }
 
   // ---------------------------------------------------------------------------------------------
@@ -157,7 +172,7 @@
     double share =
         daemons.isEmpty()
             ? account.ratePerSecond() / UNKNOWN_DAEMONS
-            : ALONE_PART * account.ratePerSecond() / daemons.size();
+            : alonePart(account) * account.ratePerSecond() / daemons.size();
     Bucket used = alone.get(account.name());
     if (used != null && clock.millis() - used.usedMillis > ALONE_FORGOTTEN_MILLIS) {
       alone.remove(account.name());
@@ -165,6 +180,11 @@
     return bucket(alone, account, share);
   }
 
+  /** While a keeper admits nothing, all daemons together may admit the whole limit. */
+  private double alonePart(AccountRule account) {
+    return deadKeepers.contains(keeper(account.name())) ? 1 : ALONE_PART;
+  }
+
   private Bucket bucket(Map<String, Bucket> buckets, AccountRule account, double rate) {
     Bucket bucket = buckets.computeIfAbsent(account.name(), name -> new Bucket(account, rate));
     bucket.apply(account, rate);
--- a/node/src/main/java/org/heatherspread/node/control/FleetListener.java
+++ b/node/src/main/java/org/heatherspread/node/control/FleetListener.java
@@ -138,6 +138,14 @@
     }
   }
 
+  /**
+   * Returns how long after its last report a daemon may still admit requests with keys: as long as
+   * it trusts keys without the store, and its report may be two intervals old.
+   */
+  private long admittingMillis() {
+    return state.keyTrustMillis() + 2 * pace.interval(state.daemonCount()).toMillis();
+  }
+
   /** Takes in where the other daemons are, and which of them may keep limits. */
   private void peers(List<DaemonReport> reports) {
     Map<String, HostPort> addresses = new HashMap<>();
@@ -147,6 +155,8 @@
         continue;
       }
       addresses.put(report.daemon(), HostPort.parse(report.peerAddress()));
+    }
+    for (DaemonReport report : fleet.reportedWithin(admittingMillis())) {
       if (report.state() == DaemonState.READY) {
         keepers.add(report.daemon());
       }
--- a/relay/src/main/java/org/heatherspread/relay/call/AccountGate.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/AccountGate.java
@@ -1,5 +1,6 @@
 package org.heatherspread.relay.call;
 
+import java.net.ConnectException;
 import java.util.Collection;
 import java.util.Optional;
 import java.util.OptionalDouble;
@@ -63,7 +64,7 @@
   }
 
   private void unanswered(AccountRule account, String keeper, Throwable failure) {
-    limits.unanswered(keeper);
+    limits.unanswered(keeper, isDead(failure));
     log.atInfo()
         .addKeyValue("account", account.name())
         .addKeyValue("keeper", keeper)
@@ -71,6 +72,16 @@
         .log("limit is decided without its keeper");
   }
 
+  /** Tells whether nobody listens where the keeper did, so that it surely admits nothing. */
+  private static boolean isDead(Throwable failure) {
+    for (Throwable each = failure; each != null; each = each.getCause()) {
+      if (each instanceof ConnectException) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   private Admission alone(AccountRule account, double amount) {
     return new Admission(limits.admit(account, amount), "self");
   }
--- a/relay/src/main/java/org/heatherspread/relay/rpc/RpcClient.java
+++ b/relay/src/main/java/org/heatherspread/relay/rpc/RpcClient.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.io.ByteArrayOutputStream;
+import java.net.ConnectException;
 import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -66,7 +67,8 @@
    * Makes a call.
    *
    * @return fails with kind {@code STORE_UNAVAILABLE} where nothing was sent, with {@code
-   *     STORE_OUTCOME_UNKNOWN} where the call may have been carried out
+   *     STORE_OUTCOME_UNKNOWN} where the call may have been carried out; caused by a {@link
+   *     ConnectException} where nobody listens at the address
    */
   public CompletableFuture<RpcReply> call(
       HttpMethod method,
@@ -129,7 +131,8 @@
 
     @Override
     public void failed(String reason, boolean refused) {
-      endWith(failure(ErrorKind.STORE_UNAVAILABLE, reason));
+      ConnectException cause = refused ? new ConnectException(reason) : null;
+      endWith(ServingException.of(ErrorKind.STORE_UNAVAILABLE, address + ": " + reason, cause));
     }
 
     @Override
