--- /dev/null
+++ b/node/src/test/java/org/heatherspread/node/Loopback.java
@@ -0,0 +1,58 @@
+package org.heatherspread.node;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+
+/** What tests of daemons on loopback share. */
+final class Loopback {
+  private static final HttpClient CLIENT = HttpClient.newHttpClient();
+
+  private Loopback() {}
+
+  static int freePort() {
+    try (ServerSocket socket = new ServerSocket(0)) {
+      return socket.getLocalPort();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  /** Returns the status of a request with a key, 0 where there is no answer. */
+  static int status(int port, String path, String key) {
+    HttpRequest request =
+        HttpRequest.newBuilder(URI.create("http://localhost:" + port + path))
+            .header("Authorization", "Bearer " + key)
+            .timeout(Duration.ofSeconds(5))
+            .build();
+    try {
+      return CLIENT.send(request, HttpResponse.BodyHandlers.discarding()).statusCode();
+    } catch (IOException e) {
+      return 0;
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IllegalStateException(e);
+    }
+  }
+
+  /** Something that is to hold soon. */
+  interface Check {
+    boolean holds() throws Exception;
+  }
+
+  static void await(Check check, long millis) throws Exception {
+    long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+    while (!check.holds()) {
+      assertThat(System.nanoTime()).isLessThan(end);
+      TimeUnit.MILLISECONDS.sleep(10);
+    }
+  }
+}
--- a/node/src/test/java/org/heatherspread/node/NodeFleetTest.java
+++ b/node/src/test/java/org/heatherspread/node/NodeFleetTest.java
@@ -2,13 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.io.IOException;
-import java.net.ServerSocket;
-import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
-import java.net.http.HttpResponse;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -21,6 +14,7 @@
 /** Several daemons of one failure domain against a stand-in of the platform's store. */
 class NodeFleetTest {
   private static final int DAEMONS = 5;
+  private static final String KEY = "key";
 
   /** Bound for a configuration to be in force, of the deployments served. */
   private static final long IN_FORCE_MILLIS = 2_000;
@@ -34,25 +28,18 @@
        "tenants": [{"name": "acme", "api-keys": ["key"], "requests-per-s": %d, "burst-size": 1}]}
       """;
 
-  private final HttpClient client = HttpClient.newHttpClient();
   private final List<Node> nodes = new ArrayList<>();
   private final List<Integer> callers = new ArrayList<>();
   private final List<Integer> readiness = new ArrayList<>();
   private PlatformStandin platform;
 
-  private static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0)) {
-      return socket.getLocalPort();
-    }
-  }
-
   @BeforeEach
   void start() throws Exception {
     platform = PlatformStandin.start();
     configure(1, "a", 0);
     for (int i = 0; i < DAEMONS; i++) {
-      callers.add(freePort());
-      readiness.add(freePort());
+      callers.add(Loopback.freePort());
+      readiness.add(Loopback.freePort());
       String settings =
           """
           [daemon]
@@ -74,16 +61,17 @@
                   i,
                   callers.get(i),
                   readiness.get(i),
-                  freePort(),
-                  freePort(),
-                  freePort(),
+                  Loopback.freePort(),
+                  Loopback.freePort(),
+                  Loopback.freePort(),
                   DAEMONS - i,
                   platform.address());
       Node node = Node.create(NodeSettings.parse("test", settings));
       node.start();
       nodes.add(node);
     }
-    await(() -> readiness.stream().allMatch(port -> status(port, "/") == 200), 10_000);
+    Loopback.await(
+        () -> readiness.stream().allMatch(port -> Loopback.status(port, "/", KEY) == 200), 10_000);
     // Every daemon has to have read that all others are ready.
     TimeUnit.MILLISECONDS.sleep(3_500);
   }
@@ -97,35 +85,8 @@
     platform.write("op", "config", CONFIGURATION.formatted(version, prefix, rate));
   }
 
-  private int status(int port, String path) {
-    HttpRequest request =
-        HttpRequest.newBuilder(URI.create("http://localhost:" + port + path))
-            .header("Authorization", "Bearer key")
-            .timeout(Duration.ofSeconds(5))
-            .build();
-    try {
-      return client.send(request, HttpResponse.BodyHandlers.discarding()).statusCode();
-    } catch (IOException e) {
-      return 0;
-    } catch (InterruptedException e) {
-      throw new IllegalStateException(e);
-    }
-  }
-
-  private interface Check {
-    boolean holds();
-  }
-
-  private static void await(Check check, long millis) throws InterruptedException {
-    long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
-    while (!check.holds()) {
-      assertThat(System.nanoTime()).isLessThan(end);
-      TimeUnit.MILLISECONDS.sleep(10);
-    }
-  }
-
   private boolean inForce(List<Integer> ports, String prefix) {
-    return ports.stream().allMatch(port -> status(port, "/" + prefix + "/x") == 503);
+    return ports.stream().allMatch(port -> Loopback.status(port, "/" + prefix + "/x", KEY) == 503);
   }
 
   /** Returns how often the store was asked for configurations; each daemon alone would 4 times. */
@@ -144,22 +105,22 @@
   @Test
   void oneDaemonFollowsTheStoreForTheOthers() throws Exception {
     // Waits that were begun before all daemons knew of each other end first.
-    await(() -> waitsInTwoSeconds() <= 5, 15_000);
+    Loopback.await(() -> waitsInTwoSeconds() <= 5, 15_000);
     configure(5, "b", 0);
-    await(() -> inForce(callers, "b"), IN_FORCE_MILLIS);
+    Loopback.await(() -> inForce(callers, "b"), IN_FORCE_MILLIS);
   }
 
   @Test
   void theOthersGoOnWhenTheReaderLeaves() throws Exception {
     configure(5, "b", 0);
-    await(() -> inForce(callers, "b"), IN_FORCE_MILLIS);
+    Loopback.await(() -> inForce(callers, "b"), IN_FORCE_MILLIS);
     Thread stop = new Thread(nodes.get(0)::stop);
     stop.start();
     List<Integer> others = callers.subList(1, DAEMONS);
     for (int version = 6; version < 12; version++) {
       configure(version, "v" + version, 0);
       String prefix = "v" + version;
-      await(() -> inForce(others, prefix), IN_FORCE_MILLIS);
+      Loopback.await(() -> inForce(others, prefix), IN_FORCE_MILLIS);
       TimeUnit.MILLISECONDS.sleep(400);
     }
     stop.join();
@@ -169,12 +130,12 @@
   @Test
   void allDaemonsTogetherKeepTheLimitOfAnAccount() throws Exception {
     configure(5, "b", 2);
-    await(() -> inForce(callers.subList(0, 1), "b"), IN_FORCE_MILLIS);
+    Loopback.await(() -> inForce(callers.subList(0, 1), "b"), IN_FORCE_MILLIS);
     TimeUnit.SECONDS.sleep(3);
     int admitted = 0;
     int refused = 0;
     for (int i = 0; i < 40; i++) {
-      int status = status(callers.get(i % DAEMONS), "/b/x");
+      int status = Loopback.status(callers.get(i % DAEMONS), "/b/x", KEY);
       admitted += status == 503 ? 1 : 0;
       refused += status == 429 ? 1 : 0;
       TimeUnit.MILLISECONDS.sleep(50);
--- a/node/src/test/java/org/heatherspread/node/NodeMainTest.java
+++ b/node/src/test/java/org/heatherspread/node/NodeMainTest.java
@@ -3,7 +3,6 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
@@ -50,14 +49,6 @@
     }
   }
 
-  private static int freePort() {
-    try (ServerSocket socket = new ServerSocket(0)) {
-      return socket.getLocalPort();
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
-    }
-  }
-
   /** Found by the soak: such a process stayed, served nobody and was never started again. */
   @Test
   void endsWhereAnAddressIsTaken() throws Exception {
@@ -76,7 +67,7 @@
   /** Found by the soak: a reload that was asked for during the start ended the process. */
   @Test
   void survivesReloadsDuringItsStart() throws Exception {
-    Process process = start(name -> freePort());
+    Process process = start(name -> Loopback.freePort());
     try {
       awaitLog("daemon starts");
       for (int i = 0; i < 3; i++) {
--- a/node/src/test/java/org/heatherspread/node/NodeTest.java
+++ b/node/src/test/java/org/heatherspread/node/NodeTest.java
@@ -2,14 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.io.IOException;
-import java.net.ServerSocket;
-import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
-import java.net.http.HttpResponse;
-import java.time.Duration;
-import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
 import org.heatherspread.node.settings.NodeSettings;
 import org.heatherspread.platform.PlatformStandin;
@@ -41,21 +33,12 @@
        "loads": {}, "crashes": [], "work": {}}
       """;
 
-  private final HttpClient client = HttpClient.newHttpClient();
-  private final int callers = freePort();
-  private final int readiness = freePort();
-  private final int directory = freePort();
+  private final int callers = Loopback.freePort();
+  private final int readiness = Loopback.freePort();
+  private final int directory = Loopback.freePort();
   private PlatformStandin platform;
   private Node node;
 
-  NodeTest() throws IOException {}
-
-  private static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0)) {
-      return socket.getLocalPort();
-    }
-  }
-
   @BeforeEach
   void start() throws Exception {
     platform = PlatformStandin.start();
@@ -83,13 +66,13 @@
                 callers,
                 readiness,
                 directory,
-                freePort(),
-                freePort(),
+                Loopback.freePort(),
+                Loopback.freePort(),
                 platform.address(),
                 platform.address());
     node = Node.create(NodeSettings.parse("test", settings));
     node.start();
-    await(() -> status(readiness, "/", "") == 200);
+    await(() -> Loopback.status(readiness, "/", "") == 200);
   }
 
   @AfterEach
@@ -101,32 +84,19 @@
     platform.write("op", "config", CONFIGURATION.formatted(version, prefix, key));
   }
 
-  private int status(int port, String path, String key) throws Exception {
-    HttpRequest request =
-        HttpRequest.newBuilder(URI.create("http://localhost:" + port + path))
-            .header("Authorization", "Bearer " + key)
-            .timeout(Duration.ofSeconds(5))
-            .build();
-    return client.send(request, HttpResponse.BodyHandlers.discarding()).statusCode();
-  }
-
-  private static void await(Callable<Boolean> condition) throws Exception {
-    long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
-    while (!condition.call()) {
-      assertThat(System.nanoTime()).isLessThan(end);
-      TimeUnit.MILLISECONDS.sleep(20);
-    }
+  private static void await(Loopback.Check check) throws Exception {
+    Loopback.await(check, 10_000);
   }
 
   @Test
   void bringsConfigurationsIntoForceAndNeverGoesBack() throws Exception {
-    assertThat(status(callers, "/a/x", "key-1")).isEqualTo(503);
-    assertThat(status(callers, "/b/x", "key-1")).isEqualTo(404);
+    assertThat(Loopback.status(callers, "/a/x", "key-1")).isEqualTo(503);
+    assertThat(Loopback.status(callers, "/b/x", "key-1")).isEqualTo(404);
     configure(5, "b", "key-1");
-    await(() -> status(callers, "/b/x", "key-1") == 503);
+    await(() -> Loopback.status(callers, "/b/x", "key-1") == 503);
     configure(4, "a", "key-1");
     TimeUnit.MILLISECONDS.sleep(300);
-    assertThat(status(callers, "/a/x", "key-1")).isEqualTo(404);
+    assertThat(Loopback.status(callers, "/a/x", "key-1")).isEqualTo(404);
   }
 
   /** The next report would come 1.5 s later, in a large fleet several seconds. */
@@ -143,7 +113,7 @@
     platform.dropHistory();
     configure(5, "b", "key-1");
     platform.dropHistory();
-    await(() -> status(callers, "/b/x", "key-1") == 503);
+    await(() -> Loopback.status(callers, "/b/x", "key-1") == 503);
   }
 
   /**
@@ -152,18 +122,18 @@
    */
   @Test
   void refusesKeysWhileTheConfigurationCannotBeRead() throws Exception {
-    assertThat(status(callers, "/a/x", "key-2")).isEqualTo(401);
+    assertThat(Loopback.status(callers, "/a/x", "key-2")).isEqualTo(401);
     platform.silentTable("op");
     TimeUnit.MILLISECONDS.sleep(4_400);
     assertThat(platform.reads()).isPositive();
-    assertThat(status(callers, "/a/x", "key-2")).isEqualTo(503);
-    assertThat(status(readiness, "/", "")).isEqualTo(503);
-    assertThat(status(directory, "/v1/resolution?name=x", "")).isEqualTo(503);
+    assertThat(Loopback.status(callers, "/a/x", "key-2")).isEqualTo(503);
+    assertThat(Loopback.status(readiness, "/", "")).isEqualTo(503);
+    assertThat(Loopback.status(directory, "/v1/resolution?name=x", "")).isEqualTo(503);
     platform.write("daemons", "other/1", OTHER);
-    await(() -> status(directory, "/v1/resolution?name=x", "") == 200);
+    await(() -> Loopback.status(directory, "/v1/resolution?name=x", "") == 200);
     platform.silentTable("");
-    await(() -> status(readiness, "/", "") == 200);
-    assertThat(status(directory, "/v1/resolution?name=x", "")).isEqualTo(200);
+    await(() -> Loopback.status(readiness, "/", "") == 200);
+    assertThat(Loopback.status(directory, "/v1/resolution?name=x", "")).isEqualTo(200);
   }
 
   @Test
--- a/node/src/test/java/org/heatherspread/node/control/CleanupDutyTest.java
+++ b/node/src/test/java/org/heatherspread/node/control/CleanupDutyTest.java
@@ -2,33 +2,26 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import org.heatherspread.core.fleet.DaemonReport;
 import org.heatherspread.core.fleet.DaemonState;
 import org.heatherspread.core.fleet.FleetView;
 import org.heatherspread.core.freshness.StoreContact;
-import org.heatherspread.core.freshness.TrueTime;
-import org.heatherspread.core.routing.HealthPolicy;
 import org.heatherspread.core.store.SharedReading;
 import org.heatherspread.core.store.SharedRow;
 import org.heatherspread.core.store.SharedStore;
 import org.heatherspread.core.time.ManualClock;
-import org.heatherspread.core.usage.UsageWindows;
-import org.heatherspread.relay.call.CallMetrics;
-import org.heatherspread.relay.call.RelaySettings;
+import org.heatherspread.node.RelayStates;
 import org.heatherspread.relay.call.RelayState;
 import org.junit.jupiter.api.Test;
 
 class CleanupDutyTest {
-  private static final long WINDOW_MILLIS = 5_000;
 
   /** Remembers what is deleted, and holds usage rows of old and new windows. */
   private static final class Store implements SharedStore {
@@ -57,20 +50,7 @@
   private final StoreContact contact = StoreContact.create(clock, InstantSource.system());
   private final FleetView fleet = FleetView.create(3_000);
   private final Store store = new Store();
-  private final RelayState state =
-      new RelayState(
-          null,
-          clock,
-          new SplittableRandom(1),
-          new RelaySettings(4_000, 0.2, 10_000, 56),
-          contact,
-          TrueTime.create(contact),
-          null,
-          CallMetrics.create(new SimpleMeterRegistry()),
-          UsageWindows.create(WINDOW_MILLIS, 6),
-          HealthPolicy.defaults(),
-          null,
-          null);
+  private final RelayState state = RelayStates.create(clock, contact, null);
 
   private static DaemonReport report(String daemon) {
     return new DaemonReport(
--- a/node/src/test/java/org/heatherspread/node/control/FleetListenerTest.java
+++ b/node/src/test/java/org/heatherspread/node/control/FleetListenerTest.java
@@ -2,38 +2,31 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.SplittableRandom;
 import org.heatherspread.core.fleet.DaemonReport;
 import org.heatherspread.core.fleet.DaemonState;
 import org.heatherspread.core.fleet.FleetView;
 import org.heatherspread.core.freshness.StoreContact;
-import org.heatherspread.core.freshness.TrueTime;
 import org.heatherspread.core.limit.KeptLimits;
 import org.heatherspread.core.limit.LimitSlack;
 import org.heatherspread.core.limit.ReportPace;
-import org.heatherspread.core.routing.HealthPolicy;
 import org.heatherspread.core.store.SharedReading;
 import org.heatherspread.core.store.SharedRow;
 import org.heatherspread.core.time.ManualClock;
-import org.heatherspread.core.usage.UsageWindows;
+import org.heatherspread.node.RelayStates;
 import org.heatherspread.node.peer.PeerClient;
 import org.heatherspread.relay.call.AccountGate;
-import org.heatherspread.relay.call.CallMetrics;
-import org.heatherspread.relay.call.RelaySettings;
 import org.heatherspread.relay.call.RelayState;
 import org.junit.jupiter.api.Test;
 
 class FleetListenerTest {
   private static final String SELF = "d0";
   private static final int DAEMONS = 8;
-  private static final long KEY_TRUST_MILLIS = 4_000;
   private static final Duration INTERVAL = Duration.ofMillis(1_500);
 
   private final ManualClock clock = ManualClock.create();
@@ -41,19 +34,7 @@
   private final KeptLimits limits = KeptLimits.create(SELF, clock, new LimitSlack(8, 0, 0));
   private final PeerClient peers = PeerClient.create(address -> null);
   private final RelayState state =
-      new RelayState(
-          null,
-          clock,
-          new SplittableRandom(1),
-          new RelaySettings(KEY_TRUST_MILLIS, 0.2, 10_000, 56),
-          contact,
-          TrueTime.create(contact),
-          null,
-          CallMetrics.create(new SimpleMeterRegistry()),
-          UsageWindows.create(5_000, 6),
-          HealthPolicy.defaults(),
-          null,
-          AccountGate.create(limits, peers));
+      RelayStates.create(clock, contact, AccountGate.create(limits, peers));
   private final FleetListener listener =
       new FleetListener(
           state,
@@ -111,7 +92,7 @@
     round(Set.of(), null);
     String keeper = limits.keeper("acme");
     assertThat(keeper).isNotNull();
-    for (long silent = 0; silent < KEY_TRUST_MILLIS + INTERVAL.toMillis(); ) {
+    for (long silent = 0; silent < RelayStates.KEY_TRUST_MILLIS + INTERVAL.toMillis(); ) {
       round(Set.of(keeper), null);
       silent += INTERVAL.toMillis();
       assertThat(limits.keeper("acme")).isEqualTo(keeper);
--- a/node/src/test/java/org/heatherspread/node/peer/LoadExchangeTest.java
+++ b/node/src/test/java/org/heatherspread/node/peer/LoadExchangeTest.java
@@ -2,26 +2,20 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import org.heatherspread.core.fleet.EndpointLoad;
 import org.heatherspread.core.freshness.StoreContact;
-import org.heatherspread.core.freshness.TrueTime;
 import org.heatherspread.core.placement.TrackedEndpoint;
 import org.heatherspread.core.placement.Workload;
-import org.heatherspread.core.routing.HealthPolicy;
 import org.heatherspread.core.serving.HostPort;
 import org.heatherspread.core.serving.RegisteredEndpoint;
 import org.heatherspread.core.time.ManualClock;
-import org.heatherspread.core.usage.UsageWindows;
-import org.heatherspread.relay.call.CallMetrics;
-import org.heatherspread.relay.call.RelaySettings;
+import org.heatherspread.node.RelayStates;
 import org.heatherspread.relay.call.RelayState;
 import org.junit.jupiter.api.Test;
 
@@ -57,20 +51,7 @@
 
   private void daemon(String name, LoadExchange.Readers readers) {
     StoreContact contact = StoreContact.create(clock, InstantSource.system());
-    RelayState state =
-        new RelayState(
-            null,
-            clock,
-            new SplittableRandom(1),
-            new RelaySettings(4_000, 0.2, 10_000, 56),
-            contact,
-            TrueTime.create(contact),
-            null,
-            CallMetrics.create(new SimpleMeterRegistry()),
-            UsageWindows.create(5_000, 6),
-            HealthPolicy.defaults(),
-            null,
-            null);
+    RelayState state = RelayStates.create(clock, contact, null);
     HostPort address = new HostPort("127.0.0.1", 1);
     state
         .endpoints()
