--- a/node/src/test/java/org/heatherspread/node/soak/SoakDaemon.java
+++ b/node/src/test/java/org/heatherspread/node/soak/SoakDaemon.java
@@ -41,8 +41,6 @@
   private static final int LAST_PORT = 32_000;
   private static final int MAX_TRIES = 100;
 
-  private static final long SIGNALS_HANDLED_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
-
   private final String name;
   private final Path folder;
   private final Path file;
@@ -52,7 +50,6 @@
   private Process process;
   private boolean expectedToRun;
   private int lives;
-  private long startedNanos;
 
   SoakDaemon(String name, String domain, Path folder, int storePort, long graceMillis)
       throws IOException {
@@ -111,8 +108,6 @@
 
   void start() throws IOException {
     lives++;
-    startedNanos = System.nanoTime();
-    Path log = folder.resolve(name + "." + lives + ".log");
     process =
         new ProcessBuilder(
                 List.of(
@@ -126,11 +121,15 @@
                     "--config",
                     file.toString()))
             .redirectErrorStream(true)
-            .redirectOutput(log.toFile())
+            .redirectOutput(log().toFile())
             .start();
     expectedToRun = true;
   }
 
+  private Path log() {
+    return folder.resolve(name + "." + lives + ".log");
+  }
+
   /** Tells whether the process ended although nobody ended it. */
   boolean endedByItself() {
     return expectedToRun && !process.isAlive();
@@ -150,11 +149,11 @@
   }
 
   /**
-   * Tells whether the process has had time to set its handlers: until its virtual machine has come
-   * up, a signal to reload ends it, which no program can change; the platform starts it again.
+   * Tells whether the process has begun to run its program: until then a signal to reload ends it,
+   * which no program can change; the platform starts it again.
    */
-  boolean takesReloads() {
-    return System.nanoTime() - startedNanos > SIGNALS_HANDLED_NANOS;
+  boolean takesReloads() throws IOException {
+    return Files.readString(log()).contains("daemon starts");
   }
 
   /** Sends a signal such as {@code STOP} to the process. */
