Log who decided on the limit of each request, and which limits a daemon owns

"request ended" now has decided_by, and "owned account limits changed" names the accounts that a daemon owns by its own view, with the daemons that this view takes for possible owners.

--- a/core/src/main/java/org/heatherspread/core/limit/PartitionedLimiter.java
+++ b/core/src/main/java/org/heatherspread/core/limit/PartitionedLimiter.java
@@ -142,6 +142,11 @@
     }
   }
 
+  /** Returns the names of the accounts whose limits this daemon owns. */
+  public Set<String> ownedAccounts() {
+    return Set.copyOf(ownedBuckets.keySet());
+  }
+
   /** Returns whether this daemon owns an account's limit. */
   public boolean isOwner(String account) {
     return self.equals(owner(account));
--- a/relay/src/main/java/org/heatherspread/relay/call/AccountAdmission.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/AccountAdmission.java
@@ -4,6 +4,8 @@
 import java.util.Collection;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
 import org.heatherspread.core.limit.LimitOwnerClient;
 import org.heatherspread.core.limit.PartitionedLimiter;
@@ -103,6 +105,14 @@
 
   /** Sets the daemons that may own limits. */
   public void updateDaemons(Collection<String> names, Collection<AccountConfig> accounts) {
+    Set<String> ownedBefore = limits.ownedAccounts();
     limits.updateDaemons(names, accounts);
+    Set<String> owned = limits.ownedAccounts();
+    if (!owned.equals(ownedBefore)) {
+      log.atInfo()
+          .addKeyValue("accounts", String.join(" ", new TreeSet<>(owned)))
+          .addKeyValue("daemons", String.join(" ", new TreeSet<>(names)))
+          .log("owned account limits changed");
+    }
   }
 }
--- a/relay/src/main/java/org/heatherspread/relay/call/RefusalResponder.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/RefusalResponder.java
@@ -37,6 +37,11 @@
     decidedBy = decider;
   }
 
+  /** Returns the name of the daemon that decided on the limit, empty if the request has none. */
+  String limitDecidedBy() {
+    return decidedBy;
+  }
+
   /**
    * Sends a refusal as the response.
    *
--- a/relay/src/main/java/org/heatherspread/relay/call/RelayCall.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/RelayCall.java
@@ -262,6 +262,7 @@
         .addKeyValue("service", context.service())
         .addKeyValue("account", context.account())
         .addKeyValue("tokens", context.declaredTokens())
+        .addKeyValue("decided_by", refusalResponder.limitDecidedBy())
         .addKeyValue("endpoint", endpointId)
         .addKeyValue("sends", progress.sendCount)
         .addKeyValue("first_ms", progress.firstResponseMillis)
