Let calls to a daemon or the store wait for a connection in use

Callers saw: while one account sent many times its load, bursts of requests were decided without the owner of its limit, by a share that comes on top of what the owner admits (QUOTA), and calls to the store failed the same way.

Cause: RpcClient failed the ninth call in progress at once with "connection limit of the endpoint reached", which AccountAdmission takes for an unreachable owner and does not ask it for a second.

Change: calls beyond eight in progress wait in order, within their timeouts. Up to 16 connections may be open, since those of calls that timed out take a moment to close. RpcClientTest.burstOfCallsWaitsForConnectionsInUse failed before with that message.

--- a/relay/src/main/java/org/heatherspread/relay/rpc/RpcClient.java
+++ b/relay/src/main/java/org/heatherspread/relay/rpc/RpcClient.java
@@ -14,7 +14,9 @@
 import java.io.ByteArrayOutputStream;
 import java.net.ConnectException;
 import java.time.Duration;
+import java.util.ArrayDeque;
 import java.util.Map;
+import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.heatherspread.core.error.ErrorKind;
@@ -27,12 +29,16 @@
 import org.heatherspread.relay.endpoint.ResponseListener;
 
 /**
- * Makes short HTTP calls to one address over pooled connections. A call that times out closes its
- * connection, so that an unresponsive connection is replaced. Futures complete on the event loop;
- * confined to it.
+ * Makes short HTTP calls to one address over pooled connections. Calls beyond the maximum in
+ * progress wait in order, within their timeouts. A call that times out closes its connection, so
+ * that an unresponsive connection is replaced. Futures complete on the event loop; confined to it.
  */
 public final class RpcClient {
-  private static final int MAX_CONNECTIONS = 8;
+  private static final int MAX_CALLS_IN_PROGRESS = 8;
+
+  /** Includes connections of calls that timed out, which take a moment to close. */
+  private static final int MAX_CONNECTIONS = 16;
+
   private static final int CONNECT_TIMEOUT_MILLIS = 600;
   private static final long MAX_IDLE_MILLIS = 8_000;
 
@@ -41,6 +47,8 @@
   private final ConnectionPool pool;
   private final MonotonicClock clock;
   private final RpcMetrics metrics;
+  private final Queue<PendingCall> waitingCalls = new ArrayDeque<>();
+  private int callsInProgress;
 
   private RpcClient(
       EventLoop loop,
@@ -90,6 +98,12 @@
     return result;
   }
 
+  private void startWaitingCalls() {
+    while (callsInProgress < MAX_CALLS_IN_PROGRESS && !waitingCalls.isEmpty()) {
+      waitingCalls.poll().acquireConnection();
+    }
+  }
+
   /** One call, whose future completes exactly once. */
   private final class PendingCall implements ConnectionPool.ConnectionListener, ResponseListener {
     private final FullHttpRequest request;
@@ -97,6 +111,7 @@
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private ScheduledFuture<?> timeoutTask;
     private EndpointConnection connection;
+    private boolean started;
     private int status;
     private final long startMillis = clock.millis();
 
@@ -107,6 +122,13 @@
 
     private void start(Duration timeout) {
       timeoutTask = loop.schedule(this::onTimeout, timeout.toMillis(), TimeUnit.MILLISECONDS);
+      waitingCalls.add(this);
+      startWaitingCalls();
+    }
+
+    private void acquireConnection() {
+      started = true;
+      callsInProgress++;
       pool.acquire(address, MAX_CONNECTIONS, this);
     }
 
@@ -147,8 +169,7 @@
 
     @Override
     public void onComplete() {
-      timeoutTask.cancel(false);
-      metrics.recordCall(request.uri(), Integer.toString(status), clock.millis() - startMillis);
+      end(Integer.toString(status));
       result.complete(new RpcResponse(status, body.toByteArray()));
     }
 
@@ -158,11 +179,25 @@
     }
 
     private void fail(ServingException failure) {
-      timeoutTask.cancel(false);
-      metrics.recordCall(request.uri(), failure.kind().code(), clock.millis() - startMillis);
+      if (result.isDone()) {
+        return;
+      }
+      end(failure.kind().code());
       result.completeExceptionally(failure);
     }
 
+    private void end(String outcome) {
+      timeoutTask.cancel(false);
+      metrics.recordCall(request.uri(), outcome, clock.millis() - startMillis);
+      if (started) {
+        callsInProgress--;
+        // Runs after the connection was returned to the pool, so that it is reused.
+        loop.execute(RpcClient.this::startWaitingCalls);
+      } else {
+        waitingCalls.remove(this);
+      }
+    }
+
     private ServingException failure(ErrorKind kind, String reason) {
       return ServingException.of(kind, address + ": " + reason);
     }
--- /dev/null
+++ b/relay/src/test/java/org/heatherspread/relay/rpc/RpcClientTest.java
@@ -0,0 +1,73 @@
+package org.heatherspread.relay.rpc;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.handler.codec.http.HttpMethod;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.heatherspread.core.serving.HostPort;
+import org.heatherspread.core.time.MonotonicClock;
+import org.heatherspread.relay.FakeEndpoint;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class RpcClientTest {
+  private static final int CALLS = 40;
+  private static final Duration TIMEOUT = Duration.ofSeconds(20);
+
+  private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+  private final EventLoop loop = group.next();
+
+  @AfterEach
+  void stop() {
+    group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
+  }
+
+  private static List<CompletableFuture<RpcResponse>> startCalls(
+      RpcClient client, Duration timeout) {
+    List<CompletableFuture<RpcResponse>> calls = new ArrayList<>();
+    for (int i = 0; i < CALLS; i++) {
+      calls.add(client.call(HttpMethod.GET, "/", Map.of(), new byte[0], timeout));
+    }
+    return calls;
+  }
+
+  private RpcClient createClient(FakeEndpoint endpoint) {
+    RpcMetrics metrics = RpcMetrics.create(new SimpleMeterRegistry());
+    return RpcClient.create(
+        loop, MonotonicClock.system(), new HostPort("127.0.0.1", endpoint.port()), metrics);
+  }
+
+  /** A burst of calls must not fail because the connections to a responsive peer are in use. */
+  @Test
+  void burstOfCallsWaitsForConnectionsInUse() throws Exception {
+    try (FakeEndpoint endpoint =
+        FakeEndpoint.start((request, connection) -> connection.respond(200, "", "ok"))) {
+      RpcClient client = createClient(endpoint);
+      for (CompletableFuture<RpcResponse> call :
+          loop.submit(() -> startCalls(client, TIMEOUT)).get()) {
+        assertThat(call.get(TIMEOUT.toSeconds(), TimeUnit.SECONDS).status()).isEqualTo(200);
+      }
+      assertThat(endpoint.requests()).hasSize(CALLS);
+    }
+  }
+
+  @Test
+  void waitingCallsFailAtTheirTimeout() throws Exception {
+    try (FakeEndpoint endpoint =
+        FakeEndpoint.start((request, connection) -> TimeUnit.SECONDS.sleep(60))) {
+      RpcClient client = createClient(endpoint);
+      for (CompletableFuture<RpcResponse> call :
+          loop.submit(() -> startCalls(client, Duration.ofMillis(100))).get()) {
+        assertThat(call).failsWithin(TIMEOUT);
+      }
+    }
+  }
+}
