Bound what daemons admit without the owner of a limit, and report it to the owner

Callers saw: an account got more than its limit (QUOTA).

Cause: a daemon whose call to the owner failed decided alone for a second, by 0.3 of an even share. This was safe only while at most half of the daemons did so for 4 s. Where single calls fail (links that lose packets, bursts), all daemons but the owner do so all the time, while the owner admits the whole limit; besides, each admitted one request of any size from its empty bucket, and forgot that after 2 s.

Change: a daemon admits without the owner, within any window, at most its part of half of the permitted excess, and sends the amount with its next request to the owner, which charges it. The bound holds for any pattern of failures. The pause before the owner is asked again begins at 0.5 s and doubles up to 1 s (0.1 s if its process has stopped). Daemons that leave or start now count among those that share the reserve.

Tests: PartitionedLimiterTest.neverExceedsTheWindowLimitWhileSingleCallsToTheOwnerFail failed before (3,927,723 admitted, 3,605,000 allowed); AccountAdmissionTest.reportsWhatItAdmittedWithoutTheLimitOwner. daemonThatKnowsNoOthersAdmitsSmallShare expected a rate, which no longer exists; it now bounds the whole window (10,400 tokens, before 6,000 in half a second and no bound over 8 s). The fixture of AccountAdmissionTest permits an excess now, since without one nothing may be admitted without the owner.

--- a/core/src/main/java/org/heatherspread/core/limit/AccountLimiter.java
+++ b/core/src/main/java/org/heatherspread/core/limit/AccountLimiter.java
@@ -100,6 +100,12 @@
     offeredTokens += answerTokens;
   }
 
+  /** Charges tokens that were admitted elsewhere; the token bucket may go negative. */
+  public synchronized void charge(long tokens, long nowNanos) {
+    refill(nowNanos);
+    availableTokens -= tokens;
+  }
+
   /** Returns the number of admitted requests that have not been released. */
   public synchronized int inProgress() {
     return inProgress;
--- a/core/src/main/java/org/heatherspread/core/limit/LimitOwnerClient.java
+++ b/core/src/main/java/org/heatherspread/core/limit/LimitOwnerClient.java
@@ -14,9 +14,12 @@
    *
    * @param daemon name of the limit owner
    * @param amount requests or tokens, in the unit of the account's limit
-   * @return fails if no reply arrives in time; the amount may have been charged nevertheless
+   * @param unreported amount that this daemon admitted without the owner, which the owner charges
+   *     in addition
+   * @return fails if no reply arrives in time; the amounts may have been charged nevertheless
    */
-  CompletableFuture<Decision> requestAdmission(String daemon, String account, double amount);
+  CompletableFuture<Decision> requestAdmission(
+      String daemon, String account, double amount, double unreported);
 
   /**
    * The reply of a daemon.
--- a/core/src/main/java/org/heatherspread/core/limit/OvershootAllowance.java
+++ b/core/src/main/java/org/heatherspread/core/limit/OvershootAllowance.java
@@ -9,18 +9,36 @@
  */
 public record OvershootAllowance(
     double windowSeconds, double relativeOvershoot, double absoluteOvershoot) {
+  /** Fraction of the allowance given to the burst. */
+  private static final double BURST_FRACTION = 0.3;
+
   /**
-   * Fraction of the allowance given to the burst; the rest covers the requests that daemons admit
-   * while they cannot reach the limit owner.
+   * Fraction of the allowance for what daemons admit without the limit owner. The rest covers the
+   * last request that an owner admits, which may exceed what its bucket holds.
    */
-  private static final double BURST_FRACTION = 0.3;
+  private static final double FALLBACK_FRACTION = 0.5;
+
+  private static final long MILLIS_PER_SECOND = 1_000;
 
   /**
    * Returns the burst enlarged by a fraction of the allowance, so that single large requests are
    * admitted.
    */
   public double effectiveBurst(double ratePerSecond, double burst) {
-    double window = ratePerSecond * windowSeconds + burst;
-    return burst + BURST_FRACTION * (relativeOvershoot * window + absoluteOvershoot);
+    return burst + BURST_FRACTION * windowAllowance(ratePerSecond, burst);
+  }
+
+  /** Returns the amount that all daemons together may admit in a window without the limit owner. */
+  double fallbackReserve(double ratePerSecond, double burst) {
+    return FALLBACK_FRACTION * windowAllowance(ratePerSecond, burst);
+  }
+
+  /** Returns the length of the window in milliseconds. */
+  long windowMillis() {
+    return (long) (windowSeconds * MILLIS_PER_SECOND);
+  }
+
+  private double windowAllowance(double ratePerSecond, double burst) {
+    return relativeOvershoot * (ratePerSecond * windowSeconds + burst) + absoluteOvershoot;
   }
 }
--- a/core/src/main/java/org/heatherspread/core/limit/PartitionedLimiter.java
+++ b/core/src/main/java/org/heatherspread/core/limit/PartitionedLimiter.java
@@ -2,7 +2,6 @@
 
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -19,12 +18,15 @@
  * <p>An account may send few large requests that reach many daemons. If its limit were split
  * evenly, each daemon's share would be smaller than one request, and most requests would be refused
  * although the account is far below its limit. The owner of a limit is selected by rendezvous
- * hashing over the daemons that serve callers, so that they agree on it without communication. A
- * daemon that cannot reach the owner admits requests by a small share of the limit.
+ * hashing over the daemons that serve callers, so that they agree on it without communication.
  *
- * <p>Invariants: the bucket of a new owner starts empty, and so does a fallback bucket that was not
- * used for a while; a change of owner or an unreachable owner therefore grants no account its burst
- * twice. Confined to one thread.
+ * <p>A daemon that cannot reach the owner admits requests within its part of the overshoot
+ * allowance, and reports their amounts to the owner later, which charges them to the limit.
+ *
+ * <p>Invariants: what a daemon admits within a window without the owner, and has not reported,
+ * never exceeds its part of the reserve, however often and for however long calls to the owner
+ * fail; the bucket of a new owner starts empty, so that a change of owner grants no account its
+ * burst twice. Confined to one thread.
  */
 public final class PartitionedLimiter {
   /** Amount per second that stands for no limit. */
@@ -33,19 +35,13 @@
   /** Daemons assumed to share a limit before any are known; more than small fleets have. */
   private static final int ASSUMED_DAEMONS = 12;
 
-  /**
-   * Fraction of an even share that a daemon admits while it cannot reach the owner. The owner keeps
-   * admitting for the other daemons in the meantime. What half of all daemons admit in this way,
-   * for as long as each accepts API keys without the store, must fit in the part of the overshoot
-   * allowance that the owner does not use.
-   */
-  private static final double FALLBACK_FRACTION = 0.3;
+  /** Time for which an owner is not asked again after its process was found to be stopped. */
+  private static final long STOPPED_BACKOFF_MILLIS = 100;
 
-  /** Time without use after which a fallback bucket is discarded with its contents. */
-  private static final long FALLBACK_IDLE_MILLIS = 2_000;
+  /** Range of the time for which an owner is not asked again after it failed to answer. */
+  private static final long MIN_BACKOFF_MILLIS = 500;
 
-  /** Time for which an owner is not asked again after it failed to answer. */
-  private static final long OWNER_BACKOFF_MILLIS = 1_000;
+  private static final long MAX_BACKOFF_MILLIS = 1_000;
 
   /** Lower bound on the wait of a refused request, so that callers never retry immediately. */
   private static final double MIN_RETRY_SECONDS = 0.05;
@@ -56,11 +52,12 @@
   private final MonotonicClock clock;
   private final OvershootAllowance allowance;
   private final Map<String, Bucket> ownedBuckets = new HashMap<>();
-  private final Map<String, Bucket> fallbackBuckets = new HashMap<>();
+  private final Map<String, Bucket> stoppedOwnerBuckets = new HashMap<>();
+  private final Map<String, UnreportedAmounts> unreportedAmounts = new HashMap<>();
   private final Map<String, String> owners = new HashMap<>();
-  private final Map<String, Long> backoffUntilMillis = new HashMap<>();
-  private final Set<String> stoppedOwners = new HashSet<>();
+  private final Map<String, OwnerFailure> failures = new HashMap<>();
   private List<String> daemons = List.of();
+  private int admittingDaemons = ASSUMED_DAEMONS;
 
   private PartitionedLimiter(String self, MonotonicClock clock, OvershootAllowance allowance) {
     this.self = self;
@@ -84,13 +81,16 @@
    * @param daemonNames daemons that serve callers, this one included if it does, and those that
    *     stopped reporting so recently that they may still admit requests, as a partitioned owner
    *     continues to do for a while
+   * @param admitting number of daemons that may admit requests, at least those that may own limits;
+   *     0 if unknown
    * @param accounts all accounts; the buckets of newly owned limits start to fill now
    */
-  public void updateDaemons(Collection<String> daemonNames, Collection<AccountConfig> accounts) {
+  public void updateDaemons(
+      Collection<String> daemonNames, int admitting, Collection<AccountConfig> accounts) {
     daemons = List.copyOf(daemonNames);
+    admittingDaemons = admitting > 0 ? admitting : ASSUMED_DAEMONS;
     owners.clear();
-    backoffUntilMillis.keySet().retainAll(daemonNames);
-    stoppedOwners.retainAll(daemonNames);
+    failures.keySet().retainAll(daemonNames);
     for (AccountConfig account : accounts) {
       if (account.ratePerSecond() > 0 && self.equals(owner(account.name()))) {
         bucket(ownedBuckets, account, account.ratePerSecond());
@@ -124,8 +124,17 @@
     if (owner == null || owner.equals(self)) {
       return Optional.empty();
     }
-    boolean backingOff = clock.millis() < backoffUntilMillis.getOrDefault(owner, Long.MIN_VALUE);
-    return backingOff ? Optional.empty() : Optional.of(owner);
+    return isBackingOff(owner) ? Optional.empty() : Optional.of(owner);
+  }
+
+  private boolean isBackingOff(String owner) {
+    OwnerFailure failure = failures.get(owner);
+    return failure != null && clock.millis() < failure.askAgainMillis;
+  }
+
+  /** Records that an owner decided on a request. */
+  public void ownerAnswered(String owner) {
+    failures.remove(owner);
   }
 
   /**
@@ -134,12 +143,20 @@
    * @param stopped whether its process has certainly stopped, so that it admits nothing
    */
   public void ownerFailed(String owner, boolean stopped) {
-    backoffUntilMillis.put(owner, clock.millis() + OWNER_BACKOFF_MILLIS);
+    long now = clock.millis();
+    OwnerFailure previous = failures.get(owner);
+    long backoffMillis;
     if (stopped) {
-      stoppedOwners.add(owner);
+      backoffMillis = STOPPED_BACKOFF_MILLIS;
+    } else if (previous == null || previous.stopped) {
+      backoffMillis = MIN_BACKOFF_MILLIS;
+    } else if (now < previous.askAgainMillis) {
+      // A call that was in progress when another one failed.
+      return;
     } else {
-      stoppedOwners.remove(owner);
+      backoffMillis = Math.min(MAX_BACKOFF_MILLIS, 2 * previous.backoffMillis);
     }
+    failures.put(owner, new OwnerFailure(stopped, backoffMillis, now + backoffMillis));
   }
 
   /** Returns the names of the accounts whose limits this daemon owns. */
@@ -153,37 +170,67 @@
   }
 
   /**
-   * Decides on a request as the limit owner, or by the fallback share if the owner is another
-   * daemon.
+   * Decides on a request as the limit owner, or without it if the owner is another daemon.
    *
    * @param amount requests or tokens, in the unit of the account's limit
-   * @return empty if admitted, else seconds until the account is below its limit again
+   * @return empty if admitted, else seconds after which to retry
    */
   public OptionalDouble admit(AccountConfig account, double amount) {
     if (account.ratePerSecond() <= 0) {
       return OptionalDouble.empty();
     }
-    boolean owned = isOwner(account.name());
-    Bucket bucket =
-        owned ? bucket(ownedBuckets, account, account.ratePerSecond()) : fallbackBucket(account);
-    return bucket.admit(amount);
-  }
-
-  private Bucket fallbackBucket(AccountConfig account) {
-    double share =
-        daemons.isEmpty()
-            ? account.ratePerSecond() / ASSUMED_DAEMONS
-            : fallbackFraction(account) * account.ratePerSecond() / daemons.size();
-    Bucket existing = fallbackBuckets.get(account.name());
-    if (existing != null && clock.millis() - existing.lastUsedMillis > FALLBACK_IDLE_MILLIS) {
-      fallbackBuckets.remove(account.name());
+    if (isOwner(account.name())) {
+      return bucket(ownedBuckets, account, account.ratePerSecond()).admit(amount);
     }
-    return bucket(fallbackBuckets, account, share);
+    OwnerFailure failure = failures.get(owner(account.name()));
+    if (failure != null && failure.stopped) {
+      // Nobody else admits, so all daemons together may admit the whole limit.
+      double share = account.ratePerSecond() / admittingDaemons;
+      return bucket(stoppedOwnerBuckets, account, share).admit(amount);
+    }
+    stoppedOwnerBuckets.remove(account.name());
+    return admitUnreported(account, amount, failure);
+  }
+
+  private OptionalDouble admitUnreported(
+      AccountConfig account, double amount, OwnerFailure failure) {
+    long now = clock.millis();
+    UnreportedAmounts unreported =
+        unreportedAmounts.computeIfAbsent(
+            account.name(), name -> new UnreportedAmounts(allowance.windowMillis()));
+    double reserve = allowance.fallbackReserve(account.ratePerSecond(), account.burst());
+    if (unreported.total(now) + amount > reserve / admittingDaemons) {
+      long untilAskedMillis = failure == null ? 0 : failure.askAgainMillis - now;
+      return OptionalDouble.of(Math.max(MIN_RETRY_SECONDS, untilAskedMillis / MILLIS_PER_SECOND));
+    }
+    unreported.add(amount, now);
+    return OptionalDouble.empty();
+  }
+
+  /**
+   * Starts a report of what was admitted without the owner, to be sent with the next request to it.
+   *
+   * @return the amount to report, 0 if there is none or a report is in progress
+   */
+  public double startReport(String account) {
+    UnreportedAmounts unreported = unreportedAmounts.get(account);
+    return unreported == null ? 0 : unreported.startReport(clock.millis());
+  }
+
+  /**
+   * Ends a report of a positive amount.
+   *
+   * @param charged whether the owner has charged the amount
+   */
+  public void endReport(String account, boolean charged) {
+    unreportedAmounts.get(account).endReport(charged);
   }
 
-  /** While the owner is stopped, all daemons together may admit the whole limit. */
-  private double fallbackFraction(AccountConfig account) {
-    return stoppedOwners.contains(owner(account.name())) ? 1 : FALLBACK_FRACTION;
+  /** Charges an amount to an owned limit that another daemon has already admitted. */
+  public void chargeReported(AccountConfig account, double amount) {
+    if (amount > 0 && account.ratePerSecond() > 0 && isOwner(account.name())) {
+      bucket(ownedBuckets, account, account.ratePerSecond()).charge(amount);
+    }
   }
 
   private Bucket bucket(Map<String, Bucket> buckets, AccountConfig account, double rate) {
@@ -192,12 +239,20 @@
     return bucket;
   }
 
+  /**
+   * The last failure of an owner to decide.
+   *
+   * @param stopped whether its process had stopped
+   * @param backoffMillis time for which it is not asked again
+   * @param askAgainMillis end of that time, on the monotonic clock
+   */
+  private record OwnerFailure(boolean stopped, long backoffMillis, long askAgainMillis) {}
+
   /** Token bucket of one account. */
   private final class Bucket {
     private AccountConfig rule;
     private double rate;
     private AccountLimiter limiter;
-    private long lastUsedMillis;
 
     private Bucket(AccountConfig account, double rate) {
       reset(account, rate);
@@ -209,7 +264,6 @@
       double limitRate = account.ratePerSecond();
       double burst = allowance.effectiveBurst(limitRate, account.burst());
       limiter = AccountLimiter.createEmpty(burst / limitRate, amounts(newRate), clock.nanos());
-      lastUsedMillis = clock.millis();
     }
 
     private void apply(AccountConfig account, double newRate) {
@@ -222,7 +276,6 @@
     }
 
     private OptionalDouble admit(double amount) {
-      lastUsedMillis = clock.millis();
       LimitDecision decision = limiter.admit((long) amount, clock.nanos());
       if (decision.admitted()) {
         limiter.release(0, clock.nanos());
@@ -232,6 +285,10 @@
       return OptionalDouble.of(Math.max(MIN_RETRY_SECONDS, seconds));
     }
 
+    private void charge(double amount) {
+      limiter.charge((long) amount, clock.nanos());
+    }
+
     private static ResourceAmounts amounts(double tokens) {
       return new ResourceAmounts(UNLIMITED, tokens, UNLIMITED);
     }
--- a/node/src/main/java/org/heatherspread/node/control/FleetListener.java
+++ b/node/src/main/java/org/heatherspread/node/control/FleetListener.java
@@ -158,14 +158,15 @@
       }
       addresses.put(report.daemon(), HostPort.parse(report.peerAddress()));
     }
-    for (DaemonReport report : fleet.reportedWithin(maxAdmissionMillis())) {
+    List<DaemonReport> admitting = fleet.reportedWithin(maxAdmissionMillis());
+    for (DaemonReport report : admitting) {
       if (report.state() == DaemonState.READY) {
         possibleOwners.add(report.daemon());
       }
     }
     peers.updateAddresses(addresses);
     List<AccountConfig> accounts = state.config().map(ServingConfig::accounts).orElse(List.of());
-    state.accountAdmission().updateDaemons(possibleOwners, accounts);
+    state.accountAdmission().updateDaemons(possibleOwners, admitting.size(), accounts);
     Map<String, String> newReaders = new HashMap<>();
     for (DaemonReport report : reports) {
       if (!newReaders.containsKey(report.domain())) {
--- a/node/src/main/java/org/heatherspread/node/peer/PeerClient.java
+++ b/node/src/main/java/org/heatherspread/node/peer/PeerClient.java
@@ -59,9 +59,10 @@
 
   @Override
   public CompletableFuture<Decision> requestAdmission(
-      String daemon, String account, double amount) {
+      String daemon, String account, double amount, double unreported) {
     byte[] body =
-        PeerFormat.writeAdmissionRequest(new PeerFormat.AdmissionRequest(account, amount));
+        PeerFormat.writeAdmissionRequest(
+            new PeerFormat.AdmissionRequest(account, amount, unreported));
     return call(daemon, HttpMethod.POST, PeerFormat.LIMIT_PATH, body, ADMISSION_TIMEOUT)
         .thenApply(response -> PeerFormat.readDecision(requireSuccess(daemon, response).body()));
   }
--- a/node/src/main/java/org/heatherspread/node/peer/PeerFormat.java
+++ b/node/src/main/java/org/heatherspread/node/peer/PeerFormat.java
@@ -49,17 +49,28 @@
 
   private PeerFormat() {}
 
-  /** A request for admission under the limit of an account. */
-  record AdmissionRequest(String account, double amount) {}
+  /**
+   * A request for admission under the limit of an account.
+   *
+   * @param unreported amount that the sender has admitted without the owner
+   */
+  record AdmissionRequest(String account, double amount, double unreported) {}
 
   static byte[] writeAdmissionRequest(AdmissionRequest request) {
     return serialize(
-        MAPPER.createObjectNode().put("account", request.account).put("amount", request.amount));
+        MAPPER
+            .createObjectNode()
+            .put("account", request.account)
+            .put("amount", request.amount)
+            .put("unreported", request.unreported));
   }
 
   static AdmissionRequest readAdmissionRequest(byte[] body) {
     JsonNode node = parse(body);
-    return new AdmissionRequest(node.path("account").asText(), node.path("amount").asDouble());
+    return new AdmissionRequest(
+        node.path("account").asText(),
+        node.path("amount").asDouble(),
+        node.path("unreported").asDouble());
   }
 
   static byte[] writeDecision(LimitOwnerClient.Decision decision) {
--- a/node/src/main/java/org/heatherspread/node/peer/PeerRequestHandler.java
+++ b/node/src/main/java/org/heatherspread/node/peer/PeerRequestHandler.java
@@ -87,7 +87,11 @@
         state.config().flatMap(config -> findAccount(config, admission));
     LimitOwnerClient.Decision decision =
         account
-            .map(rule -> state.accountAdmission().decideAsOwner(rule, admission.amount()))
+            .map(
+                rule ->
+                    state
+                        .accountAdmission()
+                        .decideAsOwner(rule, admission.amount(), admission.unreported()))
             .orElse(LimitOwnerClient.Decision.NOT_OWNER);
     respond(responseWriter, OK, PeerFormat.writeDecision(decision));
   }
--- a/relay/src/main/java/org/heatherspread/relay/call/AccountAdmission.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/AccountAdmission.java
@@ -58,11 +58,17 @@
     if (owner.isEmpty()) {
       return CompletableFuture.completedFuture(decideLocally(account, amount));
     }
+    double unreported = limits.startReport(account.name());
     return ownerClient
-        .requestAdmission(owner.get(), account.name(), amount)
+        .requestAdmission(owner.get(), account.name(), amount, unreported)
         .handle(
             (ownerDecision, failure) -> {
-              if (failure == null && ownerDecision.decidedByOwner()) {
+              boolean decided = failure == null && ownerDecision.decidedByOwner();
+              if (unreported > 0) {
+                limits.endReport(account.name(), decided);
+              }
+              if (decided) {
+                limits.ownerAnswered(owner.get());
                 return new Decision(ownerDecision.waitSeconds(), owner.get());
               }
               recordOwnerFailure(account, owner.get(), failure);
@@ -95,18 +101,29 @@
     return new Decision(limits.admit(account, amount), "self");
   }
 
-  /** Decides on a request of another daemon, as the owner of the account's limit. */
-  public LimitOwnerClient.Decision decideAsOwner(AccountConfig account, double amount) {
+  /**
+   * Decides on a request of another daemon, as the owner of the account's limit.
+   *
+   * @param unreported amount that the other daemon has admitted without this one
+   */
+  public LimitOwnerClient.Decision decideAsOwner(
+      AccountConfig account, double amount, double unreported) {
     if (!limits.isOwner(account.name())) {
       return LimitOwnerClient.Decision.NOT_OWNER;
     }
+    limits.chargeReported(account, unreported);
     return new LimitOwnerClient.Decision(true, limits.admit(account, amount));
   }
 
-  /** Sets the daemons that may own limits. */
-  public void updateDaemons(Collection<String> names, Collection<AccountConfig> accounts) {
+  /**
+   * Sets the daemons that may own limits.
+   *
+   * @param admitting number of daemons that may admit requests, 0 if unknown
+   */
+  public void updateDaemons(
+      Collection<String> names, int admitting, Collection<AccountConfig> accounts) {
     Set<String> ownedBefore = limits.ownedAccounts();
-    limits.updateDaemons(names, accounts);
+    limits.updateDaemons(names, admitting, accounts);
     Set<String> owned = limits.ownedAccounts();
     if (!owned.equals(ownedBefore)) {
       log.atInfo()
