Let a new owner of a limit decide only once the previous one has released it

Callers saw: an account gets more than its limit (QUOTA) while daemons leave, join or return.

Cause: each daemon selects the owner by its own view of the fleet. Views differ for 1.5 s after a change, the time between two reads, and for as long as a daemon does not reach the store. In between both owners admitted the whole limit, each for the daemons that took it for the owner. A daemon that reached the store again after an outage of its own also took itself for the owner, with a full bucket, until it read the reports.

Change: a new owner asks the previous one to release the limit (POST /v1/limit-release), and forwards requests to it until then. The previous owner declines from then on and forwards its own requests. If it does not answer, the new owner waits until the view of the previous one has expired: a daemon regards itself as an owner only for the time for which it accepts keys, and one report interval, after a read. A stopped process is replaced at once. A daemon that declines is asked again after 0.1 s.

--- a/core/src/main/java/org/heatherspread/core/limit/LimitOwnerClient.java
+++ b/core/src/main/java/org/heatherspread/core/limit/LimitOwnerClient.java
@@ -1,13 +1,13 @@
 package org.heatherspread.core.limit;
 
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.concurrent.CompletableFuture;
 
 /**
- * Requests admission from the daemons that own account limits. Confined to one thread, on which the
- * returned futures complete.
+ * Requests admission from the daemons that own account limits, and their release. Confined to one
+ * thread, on which the returned futures complete.
  */
-@FunctionalInterface
 public interface LimitOwnerClient {
   /**
    * Requests admission under an account's limit; the owner charges the amount if it admits.
@@ -22,7 +22,19 @@
       String daemon, String account, double amount, double unreported);
 
   /**
-   * The reply of a daemon.
+   * Asks a daemon to release an account's limit.
+   *
+   * @param daemon the previous owner
+   * @param newOwner the daemon that decides from now on
+   * @return the daemon that holds the limit instead; empty if the daemon has released the limit or
+   *     knows of no other holder. Fails if no reply arrives in time; the limit may have been
+   *     released nevertheless
+   */
+  CompletableFuture<Optional<String>> requestRelease(
+      String daemon, String account, String newOwner);
+
+  /**
+   * The reply of a daemon to a request for admission.
    *
    * @param decidedByOwner whether the daemon is the limit owner by its own view; if not, it decided
    *     nothing
--- a/core/src/main/java/org/heatherspread/core/limit/PartitionedLimiter.java
+++ b/core/src/main/java/org/heatherspread/core/limit/PartitionedLimiter.java
@@ -23,6 +23,9 @@
  * <p>A daemon that cannot reach the owner admits requests within its part of the overshoot
  * allowance, and reports their amounts to the owner later, which charges them to the limit.
  *
+ * <p>Daemons learn of a change of owner at different times. A new owner therefore decides only once
+ * the previous one has released the limit, or can no longer regard itself as the owner.
+ *
  * <p>Invariants: what a daemon admits within a window without the owner, and has not reported,
  * never exceeds its part of the reserve, however often and for however long calls to the owner
  * fail; the bucket of a new owner starts empty, so that a change of owner grants no account its
@@ -35,14 +38,17 @@
   /** Daemons assumed to share a limit before any are known; more than small fleets have. */
   private static final int ASSUMED_DAEMONS = 12;
 
-  /** Time for which an owner is not asked again after its process was found to be stopped. */
-  private static final long STOPPED_BACKOFF_MILLIS = 100;
+  /** Time for which an owner is not asked again after it declined or was found to be stopped. */
+  private static final long SHORT_BACKOFF_MILLIS = 100;
 
   /** Range of the time for which an owner is not asked again after it failed to answer. */
   private static final long MIN_BACKOFF_MILLIS = 500;
 
   private static final long MAX_BACKOFF_MILLIS = 1_000;
 
+  /** Time after which a daemon is asked again to release a limit. */
+  private static final long TAKEOVER_RETRY_MILLIS = 200;
+
   /** Lower bound on the wait of a refused request, so that callers never retry immediately. */
   private static final double MIN_RETRY_SECONDS = 0.05;
 
@@ -56,8 +62,11 @@
   private final Map<String, UnreportedAmounts> unreportedAmounts = new HashMap<>();
   private final Map<String, String> owners = new HashMap<>();
   private final Map<String, OwnerFailure> failures = new HashMap<>();
+  private final Map<String, Acquisition> acquisitions = new HashMap<>();
+  private final Map<String, String> released = new HashMap<>();
   private List<String> daemons = List.of();
   private int admittingDaemons = ASSUMED_DAEMONS;
+  private long viewExpiryMillis = Long.MIN_VALUE;
 
   private PartitionedLimiter(String self, MonotonicClock clock, OvershootAllowance allowance) {
     this.self = self;
@@ -75,42 +84,93 @@
     return new PartitionedLimiter(self, clock, allowance);
   }
 
+  /** Returns the name of this daemon. */
+  public String self() {
+    return self;
+  }
+
   /**
    * Replaces the set of daemons that may own limits.
    *
    * @param daemonNames daemons that serve callers, this one included if it does, and those that
    *     stopped reporting so recently that they may still admit requests, as a partitioned owner
    *     continues to do for a while
-   * @param admitting number of daemons that may admit requests, at least those that may own limits;
-   *     0 if unknown
+   * @param admitting all daemons that may admit requests, empty if unknown
+   * @param lifetimeMillis time for which daemons regard themselves as owners by this view
    * @param accounts all accounts; the buckets of newly owned limits start to fill now
    */
   public void updateDaemons(
-      Collection<String> daemonNames, int admitting, Collection<AccountConfig> accounts) {
+      Collection<String> daemonNames,
+      Collection<String> admitting,
+      long lifetimeMillis,
+      Collection<AccountConfig> accounts) {
+    Map<String, String> previousOwners = new HashMap<>();
+    for (AccountConfig account : accounts) {
+      previousOwners.put(account.name(), selectedOwner(account.name()));
+    }
     daemons = List.copyOf(daemonNames);
-    admittingDaemons = admitting > 0 ? admitting : ASSUMED_DAEMONS;
+    admittingDaemons = admitting.isEmpty() ? ASSUMED_DAEMONS : admitting.size();
+    viewExpiryMillis = clock.millis() + lifetimeMillis;
     owners.clear();
     failures.keySet().retainAll(daemonNames);
+    acquisitions.keySet().retainAll(previousOwners.keySet());
+    released.keySet().retainAll(previousOwners.keySet());
+    ownedBuckets.keySet().retainAll(previousOwners.keySet());
     for (AccountConfig account : accounts) {
-      if (account.ratePerSecond() > 0 && self.equals(owner(account.name()))) {
-        bucket(ownedBuckets, account, account.ratePerSecond());
+      if (account.ratePerSecond() > 0) {
+        updateOwnership(account, previousOwners.get(account.name()), admitting);
       }
     }
-    ownedBuckets.keySet().removeIf(account -> !self.equals(owner(account)));
   }
 
-  /** Returns the daemon that owns an account's limit; null while no daemon is known. */
+  private void updateOwnership(
+      AccountConfig account, String previousOwner, Collection<String> admitting) {
+    String name = account.name();
+    String holder = released.remove(name);
+    if (!self.equals(selectedOwner(name))) {
+      acquisitions.remove(name);
+      ownedBuckets.remove(name);
+      return;
+    }
+    if (holder == null && !self.equals(previousOwner)) {
+      holder = previousOwner == null ? selectOwner(name, self) : previousOwner;
+    }
+    if (holder != null) {
+      acquisitions.put(name, new Acquisition(holder, viewExpiryMillis));
+    }
+    Acquisition acquisition = acquisitions.get(name);
+    if (acquisition != null && !admitting.contains(acquisition.holder)) {
+      acquisitions.remove(name);
+    }
+    if (!acquisitions.containsKey(name)) {
+      bucket(ownedBuckets, account, account.ratePerSecond());
+    }
+  }
+
+  /**
+   * Returns the daemon that decides on an account's limit; null while no daemon is known. This is
+   * the previous owner until it has released the limit.
+   */
   public String owner(String account) {
-    return owners.computeIfAbsent(account, this::selectOwner);
+    Acquisition acquisition = acquisitions.get(account);
+    if (acquisition != null && clock.millis() < acquisition.expiryMillis) {
+      return acquisition.holder;
+    }
+    String newOwner = released.get(account);
+    return newOwner == null ? selectedOwner(account) : newOwner;
   }
 
-  private String selectOwner(String account) {
+  private String selectedOwner(String account) {
+    return owners.computeIfAbsent(account, name -> selectOwner(name, null));
+  }
+
+  private String selectOwner(String account, String excluded) {
     long key = RendezvousHash.seed(account);
     String selected = null;
     long best = -1;
     for (String daemon : daemons) {
       long score = RendezvousHash.score(RendezvousHash.seed(daemon), key);
-      if (score > best) {
+      if (score > best && !daemon.equals(excluded)) {
         best = score;
         selected = daemon;
       }
@@ -118,6 +178,59 @@
     return selected;
   }
 
+  /**
+   * Starts to take over a newly owned limit.
+   *
+   * @return the daemon to ask to release the limit; empty if there is none, or if it was asked a
+   *     moment ago
+   */
+  public Optional<String> startTakeover(String account) {
+    Acquisition acquisition = acquisitions.get(account);
+    long now = clock.millis();
+    if (acquisition == null || now < acquisition.askAgainMillis) {
+      return Optional.empty();
+    }
+    acquisition.askAgainMillis = now + TAKEOVER_RETRY_MILLIS;
+    return Optional.of(acquisition.holder);
+  }
+
+  /**
+   * Ends the takeover of a limit: this daemon decides on it from now on.
+   *
+   * @param holder the daemon that released it or has stopped
+   */
+  public void endTakeover(AccountConfig account, String holder) {
+    Acquisition acquisition = acquisitions.get(account.name());
+    if (acquisition != null && acquisition.holder.equals(holder)) {
+      acquisitions.remove(account.name());
+      bucket(ownedBuckets, account, account.ratePerSecond());
+    }
+  }
+
+  /** Continues the takeover of a limit with another daemon, which holds it. */
+  public void redirectTakeover(String account, String holder) {
+    Acquisition acquisition = acquisitions.get(account);
+    if (acquisition != null) {
+      acquisitions.put(account, new Acquisition(holder, acquisition.expiryMillis));
+    }
+  }
+
+  /**
+   * Releases a limit to its new owner.
+   *
+   * @return the daemon that holds the limit instead of this one; empty if this daemon has released
+   *     it or knows of no other holder
+   */
+  public Optional<String> release(String account, String newOwner) {
+    String owner = owner(account);
+    if (self.equals(owner)) {
+      ownedBuckets.remove(account);
+      released.put(account, newOwner);
+      return Optional.empty();
+    }
+    return Optional.ofNullable(owner).filter(holder -> !holder.equals(newOwner));
+  }
+
   /** Returns the owner to ask about a request; empty if this daemon has to decide. */
   public Optional<String> remoteOwner(String account) {
     String owner = owner(account);
@@ -137,8 +250,14 @@
     failures.remove(owner);
   }
 
+  /** Records that a daemon answered that it does not own a limit. */
+  public void ownerDeclined(String owner) {
+    long askAgainMillis = clock.millis() + SHORT_BACKOFF_MILLIS;
+    failures.put(owner, new OwnerFailure(false, SHORT_BACKOFF_MILLIS, askAgainMillis));
+  }
+
   /**
-   * Records that an owner did not answer, or answered that it is not the owner.
+   * Records that an owner did not answer.
    *
    * @param stopped whether its process has certainly stopped, so that it admits nothing
    */
@@ -147,14 +266,15 @@
     OwnerFailure previous = failures.get(owner);
     long backoffMillis;
     if (stopped) {
-      backoffMillis = STOPPED_BACKOFF_MILLIS;
+      backoffMillis = SHORT_BACKOFF_MILLIS;
     } else if (previous == null || previous.stopped) {
       backoffMillis = MIN_BACKOFF_MILLIS;
     } else if (now < previous.askAgainMillis) {
       // A call that was in progress when another one failed.
       return;
     } else {
-      backoffMillis = Math.min(MAX_BACKOFF_MILLIS, 2 * previous.backoffMillis);
+      long doubled = Math.max(MIN_BACKOFF_MILLIS, 2 * previous.backoffMillis);
+      backoffMillis = Math.min(MAX_BACKOFF_MILLIS, doubled);
     }
     failures.put(owner, new OwnerFailure(stopped, backoffMillis, now + backoffMillis));
   }
@@ -164,9 +284,9 @@
     return Set.copyOf(ownedBuckets.keySet());
   }
 
-  /** Returns whether this daemon owns an account's limit. */
+  /** Returns whether this daemon decides on an account's limit for all daemons. */
   public boolean isOwner(String account) {
-    return self.equals(owner(account));
+    return self.equals(owner(account)) && clock.millis() < viewExpiryMillis;
   }
 
   /**
@@ -248,6 +368,21 @@
    */
   private record OwnerFailure(boolean stopped, long backoffMillis, long askAgainMillis) {}
 
+  /** The takeover of a limit from another daemon. */
+  private static final class Acquisition {
+    private final String holder;
+
+    /** Time at which the holder's view has expired, so that it decides no longer. */
+    private final long expiryMillis;
+
+    private long askAgainMillis = Long.MIN_VALUE;
+
+    private Acquisition(String holder, long expiryMillis) {
+      this.holder = holder;
+      this.expiryMillis = expiryMillis;
+    }
+  }
+
   /** Token bucket of one account. */
   private final class Bucket {
     private AccountConfig rule;
--- a/core/src/test/java/org/heatherspread/core/limit/PartitionedLimiterTest.java
+++ b/core/src/test/java/org/heatherspread/core/limit/PartitionedLimiterTest.java
@@ -24,6 +24,9 @@
       new OvershootAllowance(WINDOW_SECONDS, 0.1, 140_000);
   private static final long STEP_MILLIS = 10;
 
+  /** Longer than any test, except where views of the fleet expire. */
+  private static final long VIEW_MILLIS = 600_000;
+
   private long nowNanos = 1_000_000_000L;
   private final MonotonicClock clock = () -> nowNanos;
 
@@ -54,27 +57,56 @@
     }
 
     private void updateDaemons(List<String> names) {
-      limits.values().forEach(each -> each.updateDaemons(names, names.size(), List.of(account)));
+      limits.keySet().forEach(daemon -> updateDaemon(daemon, names, VIEW_MILLIS));
+    }
+
+    private void updateDaemon(String daemon, List<String> names, long lifetimeMillis) {
+      limits.get(daemon).updateDaemons(names, names, lifetimeMillis, List.of(account));
+      takeOver(daemon);
+    }
+
+    private void takeOver(String daemon) {
+      PartitionedLimiter local = limits.get(daemon);
+      Optional<String> holder = local.startTakeover(account.name());
+      if (holder.isEmpty() || partitioned.contains(daemon)) {
+        return;
+      }
+      limits
+          .get(holder.get())
+          .release(account.name(), daemon)
+          .ifPresentOrElse(
+              other -> local.redirectTakeover(account.name(), other),
+              () -> local.endTakeover(account, holder.get()));
     }
 
     private OptionalDouble send(String daemon, double tokens) {
       PartitionedLimiter local = limits.get(daemon);
+      takeOver(daemon);
       Optional<String> owner = local.remoteOwner(account.name());
       if (owner.isEmpty()) {
         return local.admit(account, tokens);
       }
-      double unreported = local.startReport(account.name());
+      PartitionedLimiter remote = limits.get(owner.get());
       boolean reached = !partitioned.contains(daemon);
+      if (reached) {
+        takeOver(owner.get());
+      }
+      boolean decided = reached && remote.isOwner(account.name());
+      double unreported = local.startReport(account.name());
       if (unreported > 0) {
-        local.endReport(account.name(), reached);
+        local.endReport(account.name(), decided);
       }
-      if (!reached) {
-        local.ownerFailed(owner.get(), false);
+      if (!decided) {
+        if (reached) {
+          local.ownerDeclined(owner.get());
+        } else {
+          local.ownerFailed(owner.get(), false);
+        }
         return local.admit(account, tokens);
       }
       local.ownerAnswered(owner.get());
-      limits.get(owner.get()).chargeReported(account, unreported);
-      return limits.get(owner.get()).admit(account, tokens);
+      remote.chargeReported(account, unreported);
+      return remote.admit(account, tokens);
     }
   }
 
@@ -198,6 +230,93 @@
     }
   }
 
+  /**
+   * A daemon returns and owns the limit again, and three of the other seven daemons, among them the
+   * previous owner, cannot read that from the store for four seconds. The account sends four times
+   * its limit.
+   */
+  @Test
+  void neverExceedsTheWindowLimitWhileSomeDaemonsKnowOnlyThePreviousOwner() {
+    double rate = 350_000;
+    AccountConfig account = account(rate);
+    double bound = (rate * WINDOW_SECONDS + account.burst()) * 1.1 + 140_000;
+    for (int seed = 0; seed < 20; seed++) {
+      Fleet fleet = new Fleet(8, account);
+      String returning = fleet.limits.get("daemon-0").owner("acme");
+      fleet.limits.remove(returning);
+      List<String> others = new ArrayList<>(names(8));
+      others.remove(returning);
+      fleet.updateDaemons(others);
+      String previous = fleet.limits.get(others.get(0)).owner("acme");
+      List<String> late = new ArrayList<>(others);
+      late.remove(previous);
+      late = late.subList(0, 2);
+      SplittableRandom random = new SplittableRandom(seed);
+      nowNanos += 30_000_000_000L;
+      double admitted = 0;
+      double offered = 0;
+      for (long millis = 0; millis < WINDOW_SECONDS * 1_000; millis += STEP_MILLIS) {
+        nowNanos += STEP_MILLIS * 1_000_000;
+        if (millis == 2_000) {
+          fleet.limits.put(returning, PartitionedLimiter.create(returning, clock, ALLOWANCE));
+          for (String daemon : names(8)) {
+            if (!daemon.equals(previous) && !late.contains(daemon)) {
+              fleet.updateDaemon(daemon, names(8), VIEW_MILLIS);
+            }
+          }
+        }
+        if (millis == 6_000) {
+          fleet.updateDaemons(names(8));
+        }
+        while (offered < 4 * rate * millis / 1_000) {
+          double tokens = Math.min(54_000, 1_600 / Math.sqrt(1 - random.nextDouble()));
+          offered += tokens;
+          List<String> running = millis < 2_000 ? others : names(8);
+          String daemon = running.get(random.nextInt(running.size()));
+          admitted += fleet.send(daemon, tokens).isEmpty() ? tokens : 0;
+        }
+      }
+      assertThat(admitted).isLessThanOrEqualTo(bound);
+    }
+  }
+
+  /**
+   * An owner that has not read the reports of the other daemons for longer than its view lasts may
+   * have been replaced, and reads them again only after it accepts keys again.
+   */
+  @Test
+  void ownerWithAnExpiredViewAdmitsOnlyItsPartOfTheReserve() {
+    AccountConfig account = account(350_000);
+    PartitionedLimiter limits = PartitionedLimiter.create("daemon-0", clock, ALLOWANCE);
+    limits.updateDaemons(List.of("daemon-0"), names(8), 4_000, List.of(account));
+    assertThat(limits.isOwner("acme")).isTrue();
+    nowNanos += 12_000_000_000L;
+    assertThat(limits.isOwner("acme")).isFalse();
+    double admitted = 0;
+    while (limits.admit(account, 1_000).isEmpty()) {
+      admitted += 1_000;
+    }
+    assertThat(admitted).isLessThanOrEqualTo(455_000 / 2 / 8);
+  }
+
+  @Test
+  void releasedLimitIsTakenBackFromTheDaemonThatHoldsIt() {
+    Fleet fleet = new Fleet(3, account(10_000));
+    String owner = fleet.limits.get("daemon-0").owner("acme");
+    String other = owner.equals("daemon-0") ? "daemon-1" : "daemon-0";
+    assertThat(fleet.limits.get(owner).release("acme", other)).isEmpty();
+    assertThat(fleet.limits.get(owner).isOwner("acme")).isFalse();
+    assertThat(fleet.limits.get(owner).remoteOwner("acme")).contains(other);
+    assertThat(fleet.limits.get(owner).release("acme", "daemon-2")).contains(other);
+    fleet.partitioned = Set.of(owner);
+    fleet.updateDaemon(owner, names(3), VIEW_MILLIS);
+    assertThat(fleet.limits.get(owner).isOwner("acme")).isFalse();
+    fleet.partitioned = Set.of();
+    nowNanos += 1_000_000_000L;
+    fleet.takeOver(owner);
+    assertThat(fleet.limits.get(owner).isOwner("acme")).isTrue();
+  }
+
   @Test
   void newOwnerStartsWithEmptyBucket() {
     Fleet fleet = new Fleet(4, account(10_000));
@@ -248,7 +367,7 @@
   @Test
   void failedOwnerIsAskedAgainOnlyAfterBackoff() {
     PartitionedLimiter limits = PartitionedLimiter.create("daemon-0", clock, ALLOWANCE);
-    limits.updateDaemons(List.of("daemon-1"), 2, List.of(account(10_000)));
+    limits.updateDaemons(List.of("daemon-1"), names(2), VIEW_MILLIS, List.of(account(10_000)));
     assertThat(limits.remoteOwner("acme")).contains("daemon-1");
     limits.ownerFailed("daemon-1", false);
     assertThat(limits.remoteOwner("acme")).isEmpty();
--- a/node/src/main/java/org/heatherspread/node/control/FleetListener.java
+++ b/node/src/main/java/org/heatherspread/node/control/FleetListener.java
@@ -108,10 +108,10 @@
       }
     }
     fleet.markRead(now);
-    applyReports();
+    applyReports(result.ageMillis());
   }
 
-  private void applyReports() {
+  private void applyReports(long ageMillis) {
     fleet.setLivenessTimeout(reportSchedule.lifetime(state.daemonCount(), minLifetime).toMillis());
     List<DaemonReport> reports = fleet.liveReports();
     Map<String, EndpointLoad> loads = new HashMap<>();
@@ -132,7 +132,7 @@
     }
     state.unixTime().updateOffsets(offsets);
     state.setDaemonCount(liveNow.size());
-    updatePeers(reports);
+    updatePeers(reports, ageMillis);
     if (!liveNow.equals(liveNames)) {
       liveNames = liveNow;
       log.atInfo().addKeyValue("daemons", String.join(" ", liveNow)).log("live daemons changed");
@@ -148,8 +148,20 @@
     return state.keyTrustMillis() + 2 * reportSchedule.interval(state.daemonCount()).toMillis();
   }
 
-  /** Updates the peer addresses, the possible limit owners and the domain readers. */
-  private void updatePeers(List<DaemonReport> reports) {
+  /**
+   * Returns the time for which a daemon regards itself as a limit owner after it has read the
+   * reports. It ends before the other daemons cease to regard a silent daemon as an owner.
+   */
+  private long ownershipMillis() {
+    return state.keyTrustMillis() + reportSchedule.interval(state.daemonCount()).toMillis();
+  }
+
+  /**
+   * Updates the peer addresses, the possible limit owners and the domain readers.
+   *
+   * @param ageMillis age of the reports
+   */
+  private void updatePeers(List<DaemonReport> reports, long ageMillis) {
     Map<String, HostPort> addresses = new HashMap<>();
     Set<String> possibleOwners = new TreeSet<>();
     for (DaemonReport report : reports) {
@@ -158,15 +170,18 @@
       }
       addresses.put(report.daemon(), HostPort.parse(report.peerAddress()));
     }
-    List<DaemonReport> admitting = fleet.reportedWithin(maxAdmissionMillis());
-    for (DaemonReport report : admitting) {
+    Set<String> admitting = new TreeSet<>();
+    for (DaemonReport report : fleet.reportedWithin(maxAdmissionMillis())) {
+      admitting.add(report.daemon());
       if (report.state() == DaemonState.READY) {
         possibleOwners.add(report.daemon());
       }
     }
     peers.updateAddresses(addresses);
     List<AccountConfig> accounts = state.config().map(ServingConfig::accounts).orElse(List.of());
-    state.accountAdmission().updateDaemons(possibleOwners, admitting.size(), accounts);
+    state
+        .accountAdmission()
+        .updateDaemons(possibleOwners, admitting, ownershipMillis() - ageMillis, accounts);
     Map<String, String> newReaders = new HashMap<>();
     for (DaemonReport report : reports) {
       if (!newReaders.containsKey(report.domain())) {
--- a/node/src/main/java/org/heatherspread/node/peer/PeerClient.java
+++ b/node/src/main/java/org/heatherspread/node/peer/PeerClient.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
 import org.heatherspread.core.error.ErrorKind;
@@ -24,8 +25,8 @@
  */
 public final class PeerClient implements LimitOwnerClient, LoadExchange.LoadClient {
   /**
-   * Timeout of admission requests: well above a round trip to a busy instance, and small compared
-   * with the latency targets of requests.
+   * Timeout of requests to limit owners: well above a round trip to a busy instance, and small
+   * compared with the latency targets of requests.
    */
   private static final Duration ADMISSION_TIMEOUT = Duration.ofMillis(150);
 
@@ -67,6 +68,14 @@
         .thenApply(response -> PeerFormat.readDecision(requireSuccess(daemon, response).body()));
   }
 
+  @Override
+  public CompletableFuture<Optional<String>> requestRelease(
+      String daemon, String account, String newOwner) {
+    byte[] body = PeerFormat.writeReleaseRequest(new PeerFormat.ReleaseRequest(account, newOwner));
+    return call(daemon, HttpMethod.POST, PeerFormat.LIMIT_RELEASE_PATH, body, ADMISSION_TIMEOUT)
+        .thenApply(response -> PeerFormat.readHolder(requireSuccess(daemon, response).body()));
+  }
+
   /**
    * Waits for rows of a table that changed after a version, as read by the daemon.
    *
--- a/node/src/main/java/org/heatherspread/node/peer/PeerFormat.java
+++ b/node/src/main/java/org/heatherspread/node/peer/PeerFormat.java
@@ -13,6 +13,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import org.heatherspread.core.fleet.EndpointLoad;
 import org.heatherspread.core.limit.LimitOwnerClient;
@@ -27,6 +28,9 @@
   /** Path of admission requests to a limit owner. */
   static final String LIMIT_PATH = "/v1/limit";
 
+  /** Path on which a new limit owner asks the previous one to release a limit. */
+  static final String LIMIT_RELEASE_PATH = "/v1/limit-release";
+
   /** Path of long polls for changes of a table. */
   static final String CHANGES_PATH = "/v1/changes";
 
@@ -73,6 +77,31 @@
         node.path("unreported").asDouble());
   }
 
+  /** A request to release the limit of an account to its new owner. */
+  record ReleaseRequest(String account, String owner) {}
+
+  static byte[] writeReleaseRequest(ReleaseRequest request) {
+    return serialize(
+        MAPPER.createObjectNode().put("account", request.account).put("owner", request.owner));
+  }
+
+  static ReleaseRequest readReleaseRequest(byte[] body) {
+    JsonNode node = parse(body);
+    return new ReleaseRequest(node.path("account").asText(), node.path("owner").asText());
+  }
+
+  /** Writes the daemon that holds a limit, empty if it was released. */
+  static byte[] writeHolder(Optional<String> holder) {
+    ObjectNode node = MAPPER.createObjectNode();
+    holder.ifPresent(daemon -> node.put("owner", daemon));
+    return serialize(node);
+  }
+
+  static Optional<String> readHolder(byte[] body) {
+    JsonNode owner = parse(body).path("owner");
+    return owner.isTextual() ? Optional.of(owner.asText()) : Optional.empty();
+  }
+
   static byte[] writeDecision(LimitOwnerClient.Decision decision) {
     ObjectNode node = MAPPER.createObjectNode().put("keeps", decision.decidedByOwner());
     decision.waitSeconds().ifPresent(wait -> node.put("wait", wait));
--- a/node/src/main/java/org/heatherspread/node/peer/PeerRequestHandler.java
+++ b/node/src/main/java/org/heatherspread/node/peer/PeerRequestHandler.java
@@ -17,8 +17,9 @@
 import org.heatherspread.relay.caller.ResponseWriter;
 
 /**
- * Handles requests from other daemons: for admission under limits that this daemon owns, and for
- * the table changes and endpoint loads of its failure domain. Confined to the event loop.
+ * Handles requests from other daemons: for admission under limits that this daemon owns, for the
+ * release of these limits, and for the table changes and endpoint loads of its failure domain.
+ * Confined to the event loop.
  */
 public final class PeerRequestHandler implements CallerRequestHandler {
   private static final int OK = 200;
@@ -70,6 +71,7 @@
     try {
       switch (target.path()) {
         case PeerFormat.LIMIT_PATH -> handleAdmission(request, responseWriter);
+        case PeerFormat.LIMIT_RELEASE_PATH -> handleRelease(request, responseWriter);
         case PeerFormat.CHANGES_PATH -> handleChanges(target.parameters(), responseWriter);
         case PeerFormat.LOADS_PATH -> handleLoads(request, responseWriter);
         case PeerFormat.DOMAIN_LOADS_PATH ->
@@ -96,6 +98,12 @@
     respond(responseWriter, OK, PeerFormat.writeDecision(decision));
   }
 
+  private void handleRelease(CallerRequest request, ResponseWriter responseWriter) {
+    PeerFormat.ReleaseRequest release = PeerFormat.readReleaseRequest(request.body());
+    Optional<String> holder = state.accountAdmission().release(release.account(), release.owner());
+    respond(responseWriter, OK, PeerFormat.writeHolder(holder));
+  }
+
   private static Optional<AccountConfig> findAccount(
       ServingConfig config, PeerFormat.AdmissionRequest admission) {
     return config.accounts().stream()
--- a/relay/src/main/java/org/heatherspread/relay/call/AccountAdmission.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/AccountAdmission.java
@@ -54,6 +54,7 @@
    */
   CompletableFuture<Decision> admit(AccountConfig account, double amount) {
     boolean limited = account.ratePerSecond() > 0;
+    takeOver(account);
     Optional<String> owner = limited ? limits.remoteOwner(account.name()) : Optional.empty();
     if (owner.isEmpty()) {
       return CompletableFuture.completedFuture(decideLocally(account, amount));
@@ -71,13 +72,17 @@
                 limits.ownerAnswered(owner.get());
                 return new Decision(ownerDecision.waitSeconds(), owner.get());
               }
-              recordOwnerFailure(account, owner.get(), failure);
+              recordUndecided(account, owner.get(), failure);
               return decideLocally(account, amount);
             });
   }
 
-  private void recordOwnerFailure(AccountConfig account, String owner, Throwable failure) {
-    limits.ownerFailed(owner, isConnectionRefused(failure));
+  private void recordUndecided(AccountConfig account, String owner, Throwable failure) {
+    if (failure == null) {
+      limits.ownerDeclined(owner);
+    } else {
+      limits.ownerFailed(owner, isConnectionRefused(failure));
+    }
     log.atInfo()
         .addKeyValue("account", account.name())
         .addKeyValue("keeper", owner)
@@ -87,6 +92,33 @@
         .log("limit is decided without its keeper");
   }
 
+  /** Asks the previous owner to release a newly owned limit, unless it was asked a moment ago. */
+  private void takeOver(AccountConfig account) {
+    Optional<String> previous = limits.startTakeover(account.name());
+    if (previous.isEmpty()) {
+      return;
+    }
+    ownerClient
+        .requestRelease(previous.get(), account.name(), limits.self())
+        .whenComplete((holder, failure) -> onReleased(account, previous.get(), holder, failure));
+  }
+
+  private void onReleased(
+      AccountConfig account, String previous, Optional<String> holder, Throwable failure) {
+    String outcome = "released";
+    if (failure == null && holder.isPresent() && !holder.get().equals(limits.self())) {
+      limits.redirectTakeover(account.name(), holder.get());
+      outcome = "held by " + holder.get();
+    } else if (failure == null || isConnectionRefused(failure)) {
+      limits.endTakeover(account, previous);
+    }
+    log.atInfo()
+        .addKeyValue("account", account.name())
+        .addKeyValue("from", previous)
+        .addKeyValue("outcome", failure == null ? outcome : String.valueOf(failure.getMessage()))
+        .log("account limit taken over");
+  }
+
   /** Returns whether nothing listens at the owner's address, so that it admits no requests. */
   private static boolean isConnectionRefused(Throwable failure) {
     for (Throwable cause = failure; cause != null; cause = cause.getCause()) {
@@ -108,6 +140,7 @@
    */
   public LimitOwnerClient.Decision decideAsOwner(
       AccountConfig account, double amount, double unreported) {
+    takeOver(account);
     if (!limits.isOwner(account.name())) {
       return LimitOwnerClient.Decision.NOT_OWNER;
     }
@@ -116,14 +149,30 @@
   }
 
   /**
-   * Sets the daemons that may own limits.
+   * Releases a limit to its new owner.
+   *
+   * @return the daemon that holds the limit instead of this one; empty if this daemon has released
+   *     it or knows of no other holder
+   */
+  public Optional<String> release(String account, String newOwner) {
+    return limits.release(account, newOwner);
+  }
+
+  /**
+   * Sets the daemons that may own limits, and takes over those that this daemon owns from now on.
    *
-   * @param admitting number of daemons that may admit requests, 0 if unknown
+   * @param names daemons that may own limits
+   * @param admitting all daemons that may admit requests
+   * @param lifetimeMillis time for which daemons regard themselves as owners by this view
    */
   public void updateDaemons(
-      Collection<String> names, int admitting, Collection<AccountConfig> accounts) {
+      Collection<String> names,
+      Collection<String> admitting,
+      long lifetimeMillis,
+      Collection<AccountConfig> accounts) {
     Set<String> ownedBefore = limits.ownedAccounts();
-    limits.updateDaemons(names, admitting, accounts);
+    limits.updateDaemons(names, admitting, lifetimeMillis, accounts);
+    accounts.forEach(this::takeOver);
     Set<String> owned = limits.ownedAccounts();
     if (!owned.equals(ownedBefore)) {
       log.atInfo()
--- a/relay/src/test/java/org/heatherspread/relay/RelayHarness.java
+++ b/relay/src/test/java/org/heatherspread/relay/RelayHarness.java
@@ -111,8 +111,9 @@
   public static RelayHarness start(StreamMigrator migrator) throws Exception {
     return start(
         migrator,
-        (daemon, account, amount, unreported) ->
-            CompletableFuture.failedFuture(new IllegalStateException("no other daemons")),
+        new FixedOwnerClient(
+            request ->
+                CompletableFuture.failedFuture(new IllegalStateException("no other daemons"))),
         SELF);
   }
 
@@ -123,7 +124,10 @@
     ServingConfig config = config(1, 1_000_000);
     rig.onLoop(state -> state.updateConfig(config));
     rig.onLoop(
-        state -> state.accountAdmission().updateDaemons(List.of(owner), 1, config.accounts()));
+        state ->
+            state
+                .accountAdmission()
+                .updateDaemons(List.of(owner), List.of(owner), 600_000, config.accounts()));
     rig.recordStoreRead();
     return rig;
   }
--- a/relay/src/test/java/org/heatherspread/relay/call/AccountAdmissionTest.java
+++ b/relay/src/test/java/org/heatherspread/relay/call/AccountAdmissionTest.java
@@ -12,6 +12,7 @@
 import org.heatherspread.core.limit.LimitOwnerClient;
 import org.heatherspread.core.limit.LimitOwnerClient.Decision;
 import org.heatherspread.relay.FakeEndpoint;
+import org.heatherspread.relay.FixedOwnerClient;
 import org.heatherspread.relay.RelayHarness;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -25,10 +26,12 @@
 
   private RelayHarness startHarness() throws Exception {
     LimitOwnerClient ownerClient =
-        (daemon, account, amount, unreported) -> {
-          ownerRequests.add(daemon + ' ' + account + ' ' + (long) amount + ' ' + (long) unreported);
-          return ownerDecision;
-        };
+        new FixedOwnerClient(
+            request -> {
+              String amounts = (long) request.amount() + " " + (long) request.unreported();
+              ownerRequests.add(request.daemon() + ' ' + request.account() + ' ' + amounts);
+              return ownerDecision;
+            });
     RelayHarness harness = RelayHarness.start(null, ownerClient, "owner");
     endpoint =
         FakeEndpoint.start(
