Let the previous owner of a limit decide while its successor does not know of the change

Cause: the owner had left and dropped the limit when it read that another daemon was selected; that one had lost the store and still took the first for the owner.

Change: an owner holds a lease on each limit and decides until it ends or the new owner asks for the limit. A daemon that declines names the owner by its view, which is asked instead. PartitionedLimiterTest.previousOwnerDecidesWhileTheNewOwnerDoesNotKnowThatItIs fails if the limit is dropped at the change.

--- a/core/src/main/java/org/heatherspread/core/limit/LimitOwnerClient.java
+++ b/core/src/main/java/org/heatherspread/core/limit/LimitOwnerClient.java
@@ -39,9 +39,17 @@
    * @param decidedByOwner whether the daemon is the limit owner by its own view; if not, it decided
    *     nothing
    * @param waitSeconds empty if admitted, else the time until the account is below its limit again
+   * @param owner the owner by the view of a daemon that did not decide; empty if it knows none
    */
-  record Decision(boolean decidedByOwner, OptionalDouble waitSeconds) {
-    /** The reply of a daemon that does not own the limit. */
-    public static final Decision NOT_OWNER = new Decision(false, OptionalDouble.empty());
+  record Decision(boolean decidedByOwner, OptionalDouble waitSeconds, Optional<String> owner) {
+    /** Returns the reply of the limit owner. */
+    public static Decision decided(OptionalDouble waitSeconds) {
+      return new Decision(true, waitSeconds, Optional.empty());
+    }
+
+    /** Returns the reply of a daemon that does not own the limit. */
+    public static Decision declined(Optional<String> owner) {
+      return new Decision(false, OptionalDouble.empty(), owner);
+    }
   }
 }
--- a/core/src/main/java/org/heatherspread/core/limit/PartitionedLimiter.java
+++ b/core/src/main/java/org/heatherspread/core/limit/PartitionedLimiter.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -23,8 +24,10 @@
  * <p>A daemon that cannot reach the owner admits requests within its part of the overshoot
  * allowance, and reports their amounts to the owner later, which charges them to the limit.
  *
- * <p>Daemons learn of a change of owner at different times. A new owner therefore decides only once
- * the previous one has released the limit, or can no longer regard itself as the owner.
+ * <p>Daemons learn of a change of owner at different times. An owner therefore holds a lease on
+ * each of its limits, which ends a fixed time after it last read that it is the owner, and a new
+ * owner decides only once the previous one has released the limit or its lease has certainly ended.
+ * Until then the previous owner decides, and other daemons refer requests to it.
  *
  * <p>Invariants: what a daemon admits within a window without the owner, and has not reported,
  * never exceeds its part of the reserve, however often and for however long calls to the owner
@@ -62,11 +65,13 @@
   private final Map<String, UnreportedAmounts> unreportedAmounts = new HashMap<>();
   private final Map<String, String> owners = new HashMap<>();
   private final Map<String, OwnerFailure> failures = new HashMap<>();
+  private final Map<String, Long> leaseEndMillis = new HashMap<>();
   private final Map<String, Acquisition> acquisitions = new HashMap<>();
   private final Map<String, String> released = new HashMap<>();
+  private final Map<String, String> redirects = new HashMap<>();
   private List<String> daemons = List.of();
   private int admittingDaemons = ASSUMED_DAEMONS;
-  private long viewExpiryMillis = Long.MIN_VALUE;
+  private long viewLeaseEndMillis = Long.MIN_VALUE;
 
   private PartitionedLimiter(String self, MonotonicClock clock, OvershootAllowance allowance) {
     this.self = self;
@@ -96,13 +101,13 @@
    *     stopped reporting so recently that they may still admit requests, as a partitioned owner
    *     continues to do for a while
    * @param admitting all daemons that may admit requests, empty if unknown
-   * @param lifetimeMillis time for which daemons regard themselves as owners by this view
+   * @param leaseMillis time from this view for which its owners decide
    * @param accounts all accounts; the buckets of newly owned limits start to fill now
    */
   public void updateDaemons(
       Collection<String> daemonNames,
       Collection<String> admitting,
-      long lifetimeMillis,
+      long leaseMillis,
       Collection<AccountConfig> accounts) {
     Map<String, String> previousOwners = new HashMap<>();
     for (AccountConfig account : accounts) {
@@ -110,53 +115,71 @@
     }
     daemons = List.copyOf(daemonNames);
     admittingDaemons = admitting.isEmpty() ? ASSUMED_DAEMONS : admitting.size();
-    viewExpiryMillis = clock.millis() + lifetimeMillis;
+    viewLeaseEndMillis = clock.millis() + leaseMillis;
     owners.clear();
-    failures.keySet().retainAll(daemonNames);
+    redirects.clear();
+    failures.keySet().retainAll(admitting);
+    leaseEndMillis.keySet().retainAll(previousOwners.keySet());
     acquisitions.keySet().retainAll(previousOwners.keySet());
     released.keySet().retainAll(previousOwners.keySet());
-    ownedBuckets.keySet().retainAll(previousOwners.keySet());
     for (AccountConfig account : accounts) {
       if (account.ratePerSecond() > 0) {
         updateOwnership(account, previousOwners.get(account.name()), admitting);
       }
     }
+    ownedBuckets.keySet().removeIf(account -> !isOwner(account));
   }
 
   private void updateOwnership(
       AccountConfig account, String previousOwner, Collection<String> admitting) {
     String name = account.name();
-    String holder = released.remove(name);
     if (!self.equals(selectedOwner(name))) {
       acquisitions.remove(name);
-      ownedBuckets.remove(name);
+      released.remove(name);
       return;
     }
-    if (holder == null && !self.equals(previousOwner)) {
-      holder = previousOwner == null ? selectOwner(name, self) : previousOwner;
-    }
-    if (holder != null) {
-      acquisitions.put(name, new Acquisition(holder, viewExpiryMillis));
+    if (!isOwner(name) && !acquisitions.containsKey(name)) {
+      String holder = holderBefore(name, previousOwner);
+      if (holder != null && !holder.equals(self)) {
+        acquisitions.put(name, new Acquisition(holder, viewLeaseEndMillis));
+      }
     }
     Acquisition acquisition = acquisitions.get(name);
-    if (acquisition != null && !admitting.contains(acquisition.holder)) {
-      acquisitions.remove(name);
+    if (acquisition == null
+        || !admitting.contains(acquisition.holder)
+        || clock.millis() >= acquisition.leaseEndMillis) {
+      startLease(account);
     }
-    if (!acquisitions.containsKey(name)) {
-      bucket(ownedBuckets, account, account.ratePerSecond());
+  }
+
+  private String holderBefore(String account, String previousOwner) {
+    String newOwner = released.get(account);
+    if (newOwner != null) {
+      return newOwner;
     }
+    return previousOwner == null ? selectOwner(account, self) : previousOwner;
+  }
+
+  private void startLease(AccountConfig account) {
+    acquisitions.remove(account.name());
+    released.remove(account.name());
+    leaseEndMillis.put(account.name(), viewLeaseEndMillis);
+    bucket(ownedBuckets, account, account.ratePerSecond());
   }
 
   /**
-   * Returns the daemon that decides on an account's limit; null while no daemon is known. This is
-   * the previous owner until it has released the limit.
+   * Returns the daemon that decides on an account's limit by the view of this daemon; null while no
+   * daemon is known.
    */
   public String owner(String account) {
+    if (isOwner(account)) {
+      return self;
+    }
     Acquisition acquisition = acquisitions.get(account);
-    if (acquisition != null && clock.millis() < acquisition.expiryMillis) {
+    if (acquisition != null) {
       return acquisition.holder;
     }
-    String newOwner = released.get(account);
+    String newOwner = released.getOrDefault(account, redirects.get(account));
     return newOwner == null ? selectedOwner(account) : newOwner;
   }
 
@@ -202,8 +225,7 @@
   public void endTakeover(AccountConfig account, String holder) {
     Acquisition acquisition = acquisitions.get(account.name());
     if (acquisition != null && acquisition.holder.equals(holder)) {
-      acquisitions.remove(account.name());
-      bucket(ownedBuckets, account, account.ratePerSecond());
+      startLease(account);
     }
   }
 
@@ -211,7 +233,7 @@
   public void redirectTakeover(String account, String holder) {
     Acquisition acquisition = acquisitions.get(account);
     if (acquisition != null) {
-      acquisitions.put(account, new Acquisition(holder, acquisition.expiryMillis));
+      acquisitions.put(account, new Acquisition(holder, acquisition.leaseEndMillis));
     }
   }
 
@@ -222,13 +244,13 @@
    *     it or knows of no other holder
    */
   public Optional<String> release(String account, String newOwner) {
-    String owner = owner(account);
-    if (self.equals(owner)) {
+    if (isOwner(account)) {
+      leaseEndMillis.remove(account);
       ownedBuckets.remove(account);
       released.put(account, newOwner);
       return Optional.empty();
     }
-    return Optional.ofNullable(owner).filter(holder -> !holder.equals(newOwner));
+    return Optional.ofNullable(owner(account)).filter(holder -> !holder.equals(newOwner));
   }
 
   /** Returns the owner to ask about a request; empty if this daemon has to decide. */
@@ -250,10 +272,22 @@
     failures.remove(owner);
   }
 
-  /** Records that a daemon answered that it does not own a limit. */
-  public void ownerDeclined(String owner) {
+  /**
+   * Records that a daemon answered that it does not own a limit.
+   *
+   * @param other the owner by the view of that daemon, null if it knows none
+   * @return whether to ask the other daemon
+   */
+  public boolean ownerDeclined(String account, String owner, String other) {
+    boolean redirected = owner.equals(released.getOrDefault(account, redirects.get(account)));
+    redirects.remove(account);
+    if (!redirected && other != null && !other.equals(self) && !other.equals(owner)) {
+      redirects.put(account, other);
+      return true;
+    }
     long askAgainMillis = clock.millis() + SHORT_BACKOFF_MILLIS;
     failures.put(owner, new OwnerFailure(false, SHORT_BACKOFF_MILLIS, askAgainMillis));
+    return false;
   }
 
   /**
@@ -279,14 +313,16 @@
     failures.put(owner, new OwnerFailure(stopped, backoffMillis, now + backoffMillis));
   }
 
-  /** Returns the names of the accounts whose limits this daemon owns. */
+  /** Returns the names of the accounts on whose limits this daemon decides. */
   public Set<String> ownedAccounts() {
-    return Set.copyOf(ownedBuckets.keySet());
+    Set<String> owned = new HashSet<>(leaseEndMillis.keySet());
+    owned.removeIf(account -> !isOwner(account));
+    return owned;
   }
 
   /** Returns whether this daemon decides on an account's limit for all daemons. */
   public boolean isOwner(String account) {
-    return self.equals(owner(account)) && clock.millis() < viewExpiryMillis;
+    return clock.millis() < leaseEndMillis.getOrDefault(account, Long.MIN_VALUE);
   }
 
   /**
@@ -338,12 +374,15 @@
   }
 
   /**
-   * Ends a report of a positive amount.
+   * Ends a report that was started with a positive amount; others are ignored.
    *
    * @param charged whether the owner has charged the amount
    */
   public void endReport(String account, boolean charged) {
-    unreportedAmounts.get(account).endReport(charged);
+    UnreportedAmounts unreported = unreportedAmounts.get(account);
+    if (unreported != null) {
+      unreported.endReport(charged);
+    }
   }
 
   /** Charges an amount to an owned limit that another daemon has already admitted. */
@@ -372,14 +411,14 @@
   private static final class Acquisition {
     private final String holder;
 
-    /** Time at which the holder's view has expired, so that it decides no longer. */
-    private final long expiryMillis;
+    /** Time at which a lease of the holder has certainly ended. */
+    private final long leaseEndMillis;
 
     private long askAgainMillis = Long.MIN_VALUE;
 
-    private Acquisition(String holder, long expiryMillis) {
+    private Acquisition(String holder, long leaseEndMillis) {
       this.holder = holder;
-      this.expiryMillis = expiryMillis;
+      this.leaseEndMillis = leaseEndMillis;
     }
   }
 
--- a/core/src/test/java/org/heatherspread/core/limit/PartitionedLimiterTest.java
+++ b/core/src/test/java/org/heatherspread/core/limit/PartitionedLimiterTest.java
@@ -83,30 +83,29 @@
       PartitionedLimiter local = limits.get(daemon);
       takeOver(daemon);
       Optional<String> owner = local.remoteOwner(account.name());
-      if (owner.isEmpty()) {
-        return local.admit(account, tokens);
-      }
-      PartitionedLimiter remote = limits.get(owner.get());
-      boolean reached = !partitioned.contains(daemon);
-      if (reached) {
-        takeOver(owner.get());
-      }
-      boolean decided = reached && remote.isOwner(account.name());
-      double unreported = local.startReport(account.name());
-      if (unreported > 0) {
-        local.endReport(account.name(), decided);
-      }
-      if (!decided) {
-        if (reached) {
-          local.ownerDeclined(owner.get());
-        } else {
-          local.ownerFailed(owner.get(), false);
+      while (owner.isPresent()) {
+        String asked = owner.get();
+        if (partitioned.contains(daemon)) {
+          local.startReport(account.name());
+          local.endReport(account.name(), false);
+          local.ownerFailed(asked, false);
+          break;
+        }
+        takeOver(asked);
+        PartitionedLimiter remote = limits.get(asked);
+        if (remote.isOwner(account.name())) {
+          remote.chargeReported(account, local.startReport(account.name()));
+          local.endReport(account.name(), true);
+          local.ownerAnswered(asked);
+          return remote.admit(account, tokens);
+        }
+        String other = remote.owner(account.name());
+        owner = Optional.ofNullable(other);
+        if (!local.ownerDeclined(account.name(), asked, other)) {
+          break;
         }
-        return local.admit(account, tokens);
       }
-      local.ownerAnswered(owner.get());
-      remote.chargeReported(account, unreported);
-      return remote.admit(account, tokens);
+      return local.admit(account, tokens);
     }
   }
 
@@ -280,6 +279,39 @@
     }
   }
 
+  /**
+   * The owner leaves, and its successor cannot read that from the store: until the lease of the
+   * former owner ends, it must still decide, since an account below its limit is refused otherwise.
+   */
+  @Test
+  void previousOwnerDecidesWhileTheNewOwnerDoesNotKnowThatItIs() {
+    double rate = 60_000;
+    Fleet fleet = new Fleet(8, account(rate));
+    nowNanos += 30_000_000_000L;
+    String previous = fleet.limits.get("daemon-0").owner("acme");
+    List<String> others = new ArrayList<>(names(8));
+    others.remove(previous);
+    PartitionedLimiter probe = PartitionedLimiter.create("probe", clock, ALLOWANCE);
+    probe.updateDaemons(others, others, VIEW_MILLIS, List.of(fleet.account));
+    String successor = probe.owner("acme");
+    for (String daemon : names(8)) {
+      if (!daemon.equals(successor)) {
+        fleet.updateDaemon(daemon, others, VIEW_MILLIS);
+      }
+    }
+    SplittableRandom random = new SplittableRandom(1);
+    int sent = 0;
+    int refused = 0;
+    for (long millis = 0; millis < 4_000; millis += 200) {
+      nowNanos += 200_000_000L;
+      sent++;
+      double tokens = 1_000 + random.nextDouble() * 10_000;
+      refused += fleet.send("daemon-" + random.nextInt(8), tokens).isPresent() ? 1 : 0;
+    }
+    assertThat(sent).isEqualTo(20);
+    assertThat(refused).isZero();
+  }
+
   /**
    * An owner that has not read the reports of the other daemons for longer than its view lasts may
    * have been replaced, and reads them again only after it accepts keys again.
--- a/node/src/main/java/org/heatherspread/node/control/FleetListener.java
+++ b/node/src/main/java/org/heatherspread/node/control/FleetListener.java
@@ -149,10 +149,10 @@
   }
 
   /**
-   * Returns the time for which a daemon regards itself as a limit owner after it has read the
-   * reports. It ends before the other daemons cease to regard a silent daemon as an owner.
+   * Returns the time from a read of the reports for which a limit owner decides. It ends before the
+   * other daemons cease to regard a silent daemon as an owner.
    */
-  private long ownershipMillis() {
+  private long leaseMillis() {
     return state.keyTrustMillis() + reportSchedule.interval(state.daemonCount()).toMillis();
   }
 
@@ -181,7 +181,7 @@
     List<AccountConfig> accounts = state.config().map(ServingConfig::accounts).orElse(List.of());
     state
         .accountAdmission()
-        .updateDaemons(possibleOwners, admitting, ownershipMillis() - ageMillis, accounts);
+        .updateDaemons(possibleOwners, admitting, leaseMillis() - ageMillis, accounts);
     Map<String, String> newReaders = new HashMap<>();
     for (DaemonReport report : reports) {
       if (!newReaders.containsKey(report.domain())) {
--- a/node/src/main/java/org/heatherspread/node/peer/PeerFormat.java
+++ b/node/src/main/java/org/heatherspread/node/peer/PeerFormat.java
@@ -98,13 +98,18 @@
   }
 
   static Optional<String> readHolder(byte[] body) {
-    JsonNode owner = parse(body).path("owner");
+    return readOwner(parse(body));
+  }
+
+  private static Optional<String> readOwner(JsonNode node) {
+    JsonNode owner = node.path("owner");
     return owner.isTextual() ? Optional.of(owner.asText()) : Optional.empty();
   }
 
   static byte[] writeDecision(LimitOwnerClient.Decision decision) {
     ObjectNode node = MAPPER.createObjectNode().put("keeps", decision.decidedByOwner());
     decision.waitSeconds().ifPresent(wait -> node.put("wait", wait));
+    decision.owner().ifPresent(owner -> node.put("owner", owner));
     return serialize(node);
   }
 
@@ -113,7 +118,8 @@
     JsonNode wait = node.path("wait");
     return new LimitOwnerClient.Decision(
         node.path("keeps").asBoolean(),
-        wait.isNumber() ? OptionalDouble.of(wait.asDouble()) : OptionalDouble.empty());
+        wait.isNumber() ? OptionalDouble.of(wait.asDouble()) : OptionalDouble.empty(),
+        readOwner(node));
   }
 
   static String changesTarget(String table, long afterVersion, Duration wait) {
--- a/node/src/main/java/org/heatherspread/node/peer/PeerRequestHandler.java
+++ b/node/src/main/java/org/heatherspread/node/peer/PeerRequestHandler.java
@@ -94,7 +94,7 @@
                     state
                         .accountAdmission()
                         .decideAsOwner(rule, admission.amount(), admission.unreported()))
-            .orElse(LimitOwnerClient.Decision.NOT_OWNER);
+            .orElse(LimitOwnerClient.Decision.declined(Optional.empty()));
     respond(responseWriter, OK, PeerFormat.writeDecision(decision));
   }
 
--- a/relay/src/main/java/org/heatherspread/relay/call/AccountAdmission.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/AccountAdmission.java
@@ -53,15 +53,22 @@
    * @return completes immediately unless another daemon decides; never fails
    */
   CompletableFuture<Decision> admit(AccountConfig account, double amount) {
-    boolean limited = account.ratePerSecond() > 0;
+    if (account.ratePerSecond() <= 0) {
+      return CompletableFuture.completedFuture(decideLocally(account, amount));
+    }
     takeOver(account);
-    Optional<String> owner = limited ? limits.remoteOwner(account.name()) : Optional.empty();
+    Optional<String> owner = limits.remoteOwner(account.name());
     if (owner.isEmpty()) {
       return CompletableFuture.completedFuture(decideLocally(account, amount));
     }
+    return requestAdmission(owner.get(), account, amount);
+  }
+
+  private CompletableFuture<Decision> requestAdmission(
+      String owner, AccountConfig account, double amount) {
     double unreported = limits.startReport(account.name());
     return ownerClient
-        .requestAdmission(owner.get(), account.name(), amount, unreported)
+        .requestAdmission(owner, account.name(), amount, unreported)
         .handle(
             (ownerDecision, failure) -> {
               boolean decided = failure == null && ownerDecision.decidedByOwner();
@@ -69,20 +76,34 @@
                 limits.endReport(account.name(), decided);
               }
               if (decided) {
-                limits.ownerAnswered(owner.get());
-                return new Decision(ownerDecision.waitSeconds(), owner.get());
+                limits.ownerAnswered(owner);
+                return CompletableFuture.completedFuture(
+                    new Decision(ownerDecision.waitSeconds(), owner));
               }
-              recordUndecided(account, owner.get(), failure);
-              return decideLocally(account, amount);
-            });
+              return onUndecided(owner, account, amount, ownerDecision, failure);
+            })
+        .thenCompose(decision -> decision);
   }
 
-  private void recordUndecided(AccountConfig account, String owner, Throwable failure) {
+  private CompletableFuture<Decision> onUndecided(
+      String owner,
+      AccountConfig account,
+      double amount,
+      LimitOwnerClient.Decision declined,
+      Throwable failure) {
     if (failure == null) {
-      limits.ownerDeclined(owner);
+      String other = declined.owner().orElse(null);
+      if (limits.ownerDeclined(account.name(), owner, other)) {
+        return requestAdmission(other, account, amount);
+      }
     } else {
       limits.ownerFailed(owner, isConnectionRefused(failure));
     }
+    logUndecided(account, owner, failure);
+    return CompletableFuture.completedFuture(decideLocally(account, amount));
+  }
+
+  private void logUndecided(AccountConfig account, String owner, Throwable failure) {
     log.atInfo()
         .addKeyValue("account", account.name())
         .addKeyValue("keeper", owner)
@@ -142,10 +163,10 @@
       AccountConfig account, double amount, double unreported) {
     takeOver(account);
     if (!limits.isOwner(account.name())) {
-      return LimitOwnerClient.Decision.NOT_OWNER;
+      return LimitOwnerClient.Decision.declined(Optional.ofNullable(limits.owner(account.name())));
     }
     limits.chargeReported(account, unreported);
-    return new LimitOwnerClient.Decision(true, limits.admit(account, amount));
+    return LimitOwnerClient.Decision.decided(limits.admit(account, amount));
   }
 
   /**
@@ -163,15 +184,15 @@
    *
    * @param names daemons that may own limits
    * @param admitting all daemons that may admit requests
-   * @param lifetimeMillis time for which daemons regard themselves as owners by this view
+   * @param leaseMillis time from this view for which its owners decide
    */
   public void updateDaemons(
       Collection<String> names,
       Collection<String> admitting,
-      long lifetimeMillis,
+      long leaseMillis,
       Collection<AccountConfig> accounts) {
     Set<String> ownedBefore = limits.ownedAccounts();
-    limits.updateDaemons(names, admitting, lifetimeMillis, accounts);
+    limits.updateDaemons(names, admitting, leaseMillis, accounts);
     accounts.forEach(this::takeOver);
     Set<String> owned = limits.ownedAccounts();
     if (!owned.equals(ownedBefore)) {
--- a/relay/src/test/java/org/heatherspread/relay/call/AccountAdmissionTest.java
+++ b/relay/src/test/java/org/heatherspread/relay/call/AccountAdmissionTest.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -53,10 +54,10 @@
   @Test
   void appliesTheDecisionOfTheLimitOwner() throws Exception {
     RelayHarness harness = startHarness();
-    ownerDecision = CompletableFuture.completedFuture(new Decision(true, OptionalDouble.empty()));
+    ownerDecision = CompletableFuture.completedFuture(Decision.decided(OptionalDouble.empty()));
     assertThat(harness.call("GET", "/read/a", "id-1", "Token-Counts: 700,50"))
         .startsWith("HTTP/1.1 200");
-    ownerDecision = CompletableFuture.completedFuture(new Decision(true, OptionalDouble.of(0.7)));
+    ownerDecision = CompletableFuture.completedFuture(Decision.decided(OptionalDouble.of(0.7)));
     assertThat(harness.call("GET", "/read/a", "id-2"))
         .startsWith("HTTP/1.1 429")
         .containsIgnoringCase("retry-after: 0.700");
@@ -77,7 +78,7 @@
   @Test
   void decidesLocallyWhereTheOtherDaemonIsNotTheOwner() throws Exception {
     RelayHarness harness = startHarness();
-    ownerDecision = CompletableFuture.completedFuture(Decision.NOT_OWNER);
+    ownerDecision = CompletableFuture.completedFuture(Decision.declined(Optional.empty()));
     harness.call("GET", "/read/a", "id-1");
     TimeUnit.MILLISECONDS.sleep(50);
     assertThat(harness.call("GET", "/read/a", "id-2")).startsWith("HTTP/1.1 200");
@@ -90,7 +91,7 @@
     ownerDecision = CompletableFuture.failedFuture(new IOException("no response in time"));
     assertThat(harness.call("GET", "/read/a", "id-1", "Token-Counts: 700,50"))
         .startsWith("HTTP/1.1 200");
-    ownerDecision = CompletableFuture.completedFuture(new Decision(true, OptionalDouble.empty()));
+    ownerDecision = CompletableFuture.completedFuture(Decision.decided(OptionalDouble.empty()));
     TimeUnit.MILLISECONDS.sleep(1_000);
     harness.call("GET", "/read/a", "id-2", "Token-Counts: 90,10");
     harness.call("GET", "/read/a", "id-3", "Token-Counts: 90,10");
@@ -109,7 +110,7 @@
       }
     }
     TimeUnit.MILLISECONDS.sleep(100);
-    harness.onLoop(state -> ownerDecision.complete(new Decision(true, OptionalDouble.empty())));
+    harness.onLoop(state -> ownerDecision.complete(Decision.decided(OptionalDouble.empty())));
     TimeUnit.MILLISECONDS.sleep(200);
     assertThat(endpoint.requests()).isEmpty();
   }
