--- a/core/src/main/java/org/heatherspread/core/limit/LimitOwnerClient.java
+++ b/core/src/main/java/org/heatherspread/core/limit/LimitOwnerClient.java
@@ -1,32 +1,55 @@
 package org.heatherspread.core.limit;
 
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.concurrent.CompletableFuture;
 
 /**
- * Requests admission from the daemons that own account limits. Confined to one thread, on which the
- * returned futures complete.
+ * Requests admission from the daemons that own account limits, and their release. Confined to one
+ * thread, on which the returned futures complete.
  */
-@FunctionalInterface
 public interface LimitOwnerClient {
   /**
    * Requests admission under an account's limit; the owner charges the amount if it admits.
    *
    * @param daemon name of the limit owner
    * @param amount requests or tokens, in the unit of the account's limit
-   * @return fails if no reply arrives in time; the amount may have been charged nevertheless
+   * @param unreported amount that this daemon admitted without the owner, which the owner charges
+   *     in addition
+   * @return fails if no reply arrives in time; the amounts may have been charged nevertheless
    */
-  CompletableFuture<Decision> requestAdmission(String daemon, String account, double amount);
+  CompletableFuture<Decision> requestAdmission(
+      String daemon, String account, double amount, double unreported);
 
   /**
-   * The reply of a daemon.
+   * Asks a daemon to release an account's limit.
+   *
+   * @param daemon the previous owner
+   * @param newOwner the daemon that decides from now on
+   * @return the daemon that holds the limit instead; empty if the daemon has released the limit or
+   *     knows of no other holder. Fails if no reply arrives in time; the limit may have been
+   *     released nevertheless
+   */
+  CompletableFuture<Optional<String>> requestRelease(
+      String daemon, String account, String newOwner);
+
+  /**
+   * The reply of a daemon to a request for admission.
    *
    * @param decidedByOwner whether the daemon is the limit owner by its own view; if not, it decided
    *     nothing
    * @param waitSeconds empty if admitted, else the time until the account is below its limit again
+   * @param owner the owner by the view of a daemon that did not decide; empty if it knows none
    */
-  record Decision(boolean decidedByOwner, OptionalDouble waitSeconds) {
-    /** The reply of a daemon that does not own the limit. */
-    public static final Decision NOT_OWNER = new Decision(false, OptionalDouble.empty());
+  record Decision(boolean decidedByOwner, OptionalDouble waitSeconds, Optional<String> owner) {
+    /** Returns the reply of the limit owner. */
+    public static Decision decided(OptionalDouble waitSeconds) {
+      return new Decision(true, waitSeconds, Optional.empty());
+    }
+
+    /** Returns the reply of a daemon that does not own the limit. */
+    public static Decision declined(Optional<String> owner) {
+      return new Decision(false, OptionalDouble.empty(), owner);
+    }
   }
 }
--- a/core/src/main/java/org/heatherspread/core/limit/PartitionedLimiter.java
+++ b/core/src/main/java/org/heatherspread/core/limit/PartitionedLimiter.java
@@ -19,12 +19,20 @@
  * <p>An account may send few large requests that reach many daemons. If its limit were split
  * evenly, each daemon's share would be smaller than one request, and most requests would be refused
  * although the account is far below its limit. The owner of a limit is selected by rendezvous
- * hashing over the daemons that serve callers, so that they agree on it without communication. A
- * daemon that cannot reach the owner admits requests by a small share of the limit.
+ * hashing over the daemons that serve callers, so that they agree on it without communication.
  *
- * <p>Invariants: the bucket of a new owner starts empty, and so does a fallback bucket that was not
- * used for a while; a change of owner or an unreachable owner therefore grants no account its burst
- * twice. Confined to one thread.
+ * <p>A daemon that cannot reach the owner admits requests within its part of the overshoot
+ * allowance, and reports their amounts to the owner later, which charges them to the limit.
+ *
+ * <p>Daemons learn of a change of owner at different times. An owner therefore holds a lease on
+ * each of its limits, which ends a fixed time after it last read that it is the owner, and a new
+ * owner decides only once the previous one has released the limit or its lease has certainly ended.
+ * Until then the previous owner decides, and other daemons refer requests to it.
+ *
+ * <p>Invariants: what a daemon admits within a window without the owner, and has not reported,
+ * never exceeds its part of the reserve, however often and for however long calls to the owner
+ * fail; the bucket of a new owner starts empty, so that a change of owner grants no account its
+ * burst twice. Confined to one thread.
  */
 public final class PartitionedLimiter {
   /** Amount per second that stands for no limit. */
@@ -33,19 +41,16 @@
   /** Daemons assumed to share a limit before any are known; more than small fleets have. */
   private static final int ASSUMED_DAEMONS = 12;
 
-  /**
-   * Fraction of an even share that a daemon admits while it cannot reach the owner. The owner keeps
-   * admitting for the other daemons in the meantime. What half of all daemons admit in this way,
-   * for as long as each accepts API keys without the store, must fit in the part of the overshoot
-   * allowance that the owner does not use.
-   */
-  private static final double FALLBACK_FRACTION = 0.3;
+  /** Time for which an owner is not asked again after it declined or was found to be stopped. */
+  private static final long SHORT_BACKOFF_MILLIS = 100;
+
+  /** Range of the time for which an owner is not asked again after it failed to answer. */
+  private static final long MIN_BACKOFF_MILLIS = 500;
 
-  /** Time without use after which a fallback bucket is discarded with its contents. */
-  private static final long FALLBACK_IDLE_MILLIS = 2_000;
+  private static final long MAX_BACKOFF_MILLIS = 1_000;
 
-  /** Time for which an owner is not asked again after it failed to answer. */
-  private static final long OWNER_BACKOFF_MILLIS = 1_000;
+  /** Time after which a daemon is asked again to release a limit. */
+  private static final long TAKEOVER_RETRY_MILLIS = 200;
 
   /** Lower bound on the wait of a refused request, so that callers never retry immediately. */
   private static final double MIN_RETRY_SECONDS = 0.05;
@@ -56,11 +61,17 @@
   private final MonotonicClock clock;
   private final OvershootAllowance allowance;
   private final Map<String, Bucket> ownedBuckets = new HashMap<>();
-  private final Map<String, Bucket> fallbackBuckets = new HashMap<>();
+  private final Map<String, Bucket> stoppedOwnerBuckets = new HashMap<>();
+  private final Map<String, UnreportedAmounts> unreportedAmounts = new HashMap<>();
   private final Map<String, String> owners = new HashMap<>();
-  private final Map<String, Long> backoffUntilMillis = new HashMap<>();
-  private final Set<String> stoppedOwners = new HashSet<>();
+  private final Map<String, OwnerFailure> failures = new HashMap<>();
+  private final Map<String, Long> leaseEndMillis = new HashMap<>();
+  private final Map<String, Acquisition> acquisitions = new HashMap<>();
+  private final Map<String, String> released = new HashMap<>();
+  private final Map<String, String> redirects = new HashMap<>();
   private List<String> daemons = List.of();
+  private int admittingDaemons = ASSUMED_DAEMONS;
+  private long viewLeaseEndMillis = Long.MIN_VALUE;
 
   private PartitionedLimiter(String self, MonotonicClock clock, OvershootAllowance allowance) {
     this.self = self;
@@ -78,39 +89,111 @@
     return new PartitionedLimiter(self, clock, allowance);
   }
 
+  /** Returns the name of this daemon. */
+  public String self() {
+    return self;
+  }
+
   /**
    * Replaces the set of daemons that may own limits.
    *
    * @param daemonNames daemons that serve callers, this one included if it does, and those that
    *     stopped reporting so recently that they may still admit requests, as a partitioned owner
    *     continues to do for a while
+   * @param admitting all daemons that may admit requests, empty if unknown
+   * @param leaseMillis time from this view for which its owners decide
    * @param accounts all accounts; the buckets of newly owned limits start to fill now
    */
-  public void updateDaemons(Collection<String> daemonNames, Collection<AccountConfig> accounts) {
+  public void updateDaemons(
+      Collection<String> daemonNames,
+      Collection<String> admitting,
+      long leaseMillis,
+      Collection<AccountConfig> accounts) {
+    Map<String, String> previousOwners = new HashMap<>();
+    for (AccountConfig account : accounts) {
+      previousOwners.put(account.name(), selectedOwner(account.name()));
+    }
     daemons = List.copyOf(daemonNames);
+    admittingDaemons = admitting.isEmpty() ? ASSUMED_DAEMONS : admitting.size();
+    viewLeaseEndMillis = clock.millis() + leaseMillis;
     owners.clear();
-    backoffUntilMillis.keySet().retainAll(daemonNames);
-    stoppedOwners.retainAll(daemonNames);
+    redirects.clear();
+    failures.keySet().retainAll(admitting);
+    leaseEndMillis.keySet().retainAll(previousOwners.keySet());
+    acquisitions.keySet().retainAll(previousOwners.keySet());
+    released.keySet().retainAll(previousOwners.keySet());
     for (AccountConfig account : accounts) {
-      if (account.ratePerSecond() > 0 && self.equals(owner(account.name()))) {
-        bucket(ownedBuckets, account, account.ratePerSecond());
+      if (account.ratePerSecond() > 0) {
+        updateOwnership(account, previousOwners.get(account.name()), admitting);
+      }
+    }
+    ownedBuckets.keySet().removeIf(account -> !isOwner(account));
+  }
+
+  private void updateOwnership(
+      AccountConfig account, String previousOwner, Collection<String> admitting) {
+    String name = account.name();
+    if (!self.equals(selectedOwner(name))) {
+      acquisitions.remove(name);
+      released.remove(name);
+      return;
+    }
+    if (!isOwner(name) && !acquisitions.containsKey(name)) {
+      String holder = holderBefore(name, previousOwner);
+      if (holder != null && !holder.equals(self)) {
+        acquisitions.put(name, new Acquisition(holder, viewLeaseEndMillis));
       }
     }
-    ownedBuckets.keySet().removeIf(account -> !self.equals(owner(account)));
+    Acquisition acquisition = acquisitions.get(name);
+    if (acquisition == null
+        || !admitting.contains(acquisition.holder)
+        || clock.millis() >= acquisition.leaseEndMillis) {
+      startLease(account);
+    }
   }
 
-  /** Returns the daemon that owns an account's limit; null while no daemon is known. */
+  private String holderBefore(String account, String previousOwner) {
+    String newOwner = released.get(account);
+    if (newOwner != null) {
+      return newOwner;
+    }
+    return previousOwner == null ? selectOwner(account, self) : previousOwner;
+  }
+
+  private void startLease(AccountConfig account) {
+    acquisitions.remove(account.name());
+    released.remove(account.name());
+    leaseEndMillis.put(account.name(), viewLeaseEndMillis);
+    bucket(ownedBuckets, account, account.ratePerSecond());
+  }
+
+  /**
+   * Returns the daemon that decides on an account's limit by the view of this daemon; null while no
+   * daemon is known.
+   */
   public String owner(String account) {
-    return owners.computeIfAbsent(account, this::selectOwner);
+    if (isOwner(account)) {
+      return self;
+    }
+    Acquisition acquisition = acquisitions.get(account);
+    if (acquisition != null) {
+      return acquisition.holder;
+    }
+    String newOwner = released.getOrDefault(account, redirects.get(account));
+    return newOwner == null ? selectedOwner(account) : newOwner;
+  }
+
+  private String selectedOwner(String account) {
+    return owners.computeIfAbsent(account, name -> selectOwner(name, null));
   }
 
-  private String selectOwner(String account) {
+  private String selectOwner(String account, String excluded) {
     long key = RendezvousHash.seed(account);
     String selected = null;
     long best = -1;
     for (String daemon : daemons) {
       long score = RendezvousHash.score(RendezvousHash.seed(daemon), key);
-      if (score > best) {
+      if (score > best && !daemon.equals(excluded)) {
         best = score;
         selected = daemon;
       }
@@ -118,67 +201,195 @@
     return selected;
   }
 
+  /**
+   * Starts to take over a newly owned limit.
+   *
+   * @return the daemon to ask to release the limit; empty if there is none, or if it was asked a
+   *     moment ago
+   */
+  public Optional<String> startTakeover(String account) {
+    Acquisition acquisition = acquisitions.get(account);
+    long now = clock.millis();
+    if (acquisition == null || now < acquisition.askAgainMillis) {
+      return Optional.empty();
+    }
+    acquisition.askAgainMillis = now + TAKEOVER_RETRY_MILLIS;
+    return Optional.of(acquisition.holder);
+  }
+
+  /**
+   * Ends the takeover of a limit: this daemon decides on it from now on.
+   *
+   * @param holder the daemon that released it or has stopped
+   */
+  public void endTakeover(AccountConfig account, String holder) {
+    Acquisition acquisition = acquisitions.get(account.name());
+    if (acquisition != null && acquisition.holder.equals(holder)) {
+      startLease(account);
+    }
+  }
+
+  /** Continues the takeover of a limit with another daemon, which holds it. */
+  public void redirectTakeover(String account, String holder) {
+    Acquisition acquisition = acquisitions.get(account);
+    if (acquisition != null) {
+      acquisitions.put(account, new Acquisition(holder, acquisition.leaseEndMillis));
+    }
+  }
+
+  /**
+   * Releases a limit to its new owner.
+   *
+   * @return the daemon that holds the limit instead of this one; empty if this daemon has released
+   *     it or knows of no other holder
+   */
+  public Optional<String> release(String account, String newOwner) {
+    if (isOwner(account)) {
+      leaseEndMillis.remove(account);
+      ownedBuckets.remove(account);
+      released.put(account, newOwner);
+      return Optional.empty();
+    }
+    return Optional.ofNullable(owner(account)).filter(holder -> !holder.equals(newOwner));
+  }
+
   /** Returns the owner to ask about a request; empty if this daemon has to decide. */
   public Optional<String> remoteOwner(String account) {
     String owner = owner(account);
     if (owner == null || owner.equals(self)) {
       return Optional.empty();
     }
-    boolean backingOff = clock.millis() < backoffUntilMillis.getOrDefault(owner, Long.MIN_VALUE);
-    return backingOff ? Optional.empty() : Optional.of(owner);
+    return isBackingOff(owner) ? Optional.empty() : Optional.of(owner);
+  }
+
+  private boolean isBackingOff(String owner) {
+    OwnerFailure failure = failures.get(owner);
+    return failure != null && clock.millis() < failure.askAgainMillis;
+  }
+
+  /** Records that an owner decided on a request. */
+  public void ownerAnswered(String owner) {
+    failures.remove(owner);
+  }
+
+  /**
+   * Records that a daemon answered that it does not own a limit.
+   *
+   * @param other the owner by the view of that daemon, null if it knows none
+   * @return whether to ask the other daemon
+   */
+  public boolean ownerDeclined(String account, String owner, String other) {
+    boolean redirected = owner.equals(released.getOrDefault(account, redirects.get(account)));
+    redirects.remove(account);
+    if (!redirected && other != null && !other.equals(self) && !other.equals(owner)) {
+      redirects.put(account, other);
+      return true;
+    }
+    long askAgainMillis = clock.millis() + SHORT_BACKOFF_MILLIS;
+    failures.put(owner, new OwnerFailure(false, SHORT_BACKOFF_MILLIS, askAgainMillis));
+    return false;
   }
 
   /**
-   * Records that an owner did not answer, or answered that it is not the owner.
+   * Records that an owner did not answer.
    *
    * @param stopped whether its process has certainly stopped, so that it admits nothing
    */
   public void ownerFailed(String owner, boolean stopped) {
-    backoffUntilMillis.put(owner, clock.millis() + OWNER_BACKOFF_MILLIS);
+    long now = clock.millis();
+    OwnerFailure previous = failures.get(owner);
+    long backoffMillis;
     if (stopped) {
-      stoppedOwners.add(owner);
+      backoffMillis = SHORT_BACKOFF_MILLIS;
+    } else if (previous == null || previous.stopped) {
+      backoffMillis = MIN_BACKOFF_MILLIS;
+    } else if (now < previous.askAgainMillis) {
+      // A call that was in progress when another one failed.
+      return;
     } else {
-      stoppedOwners.remove(owner);
+      long doubled = Math.max(MIN_BACKOFF_MILLIS, 2 * previous.backoffMillis);
+      backoffMillis = Math.min(MAX_BACKOFF_MILLIS, doubled);
     }
+    failures.put(owner, new OwnerFailure(stopped, backoffMillis, now + backoffMillis));
+  }
+
+  /** Returns the names of the accounts on whose limits this daemon decides. */
+  public Set<String> ownedAccounts() {
+    Set<String> owned = new HashSet<>(leaseEndMillis.keySet());
+    owned.removeIf(account -> !isOwner(account));
+    return owned;
   }
 
-  /** Returns whether this daemon owns an account's limit. */
+  /** Returns whether this daemon decides on an account's limit for all daemons. */
   public boolean isOwner(String account) {
-    return self.equals(owner(account));
+    return clock.millis() < leaseEndMillis.getOrDefault(account, Long.MIN_VALUE);
   }
 
   /**
-   * Decides on a request as the limit owner, or by the fallback share if the owner is another
-   * daemon.
+   * Decides on a request as the limit owner, or without it if the owner is another daemon.
    *
    * @param amount requests or tokens, in the unit of the account's limit
-   * @return empty if admitted, else seconds until the account is below its limit again
+   * @return empty if admitted, else seconds after which to retry
    */
   public OptionalDouble admit(AccountConfig account, double amount) {
     if (account.ratePerSecond() <= 0) {
       return OptionalDouble.empty();
     }
-    boolean owned = isOwner(account.name());
-    Bucket bucket =
-        owned ? bucket(ownedBuckets, account, account.ratePerSecond()) : fallbackBucket(account);
-    return bucket.admit(amount);
+    if (isOwner(account.name())) {
+      return bucket(ownedBuckets, account, account.ratePerSecond()).admit(amount);
+    }
+    OwnerFailure failure = failures.get(owner(account.name()));
+    if (failure != null && failure.stopped) {
+      // Nobody else admits, so all daemons together may admit the whole limit.
+      double share = account.ratePerSecond() / admittingDaemons;
+      return bucket(stoppedOwnerBuckets, account, share).admit(amount);
+    }
+    stoppedOwnerBuckets.remove(account.name());
+    return admitUnreported(account, amount, failure);
   }
 
-  private Bucket fallbackBucket(AccountConfig account) {
-    double share =
-        daemons.isEmpty()
-            ? account.ratePerSecond() / ASSUMED_DAEMONS
-            : fallbackFraction(account) * account.ratePerSecond() / daemons.size();
-    Bucket existing = fallbackBuckets.get(account.name());
-    if (existing != null && clock.millis() - existing.lastUsedMillis > FALLBACK_IDLE_MILLIS) {
-      fallbackBuckets.remove(account.name());
+  private OptionalDouble admitUnreported(
+      AccountConfig account, double amount, OwnerFailure failure) {
+    long now = clock.millis();
+    UnreportedAmounts unreported =
+        unreportedAmounts.computeIfAbsent(
+            account.name(), name -> new UnreportedAmounts(allowance.windowMillis()));
+    double reserve = allowance.fallbackReserve(account.ratePerSecond(), account.burst());
+    if (unreported.total(now) + amount > reserve / admittingDaemons) {
+      long untilAskedMillis = failure == null ? 0 : failure.askAgainMillis - now;
+      return OptionalDouble.of(Math.max(MIN_RETRY_SECONDS, untilAskedMillis / MILLIS_PER_SECOND));
     }
-    return bucket(fallbackBuckets, account, share);
+    unreported.add(amount, now);
+    return OptionalDouble.empty();
   }
 
-  /** While the owner is stopped, all daemons together may admit the whole limit. */
-  private double fallbackFraction(AccountConfig account) {
-    return stoppedOwners.contains(owner(account.name())) ? 1 : FALLBACK_FRACTION;
+  /**
+   * Starts a report of what was admitted without the owner, to be sent with the next request to it.
+   *
+   * @return the amount to report, 0 if there is none or a report is in progress
+   */
+  public double startReport(String account) {
+    UnreportedAmounts unreported = unreportedAmounts.get(account);
+    return unreported == null ? 0 : unreported.startReport(clock.millis());
+  }
+
+  /**
+   * Ends a report that was started with a positive amount; others are ignored.
+   *
+   * @param charged whether the owner has charged the amount
+   */
+  public void endReport(String account, boolean charged) {
+    UnreportedAmounts unreported = unreportedAmounts.get(account);
+    if (unreported != null) {
+      unreported.endReport(charged);
+    }
+  }
+
+  /** Charges an amount to an owned limit that another daemon has already admitted. */
+  public void chargeReported(AccountConfig account, double amount) {
+    if (amount > 0 && account.ratePerSecond() > 0 && isOwner(account.name())) {
+      bucket(ownedBuckets, account, account.ratePerSecond()).charge(amount);
+    }
   }
 
   private Bucket bucket(Map<String, Bucket> buckets, AccountConfig account, double rate) {
@@ -187,12 +398,35 @@
     return bucket;
   }
 
+  /**
+   * The last failure of an owner to decide.
+   *
+   * @param stopped whether its process had stopped
+   * @param backoffMillis time for which it is not asked again
+   * @param askAgainMillis end of that time, on the monotonic clock
+   */
+  private record OwnerFailure(boolean stopped, long backoffMillis, long askAgainMillis) {}
+
+  /** The takeover of a limit from another daemon. */
+  private static final class Acquisition {
+    private final String holder;
+
+    /** Time at which a lease of the holder has certainly ended. */
+    private final long leaseEndMillis;
+
+    private long askAgainMillis = Long.MIN_VALUE;
+
+    private Acquisition(String holder, long leaseEndMillis) {
+      this.holder = holder;
+      this.leaseEndMillis = leaseEndMillis;
+    }
+  }
+
   /** Token bucket of one account. */
   private final class Bucket {
     private AccountConfig rule;
     private double rate;
     private AccountLimiter limiter;
-    private long lastUsedMillis;
 
     private Bucket(AccountConfig account, double rate) {
       reset(account, rate);
@@ -204,7 +438,6 @@
       double limitRate = account.ratePerSecond();
       double burst = allowance.effectiveBurst(limitRate, account.burst());
       limiter = AccountLimiter.createEmpty(burst / limitRate, amounts(newRate), clock.nanos());
-      lastUsedMillis = clock.millis();
     }
 
     private void apply(AccountConfig account, double newRate) {
@@ -217,7 +450,6 @@
     }
 
     private OptionalDouble admit(double amount) {
-      lastUsedMillis = clock.millis();
       LimitDecision decision = limiter.admit((long) amount, clock.nanos());
       if (decision.admitted()) {
         limiter.release(0, clock.nanos());
@@ -227,6 +459,10 @@
       return OptionalDouble.of(Math.max(MIN_RETRY_SECONDS, seconds));
     }
 
+    private void charge(double amount) {
+      limiter.charge((long) amount, clock.nanos());
+    }
+
     private static ResourceAmounts amounts(double tokens) {
       return new ResourceAmounts(UNLIMITED, tokens, UNLIMITED);
     }
--- a/node/src/main/java/org/heatherspread/node/peer/PeerFormat.java
+++ b/node/src/main/java/org/heatherspread/node/peer/PeerFormat.java
@@ -13,6 +13,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import org.heatherspread.core.fleet.EndpointLoad;
 import org.heatherspread.core.limit.LimitOwnerClient;
@@ -27,6 +28,9 @@
   /** Path of admission requests to a limit owner. */
   static final String LIMIT_PATH = "/v1/limit";
 
+  /** Path on which a new limit owner asks the previous one to release a limit. */
+  static final String LIMIT_RELEASE_PATH = "/v1/limit-release";
+
   /** Path of long polls for changes of a table. */
   static final String CHANGES_PATH = "/v1/changes";
 
@@ -49,22 +53,63 @@
 
   private PeerFormat() {}
 
-  /** A request for admission under the limit of an account. */
-  record AdmissionRequest(String account, double amount) {}
+  /**
+   * A request for admission under the limit of an account.
+   *
+   * @param unreported amount that the sender has admitted without the owner
+   */
+  record AdmissionRequest(String account, double amount, double unreported) {}
 
   static byte[] writeAdmissionRequest(AdmissionRequest request) {
     return serialize(
-        MAPPER.createObjectNode().put("account", request.account).put("amount", request.amount));
+        MAPPER
+            .createObjectNode()
+            .put("account", request.account)
+            .put("amount", request.amount)
+            .put("unreported", request.unreported));
   }
 
   static AdmissionRequest readAdmissionRequest(byte[] body) {
     JsonNode node = parse(body);
-    return new AdmissionRequest(node.path("account").asText(), node.path("amount").asDouble());
+    return new AdmissionRequest(
+        node.path("account").asText(),
+        node.path("amount").asDouble(),
+        node.path("unreported").asDouble());
+  }
+
+  /** A request to release the limit of an account to its new owner. */
+  record ReleaseRequest(String account, String owner) {}
+
+  static byte[] writeReleaseRequest(ReleaseRequest request) {
+    return serialize(
+        MAPPER.createObjectNode().put("account", request.account).put("owner", request.owner));
+  }
+
+  static ReleaseRequest readReleaseRequest(byte[] body) {
+    JsonNode node = parse(body);
+    return new ReleaseRequest(node.path("account").asText(), node.path("owner").asText());
+  }
+
+  /** Writes the daemon that holds a limit, empty if it was released. */
+  static byte[] writeHolder(Optional<String> holder) {
+    ObjectNode node = MAPPER.createObjectNode();
+    holder.ifPresent(daemon -> node.put("owner", daemon));
+    return serialize(node);
+  }
+
+  static Optional<String> readHolder(byte[] body) {
+    return readOwner(parse(body));
+  }
+
+  private static Optional<String> readOwner(JsonNode node) {
+    JsonNode owner = node.path("owner");
+    return owner.isTextual() ? Optional.of(owner.asText()) : Optional.empty();
   }
 
   static byte[] writeDecision(LimitOwnerClient.Decision decision) {
     ObjectNode node = MAPPER.createObjectNode().put("keeps", decision.decidedByOwner());
     decision.waitSeconds().ifPresent(wait -> node.put("wait", wait));
+    decision.owner().ifPresent(owner -> node.put("owner", owner));
     return serialize(node);
   }
 
@@ -73,7 +118,8 @@
     JsonNode wait = node.path("wait");
     return new LimitOwnerClient.Decision(
         node.path("keeps").asBoolean(),
-        wait.isNumber() ? OptionalDouble.of(wait.asDouble()) : OptionalDouble.empty());
+        wait.isNumber() ? OptionalDouble.of(wait.asDouble()) : OptionalDouble.empty(),
+        readOwner(node));
   }
 
   static String changesTarget(String table, long afterVersion, Duration wait) {
--- a/relay/src/main/java/org/heatherspread/relay/call/AccountAdmission.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/AccountAdmission.java
@@ -4,6 +4,8 @@
 import java.util.Collection;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
 import org.heatherspread.core.limit.LimitOwnerClient;
 import org.heatherspread.core.limit.PartitionedLimiter;
@@ -51,25 +53,57 @@
    * @return completes immediately unless another daemon decides; never fails
    */
   CompletableFuture<Decision> admit(AccountConfig account, double amount) {
-    boolean limited = account.ratePerSecond() > 0;
-    Optional<String> owner = limited ? limits.remoteOwner(account.name()) : Optional.empty();
+    if (account.ratePerSecond() <= 0) {
+      return CompletableFuture.completedFuture(decideLocally(account, amount));
+    }
+    takeOver(account);
+    Optional<String> owner = limits.remoteOwner(account.name());
     if (owner.isEmpty()) {
       return CompletableFuture.completedFuture(decideLocally(account, amount));
     }
+    return requestAdmission(owner.get(), account, amount);
+  }
+
+  private CompletableFuture<Decision> requestAdmission(
+      String owner, AccountConfig account, double amount) {
+    double unreported = limits.startReport(account.name());
     return ownerClient
-        .requestAdmission(owner.get(), account.name(), amount)
+        .requestAdmission(owner, account.name(), amount, unreported)
         .handle(
             (ownerDecision, failure) -> {
-              if (failure == null && ownerDecision.decidedByOwner()) {
-                return new Decision(ownerDecision.waitSeconds(), owner.get());
+              boolean decided = failure == null && ownerDecision.decidedByOwner();
+              if (unreported > 0) {
+                limits.endReport(account.name(), decided);
               }
-              recordOwnerFailure(account, owner.get(), failure);
-              return decideLocally(account, amount);
-            });
+              if (decided) {
+                limits.ownerAnswered(owner);
+                return CompletableFuture.completedFuture(
+                    new Decision(ownerDecision.waitSeconds(), owner));
+              }
+              return onUndecided(owner, account, amount, ownerDecision, failure);
+            })
+        .thenCompose(decision -> decision);
   }
 
-  private void recordOwnerFailure(AccountConfig account, String owner, Throwable failure) {
-    limits.ownerFailed(owner, isConnectionRefused(failure));
+  private CompletableFuture<Decision> onUndecided(
+      String owner,
+      AccountConfig account,
+      double amount,
+      LimitOwnerClient.Decision declined,
+      Throwable failure) {
+    if (failure == null) {
+      String other = declined.owner().orElse(null);
+      if (limits.ownerDeclined(account.name(), owner, other)) {
+        return requestAdmission(other, account, amount);
+      }
+    } else {
+      limits.ownerFailed(owner, isConnectionRefused(failure));
+    }
+    logUndecided(account, owner, failure);
+    return CompletableFuture.completedFuture(decideLocally(account, amount));
+  }
+
+  private void logUndecided(AccountConfig account, String owner, Throwable failure) {
     log.atInfo()
         .addKeyValue("account", account.name())
         .addKeyValue("keeper", owner)
@@ -79,6 +113,33 @@
         .log("limit is decided without its keeper");
   }
 
+  /** Asks the previous owner to release a newly owned limit, unless it was asked a moment ago. */
+  private void takeOver(AccountConfig account) {
+    Optional<String> previous = limits.startTakeover(account.name());
+    if (previous.isEmpty()) {
+      return;
+    }
+    ownerClient
+        .requestRelease(previous.get(), account.name(), limits.self())
+        .whenComplete((holder, failure) -> onReleased(account, previous.get(), holder, failure));
+  }
+
+  private void onReleased(
+      AccountConfig account, String previous, Optional<String> holder, Throwable failure) {
+    String outcome = "released";
+    if (failure == null && holder.isPresent() && !holder.get().equals(limits.self())) {
+      limits.redirectTakeover(account.name(), holder.get());
+      outcome = "held by " + holder.get();
+    } else if (failure == null || isConnectionRefused(failure)) {
+      limits.endTakeover(account, previous);
+    }
+    log.atInfo()
+        .addKeyValue("account", account.name())
+        .addKeyValue("from", previous)
+        .addKeyValue("outcome", failure == null ? outcome : String.valueOf(failure.getMessage()))
+        .log("account limit taken over");
+  }
+
   /** Returns whether nothing listens at the owner's address, so that it admits no requests. */
   private static boolean isConnectionRefused(Throwable failure) {
     for (Throwable cause = failure; cause != null; cause = cause.getCause()) {
@@ -93,16 +154,52 @@
     return new Decision(limits.admit(account, amount), "self");
   }
 
-  /** Decides on a request of another daemon, as the owner of the account's limit. */
-  public LimitOwnerClient.Decision decideAsOwner(AccountConfig account, double amount) {
+  /**
+   * Decides on a request of another daemon, as the owner of the account's limit.
+   *
+   * @param unreported amount that the other daemon has admitted without this one
+   */
+  public LimitOwnerClient.Decision decideAsOwner(
+      AccountConfig account, double amount, double unreported) {
+    takeOver(account);
     if (!limits.isOwner(account.name())) {
-      return LimitOwnerClient.Decision.NOT_OWNER;
+      return LimitOwnerClient.Decision.declined(Optional.ofNullable(limits.owner(account.name())));
     }
-    return new LimitOwnerClient.Decision(true, limits.admit(account, amount));
+    limits.chargeReported(account, unreported);
+    return LimitOwnerClient.Decision.decided(limits.admit(account, amount));
+  }
+
+  /**
+   * Releases a limit to its new owner.
+   *
+   * @return the daemon that holds the limit instead of this one; empty if this daemon has released
+   *     it or knows of no other holder
+   */
+  public Optional<String> release(String account, String newOwner) {
+    return limits.release(account, newOwner);
   }
 
-  /** Sets the daemons that may own limits. */
-  public void updateDaemons(Collection<String> names, Collection<AccountConfig> accounts) {
-    limits.updateDaemons(names, accounts);
+  /**
+   * Sets the daemons that may own limits, and takes over those that this daemon owns from now on.
+   *
+   * @param names daemons that may own limits
+   * @param admitting all daemons that may admit requests
+   * @param leaseMillis time from this view for which its owners decide
+   */
+  public void updateDaemons(
+      Collection<String> names,
+      Collection<String> admitting,
+      long leaseMillis,
+      Collection<AccountConfig> accounts) {
+    Set<String> ownedBefore = limits.ownedAccounts();
+    limits.updateDaemons(names, admitting, leaseMillis, accounts);
+    accounts.forEach(this::takeOver);
+    Set<String> owned = limits.ownedAccounts();
+    if (!owned.equals(ownedBefore)) {
+      log.atInfo()
+          .addKeyValue("accounts", String.join(" ", new TreeSet<>(owned)))
+          .addKeyValue("daemons", String.join(" ", new TreeSet<>(names)))
+          .log("owned account limits changed");
+    }
   }
 }
