Let a daemon decide on its own limits soon after it is ready

Cause: a daemon owns limits once it has read its own report that it is ready, and the next regular read of the reports comes 1.5 s later.

Change: until a daemon finds itself in the reports, it reads them every 0.25 s.

--- a/node/src/main/java/org/heatherspread/node/control/ControlPlane.java
+++ b/node/src/main/java/org/heatherspread/node/control/ControlPlane.java
@@ -76,6 +76,12 @@
   private static final ReportSchedule REPORT_SCHEDULE =
       new ReportSchedule(Duration.ofMillis(1_500), 26);
 
+  /**
+   * Pause between two reads of the daemon reports until this daemon finds itself in them: the
+   * others already ask it to decide on the limits that it owns.
+   */
+  private static final Duration START_FLEET_PAUSE = Duration.ofMillis(250);
+
   private static final Duration FULL_READ_INTERVAL = Duration.ofSeconds(20);
 
   /** Rank of every daemon after the first two. */
@@ -109,6 +115,7 @@
   private final EndpointListener endpointListener;
   private final FleetListener fleetListener;
   private boolean reportedReady;
+  private boolean leaving;
   private LeaseClient lease;
   private ActorSystem<Void> system;
   private ActorRef<ReportWriter.Command> reportWriter;
@@ -241,7 +248,7 @@
         new TableWatcher.WatchSettings(
             ReportWriter.TABLE,
             () -> select(DOMAIN_READER_WAIT, Duration.ZERO),
-            () -> select(DOMAIN_READER_FLEET_PAUSE, reportInterval()),
+            this::fleetPause,
             FULL_READ_INTERVAL),
         createFreshness(),
         fleetListener);
@@ -323,6 +330,11 @@
     return DutyRunner.create(lease, new ReportRank(), duties, pauseDetector);
   }
 
+  private Duration fleetPause() {
+    boolean starting = !leaving && state.config().isPresent() && !fleetListener.isOwnerCandidate();
+    return starting ? START_FLEET_PAUSE : select(DOMAIN_READER_FLEET_PAUSE, reportInterval());
+  }
+
   private Duration reportInterval() {
     return REPORT_SCHEDULE.interval(state.daemonCount());
   }
@@ -356,6 +368,7 @@
 
   /** Reports that this daemon is leaving, and gives up its duties. */
   public void leave() {
+    leaving = true;
     if (reportWriter != null) {
       reportWriter.tell(ReportWriter.Command.REPORT);
     }
--- a/node/src/main/java/org/heatherspread/node/control/FleetListener.java
+++ b/node/src/main/java/org/heatherspread/node/control/FleetListener.java
@@ -45,6 +45,7 @@
   private Set<String> liveNames = Set.of();
   private Map<String, String> readersByDomain = Map.of();
   private boolean initialized;
+  private boolean ownerCandidate;
 
   /**
    * Creates a listener.
@@ -79,6 +80,11 @@
     return initialized;
   }
 
+  /** Returns whether this daemon may own limits, as it has read its own report that it is ready. */
+  boolean isOwnerCandidate() {
+    return ownerCandidate;
+  }
+
   @Override
   public void onFullRead(SharedReadResult result) {
     List<String> present = new ArrayList<>();
@@ -177,6 +183,7 @@
         possibleOwners.add(report.daemon());
       }
     }
+    ownerCandidate = possibleOwners.contains(self);
     peers.updateAddresses(addresses);
     List<AccountConfig> accounts = state.config().map(ServingConfig::accounts).orElse(List.of());
     state
--- a/node/src/test/java/org/heatherspread/node/NodeTest.java
+++ b/node/src/test/java/org/heatherspread/node/NodeTest.java
@@ -20,6 +20,11 @@
        "tenants": [{"name": "acme", "api-keys": ["%s"]}]}
       """;
 
+  private static final String LIMITED_CONFIGURATION =
+      CONFIGURATION
+          .formatted(1, "a", "key-1")
+          .replace("\"api-keys\"", "\"requests-per-s\": 1000, \"burst-size\": 9, \"api-keys\"");
+
   private static final String ENDPOINT =
       """
       {"service": "s", "address": "127.0.0.1:1", "zone": "z", "concurrency-slots": 1,
@@ -44,6 +49,12 @@
     platform = FakePlatform.start();
     configure(1, "a", "key-1");
     platform.write("servers", "i-1", ENDPOINT);
+    node = startNode(platform, callers, readiness, directory);
+    await(() -> LoopbackSupport.requestStatus(readiness, "/", "") == 200);
+  }
+
+  private static Node startNode(FakePlatform platform, int callers, int readiness, int directory)
+      throws InterruptedException {
     String settings =
         """
         [daemon]
@@ -70,9 +81,9 @@
                 LoopbackSupport.freePort(),
                 platform.address(),
                 platform.address());
-    node = Node.create(NodeSettings.parse("test", settings));
-    node.start();
-    await(() -> LoopbackSupport.requestStatus(readiness, "/", "") == 200);
+    Node started = Node.create(NodeSettings.parse("test", settings));
+    started.start();
+    return started;
   }
 
   @AfterEach
@@ -107,6 +118,24 @@
     assertThat(System.nanoTime() - start).isLessThan(TimeUnit.MILLISECONDS.toNanos(500));
   }
 
+  /**
+   * The next regular read of the daemon reports comes only 1.5 s later, and until then nobody
+   * decides on the limits that the daemon owns.
+   */
+  @Test
+  void decidesOnItsOwnLimitsSoonAfterItIsReady() throws Exception {
+    try (FakePlatform other = FakePlatform.start()) {
+      other.write("op", "config", LIMITED_CONFIGURATION);
+      int port = LoopbackSupport.freePort();
+      int ready = LoopbackSupport.freePort();
+      startNode(other, port, ready, LoopbackSupport.freePort());
+      await(() -> LoopbackSupport.requestStatus(ready, "/", "") == 200);
+      long start = System.nanoTime();
+      await(() -> LoopbackSupport.requestStatus(port, "/a/x", "key-1") == 503);
+      assertThat(System.nanoTime() - start).isLessThan(TimeUnit.MILLISECONDS.toNanos(1_500));
+    }
+  }
+
   @Test
   void readsChangesAfterTheStoreDroppedItsHistory() throws Exception {
     platform.write("other", "x", "y");
