--- a/node/src/main/java/org/heatherspread/node/settings/NodeSettings.java
+++ b/node/src/main/java/org/heatherspread/node/settings/NodeSettings.java
@@ -68,7 +68,7 @@
       Duration revocation,
       Duration grace,
       double retryRatio,
-      int retryExtra,
+      double retryExtra,
       Duration retryWindow,
       Duration usageWindow,
       Duration usageDue,
@@ -80,7 +80,7 @@
   private static final Duration MIN_DURATION = Duration.ofMillis(100);
   private static final Duration MAX_DURATION = Duration.ofMinutes(10);
   private static final double MAX_LINK_MBPS = 1e6;
-  private static final int MAX_RETRY_EXTRA = 1_000_000;
+  private static final double MAX_RETRY_EXTRA = 1e6;
   private static final double MAX_LIMIT_TOLERANCE = 1e12;
 
   /**
@@ -129,7 +129,7 @@
         section.duration("revocation", Duration.ofSeconds(5), MIN_DURATION, MAX_DURATION),
         section.duration("grace", Duration.ofSeconds(8), MIN_DURATION, MAX_DURATION),
         section.decimal("retry_ratio", 0.2, 0, 10),
-        section.integer("retry_extra", 56, 0, MAX_RETRY_EXTRA),
+        section.decimal("retry_extra", 56, 0, MAX_RETRY_EXTRA),
         section.duration("retry_window", Duration.ofSeconds(10), MIN_DURATION, MAX_DURATION),
         section.duration("usage_window", Duration.ofSeconds(5), MIN_DURATION, MAX_DURATION),
         section.duration("usage_due", Duration.ofSeconds(10), MIN_DURATION, MAX_DURATION),
--- a/node/src/test/java/org/heatherspread/node/settings/NodeSettingsTest.java
+++ b/node/src/test/java/org/heatherspread/node/settings/NodeSettingsTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import java.time.Duration;
 import org.heatherspread.node.settings.NodeSettings.Duty;
 import org.heatherspread.settings.SettingsException;
 import org.junit.jupiter.api.Test;
@@ -42,4 +43,20 @@
         .hasMessageContaining("peers")
         .hasMessageContaining("address");
   }
+
+  /** Deployments scale their bounds, so any of them may be given as a fraction. */
+  @Test
+  void readsFractionalBounds() {
+    String section =
+        """
+        [bounds]
+        retry_extra = 191.7
+        retry_window = "9.25s"
+        revocation = "4500.5ms"
+        """;
+    NodeSettings.Bounds bounds = parse(section).bounds();
+    assertThat(bounds.retryExtra()).isEqualTo(191.7);
+    assertThat(bounds.retryWindow()).isEqualTo(Duration.ofMillis(9_250));
+    assertThat(bounds.revocation()).isEqualTo(Duration.ofNanos(4_500_500_000L));
+  }
 }
