Ask the owner of a limit once more before a request is refused for want of its answer

Cause: one lost call was taken for an owner out of reach. Change: unless its process has stopped, the owner is asked once more before the request is refused.

--- a/relay/src/main/java/org/heatherspread/relay/call/AccountAdmission.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/AccountAdmission.java
@@ -61,11 +61,17 @@
     if (owner.isEmpty()) {
       return CompletableFuture.completedFuture(decideLocally(account, amount));
     }
-    return requestAdmission(owner.get(), account, amount);
+    return requestAdmission(owner.get(), account, amount, true);
   }
 
+  /**
+   * Requests the decision of an owner.
+   *
+   * @param mayRetry whether to ask once more if the owner does not answer and this daemon may not
+   *     admit the request
+   */
   private CompletableFuture<Decision> requestAdmission(
-      String owner, AccountConfig account, double amount) {
+      String owner, AccountConfig account, double amount, boolean mayRetry) {
     double unreported = limits.startReport(account.name());
     return ownerClient
         .requestAdmission(owner, account.name(), amount, unreported)
@@ -80,36 +86,44 @@
                 return CompletableFuture.completedFuture(
                     new Decision(ownerDecision.waitSeconds(), owner));
               }
-              return onUndecided(owner, account, amount, ownerDecision, failure);
+              return failure == null
+                  ? onDeclined(owner, account, amount, ownerDecision, mayRetry)
+                  : onFailed(owner, account, amount, failure, mayRetry);
             })
         .thenCompose(decision -> decision);
   }
 
-  private CompletableFuture<Decision> onUndecided(
+  private CompletableFuture<Decision> onDeclined(
       String owner,
       AccountConfig account,
       double amount,
       LimitOwnerClient.Decision declined,
-      Throwable failure) {
-    if (failure == null) {
-      String other = declined.owner().orElse(null);
-      if (limits.ownerDeclined(account.name(), owner, other)) {
-        return requestAdmission(other, account, amount);
-      }
-    } else {
-      limits.ownerFailed(owner, isConnectionRefused(failure));
+      boolean mayRetry) {
+    String other = declined.owner().orElse(null);
+    if (limits.ownerDeclined(account.name(), owner, other)) {
+      return requestAdmission(other, account, amount, mayRetry);
     }
-    logUndecided(account, owner, failure);
+    logUndecided(account, owner, "daemon is not the owner of the limit");
     return CompletableFuture.completedFuture(decideLocally(account, amount));
   }
 
-  private void logUndecided(AccountConfig account, String owner, Throwable failure) {
+  private CompletableFuture<Decision> onFailed(
+      String owner, AccountConfig account, double amount, Throwable failure, boolean mayRetry) {
+    boolean stopped = isConnectionRefused(failure);
+    limits.ownerFailed(owner, stopped);
+    logUndecided(account, owner, failure.getMessage());
+    Decision local = decideLocally(account, amount);
+    if (local.waitSeconds().isPresent() && mayRetry && !stopped) {
+      return requestAdmission(owner, account, amount, false);
+    }
+    return CompletableFuture.completedFuture(local);
+  }
+
+  private static void logUndecided(AccountConfig account, String owner, String reason) {
     log.atInfo()
         .addKeyValue("account", account.name())
         .addKeyValue("keeper", owner)
-        .addKeyValue(
-            "reason",
-            failure == null ? "daemon is not the owner of the limit" : failure.getMessage())
+        .addKeyValue("reason", reason)
         .log("limit is decided without its keeper");
   }
 
--- a/relay/src/test/java/org/heatherspread/relay/call/AccountAdmissionTest.java
+++ b/relay/src/test/java/org/heatherspread/relay/call/AccountAdmissionTest.java
@@ -7,7 +7,9 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import org.heatherspread.core.limit.LimitOwnerClient;
@@ -23,6 +25,7 @@
   private final List<AutoCloseable> resources = new ArrayList<>();
   private final List<String> ownerRequests = new CopyOnWriteArrayList<>();
   private volatile CompletableFuture<Decision> ownerDecision;
+  private final Queue<CompletableFuture<Decision>> nextDecisions = new ConcurrentLinkedQueue<>();
   private FakeEndpoint endpoint;
 
   private RelayHarness startHarness() throws Exception {
@@ -31,7 +34,8 @@
             request -> {
               String amounts = (long) request.amount() + " " + (long) request.unreported();
               ownerRequests.add(request.daemon() + ' ' + request.account() + ' ' + amounts);
-              return ownerDecision;
+              CompletableFuture<Decision> next = nextDecisions.poll();
+              return next == null ? ownerDecision : next;
             });
     RelayHarness harness = RelayHarness.start(null, ownerClient, "owner");
     endpoint =
@@ -99,6 +103,31 @@
         .containsExactly("owner acme 750 0", "owner acme 100 750", "owner acme 100 0");
   }
 
+  /**
+   * A request that exceeds what the daemon may admit without the owner must not be refused because
+   * a single call to the owner got no response.
+   */
+  @Test
+  void asksTheOwnerAgainIfItMayNotAdmitTheRequestItself() throws Exception {
+    RelayHarness harness = startHarness();
+    harness.onLoop(state -> state.updateConfig(RelayHarness.config(2, 100)));
+    nextDecisions.add(CompletableFuture.failedFuture(new IOException("no response in time")));
+    ownerDecision = CompletableFuture.completedFuture(Decision.decided(OptionalDouble.empty()));
+    assertThat(harness.call("GET", "/read/a", "id-1", "Token-Counts: 700,50"))
+        .startsWith("HTTP/1.1 200");
+    assertThat(ownerRequests).containsExactly("owner acme 750 0", "owner acme 750 0");
+  }
+
+  /** Where the daemon asked names another owner, that one decides. */
+  @Test
+  void asksTheOwnerThatTheOtherDaemonNames() throws Exception {
+    RelayHarness harness = startHarness();
+    nextDecisions.add(CompletableFuture.completedFuture(Decision.declined(Optional.of("other"))));
+    ownerDecision = CompletableFuture.completedFuture(Decision.decided(OptionalDouble.of(0.7)));
+    assertThat(harness.call("GET", "/read/a", "id-1")).startsWith("HTTP/1.1 429");
+    assertThat(ownerRequests).containsExactly("owner acme 200 0", "other acme 200 0");
+  }
+
   @Test
   void sendsNothingIfTheCallerDisconnectsDuringTheOwnersDecision() throws Exception {
     RelayHarness harness = startHarness();
