Close the idle connections to a peer when a call to it gets no response

Cause: a call that timed out closed its own connection only. Each other idle connection that the partition had made unresponsive cost one more call its timeout, up to eight in a row, 2.9 s each for the watch of the endpoints.

Change: a call without a response also closes the idle connections to the address. RpcClientTest.callAfterTimeoutUsesNoOtherUnresponsiveConnection failed before (no response within 5 s).

--- a/relay/src/main/java/org/heatherspread/relay/rpc/RpcClient.java
+++ b/relay/src/main/java/org/heatherspread/relay/rpc/RpcClient.java
@@ -30,8 +30,9 @@
 
 /**
  * Makes short HTTP calls to one address over pooled connections. Calls beyond the maximum in
- * progress wait in order, within their timeouts. A call that times out closes its connection, so
- * that an unresponsive connection is replaced. Futures complete on the event loop; confined to it.
+ * progress wait in order, within their timeouts. A call that times out closes its connection and
+ * the idle ones, which a network partition may have made unresponsive as well. Futures complete on
+ * the event loop; confined to it.
  */
 public final class RpcClient {
   private static final int MAX_CALLS_IN_PROGRESS = 8;
@@ -138,6 +139,7 @@
         return;
       }
       connection.abort();
+      pool.retire(address);
       fail(failure(ErrorKind.STORE_OUTCOME_UNKNOWN, "no response within the timeout"));
     }
 
--- a/relay/src/test/java/org/heatherspread/relay/rpc/RpcClientTest.java
+++ b/relay/src/test/java/org/heatherspread/relay/rpc/RpcClientTest.java
@@ -6,12 +6,16 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.handler.codec.http.HttpMethod;
+import java.net.Socket;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.heatherspread.core.serving.HostPort;
 import org.heatherspread.core.time.MonotonicClock;
 import org.heatherspread.relay.FakeEndpoint;
@@ -70,4 +74,40 @@
       }
     }
   }
+
+  /**
+   * After a partition the peer may answer on new connections only. Every idle connection would cost
+   * one more call its timeout, and leave what the calls read stale for as long.
+   */
+  @Test
+  void callAfterTimeoutUsesNoOtherUnresponsiveConnection() throws Exception {
+    Set<Socket> unresponsive = ConcurrentHashMap.newKeySet();
+    AtomicBoolean partitioned = new AtomicBoolean();
+    FakeEndpoint.Script script =
+        (request, connection) -> {
+          if (!partitioned.get()) {
+            unresponsive.add(connection.socket());
+          } else if (unresponsive.contains(connection.socket())) {
+            TimeUnit.SECONDS.sleep(60);
+          }
+          connection.respond(200, "", "ok");
+        };
+    try (FakeEndpoint endpoint = FakeEndpoint.start(script)) {
+      RpcClient client = createClient(endpoint);
+      for (CompletableFuture<RpcResponse> call :
+          loop.submit(() -> startCalls(client, TIMEOUT)).get()) {
+        call.get(TIMEOUT.toSeconds(), TimeUnit.SECONDS);
+      }
+      assertThat(unresponsive).hasSizeGreaterThan(2);
+      partitioned.set(true);
+      assertThat(callOnce(client, Duration.ofMillis(200))).failsWithin(TIMEOUT);
+      assertThat(callOnce(client, TIMEOUT)).succeedsWithin(Duration.ofSeconds(5));
+    }
+  }
+
+  private CompletableFuture<RpcResponse> callOnce(RpcClient client, Duration timeout)
+      throws Exception {
+    return loop.submit(() -> client.call(HttpMethod.GET, "/", Map.of(), new byte[0], timeout))
+        .get();
+  }
 }
