Let an owner whose lease has ended take the limit over from its replacement

Cause: a daemon that was out of reach for longer than its lease, and was replaced, counts as present in its own first read of the reports. By its own view the owner had not changed, so it began a new lease at once, with the bucket that had filled meanwhile, beside its replacement.

Change: a daemon without a lease asks the daemon that would own the limit without it, and begins with an empty bucket. A daemon whose lease has ended no longer names itself as the holder. PartitionedLimiterTest.ownerWhoseLeaseHasEndedDecidesOnlyAfterItsReplacementReleasedTheLimit failed before.

--- a/core/src/main/java/org/heatherspread/core/limit/PartitionedLimiter.java
+++ b/core/src/main/java/org/heatherspread/core/limit/PartitionedLimiter.java
@@ -139,8 +139,9 @@
       return;
     }
     if (!isOwner(name) && !acquisitions.containsKey(name)) {
-      String holder = holderBefore(name, previousOwner);
-      if (holder != null && !holder.equals(self)) {
+      ownedBuckets.remove(name);
+      String holder = selectPossibleHolder(name, previousOwner);
+      if (holder != null) {
         acquisitions.put(name, new Acquisition(holder, viewLeaseEndMillis));
       }
     }
@@ -152,12 +153,17 @@
     }
   }
 
-  private String holderBefore(String account, String previousOwner) {
+  /**
+   * Returns the daemon that may hold a limit instead of this one. If a lease of this daemon has
+   * ended, that is the one that replaced it.
+   */
+  private String selectPossibleHolder(String account, String previousOwner) {
     String newOwner = released.get(account);
     if (newOwner != null) {
       return newOwner;
     }
-    return previousOwner == null ? selectOwner(account, self) : previousOwner;
+    boolean hasPrevious = previousOwner != null && !previousOwner.equals(self);
+    return hasPrevious ? previousOwner : selectOwner(account, self);
   }
 
   private void startLease(AccountConfig account) {
@@ -250,7 +256,8 @@
       released.put(account, newOwner);
       return Optional.empty();
     }
-    return Optional.ofNullable(owner(account)).filter(holder -> !holder.equals(newOwner));
+    return Optional.ofNullable(owner(account))
+        .filter(holder -> !holder.equals(newOwner) && !holder.equals(self));
   }
 
   /** Returns the owner to ask about a request; empty if this daemon has to decide. */
--- a/core/src/test/java/org/heatherspread/core/limit/PartitionedLimiterTest.java
+++ b/core/src/test/java/org/heatherspread/core/limit/PartitionedLimiterTest.java
@@ -331,6 +331,35 @@
     assertThat(admitted).isLessThanOrEqualTo(455_000 / 2 / 8);
   }
 
+  /**
+   * An owner is back from a partition in which the others replaced it, and by its own view nothing
+   * has changed: its full bucket must not count beside that of the daemon that replaced it.
+   */
+  @Test
+  void ownerWhoseLeaseHasEndedDecidesOnlyAfterItsReplacementReleasedTheLimit() {
+    Fleet fleet = new Fleet(3, account(100_000));
+    String owner = fleet.limits.get("daemon-0").owner("acme");
+    List<String> others = new ArrayList<>(names(3));
+    others.remove(owner);
+    fleet.updateDaemon(owner, names(3), 4_000);
+    nowNanos += 12_000_000_000L;
+    others.forEach(daemon -> fleet.updateDaemon(daemon, others, VIEW_MILLIS));
+    String replacement = fleet.limits.get(others.get(0)).owner("acme");
+    fleet.takeOver(replacement);
+    assertThat(fleet.limits.get(replacement).isOwner("acme")).isTrue();
+    fleet.partitioned = Set.of(owner);
+    fleet.updateDaemon(owner, names(3), VIEW_MILLIS);
+    assertThat(fleet.limits.get(owner).isOwner("acme")).isFalse();
+    fleet.partitioned = Set.of();
+    nowNanos += 1_000_000_000L;
+    fleet.takeOver(owner);
+    assertThat(fleet.limits.get(owner).isOwner("acme")).isTrue();
+    assertThat(fleet.limits.get(replacement).isOwner("acme")).isFalse();
+    nowNanos += 1_000_000L;
+    assertThat(fleet.send(owner, 50_000)).isEmpty();
+    assertThat(fleet.send(owner, 50_000)).isPresent();
+  }
+
   @Test
   void releasedLimitIsTakenBackFromTheDaemonThatHoldsIt() {
     Fleet fleet = new Fleet(3, account(10_000));
