--- a/core/src/test/java/org/heatherspread/core/limit/PartitionedLimiterTest.java
+++ b/core/src/test/java/org/heatherspread/core/limit/PartitionedLimiterTest.java
@@ -11,6 +11,8 @@
 import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.TreeSet;
+import java.util.function.LongConsumer;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
@@ -48,6 +50,11 @@
     private final AccountConfig account;
     private Set<String> partitioned = Set.of();
 
+    /** Fraction of the calls to owners that get no response. */
+    private double lossRate;
+
+    private final SplittableRandom lossRandom = new SplittableRandom(1);
+
     private Fleet(int daemons, AccountConfig account) {
       this.account = account;
       for (String name : names(daemons)) {
@@ -85,7 +92,7 @@
       Optional<String> owner = local.remoteOwner(account.name());
       while (owner.isPresent()) {
         String asked = owner.get();
-        if (partitioned.contains(daemon)) {
+        if (partitioned.contains(daemon) || lossRandom.nextDouble() < lossRate) {
           local.startReport(account.name());
           local.endReport(account.name(), false);
           local.ownerFailed(asked, false);
@@ -107,6 +114,29 @@
       }
       return local.admit(account, tokens);
     }
+
+    /**
+     * Sends four times the limit to random daemons for one window.
+     *
+     * @param step called with the time in milliseconds before the requests of each step
+     * @return the tokens admitted
+     */
+    private double sendFourTimesTheLimit(SplittableRandom random, LongConsumer step) {
+      double admitted = 0;
+      double offered = 0;
+      for (long millis = 0; millis < WINDOW_SECONDS * 1_000; millis += STEP_MILLIS) {
+        nowNanos += STEP_MILLIS * 1_000_000;
+        step.accept(millis);
+        List<String> daemons = List.copyOf(new TreeSet<>(limits.keySet()));
+        while (offered < 4 * account.ratePerSecond() * millis / 1_000) {
+          double tokens = Math.min(54_000, 1_600 / Math.sqrt(1 - random.nextDouble()));
+          offered += tokens;
+          String daemon = daemons.get(random.nextInt(daemons.size()));
+          admitted += send(daemon, tokens).isEmpty() ? tokens : 0;
+        }
+      }
+      return admitted;
+    }
   }
 
   /**
@@ -212,19 +242,9 @@
     double bound = (rate * WINDOW_SECONDS + account.burst()) * 1.1 + 140_000;
     for (int seed = 0; seed < 20; seed++) {
       Fleet fleet = new Fleet(8, account);
-      SplittableRandom random = new SplittableRandom(seed);
+      fleet.lossRate = 0.05;
       nowNanos += 30_000_000_000L;
-      double admitted = 0;
-      double offered = 0;
-      for (long millis = 0; millis < WINDOW_SECONDS * 1_000; millis += STEP_MILLIS) {
-        nowNanos += STEP_MILLIS * 1_000_000;
-        while (offered < 4 * rate * millis / 1_000) {
-          double tokens = Math.min(54_000, 1_600 / Math.sqrt(1 - random.nextDouble()));
-          offered += tokens;
-          fleet.partitioned = random.nextInt(20) == 0 ? Set.copyOf(names(8)) : Set.of();
-          admitted += fleet.send("daemon-" + random.nextInt(8), tokens).isEmpty() ? tokens : 0;
-        }
-      }
+      double admitted = fleet.sendFourTimesTheLimit(new SplittableRandom(seed), millis -> {});
       assertThat(admitted).isLessThanOrEqualTo(bound);
     }
   }
@@ -247,34 +267,26 @@
       others.remove(returning);
       fleet.updateDaemons(others);
       String previous = fleet.limits.get(others.get(0)).owner("acme");
-      List<String> late = new ArrayList<>(others);
-      late.remove(previous);
-      late = late.subList(0, 2);
-      SplittableRandom random = new SplittableRandom(seed);
-      nowNanos += 30_000_000_000L;
-      double admitted = 0;
-      double offered = 0;
-      for (long millis = 0; millis < WINDOW_SECONDS * 1_000; millis += STEP_MILLIS) {
-        nowNanos += STEP_MILLIS * 1_000_000;
-        if (millis == 2_000) {
-          fleet.limits.put(returning, PartitionedLimiter.create(returning, clock, ALLOWANCE));
-          for (String daemon : names(8)) {
-            if (!daemon.equals(previous) && !late.contains(daemon)) {
-              fleet.updateDaemon(daemon, names(8), VIEW_MILLIS);
-            }
-          }
-        }
-        if (millis == 6_000) {
-          fleet.updateDaemons(names(8));
-        }
-        while (offered < 4 * rate * millis / 1_000) {
-          double tokens = Math.min(54_000, 1_600 / Math.sqrt(1 - random.nextDouble()));
-          offered += tokens;
-          List<String> running = millis < 2_000 ? others : names(8);
-          String daemon = running.get(random.nextInt(running.size()));
-          admitted += fleet.send(daemon, tokens).isEmpty() ? tokens : 0;
-        }
+      List<String> late = new ArrayList<>(others.subList(0, 3));
+      if (!late.contains(previous)) {
+        late.set(0, previous);
       }
+      nowNanos += 30_000_000_000L;
+      double admitted =
+          fleet.sendFourTimesTheLimit(
+              new SplittableRandom(seed),
+              millis -> {
+                if (millis == 2_000) {
+                  fleet.limits.put(
+                      returning, PartitionedLimiter.create(returning, clock, ALLOWANCE));
+                  names(8).stream()
+                      .filter(daemon -> !late.contains(daemon))
+                      .forEach(daemon -> fleet.updateDaemon(daemon, names(8), VIEW_MILLIS));
+                }
+                if (millis == 6_000) {
+                  fleet.updateDaemons(names(8));
+                }
+              });
       assertThat(admitted).isLessThanOrEqualTo(bound);
     }
   }
