--- a/core/src/main/java/org/heatherspread/core/limit/PartitionedLimiter.java
+++ b/core/src/main/java/org/heatherspread/core/limit/PartitionedLimiter.java
@@ -66,9 +66,16 @@
   private final Map<String, String> owners = new HashMap<>();
   private final Map<String, OwnerFailure> failures = new HashMap<>();
   private final Map<String, Long> leaseEndMillis = new HashMap<>();
-  private final Map<String, Acquisition> acquisitions = new HashMap<>();
+
+  /** Newly owned limits whose previous owner may still decide. */
+  private final Map<String, Takeover> takeovers = new HashMap<>();
+
+  /** New owners of limits that this daemon released and owns by its own, older view. */
   private final Map<String, String> released = new HashMap<>();
+
+  /** Owners that other daemons named, until the next view. */
   private final Map<String, String> redirects = new HashMap<>();
+
   private List<String> daemons = List.of();
   private int admittingDaemons = ASSUMED_DAEMONS;
   private long viewLeaseEndMillis = Long.MIN_VALUE;
@@ -120,7 +127,7 @@
     redirects.clear();
     failures.keySet().retainAll(admitting);
     leaseEndMillis.keySet().retainAll(previousOwners.keySet());
-    acquisitions.keySet().retainAll(previousOwners.keySet());
+    takeovers.keySet().retainAll(previousOwners.keySet());
     released.keySet().retainAll(previousOwners.keySet());
     for (AccountConfig account : accounts) {
       if (account.ratePerSecond() > 0) {
@@ -134,21 +141,21 @@
       AccountConfig account, String previousOwner, Collection<String> admitting) {
     String name = account.name();
     if (!self.equals(selectedOwner(name))) {
-      acquisitions.remove(name);
+      takeovers.remove(name);
       released.remove(name);
       return;
     }
-    if (!isOwner(name) && !acquisitions.containsKey(name)) {
+    if (!isOwner(name) && !takeovers.containsKey(name)) {
       ownedBuckets.remove(name);
       String holder = selectPossibleHolder(name, previousOwner);
       if (holder != null) {
-        acquisitions.put(name, new Acquisition(holder, viewLeaseEndMillis));
+        takeovers.put(name, new Takeover(holder, viewLeaseEndMillis));
       }
     }
-    Acquisition acquisition = acquisitions.get(name);
-    if (acquisition == null
-        || !admitting.contains(acquisition.holder)
-        || clock.millis() >= acquisition.leaseEndMillis) {
+    Takeover takeover = takeovers.get(name);
+    if (takeover == null
+        || !admitting.contains(takeover.holder)
+        || clock.millis() >= takeover.holderLeaseEndMillis) {
       startLease(account);
     }
   }
@@ -167,7 +174,7 @@
   }
 
   private void startLease(AccountConfig account) {
-    acquisitions.remove(account.name());
+    takeovers.remove(account.name());
     released.remove(account.name());
     leaseEndMillis.put(account.name(), viewLeaseEndMillis);
     bucket(ownedBuckets, account, account.ratePerSecond());
@@ -181,9 +188,9 @@
     if (isOwner(account)) {
       return self;
     }
-    Acquisition acquisition = acquisitions.get(account);
-    if (acquisition != null) {
-      return acquisition.holder;
+    Takeover takeover = takeovers.get(account);
+    if (takeover != null) {
+      return takeover.holder;
     }
     String newOwner = released.getOrDefault(account, redirects.get(account));
     return newOwner == null ? selectedOwner(account) : newOwner;
@@ -214,13 +221,13 @@
    *     moment ago
    */
   public Optional<String> startTakeover(String account) {
-    Acquisition acquisition = acquisitions.get(account);
+    Takeover takeover = takeovers.get(account);
     long now = clock.millis();
-    if (acquisition == null || now < acquisition.askAgainMillis) {
+    if (takeover == null || now < takeover.askAgainMillis) {
       return Optional.empty();
     }
-    acquisition.askAgainMillis = now + TAKEOVER_RETRY_MILLIS;
-    return Optional.of(acquisition.holder);
+    takeover.askAgainMillis = now + TAKEOVER_RETRY_MILLIS;
+    return Optional.of(takeover.holder);
   }
 
   /**
@@ -229,17 +236,17 @@
    * @param holder the daemon that released it or has stopped
    */
   public void endTakeover(AccountConfig account, String holder) {
-    Acquisition acquisition = acquisitions.get(account.name());
-    if (acquisition != null && acquisition.holder.equals(holder)) {
+    Takeover takeover = takeovers.get(account.name());
+    if (takeover != null && takeover.holder.equals(holder)) {
       startLease(account);
     }
   }
 
   /** Continues the takeover of a limit with another daemon, which holds it. */
   public void redirectTakeover(String account, String holder) {
-    Acquisition acquisition = acquisitions.get(account);
-    if (acquisition != null) {
-      acquisitions.put(account, new Acquisition(holder, acquisition.leaseEndMillis));
+    Takeover takeover = takeovers.get(account);
+    if (takeover != null) {
+      takeovers.put(account, new Takeover(holder, takeover.holderLeaseEndMillis));
     }
   }
 
@@ -415,17 +422,17 @@
   private record OwnerFailure(boolean stopped, long backoffMillis, long askAgainMillis) {}
 
   /** The takeover of a limit from another daemon. */
-  private static final class Acquisition {
+  private static final class Takeover {
     private final String holder;
 
     /** Time at which a lease of the holder has certainly ended. */
-    private final long leaseEndMillis;
+    private final long holderLeaseEndMillis;
 
     private long askAgainMillis = Long.MIN_VALUE;
 
-    private Acquisition(String holder, long leaseEndMillis) {
+    private Takeover(String holder, long holderLeaseEndMillis) {
       this.holder = holder;
-      this.leaseEndMillis = leaseEndMillis;
+      this.holderLeaseEndMillis = holderLeaseEndMillis;
     }
   }
 
