Log which endpoint a suspected request may have crashed, and why it was not counted

A suspicion named only a hash. "endpoint may have crashed" now gives the id of the request, its hash and the incarnation of the endpoint whose connection broke; "endpoint has not crashed" tells that an accepted connection withdrew the evidence; "request suspected of crashes" names the crash.

Seen with it on four daemons and four endpoints that end when they begin one request's answer and are back after a second: each lost connection stays unresolved, as the daemon has no reason to connect to the same endpoint before it is back.

--- a/core/src/main/java/org/heatherspread/core/poison/PoisonDetector.java
+++ b/core/src/main/java/org/heatherspread/core/poison/PoisonDetector.java
@@ -173,9 +173,12 @@
   /**
    * Records that an endpoint is alive, was reclaimed or is unreachable, so that connections lost to
    * it are no evidence against requests.
+   *
+   * @return the requests whose connections to it were lost
    */
-  public synchronized void endpointNotCrashed(EndpointIncarnation endpoint) {
-    unresolvedLosses.remove(endpoint);
+  public synchronized Set<String> endpointNotCrashed(EndpointIncarnation endpoint) {
+    Set<String> requests = unresolvedLosses.remove(endpoint);
+    return requests == null ? Set.of() : requests;
   }
 
   /**
--- a/relay/src/main/java/org/heatherspread/relay/call/PoisonRequestFilter.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/PoisonRequestFilter.java
@@ -46,19 +46,31 @@
 
   /** Records that the connection to an endpoint was lost during the request. */
   void connectionLost(TrackedEndpoint endpoint, CallContext context) {
-    detector.connectionLost(fingerprint(context), incarnation(endpoint));
+    String fingerprint = fingerprint(context);
+    detector.connectionLost(fingerprint, incarnation(endpoint));
+    log.atInfo()
+        .addKeyValue("id", context.id())
+        .addKeyValue("fingerprint", fingerprint)
+        .addKeyValue("endpoint", incarnation(endpoint).crashId())
+        .log("endpoint may have crashed");
   }
 
   /** Records that the endpoint accepted a connection. */
   void connectionAccepted(TrackedEndpoint endpoint) {
-    detector.endpointNotCrashed(incarnation(endpoint));
+    Set<String> requests = detector.endpointNotCrashed(incarnation(endpoint));
+    if (!requests.isEmpty()) {
+      log.atInfo()
+          .addKeyValue("endpoint", incarnation(endpoint).crashId())
+          .addKeyValue("requests", requests.size())
+          .log("endpoint has not crashed");
+    }
   }
 
   /** Records that the endpoint refused a connection or that its incarnation ended. */
   public void endpointCrashed(TrackedEndpoint endpoint) {
     for (Evidence evidence : detector.endpointCrashed(incarnation(endpoint))) {
       localFingerprints.add(evidence.fingerprint());
-      logEvidence(evidence);
+      logEvidence(evidence, incarnation(endpoint).crashId());
     }
   }
 
@@ -68,9 +80,9 @@
       Optional<Evidence> before = detector.findEvidence(reported.fingerprint());
       List<Evidence> changed = detector.mergeEvidence(reported);
       Optional<Evidence> after = detector.findEvidence(reported.fingerprint());
-      changed.forEach(this::logEvidence);
+      changed.forEach(each -> logEvidence(each, ""));
       if (!changed.contains(reported) && !after.equals(before)) {
-        after.ifPresent(this::logEvidence);
+        after.ifPresent(each -> logEvidence(each, ""));
       }
     }
   }
@@ -87,10 +99,12 @@
     return evidence;
   }
 
-  private void logEvidence(Evidence evidence) {
+  /** Logs evidence that changed by a crash, empty if another daemon reported it. */
+  private void logEvidence(Evidence evidence, String crash) {
     hasEvidence = true;
     log.atInfo()
         .addKeyValue("fingerprint", evidence.fingerprint())
+        .addKeyValue("endpoint", crash)
         .addKeyValue("crashes", evidence.crashes().size())
         .addKeyValue("refused", evidence.poisoned())
         .log("request suspected of crashes");
