--- /dev/null
+++ b/node/src/test/java/org/heatherspread/node/soak/CrashFleet.java
@@ -0,0 +1,174 @@
+package org.heatherspread.node.soak;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.heatherspread.platform.FakePlatform;
+
+/**
+ * Daemon processes and model endpoints that requests with a crash marker end. Each request names
+ * the daemon that it is sent to. Confined to one thread.
+ */
+final class CrashFleet implements AutoCloseable {
+  /** Text in the body of a request that ends each endpoint that begins its answer. */
+  static final String CRASH_MARKER = "crash-marker";
+
+  private static final long GRACE_MILLIS = 2_000;
+  private static final long READY_TIMEOUT_MILLIS = 40_000;
+  private static final String KEY = "key-1";
+
+  private static final String CONFIGURATION =
+      """
+      {"version": 1,
+       "routes": [{"name": "draft", "hostname": "localhost", "prefix": "/draft/",
+         "route-kind": "streaming", "service": "model", "timeout-ms": 4000, "max-attempts": 2,
+         "stream-resumption": true},
+        {"name": "read", "hostname": "localhost", "prefix": "/read/",
+         "route-kind": "idempotent", "service": "model", "timeout-ms": 4000, "max-attempts": 2}],
+       "services": [{"name": "model", "connection-limit": 200}],
+       "tenants": [{"name": "acme", "api-keys": ["key-1"]}]}
+      """;
+
+  private final FakePlatform platform;
+  private final RequestHistory history = new RequestHistory();
+  private final List<SoakDaemon> daemons = new ArrayList<>();
+  private final List<SoakEndpoint> endpoints = new ArrayList<>();
+  private final AtomicInteger sentCount = new AtomicInteger();
+  private final HttpClient client =
+      HttpClient.newBuilder()
+          .version(HttpClient.Version.HTTP_1_1)
+          .connectTimeout(Duration.ofMillis(500))
+          .build();
+
+  private CrashFleet(FakePlatform platform) {
+    this.platform = platform;
+  }
+
+  /** Starts the processes and waits until every daemon accepts requests. */
+  static CrashFleet start(int daemonCount, int endpointCount, Path folder) throws Exception {
+    CrashFleet fleet = new CrashFleet(FakePlatform.start());
+    fleet.platform.write(FakePlatform.OPERATORS, FakePlatform.CONFIGURATION_KEY, CONFIGURATION);
+    SplittableRandom random = new SplittableRandom(1);
+    for (int i = 0; i < endpointCount; i++) {
+      SoakEndpoint endpoint =
+          SoakEndpoint.start("model-" + i, "model", fleet.history, random.split(), fleet.platform);
+      endpoint.setCrashTrigger(request -> request.body().contains(CRASH_MARKER));
+      fleet.endpoints.add(endpoint);
+    }
+    for (int i = 0; i < daemonCount; i++) {
+      SoakDaemon daemon =
+          new SoakDaemon("daemon-" + i, "z", folder, fleet.platform.address().port(), GRACE_MILLIS);
+      daemon.start();
+      fleet.daemons.add(daemon);
+    }
+    for (int i = 0; i < daemonCount; i++) {
+      fleet.awaitReady(i);
+    }
+    return fleet;
+  }
+
+  FakePlatform platform() {
+    return platform;
+  }
+
+  List<SoakDaemon> daemons() {
+    return daemons;
+  }
+
+  List<SoakEndpoint> endpoints() {
+    return endpoints;
+  }
+
+  /** Waits until a daemon answers a request. */
+  void awaitReady(int daemon) throws Exception {
+    long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READY_TIMEOUT_MILLIS);
+    while (send(daemon, "probe", "probe-" + sentCount.incrementAndGet(), "") != 200) {
+      if (System.nanoTime() > deadlineNanos) {
+        throw new IllegalStateException("daemon-" + daemon + " is not ready");
+      }
+      TimeUnit.MILLISECONDS.sleep(50);
+    }
+  }
+
+  /** Kills a daemon and starts it again. */
+  void restart(int daemon) throws Exception {
+    daemons.get(daemon).kill();
+    daemons.get(daemon).start();
+    awaitReady(daemon);
+  }
+
+  /** Kills all daemons at the same time and starts them again. */
+  void restartAll() throws Exception {
+    for (SoakDaemon daemon : daemons) {
+      daemon.kill();
+    }
+    for (SoakDaemon daemon : daemons) {
+      daemon.start();
+    }
+    for (int i = 0; i < daemons.size(); i++) {
+      awaitReady(i);
+    }
+  }
+
+  /** Waits until all endpoints are running and registered. */
+  void awaitEndpoints() throws InterruptedException {
+    while (endpoints.stream().anyMatch(SoakEndpoint::isCrashed)) {
+      TimeUnit.MILLISECONDS.sleep(20);
+    }
+  }
+
+  /**
+   * Sends a request and returns the status of its answer, 0 if there was none.
+   *
+   * @param prompt value of the header that lists the parts of the prompt, empty for none
+   */
+  int send(int daemon, String body, String id, String prompt) throws InterruptedException {
+    URI uri = URI.create("http://localhost:" + daemons.get(daemon).callers() + "/draft/x");
+    HttpRequest.Builder request =
+        HttpRequest.newBuilder(uri)
+            .header("Authorization", "Bearer " + KEY)
+            .header("Attempt-Id", id)
+            .header("Deadline-Remaining", "3500")
+            .timeout(Duration.ofSeconds(5))
+            .POST(HttpRequest.BodyPublishers.ofString(body));
+    if (!prompt.isEmpty()) {
+      request.header("Token-Counts", "100,20").header("Prompt-Prefix", prompt);
+    }
+    try {
+      return client.send(request.build(), HttpResponse.BodyHandlers.discarding()).statusCode();
+    } catch (IOException e) {
+      // The daemon is down, or the answer was cut.
+      return 0;
+    }
+  }
+
+  /** Sends the same crashing request to a daemon. */
+  int sendCrashing(int daemon) throws InterruptedException {
+    return send(daemon, CRASH_MARKER, "crash-" + sentCount.incrementAndGet(), "");
+  }
+
+  /** Returns how often crashing requests have reached endpoints. */
+  long crashingExecutions() {
+    return history.executionCount("crash-");
+  }
+
+  @Override
+  public void close() throws IOException {
+    for (SoakDaemon daemon : daemons) {
+      daemon.close();
+    }
+    for (SoakEndpoint endpoint : endpoints) {
+      endpoint.close();
+    }
+    platform.close();
+  }
+}
--- a/node/src/test/java/org/heatherspread/node/soak/FaultProxy.java
+++ b/node/src/test/java/org/heatherspread/node/soak/FaultProxy.java
@@ -4,11 +4,13 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import org.heatherspread.node.LoopbackSupport;
 
 /** TCP proxy on loopback that injects faults into the connections through it. Thread-safe. */
 final class FaultProxy implements AutoCloseable {
@@ -31,14 +33,16 @@
     REFUSE
   }
 
-  private final ServerSocket listener;
+  private final int port;
   private final int targetPort;
   private final long delayMillis;
   private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+  private volatile ServerSocket listener;
   private volatile Mode mode = Mode.PASS;
 
   private FaultProxy(ServerSocket listener, int targetPort, long delayMillis) {
     this.listener = listener;
+    this.port = listener.getLocalPort();
     this.targetPort = targetPort;
     this.delayMillis = delayMillis;
   }
@@ -50,14 +54,37 @@
    * @param delayMillis delay of each read in mode {@link Mode#DELAY}
    */
   static FaultProxy start(int targetPort, long delayMillis) throws IOException {
-    ServerSocket listener = new ServerSocket(0, 200, InetAddress.getByName("127.0.0.1"));
-    FaultProxy proxy = new FaultProxy(listener, targetPort, delayMillis);
-    DaemonThreads.start("proxy-" + targetPort, proxy::accept);
+    FaultProxy proxy = new FaultProxy(listen(LoopbackSupport.freePort()), targetPort, delayMillis);
+    proxy.startAccepting();
     return proxy;
   }
 
+  private static ServerSocket listen(int port) throws IOException {
+    ServerSocket socket = new ServerSocket();
+    socket.setReuseAddress(true);
+    socket.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), port), 200);
+    return socket;
+  }
+
+  private void startAccepting() {
+    ServerSocket accepting = listener;
+    DaemonThreads.start("proxy-" + targetPort, () -> accept(accepting));
+  }
+
+  /** Resets all connections and refuses new ones, as if the process behind it had ended. */
+  void shutDown() throws IOException {
+    listener.close();
+    resetConnections();
+  }
+
+  /** Listens again on the same port after {@link #shutDown}. */
+  void restart() throws IOException {
+    listener = listen(port);
+    startAccepting();
+  }
+
   int port() {
-    return listener.getLocalPort();
+    return port;
   }
 
   void setMode(Mode next) {
@@ -77,10 +104,10 @@
     }
   }
 
-  private void accept() {
-    while (!listener.isClosed()) {
+  private void accept(ServerSocket accepting) {
+    while (!accepting.isClosed()) {
       try {
-        Socket client = listener.accept();
+        Socket client = accepting.accept();
         if (mode == Mode.REFUSE) {
           client.close();
           continue;
@@ -150,7 +177,6 @@
 
   @Override
   public void close() throws IOException {
-    listener.close();
-    resetConnections();
+    shutDown();
   }
 }
--- a/node/src/test/java/org/heatherspread/node/soak/RequestHistory.java
+++ b/node/src/test/java/org/heatherspread/node/soak/RequestHistory.java
@@ -122,6 +122,11 @@
     return total == 0 ? 0 : (double) succeeded / total;
   }
 
+  /** Returns the number of executions of requests whose ids start with a prefix. */
+  long executionCount(String idPrefix) {
+    return executions.stream().filter(execution -> execution.id().startsWith(idPrefix)).count();
+  }
+
   /** Returns all violations found so far. */
   List<String> violations() {
     List<String> violations = new ArrayList<>(reportedViolations);
--- a/node/src/test/java/org/heatherspread/node/soak/SoakEndpoint.java
+++ b/node/src/test/java/org/heatherspread/node/soak/SoakEndpoint.java
@@ -3,23 +3,29 @@
 import java.io.IOException;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import org.heatherspread.platform.FakePlatform;
 import org.heatherspread.relay.FakeEndpoint;
 
 /**
  * Endpoint behind a proxy that registers itself and fails a configurable fraction of its requests:
  * it refuses them, resets connections before or within the response, or sends a further response
- * that belongs to another request. Thread-safe.
+ * that belongs to another request. A request that matches the crash trigger ends the endpoint as
+ * soon as its answer begins; a new incarnation starts at the same address later. Thread-safe.
  */
 final class SoakEndpoint implements AutoCloseable {
   /** Number of events in a complete stream. */
   static final int EVENT_COUNT = 6;
 
   private static final long HEARTBEAT_INTERVAL_MILLIS = 500;
+
+  /** Time after its last heartbeat at which the registration of a crashed endpoint expires. */
+  private static final long REGISTRATION_LIFETIME_MILLIS = 3 * HEARTBEAT_INTERVAL_MILLIS;
+
   private static final int MAX_WORK_MILLIS = 30;
   private static final int EVENT_INTERVAL_MILLIS = 25;
 
-  private final String id;
+  private final String name;
   private final String service;
   private final RequestHistory history;
   private final SplittableRandom random;
@@ -29,15 +35,23 @@
   private volatile double faultShare;
   private volatile boolean draining;
   private volatile boolean closed;
+  private volatile boolean crashed;
+  private volatile String id;
+  private volatile long startedAtMillis = 1;
+  private volatile Predicate<FakeEndpoint.Request> crashTrigger = request -> false;
+  private volatile long restartMillis = 1_000;
+  private volatile boolean keepsId;
+  private int incarnation;
 
   private SoakEndpoint(
-      String id,
+      String name,
       String service,
       RequestHistory history,
       SplittableRandom random,
       FakePlatform platform)
       throws IOException {
-    this.id = id;
+    this.name = name;
+    this.id = name;
     this.service = service;
     this.history = history;
     this.random = random;
@@ -71,6 +85,64 @@
     faultShare = share;
   }
 
+  /** Sets the requests that end the endpoint when it begins their answer. */
+  void setCrashTrigger(Predicate<FakeEndpoint.Request> trigger) {
+    crashTrigger = trigger;
+  }
+
+  /**
+   * Sets how the endpoint starts again after a crash.
+   *
+   * @param delayMillis time from the crash to the next start
+   * @param sameId whether it registers under the same id
+   */
+  void setRestart(long delayMillis, boolean sameId) {
+    restartMillis = delayMillis;
+    keepsId = sameId;
+  }
+
+  /** Ends all connections and refuses new ones until the next incarnation starts. */
+  void crash() throws IOException {
+    synchronized (this) {
+      if (crashed || closed) {
+        return;
+      }
+      crashed = true;
+    }
+    proxy.shutDown();
+    DaemonThreads.start("restart-" + id, this::restart);
+  }
+
+  boolean isCrashed() {
+    return crashed;
+  }
+
+  private void restart() {
+    String crashedId = id;
+    try {
+      TimeUnit.MILLISECONDS.sleep(restartMillis);
+      synchronized (this) {
+        if (closed) {
+          return;
+        }
+        incarnation++;
+        id = keepsId ? crashedId : name + '.' + incarnation;
+        startedAtMillis = System.currentTimeMillis();
+        proxy.restart();
+        crashed = false;
+        register();
+      }
+      if (!id.equals(crashedId)) {
+        TimeUnit.MILLISECONDS.sleep(Math.max(0, REGISTRATION_LIFETIME_MILLIS - restartMillis));
+        platform.delete(FakePlatform.ENDPOINTS, crashedId);
+      }
+    } catch (IOException e) {
+      history.recordViolation("an endpoint could not be restarted: " + e);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   /** Registers as draining and closes the endpoint after the notice period. */
   void drainAndClose(long noticeMillis) throws InterruptedException, IOException {
     draining = true;
@@ -91,8 +163,8 @@
   }
 
   private synchronized void register() {
-    if (!closed) {
-      platform.registerEndpoint(id, service, proxy.port(), draining);
+    if (!closed && !crashed) {
+      platform.registerEndpoint(id, service, proxy.port(), draining, startedAtMillis);
     }
   }
 
@@ -126,6 +198,10 @@
             String.valueOf(request.header("tenant-name")),
             request.header("authorization") != null));
     TimeUnit.MILLISECONDS.sleep((long) (nextDouble() * MAX_WORK_MILLIS));
+    if (crashTrigger.test(request)) {
+      crash();
+      return;
+    }
     if (faulty && faultKind < 0.5) {
       connection.reset();
       return;
