Decide on crashing requests by evidence that successes refute and other suspects explain

Callers saw (BUDGET): a request under which three endpoints had ended was sent to endpoints again and again. One cause: if several requests reached the third crash by the same end of an endpoint, none was refused, however many ends followed; identical requests of an account run on every endpoint, and what is retried follows the culprit. A daemon that merged the same evidence refused all of them instead, also the sound ones, for ten minutes, and no answer cleared anybody.

CrashLedger makes the decision a function of the evidence of all daemons: a crash does not count against a suspect that was processed successfully around or after it, and a crash that a suspect with more crashes explains counts for no other. A refusal ends two minutes after the last crash and doubles with each further one, so that a wrong one ends by itself and a right one lets a single crash through. Evidence carries ages instead of times, so that daemons can repeat what they learned without keeping it alive; what is refused is repeated by all of them. The fingerprint no longer depends on the service, as a route may move to another one.

Reports keep an empty list under the old name, which daemons of earlier versions require.

--- a/core/src/main/java/org/heatherspread/core/fleet/DaemonReport.java
+++ b/core/src/main/java/org/heatherspread/core/fleet/DaemonReport.java
@@ -2,7 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
-import org.heatherspread.core.poison.Evidence;
+import org.heatherspread.core.poison.CrashEvidence;
 
 /**
  * The state that a daemon publishes to all others, in full each time. Stored as JSON under the
@@ -20,7 +20,8 @@
  * @param wallLessStoreMillis the daemon's wall clock minus the store's clock
  * @param usage number of requests that began to run, by window and client account
  * @param loads load that the daemon puts on endpoints, by endpoint id
- * @param crashes requests that were running when endpoints crashed
+ * @param crashes always empty; daemons of earlier versions require it
+ * @param suspects evidence on what crashes endpoints, found or confirmed by this daemon
  * @param work work of each model service since the process started, in endpoint milliseconds
  */
 public record DaemonReport(
@@ -36,10 +37,12 @@
     long wallLessStoreMillis,
     Map<Long, Map<String, Integer>> usage,
     Map<String, EndpointLoad> loads,
-    List<Evidence> crashes,
+    List<Object> crashes,
+    List<CrashEvidence> suspects,
     Map<String, Double> work) {
-  /** Replaces a missing peer address by an empty one. */
+  /** Replaces components that daemons of earlier versions do not report. */
   public DaemonReport {
     peerAddress = peerAddress == null ? "" : peerAddress;
+    suspects = suspects == null ? List.of() : List.copyOf(suspects);
   }
 }
--- /dev/null
+++ b/core/src/main/java/org/heatherspread/core/poison/Suspect.java
@@ -0,0 +1,19 @@
+package org.heatherspread.core.poison;
+
+/**
+ * Something that may crash the endpoints that process it. Immutable.
+ *
+ * @param fingerprint identifies it among those of its kind, the same at every daemon
+ */
+public record Suspect(Kind kind, String fingerprint) {
+  /** Kinds of suspects. */
+  public enum Kind {
+    /** A request, identified by its content independently of its id. */
+    REQUEST
+  }
+
+  /** Creates the suspect for a request. */
+  public static Suspect request(String fingerprint) {
+    return new Suspect(Kind.REQUEST, fingerprint);
+  }
+}
--- a/core/src/test/java/org/heatherspread/core/fleet/DomainReaderSelectorTest.java
+++ b/core/src/test/java/org/heatherspread/core/fleet/DomainReaderSelectorTest.java
@@ -25,6 +25,7 @@
         Map.of(),
         Map.of(),
         List.of(),
+        List.of(),
         Map.of());
   }
 
--- a/core/src/test/java/org/heatherspread/core/fleet/FleetViewTest.java
+++ b/core/src/test/java/org/heatherspread/core/fleet/FleetViewTest.java
@@ -24,6 +24,7 @@
         Map.of(),
         Map.of(),
         List.of(),
+        List.of(),
         Map.of());
   }
 
--- a/node/src/main/java/org/heatherspread/node/Node.java
+++ b/node/src/main/java/org/heatherspread/node/Node.java
@@ -11,6 +11,7 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.Collection;
+import java.util.List;
 import java.util.SplittableRandom;
 import java.util.TreeSet;
 import java.util.concurrent.CountDownLatch;
@@ -246,7 +247,8 @@
         state.storeFreshness().wallClockOffsetMillis(),
         state.usage().snapshot(),
         state.endpoints().ownLoads(),
-        state.poisonFilter().localEvidence(),
+        List.of(),
+        state.poisonFilter().evidence(),
         state.workMillisByService());
   }
 
--- a/node/src/main/java/org/heatherspread/node/control/FleetListener.java
+++ b/node/src/main/java/org/heatherspread/node/control/FleetListener.java
@@ -131,7 +131,7 @@
       }
       report.loads().forEach((id, load) -> loads.merge(id, load, EndpointLoad::plus));
       offsets.add(report.wallLessStoreMillis());
-      state.poisonFilter().mergeEvidence(report.crashes());
+      state.poisonFilter().mergeEvidence(report.suspects(), ageMillis);
     }
     if (!loadsExchanged.getAsBoolean()) {
       state.endpoints().updatePeerLoads(loads);
--- a/node/src/test/java/org/heatherspread/node/control/CleanupDutyTest.java
+++ b/node/src/test/java/org/heatherspread/node/control/CleanupDutyTest.java
@@ -67,6 +67,7 @@
         Map.of(),
         Map.of(),
         List.of(),
+        List.of(),
         Map.of());
   }
 
--- a/node/src/test/java/org/heatherspread/node/control/FleetListenerTest.java
+++ b/node/src/test/java/org/heatherspread/node/control/FleetListenerTest.java
@@ -63,6 +63,7 @@
         Map.of(),
         Map.of(),
         List.of(),
+        List.of(),
         Map.of());
   }
 
--- a/relay/src/main/java/org/heatherspread/relay/call/Attempt.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/Attempt.java
@@ -295,6 +295,7 @@
       return;
     }
     long now = state.clock().millis();
+    state.poisonFilter().requestCompleted(context);
     boolean serverError = status >= 500 || status == 429 || status == 408;
     if (serverError) {
       trackedRequest.recordFailure(now);
@@ -348,6 +349,7 @@
       rejectResponse("stream without events");
       return;
     }
+    state.poisonFilter().requestCompleted(context);
     close();
     recordAnswerLength();
     state.metrics().recordResponse(context.service(), status, progress.firstResponseMillis);
--- a/relay/src/main/java/org/heatherspread/relay/call/PoisonRequestFilter.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/PoisonRequestFilter.java
@@ -1,64 +1,73 @@
 package org.heatherspread.relay.call;
 
-import java.io.ByteArrayOutputStream;
-import java.nio.charset.StandardCharsets;
-import java.time.InstantSource;
-import java.util.ArrayList;
+import java.time.Duration;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.heatherspread.core.placement.TrackedEndpoint;
+import org.heatherspread.core.poison.CrashEvidence;
+import org.heatherspread.core.poison.CrashLedger;
+import org.heatherspread.core.poison.CrashPolicy;
 import org.heatherspread.core.poison.EndpointIncarnation;
-import org.heatherspread.core.poison.Evidence;
 import org.heatherspread.core.poison.Fingerprints;
-import org.heatherspread.core.poison.PoisonDetector;
-import org.heatherspread.core.poison.PoisonPolicy;
-import org.heatherspread.core.poison.PoisonStatus;
+import org.heatherspread.core.poison.Suspect;
+import org.heatherspread.core.time.MonotonicClock;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
- * Refuses requests that repeatedly crash endpoints, by the evidence of all daemons in a {@link
- * PoisonDetector}. A lost connection counts as a crash if the endpoint then refuses connections,
- * and not if it accepts one. Confined to one thread.
+ * Refuses requests that crash endpoints, by the evidence of all daemons in a {@link CrashLedger}. A
+ * lost connection counts as a crash if the endpoint then refuses connections, and not if it accepts
+ * one. Confined to one thread.
  */
 public final class PoisonRequestFilter {
   private static final Logger log = LoggerFactory.getLogger(PoisonRequestFilter.class);
 
-  private final PoisonDetector detector;
-  private final Set<String> localFingerprints = new HashSet<>();
-  private boolean hasEvidence;
+  /** Maximum number of suspects in a report, so that the report fits into a row of the store. */
+  private static final int MAX_REPORTED_SUSPECTS = 48;
 
-  private PoisonRequestFilter(PoisonDetector detector) {
-    this.detector = detector;
+  private final CrashLedger ledger;
+  private final Map<EndpointIncarnation, Set<Suspect>> unresolvedLosses = new HashMap<>();
+  private Runnable newEvidenceListener = () -> {};
+
+  private PoisonRequestFilter(CrashLedger ledger) {
+    this.ledger = ledger;
   }
 
   /** Creates a filter without evidence. */
-  public static PoisonRequestFilter create(PoisonPolicy limits, InstantSource clock) {
-    return new PoisonRequestFilter(PoisonDetector.create(limits, clock));
+  static PoisonRequestFilter create(CrashPolicy policy, MonotonicClock clock) {
+    return new PoisonRequestFilter(CrashLedger.create(policy, clock));
+  }
+
+  /** Sets an action that runs when this daemon has evidence that others do not know. */
+  public void onNewEvidence(Runnable listener) {
+    newEvidenceListener = listener;
   }
 
-  /** Returns whether a request must be refused. */
-  boolean isPoisoned(CallContext context) {
-    return hasEvidence && detector.status(fingerprint(context)) == PoisonStatus.POISONED;
+  /** Returns the time for which a request is refused, empty if it is not. */
+  Optional<Duration> refusal(CallContext context) {
+    return ledger.isEmpty() ? Optional.empty() : ledger.refusal(request(context));
   }
 
   /** Records that the connection to an endpoint was lost during the request. */
   void connectionLost(TrackedEndpoint endpoint, CallContext context) {
-    String fingerprint = fingerprint(context);
-    detector.connectionLost(fingerprint, incarnation(endpoint));
+    EndpointIncarnation incarnation = incarnation(endpoint);
+    Suspect request = request(context);
+    unresolvedLosses.computeIfAbsent(incarnation, key -> new HashSet<>()).add(request);
     log.atInfo()
         .addKeyValue("id", context.id())
-        .addKeyValue("fingerprint", fingerprint)
-        .addKeyValue("endpoint", incarnation(endpoint).crashId())
+        .addKeyValue("fingerprint", request.fingerprint())
+        .addKeyValue("endpoint", incarnation.crashId())
         .log("endpoint may have crashed");
   }
 
   /** Records that the endpoint accepted a connection. */
   void connectionAccepted(TrackedEndpoint endpoint) {
-    Set<String> requests = detector.endpointNotCrashed(incarnation(endpoint));
-    if (!requests.isEmpty()) {
+    Set<Suspect> requests = unresolvedLosses.remove(incarnation(endpoint));
+    if (requests != null) {
       log.atInfo()
           .addKeyValue("endpoint", incarnation(endpoint).crashId())
           .addKeyValue("requests", requests.size())
@@ -68,45 +77,61 @@
 
   /** Records that the endpoint refused a connection or that its incarnation ended. */
   public void endpointCrashed(TrackedEndpoint endpoint) {
-    for (Evidence evidence : detector.endpointCrashed(incarnation(endpoint))) {
-      localFingerprints.add(evidence.fingerprint());
-      logEvidence(evidence, incarnation(endpoint).crashId());
-    }
+    EndpointIncarnation incarnation = incarnation(endpoint);
+    Set<Suspect> requests = unresolvedLosses.remove(incarnation);
+    recordCrash(requests == null ? Set.of() : requests, incarnation);
   }
 
-  /** Merges the evidence reported by another daemon. */
-  public void mergeEvidence(List<Evidence> evidence) {
-    for (Evidence reported : evidence) {
-      Optional<Evidence> before = detector.findEvidence(reported.fingerprint());
-      List<Evidence> changed = detector.mergeEvidence(reported);
-      Optional<Evidence> after = detector.findEvidence(reported.fingerprint());
-      changed.forEach(each -> logEvidence(each, ""));
-      if (!changed.contains(reported) && !after.equals(before)) {
-        after.ifPresent(each -> logEvidence(each, ""));
+  private void recordCrash(Set<Suspect> suspects, EndpointIncarnation incarnation) {
+    for (Suspect suspect : suspects) {
+      if (ledger.recordCrash(suspect, incarnation.crashId())) {
+        logEvidence(suspect, incarnation.crashId());
       }
     }
+    if (!suspects.isEmpty()) {
+      newEvidenceListener.run();
+    }
+  }
+
+  /** Records that a request was answered completely. */
+  void requestCompleted(CallContext context) {
+    if (!ledger.isEmpty() && ledger.recordSuccess(request(context))) {
+      newEvidenceListener.run();
+    }
   }
 
   /**
-   * Returns the unexpired evidence found by this daemon, for its report. Excludes evidence of other
-   * daemons, which report it themselves: if all daemons repeated it, it would never expire.
+   * Merges the evidence reported by another daemon.
+   *
+   * @param ageMillis age of the report
    */
-  public List<Evidence> localEvidence() {
-    List<Evidence> evidence = new ArrayList<>();
-    localFingerprints.removeIf(fingerprint -> detector.findEvidence(fingerprint).isEmpty());
-    localFingerprints.forEach(
-        fingerprint -> detector.findEvidence(fingerprint).ifPresent(evidence::add));
-    return evidence;
+  public void mergeEvidence(List<CrashEvidence> evidence, long ageMillis) {
+    for (Suspect suspect : ledger.merge(evidence, ageMillis)) {
+      logEvidence(suspect, "");
+    }
+  }
+
+  /** Returns the evidence for other daemons. */
+  public List<CrashEvidence> evidence() {
+    return ledger.isEmpty() ? List.of() : ledger.evidence(MAX_REPORTED_SUSPECTS);
+  }
+
+  /** Returns the number of suspects that are refused. */
+  public int refusedCount() {
+    return ledger.refusedCount();
   }
 
-  /** Logs evidence that changed by a crash, empty if another daemon reported it. */
-  private void logEvidence(Evidence evidence, String crash) {
-    hasEvidence = true;
+  /** Logs new evidence from a crash, empty if another daemon reported it. */
+  private void logEvidence(Suspect suspect, String crash) {
+    int crashes =
+        ledger.findEvidence(suspect).map(found -> found.crashAgesMillis().size()).orElse(0);
+    long refusedMillis = ledger.refusal(suspect).map(Duration::toMillis).orElse(0L);
     log.atInfo()
-        .addKeyValue("fingerprint", evidence.fingerprint())
+        .addKeyValue("kind", suspect.kind())
+        .addKeyValue("fingerprint", suspect.fingerprint())
         .addKeyValue("endpoint", crash)
-        .addKeyValue("crashes", evidence.crashes().size())
-        .addKeyValue("refused", evidence.poisoned())
+        .addKeyValue("crashes", crashes)
+        .addKeyValue("refused_ms", refusedMillis)
         .log("request suspected of crashes");
   }
 
@@ -114,13 +139,12 @@
     return new EndpointIncarnation(endpoint.id(), endpoint.registration().startedAtMillis());
   }
 
-  private static String fingerprint(CallContext context) {
-    ByteArrayOutputStream request = new ByteArrayOutputStream();
-    request.writeBytes(context.request().target().getBytes(StandardCharsets.UTF_8));
-    request.write(0);
-    request.writeBytes(context.account().getBytes(StandardCharsets.UTF_8));
-    request.write(0);
-    request.writeBytes(context.request().body());
-    return Fingerprints.of(context.service(), request.toByteArray());
+  private static Suspect request(CallContext context) {
+    return Suspect.request(
+        Fingerprints.ofRequest(
+            context.request().method().name(),
+            context.request().target(),
+            context.account(),
+            context.request().body()));
   }
 }
--- a/relay/src/main/java/org/heatherspread/relay/call/RelayCall.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/RelayCall.java
@@ -98,7 +98,7 @@
             responseWriter,
             refusalResponder);
     responseWriter.onDisconnect(call::onDisconnect);
-    if (state.poisonFilter().isPoisoned(context)) {
+    if (state.poisonFilter().refusal(context).isPresent()) {
       call.fail(Refusal.CRASHES_ENDPOINTS);
       return;
     }
--- a/relay/src/main/java/org/heatherspread/relay/call/RelayState.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/RelayState.java
@@ -2,7 +2,6 @@
 
 import io.netty.channel.EventLoop;
 import java.time.Duration;
-import java.time.Instant;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -20,7 +19,7 @@
 import org.heatherspread.core.placement.EngineChooser;
 import org.heatherspread.core.placement.EnginePerformance;
 import org.heatherspread.core.placement.PlainServiceChooser;
-import org.heatherspread.core.poison.PoisonPolicy;
+import org.heatherspread.core.poison.CrashPolicy;
 import org.heatherspread.core.retry.WindowedRetryBudget;
 import org.heatherspread.core.routing.HealthPolicy;
 import org.heatherspread.core.serving.ClientLimits;
@@ -39,11 +38,13 @@
 public final class RelayState {
   private static final long DEFAULT_CACHE_TOKENS = 100_000;
 
-  /** Crashes that cause a refusal; fewer may be coincidence when many endpoints fail. */
-  private static final int POISON_CRASH_THRESHOLD = 3;
-
-  private static final Duration POISON_RETENTION = Duration.ofMinutes(10);
-  private static final int POISON_MAX_ENTRIES = 1_000;
+  /**
+   * Policy of refusals: one or two crashes may be coincidence, and a request that was refused
+   * wrongly is tried again after a few minutes.
+   */
+  private static final CrashPolicy CRASH_POLICY =
+      new CrashPolicy(
+          3, Duration.ofMinutes(2), Duration.ofMinutes(30), Duration.ofMinutes(1), 1_000);
 
   /**
    * Delay from an endpoint's reclaim notice to the migration of its streams: many streams end by
@@ -105,10 +106,7 @@
     this.metrics = metrics;
     this.usage = usage;
     this.migrator = migrator;
-    this.poisonFilter =
-        PoisonRequestFilter.create(
-            new PoisonPolicy(POISON_CRASH_THRESHOLD, POISON_RETENTION, POISON_MAX_ENTRIES),
-            () -> Instant.ofEpochMilli(clock.millis()));
+    this.poisonFilter = PoisonRequestFilter.create(CRASH_POLICY, clock);
     this.accountAdmission = accountAdmission;
     this.endpoints = EndpointTable.create(health, this::cacheTokens);
   }
--- a/relay/src/test/java/org/heatherspread/relay/call/PoisonRequestFilterTest.java
+++ b/relay/src/test/java/org/heatherspread/relay/call/PoisonRequestFilterTest.java
@@ -9,7 +9,7 @@
 import org.heatherspread.core.placement.EndpointTable;
 import org.heatherspread.core.placement.TrackedEndpoint;
 import org.heatherspread.core.placement.Workload;
-import org.heatherspread.core.poison.PoisonPolicy;
+import org.heatherspread.core.poison.CrashPolicy;
 import org.heatherspread.core.routing.HealthPolicy;
 import org.heatherspread.core.serving.CallKind;
 import org.heatherspread.core.serving.HostPort;
@@ -28,7 +28,9 @@
   private final PoisonRequestFilter receiver = createFilter();
 
   private PoisonRequestFilter createFilter() {
-    return PoisonRequestFilter.create(new PoisonPolicy(3, RETENTION, 100), clock);
+    CrashPolicy policy =
+        new CrashPolicy(3, Duration.ofMinutes(1), RETENTION, Duration.ofMinutes(1), 100);
+    return PoisonRequestFilter.create(policy, clock);
   }
 
   private static CallContext context() {
@@ -68,21 +70,27 @@
   void poisonedRequestIsRefusedByDaemonsThatReceivedTheEvidence() {
     crash("e1");
     crash("e2");
-    receiver.mergeEvidence(reporter.localEvidence());
-    assertThat(receiver.isPoisoned(context())).isFalse();
+    receiver.mergeEvidence(reporter.evidence(), 0);
+    assertThat(receiver.refusal(context())).isEmpty();
     crash("e3");
-    receiver.mergeEvidence(reporter.localEvidence());
-    assertThat(receiver.isPoisoned(context())).isTrue();
+    receiver.mergeEvidence(reporter.evidence(), 0);
+    assertThat(receiver.refusal(context())).isPresent();
   }
 
-  /** Evidence would never expire if each daemon that received it reported it again. */
+  /** Other daemons repeat the evidence on what is refused, which must not keep it alive. */
   @Test
-  void evidenceIsReportedOnlyByItsOriginAndExpires() {
+  void evidenceBelowTheThresholdIsReportedOnlyByItsOriginAndAllExpires() {
     crash("e1");
-    receiver.mergeEvidence(reporter.localEvidence());
-    assertThat(reporter.localEvidence()).hasSize(1);
-    assertThat(receiver.localEvidence()).isEmpty();
+    receiver.mergeEvidence(reporter.evidence(), 0);
+    assertThat(reporter.evidence()).hasSize(1);
+    assertThat(receiver.evidence()).isEmpty();
+    crash("e2");
+    crash("e3");
+    receiver.mergeEvidence(reporter.evidence(), 0);
+    assertThat(receiver.evidence()).hasSize(1);
     clock.advance(RETENTION.plusSeconds(1));
-    assertThat(reporter.localEvidence()).isEmpty();
+    reporter.mergeEvidence(receiver.evidence(), 0);
+    assertThat(reporter.evidence()).isEmpty();
+    assertThat(receiver.evidence()).isEmpty();
   }
 }
