Probe an endpoint as soon as a connection to it breaks, and count its end also when a successor listens there

The cause that suffices alone: a lost connection counted only if the same daemon's next connection to the endpoint was refused. Nothing made the daemon connect before the endpoint was back, and then the connection that its successor accepted at the same address withdrew the evidence.

A broken connection is now probed at once, before a successor can listen; a refusal is a crash, an accepted probe proves nothing. Open losses also count when the endpoint answers 421, registers a later start, or its registration goes without notice while the store is well; they are refuted by a response to a later request. An endpoint that has given notice ends without being counted, as it does when it is reclaimed.

--- a/node/src/main/java/org/heatherspread/node/control/EndpointListener.java
+++ b/node/src/main/java/org/heatherspread/node/control/EndpointListener.java
@@ -57,6 +57,11 @@
     for (SharedRow row : result.rows()) {
       present.add(row.key());
     }
+    for (TrackedEndpoint endpoint : state.endpoints().all()) {
+      if (!present.contains(endpoint.id())) {
+        recordEnd(endpoint.id());
+      }
+    }
     state.endpoints().markMissingExcept(present, unusableFromMillis());
     onChanges(result);
   }
@@ -66,6 +71,7 @@
     for (SharedRow row : result.rows()) {
       if (row.deleted()) {
         log.atInfo().addKeyValue("endpoint", row.key()).log("endpoint registration gone");
+        recordEnd(row.key());
         state.endpoints().markMissing(row.key(), unusableFromMillis());
         state.scheduleMigration(row.key());
       } else {
@@ -77,6 +83,13 @@
     }
   }
 
+  /** Counts the connections lost to an endpoint as a crash if its registration did not lapse. */
+  private void recordEnd(String id) {
+    if (!mayHaveLapsed()) {
+      state.endpoints().get(id).ifPresent(state.poisonFilter()::endpointCrashed);
+    }
+  }
+
   private void applyRegistration(SharedRow row) {
     Optional<RegisteredEndpoint> parsed = parser.apply(row.key(), row.value());
     if (parsed.isEmpty()) {
@@ -113,7 +126,11 @@
   /** Returns the time from which an endpoint without a registration is no longer used. */
   private long unusableFromMillis() {
     long now = state.clock().millis();
-    return now - lastFailureMillis < FAILURE_WINDOW_MILLIS ? now + EXPIRY_GRACE_MILLIS : now;
+    return mayHaveLapsed() ? now + EXPIRY_GRACE_MILLIS : now;
+  }
+
+  private boolean mayHaveLapsed() {
+    return state.clock().millis() - lastFailureMillis < FAILURE_WINDOW_MILLIS;
   }
 
   @Override
--- /dev/null
+++ b/node/src/test/java/org/heatherspread/node/soak/CrashingRequestTest.java
@@ -0,0 +1,110 @@
+package org.heatherspread.node.soak;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * Sends a request that ends each endpoint that begins its answer to several daemon processes, and
+ * checks that no more than the permitted number of repeats reaches endpoints later than three
+ * seconds after the third crash.
+ */
+class CrashingRequestTest {
+  private static final int DAEMONS = 4;
+  private static final int ENDPOINTS = 4;
+
+  /** Crashes after which the request must no longer be sent. */
+  private static final int CRASHES = 3;
+
+  /** Time after the last of these crashes in which daemons may not know of all of them. */
+  private static final long PROPAGATION_MILLIS = 3_000;
+
+  /** Number of executions that are permitted after this time. */
+  private static final int PERMITTED_EXECUTIONS = 3;
+
+  @TempDir private Path folder;
+
+  private static void crashEndpoints(CrashFleet fleet) throws Exception {
+    int daemon = 0;
+    while (fleet.crashingExecutions() < CRASHES) {
+      fleet.sendCrashing(daemon++ % DAEMONS);
+      TimeUnit.MILLISECONDS.sleep(200);
+    }
+    TimeUnit.MILLISECONDS.sleep(PROPAGATION_MILLIS);
+    fleet.awaitEndpoints();
+  }
+
+  /** Sends the request to every daemon several times and returns how often it was executed. */
+  private static long repeat(CrashFleet fleet) throws Exception {
+    long before = fleet.crashingExecutions();
+    for (int round = 0; round < 3; round++) {
+      for (int daemon = 0; daemon < DAEMONS; daemon++) {
+        fleet.sendCrashing(daemon);
+        fleet.awaitEndpoints();
+        TimeUnit.MILLISECONDS.sleep(100);
+      }
+    }
+    return fleet.crashingExecutions() - before;
+  }
+
+  @Test
+  void crashingRequestIsRefusedByAllDaemons() throws Exception {
+    try (CrashFleet fleet = CrashFleet.start(DAEMONS, ENDPOINTS, folder)) {
+      crashEndpoints(fleet);
+      assertThat(repeat(fleet)).isLessThanOrEqualTo(PERMITTED_EXECUTIONS);
+      assertThat(fleet.sendCrashing(0)).isEqualTo(503);
+      assertThat(fleet.send(0, "sound", "sound", "")).isEqualTo(200);
+    }
+  }
+
+  /** A restarted endpoint accepts connections that were meant for its predecessor. */
+  @Test
+  void crashingRequestIsRefusedIfEndpointsRestartAtOnceAtTheirAddresses() throws Exception {
+    try (CrashFleet fleet = CrashFleet.start(DAEMONS, ENDPOINTS, folder)) {
+      for (SoakEndpoint endpoint : fleet.endpoints()) {
+        endpoint.setRestart(250, false);
+      }
+      crashEndpoints(fleet);
+      assertThat(repeat(fleet)).isLessThanOrEqualTo(PERMITTED_EXECUTIONS);
+    }
+  }
+
+  /** Identical requests of one account run on every endpoint that crashes. */
+  @Test
+  void crashingRequestIsRefusedAndIdenticalSoundRequestsBesideItAreServed() throws Exception {
+    try (CrashFleet fleet = CrashFleet.start(DAEMONS, ENDPOINTS, folder)) {
+      AtomicBoolean stopped = new AtomicBoolean();
+      AtomicInteger sent = new AtomicInteger();
+      for (int i = 0; i < 3 * DAEMONS; i++) {
+        int daemon = i % DAEMONS;
+        DaemonThreads.start(
+            "sound-" + i,
+            () -> {
+              try {
+                while (!stopped.get()) {
+                  fleet.send(daemon, "sound", "sound-" + sent.incrementAndGet(), "");
+                }
+              } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+              }
+            });
+      }
+      crashEndpoints(fleet);
+      final long executions = repeat(fleet);
+      stopped.set(true);
+      fleet.awaitEndpoints();
+      int served = 0;
+      for (int i = 0; i < 20; i++) {
+        served += fleet.send(i % DAEMONS, "sound", "last-" + i, "") == 200 ? 1 : 0;
+        TimeUnit.MILLISECONDS.sleep(50);
+      }
+      assertThat(executions).isLessThanOrEqualTo(PERMITTED_EXECUTIONS);
+      assertThat(served).isGreaterThan(17);
+    }
+  }
+}
--- a/relay/src/main/java/org/heatherspread/relay/call/Attempt.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/Attempt.java
@@ -126,9 +126,6 @@
       return;
     }
     connection = acquired;
-    if (acquired.isUnused()) {
-      state.poisonFilter().connectionAccepted(endpoint);
-    }
     progress.sendCount++;
     progress.possibleExecutions += cacheCopy == null ? 1 : 0;
     sentMillis = now;
@@ -295,6 +292,7 @@
       return;
     }
     long now = state.clock().millis();
+    state.poisonFilter().endpointResponded(endpoint, sentMillis);
     state.poisonFilter().requestCompleted(context);
     boolean serverError = status >= 500 || status == 429 || status == 408;
     if (serverError) {
@@ -349,6 +347,7 @@
       rejectResponse("stream without events");
       return;
     }
+    state.poisonFilter().endpointResponded(endpoint, sentMillis);
     state.poisonFilter().requestCompleted(context);
     close();
     recordAnswerLength();
@@ -420,6 +419,10 @@
   }
 
   private void onRefused() {
+    if (status == MISDIRECTED_REQUEST) {
+      // Another incarnation listens at the address.
+      state.poisonFilter().endpointCrashed(endpoint);
+    }
     trackedRequest.recordRefusal(state.clock().millis());
     close();
     progress.possibleExecutions -= cacheCopy == null ? 1 : 0;
--- a/relay/src/main/java/org/heatherspread/relay/call/PoisonRequestFilter.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/PoisonRequestFilter.java
@@ -1,10 +1,7 @@
 package org.heatherspread.relay.call;
 
 import java.time.Duration;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.heatherspread.core.placement.TrackedEndpoint;
@@ -12,6 +9,7 @@
 import org.heatherspread.core.poison.CrashLedger;
 import org.heatherspread.core.poison.CrashPolicy;
 import org.heatherspread.core.poison.EndpointIncarnation;
+import org.heatherspread.core.poison.EndpointLossTracker;
 import org.heatherspread.core.poison.Fingerprints;
 import org.heatherspread.core.poison.Suspect;
 import org.heatherspread.core.time.MonotonicClock;
@@ -20,8 +18,8 @@
 
 /**
  * Refuses requests that crash endpoints, by the evidence of all daemons in a {@link CrashLedger}. A
- * lost connection counts as a crash if the endpoint then refuses connections, and not if it accepts
- * one. Confined to one thread.
+ * lost connection is evidence once its endpoint is found to have crashed: a probe or a request is
+ * refused, or another incarnation is found in its place. Confined to one thread.
  */
 public final class PoisonRequestFilter {
   private static final Logger log = LoggerFactory.getLogger(PoisonRequestFilter.class);
@@ -30,16 +28,27 @@
   private static final int MAX_REPORTED_SUSPECTS = 48;
 
   private final CrashLedger ledger;
-  private final Map<EndpointIncarnation, Set<Suspect>> unresolvedLosses = new HashMap<>();
+  private final EndpointLossTracker losses;
+  private final EndpointProbe probe;
   private Runnable newEvidenceListener = () -> {};
 
-  private PoisonRequestFilter(CrashLedger ledger) {
+  /** Finds out whether an endpoint still listens. */
+  @FunctionalInterface
+  interface EndpointProbe {
+    /** Connects to an endpoint, and reports a refusal to {@link #endpointCrashed}. */
+    void probe(TrackedEndpoint endpoint);
+  }
+
+  private PoisonRequestFilter(CrashLedger ledger, EndpointLossTracker losses, EndpointProbe probe) {
     this.ledger = ledger;
+    this.losses = losses;
+    this.probe = probe;
   }
 
   /** Creates a filter without evidence. */
-  static PoisonRequestFilter create(CrashPolicy policy, MonotonicClock clock) {
-    return new PoisonRequestFilter(CrashLedger.create(policy, clock));
+  static PoisonRequestFilter create(CrashPolicy policy, MonotonicClock clock, EndpointProbe probe) {
+    return new PoisonRequestFilter(
+        CrashLedger.create(policy, clock), EndpointLossTracker.create(clock), probe);
   }
 
   /** Sets an action that runs when this daemon has evidence that others do not know. */
@@ -54,32 +63,54 @@
 
   /** Records that the connection to an endpoint was lost during the request. */
   void connectionLost(TrackedEndpoint endpoint, CallContext context) {
+    if (endpoint.registration().leaving()) {
+      return;
+    }
     EndpointIncarnation incarnation = incarnation(endpoint);
     Suspect request = request(context);
-    unresolvedLosses.computeIfAbsent(incarnation, key -> new HashSet<>()).add(request);
     log.atInfo()
         .addKeyValue("id", context.id())
         .addKeyValue("fingerprint", request.fingerprint())
         .addKeyValue("endpoint", incarnation.crashId())
         .log("endpoint may have crashed");
+    switch (losses.recordLoss(incarnation, Set.of(request))) {
+      case PROBE -> probe.probe(endpoint);
+      case COUNT_CRASH -> recordCrash(Set.of(request), incarnation);
+      case AWAIT_PROBE -> {
+        // The loss is counted if the probe finds a crash.
+      }
+    }
+  }
+
+  /** Records that an endpoint accepted the connection of a probe. */
+  void probeAccepted(TrackedEndpoint endpoint) {
+    losses.probeAccepted(incarnation(endpoint));
   }
 
-  /** Records that the endpoint accepted a connection. */
-  void connectionAccepted(TrackedEndpoint endpoint) {
-    Set<Suspect> requests = unresolvedLosses.remove(incarnation(endpoint));
-    if (requests != null) {
+  /** Returns whether it is not known yet whether an endpoint with lost connections has crashed. */
+  boolean isUnresolved(TrackedEndpoint endpoint) {
+    return losses.isUnresolved(incarnation(endpoint));
+  }
+
+  /**
+   * Records that an endpoint responded.
+   *
+   * @param sentMillis time at which the request was sent
+   */
+  void endpointResponded(TrackedEndpoint endpoint, long sentMillis) {
+    if (losses.resolveAsAlive(incarnation(endpoint), sentMillis)) {
       log.atInfo()
           .addKeyValue("endpoint", incarnation(endpoint).crashId())
-          .addKeyValue("requests", requests.size())
           .log("endpoint has not crashed");
     }
   }
 
   /** Records that the endpoint refused a connection or that its incarnation ended. */
   public void endpointCrashed(TrackedEndpoint endpoint) {
-    EndpointIncarnation incarnation = incarnation(endpoint);
-    Set<Suspect> requests = unresolvedLosses.remove(incarnation);
-    recordCrash(requests == null ? Set.of() : requests, incarnation);
+    if (!endpoint.registration().leaving()) {
+      EndpointIncarnation incarnation = incarnation(endpoint);
+      recordCrash(losses.resolveAsCrash(incarnation), incarnation);
+    }
   }
 
   private void recordCrash(Set<Suspect> suspects, EndpointIncarnation incarnation) {
--- a/relay/src/main/java/org/heatherspread/relay/call/RelayState.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/RelayState.java
@@ -19,6 +19,7 @@
 import org.heatherspread.core.placement.EngineChooser;
 import org.heatherspread.core.placement.EnginePerformance;
 import org.heatherspread.core.placement.PlainServiceChooser;
+import org.heatherspread.core.placement.TrackedEndpoint;
 import org.heatherspread.core.poison.CrashPolicy;
 import org.heatherspread.core.retry.WindowedRetryBudget;
 import org.heatherspread.core.routing.HealthPolicy;
@@ -29,6 +30,7 @@
 import org.heatherspread.core.time.MonotonicClock;
 import org.heatherspread.core.usage.UsageWindows;
 import org.heatherspread.relay.endpoint.ConnectionPool;
+import org.heatherspread.relay.endpoint.EndpointConnection;
 
 /**
  * Configuration, endpoints and shared components of the relay, updated by the control tasks on the
@@ -46,6 +48,9 @@
       new CrashPolicy(
           3, Duration.ofMinutes(2), Duration.ofMinutes(30), Duration.ofMinutes(1), 1_000);
 
+  /** Pause before an endpoint is probed again that did not respond to a probe. */
+  private static final long PROBE_PAUSE_MILLIS = 250;
+
   /**
    * Delay from an endpoint's reclaim notice to the migration of its streams: many streams end by
    * themselves meanwhile, and enough time remains before the endpoint ends.
@@ -106,11 +111,36 @@
     this.metrics = metrics;
     this.usage = usage;
     this.migrator = migrator;
-    this.poisonFilter = PoisonRequestFilter.create(CRASH_POLICY, clock);
+    this.poisonFilter = PoisonRequestFilter.create(CRASH_POLICY, clock, this::probe);
     this.accountAdmission = accountAdmission;
     this.endpoints = EndpointTable.create(health, this::cacheTokens);
   }
 
+  /** Connects to an endpoint until it accepts or refuses, or its loss is resolved otherwise. */
+  private void probe(TrackedEndpoint endpoint) {
+    if (!poisonFilter.isUnresolved(endpoint)) {
+      return;
+    }
+    connectionPool.open(
+        endpoint.registration().address(),
+        new ConnectionPool.ConnectionListener() {
+          @Override
+          public void onConnected(EndpointConnection connection) {
+            poisonFilter.probeAccepted(endpoint);
+            connection.releaseUnused();
+          }
+
+          @Override
+          public void onConnectFailed(String reason, boolean refused) {
+            if (refused) {
+              poisonFilter.endpointCrashed(endpoint);
+            } else {
+              loop.schedule(() -> probe(endpoint), PROBE_PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+            }
+          }
+        });
+  }
+
   private Optional<ServiceConfig> service(String name) {
     return config().flatMap(current -> current.service(name));
   }
--- a/relay/src/main/java/org/heatherspread/relay/endpoint/ConnectionPool.java
+++ b/relay/src/main/java/org/heatherspread/relay/endpoint/ConnectionPool.java
@@ -102,6 +102,14 @@
     connect(address, listener);
   }
 
+  /**
+   * Opens a connection even if another one is idle, to find out whether a peer still listens. The
+   * listener must use or release it.
+   */
+  public void open(HostPort address, ConnectionListener listener) {
+    connect(address, listener);
+  }
+
   private void connect(HostPort address, ConnectionListener listener) {
     retiredAddresses.remove(address);
     EndpointConnection connection = new EndpointConnection(this, address, idHeader);
--- a/relay/src/test/java/org/heatherspread/relay/call/PoisonRequestFilterTest.java
+++ b/relay/src/test/java/org/heatherspread/relay/call/PoisonRequestFilterTest.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import org.heatherspread.core.placement.EndpointTable;
 import org.heatherspread.core.placement.TrackedEndpoint;
@@ -24,13 +25,14 @@
   private static final Duration RETENTION = Duration.ofMinutes(10);
 
   private final ManualClock clock = ManualClock.create();
+  private final List<String> probes = new ArrayList<>();
   private final PoisonRequestFilter reporter = createFilter();
   private final PoisonRequestFilter receiver = createFilter();
 
   private PoisonRequestFilter createFilter() {
     CrashPolicy policy =
         new CrashPolicy(3, Duration.ofMinutes(1), RETENTION, Duration.ofMinutes(1), 100);
-    return PoisonRequestFilter.create(policy, clock);
+    return PoisonRequestFilter.create(policy, clock, endpoint -> probes.add(endpoint.id()));
   }
 
   private static CallContext context() {
@@ -93,4 +95,26 @@
     assertThat(reporter.evidence()).isEmpty();
     assertThat(receiver.evidence()).isEmpty();
   }
+
+  @Test
+  void lostConnectionIsProbedOnceUntilTheProbeIsAccepted() {
+    TrackedEndpoint endpoint = endpoint("e1");
+    reporter.connectionLost(endpoint, context());
+    reporter.connectionLost(endpoint, context());
+    assertThat(probes).containsExactly("e1");
+    reporter.probeAccepted(endpoint);
+    reporter.connectionLost(endpoint, context());
+    assertThat(probes).containsExactly("e1", "e1");
+  }
+
+  @Test
+  void endOfLeavingEndpointIsNoEvidence() {
+    EndpointTable table = EndpointTable.create(HealthPolicy.defaults(), service -> 1_000);
+    HostPort address = new HostPort("127.0.0.1", 1);
+    table.put(new RegisteredEndpoint("e1", "s", address, "z", 6, true, false, -1, 1));
+    TrackedEndpoint leaving = table.get("e1").orElseThrow();
+    reporter.connectionLost(leaving, context());
+    reporter.endpointCrashed(leaving);
+    assertThat(reporter.evidence()).isEmpty();
+  }
 }
