Return no free port twice in tests, and show the log of a daemon that does not become ready

crashingRequestIsRefusedByAllDaemons failed once in its start (daemon-0 was not ready within 40 s); its logs are gone with its folder, so the cause is not known. Suspected: a port that was returned for a daemon, which binds it later, was returned again for a proxy, which binds it at once.

--- a/node/src/test/java/org/heatherspread/node/LoopbackSupport.java
+++ b/node/src/test/java/org/heatherspread/node/LoopbackSupport.java
@@ -12,6 +12,8 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
@@ -20,17 +22,21 @@
   private static final int MIN_PORT = 12_000;
   private static final int MAX_PORT = 32_000;
   private static final int MAX_PORT_ATTEMPTS = 100;
+  private static final Set<Integer> RETURNED_PORTS = ConcurrentHashMap.newKeySet();
   private static final HttpClient CLIENT = HttpClient.newHttpClient();
 
   private LoopbackSupport() {}
 
   /**
    * Returns a free port below the ephemeral port range, so that no other program is assigned it
-   * before a daemon binds it or while the daemon is down.
+   * before a daemon binds it or while the daemon is down. Returns no port twice.
    */
   public static int freePort() {
     for (int attempts = 0; attempts < MAX_PORT_ATTEMPTS; attempts++) {
       int port = ThreadLocalRandom.current().nextInt(MIN_PORT, MAX_PORT);
+      if (!RETURNED_PORTS.add(port)) {
+        continue;
+      }
       try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
         return socket.getLocalPort();
       } catch (BindException e) {
--- a/node/src/test/java/org/heatherspread/node/soak/CrashFleet.java
+++ b/node/src/test/java/org/heatherspread/node/soak/CrashFleet.java
@@ -91,9 +91,12 @@
   /** Waits until a daemon answers a request. */
   void awaitReady(int daemon) throws Exception {
     long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READY_TIMEOUT_MILLIS);
-    while (send(daemon, "probe", "probe-" + sentCount.incrementAndGet(), "") != 200) {
+    int status = 0;
+    while (status != 200) {
+      status = send(daemon, "probe", "probe-" + sentCount.incrementAndGet(), "");
       if (System.nanoTime() > deadlineNanos) {
-        throw new IllegalStateException("daemon-" + daemon + " is not ready");
+        throw new IllegalStateException(
+            "daemon-" + daemon + " is not ready: " + status + ", " + daemons.get(daemon).logTail());
       }
       TimeUnit.MILLISECONDS.sleep(50);
     }
--- a/node/src/test/java/org/heatherspread/node/soak/SoakDaemon.java
+++ b/node/src/test/java/org/heatherspread/node/soak/SoakDaemon.java
@@ -106,6 +106,12 @@
     return folder.resolve(name + "." + startCount + ".log");
   }
 
+  /** Returns the last lines of the log of the process. */
+  String logTail() throws IOException {
+    List<String> lines = Files.readAllLines(logFile());
+    return String.join("\n", lines.subList(Math.max(0, lines.size() - 10), lines.size()));
+  }
+
   /** Returns whether the process exited without having been killed or terminated. */
   boolean exitedUnexpectedly() {
     return expectedToRun && !process.isAlive();
