Merge crash evidence also from the reports of processes that have ended, by the age of the report

A daemon merged the evidence of the newest report of each other daemon that counted as live, at every read. So it forgot what an earlier process of its own had found, what another daemon's process had found before its own restart, and gave evidence in an old report the age that it had when it was written, so that it could come back after it had expired.

Each report is now merged once, when it is received, whoever wrote it, and its time on the store's clock gives the age. FleetListenerTest fails before in three cases (0 refused instead of 1, twice; an age of 1,000 instead of 7,000 ms).

--- a/node/src/main/java/org/heatherspread/node/control/FleetListener.java
+++ b/node/src/main/java/org/heatherspread/node/control/FleetListener.java
@@ -111,12 +111,23 @@
       }
       if (!fleet.hasReport(row.key(), report.get().sequence())) {
         fleet.put(row.key(), report.get(), now);
+        mergeEvidence(report.get(), result);
       }
     }
     fleet.markRead(now);
     applyReports(result.ageMillis());
   }
 
+  /**
+   * Merges the evidence of a report, also of a process that has ended: after a restart of all
+   * daemons, only such reports have it.
+   */
+  private void mergeEvidence(DaemonReport report, SharedReadResult result) {
+    long storeMillis = result.storeMillis() + result.ageMillis();
+    long ageMillis = Math.max(0, storeMillis - report.atStoreMillis());
+    state.poisonFilter().mergeEvidence(report.suspects(), ageMillis);
+  }
+
   private void applyReports(long ageMillis) {
     fleet.setLivenessTimeout(reportSchedule.lifetime(state.daemonCount(), minLifetime).toMillis());
     List<DaemonReport> reports = fleet.liveReports();
@@ -131,7 +142,6 @@
       }
       report.loads().forEach((id, load) -> loads.merge(id, load, EndpointLoad::plus));
       offsets.add(report.wallLessStoreMillis());
-      state.poisonFilter().mergeEvidence(report.suspects(), ageMillis);
     }
     if (!loadsExchanged.getAsBoolean()) {
       state.endpoints().updatePeerLoads(loads);
--- a/node/src/test/java/org/heatherspread/node/control/FleetListenerTest.java
+++ b/node/src/test/java/org/heatherspread/node/control/FleetListenerTest.java
@@ -15,6 +15,8 @@
 import org.heatherspread.core.limit.OvershootAllowance;
 import org.heatherspread.core.limit.PartitionedLimiter;
 import org.heatherspread.core.limit.ReportSchedule;
+import org.heatherspread.core.poison.CrashEvidence;
+import org.heatherspread.core.poison.Suspect;
 import org.heatherspread.core.store.SharedReadResult;
 import org.heatherspread.core.store.SharedRow;
 import org.heatherspread.core.time.ManualClock;
@@ -49,6 +51,11 @@
   private long sequence;
 
   private static DaemonReport report(String daemon, long sequence, DaemonState state) {
+    return report(daemon, sequence, state, List.of());
+  }
+
+  private static DaemonReport report(
+      String daemon, long sequence, DaemonState state, List<CrashEvidence> suspects) {
     return new DaemonReport(
         daemon,
         "1",
@@ -63,7 +70,7 @@
         Map.of(),
         Map.of(),
         List.of(),
-        List.of(),
+        suspects,
         Map.of());
   }
 
@@ -115,4 +122,38 @@
     runRound(Set.of(owner), DaemonState.LEAVING);
     assertThat(limits.owner("acme")).isNotNull().isNotEqualTo(owner);
   }
+
+  private static List<CrashEvidence> evidence(long ageMillis) {
+    Map<String, Long> crashes = Map.of("e1", ageMillis, "e2", ageMillis, "e3", ageMillis);
+    return List.of(
+        new CrashEvidence(Suspect.request("culprit"), crashes, CrashEvidence.NO_SUCCESS));
+  }
+
+  private void receive(String row, DaemonReport report) {
+    byte[] value = ReportFormat.write(report);
+    listener.onChanges(
+        new SharedReadResult(List.of(new SharedRow(row, value, 1, false)), 1, 10_000));
+  }
+
+  @Test
+  void evidenceOfProcessesThatHaveEndedIsMerged() {
+    receive("d1/2", report("d1", 10_000, DaemonState.READY));
+    receive("d1/1", report("d1", 9_000, DaemonState.READY, evidence(0)));
+    assertThat(state.poisonFilter().refusedCount()).isEqualTo(1);
+  }
+
+  @Test
+  void evidenceOfAnEarlierProcessOfThisDaemonIsMerged() {
+    receive(SELF + "/1", report(SELF, 9_000, DaemonState.READY, evidence(0)));
+    assertThat(state.poisonFilter().refusedCount()).isEqualTo(1);
+  }
+
+  /** A report that stays in the store must not renew the evidence in it. */
+  @Test
+  void ageOfReportCountsTowardsAgeOfItsEvidence() {
+    receive("d1/1", report("d1", 4_000, DaemonState.READY, evidence(1_000)));
+    long ageMillis =
+        state.poisonFilter().evidence().get(0).crashAgesMillis().values().iterator().next();
+    assertThat(ageMillis).isEqualTo(7_000);
+  }
 }
--- a/node/src/test/java/org/heatherspread/node/soak/CrashingRequestTest.java
+++ b/node/src/test/java/org/heatherspread/node/soak/CrashingRequestTest.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.heatherspread.platform.FakePlatform;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -62,6 +63,42 @@
     }
   }
 
+  @Test
+  void crashingRequestIsRefusedAfterAllDaemonsRestartInTurn() throws Exception {
+    try (CrashFleet fleet = CrashFleet.start(DAEMONS, ENDPOINTS, folder)) {
+      crashEndpoints(fleet);
+      for (int daemon = 0; daemon < DAEMONS; daemon++) {
+        fleet.restart(daemon);
+      }
+      assertThat(repeat(fleet)).isLessThanOrEqualTo(PERMITTED_EXECUTIONS);
+    }
+  }
+
+  @Test
+  void crashingRequestIsRefusedAfterRepeatedRestartsOfAllDaemons() throws Exception {
+    try (CrashFleet fleet = CrashFleet.start(DAEMONS, ENDPOINTS, folder)) {
+      crashEndpoints(fleet);
+      fleet.restartAll();
+      fleet.restartAll();
+      assertThat(repeat(fleet)).isLessThanOrEqualTo(PERMITTED_EXECUTIONS);
+    }
+  }
+
+  @Test
+  void crashingRequestIsRefusedAfterTheStoreLostItsReports() throws Exception {
+    try (CrashFleet fleet = CrashFleet.start(DAEMONS, ENDPOINTS, folder)) {
+      final FakePlatform.Backup backup = fleet.platform().backUp();
+      crashEndpoints(fleet);
+      fleet.restart(0);
+      fleet.platform().restore(backup, FakePlatform.OPERATORS, FakePlatform.ENDPOINTS);
+      TimeUnit.MILLISECONDS.sleep(PROPAGATION_MILLIS);
+      fleet.restart(1);
+      fleet.restart(2);
+      fleet.restart(3);
+      assertThat(repeat(fleet)).isLessThanOrEqualTo(PERMITTED_EXECUTIONS);
+    }
+  }
+
   /** A restarted endpoint accepts connections that were meant for its predecessor. */
   @Test
   void crashingRequestIsRefusedIfEndpointsRestartAtOnceAtTheirAddresses() throws Exception {
