Send new crash evidence to the other daemons at once

Evidence travelled with the reports only: up to 1.5 s to be written and as long to be read, and not at all while the store is away, though daemons accept requests for another 4 s.

--- a/node/src/main/java/org/heatherspread/node/control/ControlPlane.java
+++ b/node/src/main/java/org/heatherspread/node/control/ControlPlane.java
@@ -26,6 +26,7 @@
 import org.heatherspread.core.limit.ReportSchedule;
 import org.heatherspread.core.store.SharedStore;
 import org.heatherspread.core.store.TableStore;
+import org.heatherspread.node.peer.CrashEvidenceExchange;
 import org.heatherspread.node.peer.DomainReaderStore;
 import org.heatherspread.node.peer.LoadExchange;
 import org.heatherspread.node.peer.MirroredTable;
@@ -107,6 +108,7 @@
   private final SharedStore domainReaderStore;
   private final LoadExchange loadExchange;
   private final PeerRequestHandler peerHandler;
+  private final PeerClient peers;
   private final TableStore tableStore;
   private final DutyClient dutyClient;
   private final Supplier<DaemonReport> report;
@@ -135,6 +137,7 @@
     this.tableStore = tableStore;
     this.dutyClient = dutyClient;
     this.report = report;
+    this.peers = peers;
     this.endpointListener = new EndpointListener(state, RegistrationParser::parse);
     this.loadExchange = LoadExchange.create(state, settings.name(), peers, this::domainReaders);
     this.fleetListener =
@@ -259,6 +262,12 @@
                     settings.name() + '/' + incarnation, report, store, this::reportInterval)),
             "reporter");
     loadExchange.start();
+    CrashEvidenceExchange.start(
+        settings.name(),
+        state.loop(),
+        state.poisonFilter(),
+        peers,
+        () -> reportWriter.tell(ReportWriter.Command.REPORT));
     if (dutyClient != null) {
       dutyRunner = context.spawn(restarting(createDutyRunner()), "duties");
     }
--- a/node/src/main/java/org/heatherspread/node/peer/PeerClient.java
+++ b/node/src/main/java/org/heatherspread/node/peer/PeerClient.java
@@ -2,7 +2,9 @@
 
 import io.netty.handler.codec.http.HttpMethod;
 import java.time.Duration;
+import java.util.Collection;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -11,6 +13,7 @@
 import org.heatherspread.core.error.ServingException;
 import org.heatherspread.core.fleet.EndpointLoad;
 import org.heatherspread.core.limit.LimitOwnerClient;
+import org.heatherspread.core.poison.CrashEvidence;
 import org.heatherspread.core.serving.HostPort;
 import org.heatherspread.core.store.SharedReadResult;
 import org.heatherspread.core.store.SharedStore;
@@ -23,7 +26,8 @@
  * <p>A call fails with a {@link ServingException} if the daemon is unknown, does not respond in
  * time or responds with an error.
  */
-public final class PeerClient implements LimitOwnerClient, LoadExchange.LoadClient {
+public final class PeerClient
+    implements LimitOwnerClient, LoadExchange.LoadClient, CrashEvidenceExchange.EvidenceClient {
   /**
    * Timeout of requests to limit owners: well above a round trip to a busy instance, and small
    * compared with the latency targets of requests.
@@ -33,6 +37,9 @@
   /** Time for a response to a long poll beyond the requested wait. */
   private static final Duration CHANGES_TIMEOUT = Duration.ofMillis(300);
 
+  /** Timeout of messages with crash evidence, which reports repeat. */
+  private static final Duration EVIDENCE_TIMEOUT = Duration.ofMillis(500);
+
   /** Timeout of load exchanges, below the time between two of them. */
   private static final Duration LOADS_TIMEOUT = Duration.ofMillis(200);
 
@@ -109,6 +116,18 @@
         .thenApply(response -> PeerFormat.readLoads(requireSuccess(reader, response).body()));
   }
 
+  @Override
+  public Collection<String> daemons() {
+    return List.copyOf(addresses.keySet());
+  }
+
+  @Override
+  public CompletableFuture<Void> sendEvidence(String daemon, List<CrashEvidence> evidence) {
+    byte[] body = PeerFormat.writeCrashEvidence(evidence);
+    return call(daemon, HttpMethod.POST, PeerFormat.CRASH_EVIDENCE_PATH, body, EVIDENCE_TIMEOUT)
+        .thenAccept(response -> requireSuccess(daemon, response));
+  }
+
   private CompletableFuture<RpcResponse> call(
       String daemon, HttpMethod method, String target, byte[] body, Duration timeout) {
     HostPort address = addresses.get(daemon);
--- a/node/src/main/java/org/heatherspread/node/peer/PeerFormat.java
+++ b/node/src/main/java/org/heatherspread/node/peer/PeerFormat.java
@@ -1,5 +1,7 @@
 package org.heatherspread.node.peer;
 
+import com.fasterxml.jackson.core.type.TypeReference;
+import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -17,6 +19,7 @@
 import java.util.OptionalDouble;
 import org.heatherspread.core.fleet.EndpointLoad;
 import org.heatherspread.core.limit.LimitOwnerClient;
+import org.heatherspread.core.poison.CrashEvidence;
 import org.heatherspread.core.store.SharedReadResult;
 import org.heatherspread.core.store.SharedRow;
 
@@ -40,6 +43,9 @@
   /** Path of the summed loads of a failure domain. */
   static final String DOMAIN_LOADS_PATH = "/v1/domain-loads";
 
+  /** Path on which a daemon sends new evidence on what crashes endpoints. */
+  static final String CRASH_EVIDENCE_PATH = "/v1/crash-evidence";
+
   /** Status returned by a daemon that does not read for its failure domain. */
   static final int NOT_READER = 409;
 
@@ -49,7 +55,9 @@
   /** Status returned if the changes exceed the size limit of a response. */
   static final int TOO_LARGE = 413;
 
-  private static final ObjectMapper MAPPER = new ObjectMapper();
+  private static final ObjectMapper MAPPER =
+      new ObjectMapper().disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
+  private static final TypeReference<List<CrashEvidence>> CRASH_EVIDENCE = new TypeReference<>() {};
 
   private PeerFormat() {}
 
@@ -208,6 +216,18 @@
     return loads;
   }
 
+  static byte[] writeCrashEvidence(List<CrashEvidence> evidence) {
+    return serialize(MAPPER.valueToTree(evidence));
+  }
+
+  static List<CrashEvidence> readCrashEvidence(byte[] body) {
+    try {
+      return MAPPER.readValue(body, CRASH_EVIDENCE);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
   private static JsonNode parse(byte[] body) {
     try {
       return MAPPER.readTree(body);
--- a/node/src/main/java/org/heatherspread/node/peer/PeerRequestHandler.java
+++ b/node/src/main/java/org/heatherspread/node/peer/PeerRequestHandler.java
@@ -18,8 +18,8 @@
 
 /**
  * Handles requests from other daemons: for admission under limits that this daemon owns, for the
- * release of these limits, and for the table changes and endpoint loads of its failure domain.
- * Confined to the event loop.
+ * release of these limits, for the table changes and endpoint loads of its failure domain, and with
+ * new crash evidence. Confined to the event loop.
  */
 public final class PeerRequestHandler implements CallerRequestHandler {
   private static final int OK = 200;
@@ -74,6 +74,7 @@
         case PeerFormat.LIMIT_RELEASE_PATH -> handleRelease(request, responseWriter);
         case PeerFormat.CHANGES_PATH -> handleChanges(target.parameters(), responseWriter);
         case PeerFormat.LOADS_PATH -> handleLoads(request, responseWriter);
+        case PeerFormat.CRASH_EVIDENCE_PATH -> handleCrashEvidence(request, responseWriter);
         case PeerFormat.DOMAIN_LOADS_PATH ->
             respond(responseWriter, OK, PeerFormat.writeLoads(loadExchange.domainLoads()));
         default -> respond(responseWriter, NOT_FOUND, EMPTY);
@@ -119,6 +120,11 @@
         PeerFormat.writeLoads(loadExchange.recordMemberLoads(member.daemon(), member.loads())));
   }
 
+  private void handleCrashEvidence(CallerRequest request, ResponseWriter responseWriter) {
+    state.poisonFilter().mergeEvidence(PeerFormat.readCrashEvidence(request.body()), 0);
+    respond(responseWriter, OK, EMPTY);
+  }
+
   private void handleChanges(Map<String, List<String>> query, ResponseWriter responseWriter) {
     MirroredTable table = tables.get(query.get("table").get(0));
     if (table == null) {
--- a/node/src/test/java/org/heatherspread/node/soak/CrashingRequestTest.java
+++ b/node/src/test/java/org/heatherspread/node/soak/CrashingRequestTest.java
@@ -99,6 +99,26 @@
     }
   }
 
+  @Test
+  void crashingRequestIsRefusedByAllDaemonsWhileTheStoreIsDown() throws Exception {
+    try (CrashFleet fleet = CrashFleet.start(DAEMONS, ENDPOINTS, folder)) {
+      for (SoakEndpoint endpoint : fleet.endpoints()) {
+        endpoint.setRestart(500, true);
+      }
+      fleet.platform().setFault(FakePlatform.Fault.UNAVAILABLE);
+      while (fleet.crashingExecutions() < CRASHES) {
+        fleet.sendCrashing(0);
+      }
+      fleet.awaitEndpoints();
+      long before = fleet.crashingExecutions();
+      for (int daemon = 0; daemon < DAEMONS; daemon++) {
+        fleet.sendCrashing(daemon);
+      }
+      assertThat(fleet.crashingExecutions()).isEqualTo(before);
+      assertThat(fleet.send(1, "sound", "sound", "")).isEqualTo(200);
+    }
+  }
+
   /** A restarted endpoint accepts connections that were meant for its predecessor. */
   @Test
   void crashingRequestIsRefusedIfEndpointsRestartAtOnceAtTheirAddresses() throws Exception {
