Check a request for crashes before each attempt, also before a retry and a migration

The evidence was looked up before the first attempt only, so a request in progress was retried at a second endpoint, or migrated to one, when all daemons knew already; and a refused caller was told to come back after 0.15 to 0.5 s, for ten minutes.

The check is now made before each attempt, when a connection that was waited for is ready, and before a migration; Retry-After is the time that is left of the refusal. That the check holds when a connection opens is shown by no test: connections on loopback open before evidence can arrive.

--- a/relay/src/main/java/org/heatherspread/relay/call/Attempt.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/Attempt.java
@@ -125,6 +125,11 @@
       }
       return;
     }
+    if (call.failIfCrashing()) {
+      close();
+      acquired.releaseUnused();
+      return;
+    }
     connection = acquired;
     progress.sendCount++;
     progress.possibleExecutions += cacheCopy == null ? 1 : 0;
@@ -371,7 +376,8 @@
         || !progress.streamStarted
         || migrating
         || migrator.isEmpty()
-        || context.id().isEmpty()) {
+        || context.id().isEmpty()
+        || state.poisonFilter().refusal(context).isPresent()) {
       return;
     }
     Optional<Choice> target = chooseMigrationTarget();
--- a/relay/src/main/java/org/heatherspread/relay/call/RelayCall.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/RelayCall.java
@@ -1,6 +1,7 @@
 package org.heatherspread.relay.call;
 
 import io.netty.util.concurrent.ScheduledFuture;
+import java.time.Duration;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
@@ -39,6 +40,8 @@
   /** Number of refusals by endpoints above which a request is no longer retried. */
   private static final int MAX_REFUSALS = 3;
 
+  private static final double MILLIS_PER_SECOND = 1_000;
+
   private static final EnginePerformance PERFORMANCE = EnginePerformance.defaults();
 
   /** Batch slots assumed for the work estimate if no endpoint is available. */
@@ -98,15 +101,14 @@
             responseWriter,
             refusalResponder);
     responseWriter.onDisconnect(call::onDisconnect);
-    if (state.poisonFilter().refusal(context).isPresent()) {
-      call.fail(Refusal.CRASHES_ENDPOINTS);
-      return;
-    }
     state.retryBudget(context.service()).onRequest();
     call.selectAndSend();
   }
 
   void selectAndSend() {
+    if (failIfCrashing()) {
+      return;
+    }
     long now = state.clock().millis();
     Optional<Choice> choice =
         state
@@ -134,6 +136,20 @@
     send(choice.get(), null);
   }
 
+  /**
+   * Ends the request if it is known to crash endpoints, which may have become known since the last
+   * attempt. Returns whether it ended.
+   */
+  boolean failIfCrashing() {
+    Optional<Duration> refusal = state.poisonFilter().refusal(context);
+    refusal.ifPresent(remaining -> fail(Refusal.CRASHES_ENDPOINTS, seconds(remaining)));
+    return refusal.isPresent();
+  }
+
+  private static double seconds(Duration duration) {
+    return duration.toMillis() / MILLIS_PER_SECOND;
+  }
+
   /** Adds the work of the request to the demand of its service, once and even if it is refused. */
   private void recordDemand(Optional<Choice> choice) {
     if (demandRecorded || !isEngineRequest()) {
@@ -231,6 +247,10 @@
   }
 
   void fail(Refusal reason) {
+    fail(reason, retryAfterSeconds());
+  }
+
+  private void fail(Refusal reason, double retryAfterSeconds) {
     if (finished) {
       return;
     }
@@ -243,7 +263,7 @@
     Refusal reported =
         progress.possibleExecutions > 0 && reason.status() == 503 ? Refusal.ANSWER_LOST : reason;
     finish(reported.code(), reported.status(), "");
-    refusalResponder.refuse(reported, reported.status() == 503 ? retryAfterSeconds() : 0);
+    refusalResponder.refuse(reported, reported.status() == 503 ? retryAfterSeconds : 0);
   }
 
   private double retryAfterSeconds() {
--- /dev/null
+++ b/relay/src/test/java/org/heatherspread/relay/call/CrashingRequestPathsTest.java
@@ -0,0 +1,106 @@
+package org.heatherspread.relay.call;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.heatherspread.core.engine.StreamMigrator;
+import org.heatherspread.core.poison.CrashEvidence;
+import org.heatherspread.core.poison.Fingerprints;
+import org.heatherspread.core.poison.Suspect;
+import org.heatherspread.core.serving.HostPort;
+import org.heatherspread.relay.FakeEndpoint;
+import org.heatherspread.relay.RelayHarness;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Requests that are found to crash endpoints while they are in progress. */
+class CrashingRequestPathsTest {
+  private final AtomicInteger migrations = new AtomicInteger();
+  private RelayHarness harness;
+
+  @AfterEach
+  void stop() {
+    harness.close();
+  }
+
+  private final StreamMigrator migrator =
+      new StreamMigrator() {
+        @Override
+        public CompletableFuture<Optional<String>> migrate(
+            HostPort from, String requestId, HostPort to) {
+          migrations.incrementAndGet();
+          return CompletableFuture.completedFuture(Optional.empty());
+        }
+
+        @Override
+        public void discardCopy(HostPort from, String copy) {}
+      };
+
+  /** Reports three crashes of a request without a body, as another daemon does. */
+  private void reportCrashes(String method, String target) throws Exception {
+    byte[] body = "".getBytes(StandardCharsets.UTF_8);
+    CrashEvidence evidence =
+        new CrashEvidence(
+            Suspect.request(Fingerprints.ofRequest(method, target, "acme", body)),
+            Map.of("a@1", 0L, "b@1", 0L, "c@1", 0L),
+            CrashEvidence.NO_SUCCESS);
+    harness.onLoop(state -> state.poisonFilter().mergeEvidence(List.of(evidence), 0));
+  }
+
+  @Test
+  void refusedRequestIsToldWhenTheRefusalEnds() throws Exception {
+    harness = RelayHarness.start();
+    FakeEndpoint endpoint =
+        FakeEndpoint.start((request, connection) -> connection.respond(200, "id-1", "hello"));
+    harness.register(endpoint);
+    reportCrashes("GET", "/read/a");
+    String response = harness.call("GET", "/read/a", "id-1");
+    assertThat(response).startsWith("HTTP/1.1 503").containsPattern("(?i)retry-after: 1[12]\\d\\.");
+    assertThat(endpoint.requests()).isEmpty();
+    assertThat(harness.call("GET", "/read/b", "id-1")).startsWith("HTTP/1.1 200");
+  }
+
+  @Test
+  void requestRefusedDuringItsFirstAttemptIsNotRetried() throws Exception {
+    harness = RelayHarness.start();
+    FakeEndpoint.Script script =
+        (request, connection) -> {
+          reportCrashes("GET", "/read/a");
+          connection.reset();
+        };
+    FakeEndpoint first = FakeEndpoint.start(script);
+    FakeEndpoint second = FakeEndpoint.start(script);
+    harness.register(first, second);
+    assertThat(harness.call("GET", "/read/a", "id-1")).startsWith("HTTP/1.1 502");
+    assertThat(first.requests().size() + second.requests().size()).isEqualTo(1);
+  }
+
+  @Test
+  void refusedStreamIsNotMigrated() throws Exception {
+    harness = RelayHarness.start(migrator);
+    FakeEndpoint source =
+        FakeEndpoint.start(
+            (request, connection) -> {
+              connection.startStream(request.header("attempt-id"));
+              connection.sendEvent(1);
+              Thread.sleep(1_500);
+              connection.sendEvent(2);
+              connection.endStream();
+            });
+    FakeEndpoint target = FakeEndpoint.start((request, connection) -> connection.reset());
+    harness.register(source);
+    try (RelayHarness.Caller caller = harness.caller()) {
+      caller.request("POST", "/reply/a", "id-1", "Connection: close");
+      caller.readUntil("piece-1");
+      reportCrashes("POST", "/reply/a");
+      harness.registerLeaving(source, target);
+      assertThat(caller.readAll()).contains("piece-2").endsWith("0\r\n\r\n");
+    }
+    assertThat(migrations).hasValue(0);
+  }
+}
