--- a/core/src/main/java/org/heatherspread/core/placement/Workload.java
+++ b/core/src/main/java/org/heatherspread/core/placement/Workload.java
@@ -18,6 +18,11 @@
     segments = List.copyOf(segments);
   }
 
+  /** Returns the segments that other requests may share, all but the last. */
+  public List<PromptSegment> sharedSegments() {
+    return segments.isEmpty() ? segments : segments.subList(0, segments.size() - 1);
+  }
+
   /**
    * Returns the id of the last shared segment, which determines the preferred endpoint; 0 if none
    * is shared.
--- a/relay/src/main/java/org/heatherspread/relay/call/PoisonRequestFilter.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/PoisonRequestFilter.java
@@ -4,7 +4,10 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.StringJoiner;
+import org.heatherspread.core.placement.PromptSegment;
 import org.heatherspread.core.placement.TrackedEndpoint;
+import org.heatherspread.core.placement.Workload;
 import org.heatherspread.core.poison.CrashEvidence;
 import org.heatherspread.core.poison.CrashLedger;
 import org.heatherspread.core.poison.CrashPolicy;
@@ -72,6 +75,7 @@
         .addKeyValue("id", context.id())
         .addKeyValue("fingerprint", request.fingerprint())
         .addKeyValue("endpoint", incarnation.crashId())
+        .addKeyValue("prompt", formatSharedSegments(context.work()))
         .log("endpoint may have crashed");
     switch (losses.recordLoss(incarnation, Set.of(request))) {
       case PROBE -> probe.probe(endpoint);
@@ -166,6 +170,15 @@
         .log("request suspected of crashes");
   }
 
+  /** Returns the ids of the prompt segments that other requests may share. */
+  private static String formatSharedSegments(Workload work) {
+    StringJoiner ids = new StringJoiner(",");
+    for (PromptSegment segment : work.sharedSegments()) {
+      ids.add(Long.toHexString(segment.id()));
+    }
+    return ids.toString();
+  }
+
   private static EndpointIncarnation incarnation(TrackedEndpoint endpoint) {
     return new EndpointIncarnation(endpoint.id(), endpoint.registration().startedAtMillis());
   }
