--- a/core/src/main/java/org/heatherspread/core/poison/CrashLedger.java
+++ b/core/src/main/java/org/heatherspread/core/poison/CrashLedger.java
@@ -264,17 +264,17 @@
     sent.sort(refusedFirst.thenComparingLong(entry -> -entry.getValue().newestMillis()));
     List<CrashEvidence> evidence = new ArrayList<>();
     for (Map.Entry<Suspect, Entry> entry : sent.subList(0, Math.min(maxSuspects, sent.size()))) {
-      evidence.add(evidence(entry.getKey(), entry.getValue()));
+      evidence.add(toEvidence(entry.getKey(), entry.getValue()));
     }
     return evidence;
   }
 
   /** Returns the evidence on a suspect, empty if there is none. */
   public Optional<CrashEvidence> findEvidence(Suspect suspect) {
-    return Optional.ofNullable(entries.get(suspect)).map(entry -> evidence(suspect, entry));
+    return Optional.ofNullable(entries.get(suspect)).map(entry -> toEvidence(suspect, entry));
   }
 
-  private CrashEvidence evidence(Suspect suspect, Entry entry) {
+  private CrashEvidence toEvidence(Suspect suspect, Entry entry) {
     long now = clock.millis();
     Map<String, Long> ages = new HashMap<>();
     entry.crashMillis.forEach((crash, atMillis) -> ages.put(crash, now - atMillis));
