List the test of crashing prompt segments as known red

requestsWithCrashingPromptSegmentAreRefusedAndSoundOnesServed fails with 13 and ...AfterAllDaemonsRestart with 15 requests that reach endpoints later than three seconds after the fifth end (3 permitted), as no two of them have the same fingerprint. soundRequestsAreServedAfterManyEndpointsCrashed passes today and guards the other side. Tests tagged known-red are left out of the build; -Dexcluded.test.groups= runs them. The stand-in of an endpoint now ends before its answer, after its head, or within its first event.

--- /dev/null
+++ b/node/src/test/java/org/heatherspread/node/soak/CrashingPromptSegmentTest.java
@@ -0,0 +1,134 @@
+package org.heatherspread.node.soak;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * Sends different requests with one segment in their prompts that ends each endpoint that begins
+ * their answers, beside sound requests with the same account and first segment.
+ */
+class CrashingPromptSegmentTest {
+  private static final int DAEMONS = 4;
+  private static final int ENDPOINTS = 4;
+
+  /** Crashes after which requests with the segment must no longer be sent. */
+  private static final int CRASHES = 5;
+
+  /** Time after the last of these crashes in which daemons may not know of all of them. */
+  private static final long PROPAGATION_MILLIS = 3_000;
+
+  /** Number of executions that are permitted after this time. */
+  private static final int PERMITTED_EXECUTIONS = 3;
+
+  private static final int MEASURED_REQUESTS = 40;
+
+  @TempDir private Path folder;
+
+  private final AtomicBoolean stopped = new AtomicBoolean();
+  private final AtomicInteger soundFailures = new AtomicInteger();
+
+  private void sendSoundRequests(CrashFleet fleet) {
+    for (int i = 0; i < 2 * DAEMONS; i++) {
+      int daemon = i % DAEMONS;
+      DaemonThreads.start("sound-" + i, () -> sendSoundRequests(fleet, daemon));
+    }
+  }
+
+  private void sendSoundRequests(CrashFleet fleet, int daemon) {
+    try {
+      while (!stopped.get()) {
+        soundFailures.addAndGet(fleet.sendSoundPrompt(daemon) == 200 ? 0 : 1);
+        TimeUnit.MILLISECONDS.sleep(20);
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private static void crashEndpoints(CrashFleet fleet) throws Exception {
+    int daemon = 0;
+    long deadlineNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
+    while (fleet.crashingExecutions() < CRASHES && System.nanoTime() < deadlineNanos) {
+      fleet.sendCrashingPrompt(daemon++ % DAEMONS);
+      TimeUnit.MILLISECONDS.sleep(200);
+    }
+    TimeUnit.MILLISECONDS.sleep(PROPAGATION_MILLIS);
+    fleet.awaitEndpoints();
+  }
+
+  /** Sends requests with the segment to every daemon; returns how often they were executed. */
+  private static long repeat(CrashFleet fleet) throws Exception {
+    long before = fleet.crashingExecutions();
+    for (int i = 0; i < 2 * DAEMONS; i++) {
+      fleet.sendCrashingPrompt(i % DAEMONS);
+      fleet.awaitEndpoints();
+      TimeUnit.MILLISECONDS.sleep(100);
+    }
+    return fleet.crashingExecutions() - before;
+  }
+
+  private static int countServed(CrashFleet fleet) throws Exception {
+    int served = 0;
+    for (int i = 0; i < MEASURED_REQUESTS; i++) {
+      served += fleet.sendSoundPrompt(i % DAEMONS) == 200 ? 1 : 0;
+    }
+    return served;
+  }
+
+  @Test
+  @Tag("known-red")
+  void requestsWithCrashingPromptSegmentAreRefusedAndSoundOnesServed() throws Exception {
+    try (CrashFleet fleet = CrashFleet.start(DAEMONS, ENDPOINTS, folder)) {
+      sendSoundRequests(fleet);
+      crashEndpoints(fleet);
+      assertThat(repeat(fleet)).isLessThanOrEqualTo(PERMITTED_EXECUTIONS);
+      TimeUnit.MILLISECONDS.sleep(PROPAGATION_MILLIS);
+      soundFailures.set(0);
+      fleet.sendCrashingPrompt(0);
+      assertThat(countServed(fleet)).isEqualTo(MEASURED_REQUESTS);
+      assertThat(soundFailures).hasValue(0);
+      stopped.set(true);
+    }
+  }
+
+  @Test
+  @Tag("known-red")
+  void requestsWithCrashingPromptSegmentAreRefusedAfterAllDaemonsRestart() throws Exception {
+    try (CrashFleet fleet = CrashFleet.start(DAEMONS, ENDPOINTS, folder)) {
+      sendSoundRequests(fleet);
+      crashEndpoints(fleet);
+      fleet.restartAll();
+      for (int daemon = 0; daemon < DAEMONS; daemon++) {
+        fleet.restart(daemon);
+      }
+      assertThat(repeat(fleet)).isLessThanOrEqualTo(PERMITTED_EXECUTIONS);
+      stopped.set(true);
+    }
+  }
+
+  /** Endpoints that end for another reason must not cause a refusal of what ran on them. */
+  @Test
+  void soundRequestsAreServedAfterManyEndpointsCrashed() throws Exception {
+    try (CrashFleet fleet = CrashFleet.start(DAEMONS, ENDPOINTS, folder)) {
+      sendSoundRequests(fleet);
+      for (int round = 0; round < 3; round++) {
+        for (SoakEndpoint endpoint : fleet.endpoints()) {
+          endpoint.crash();
+          TimeUnit.MILLISECONDS.sleep(100);
+        }
+        fleet.awaitEndpoints();
+        TimeUnit.MILLISECONDS.sleep(300);
+      }
+      TimeUnit.MILLISECONDS.sleep(PROPAGATION_MILLIS);
+      assertThat(countServed(fleet)).isEqualTo(MEASURED_REQUESTS);
+      stopped.set(true);
+    }
+  }
+}
--- a/node/src/test/java/org/heatherspread/node/soak/SoakEndpoint.java
+++ b/node/src/test/java/org/heatherspread/node/soak/SoakEndpoint.java
@@ -199,7 +199,7 @@
             request.header("authorization") != null));
     TimeUnit.MILLISECONDS.sleep((long) (nextDouble() * MAX_WORK_MILLIS));
     if (crashTrigger.test(request)) {
-      crash();
+      beginAnswerAndCrash(request, connection);
       return;
     }
     if (faulty && faultKind < 0.5) {
@@ -222,6 +222,19 @@
     }
   }
 
+  /** Crashes before the answer, after its head, or within its first event. */
+  private void beginAnswerAndCrash(FakeEndpoint.Request request, FakeEndpoint.Connection connection)
+      throws IOException {
+    double progress = nextDouble();
+    if (progress > 0.3) {
+      connection.startStream(request.header("attempt-id"));
+    }
+    if (progress > 0.6) {
+      connection.sendChunk("id: 1\nda");
+    }
+    crash();
+  }
+
   private void sendStream(
       FakeEndpoint.Request request, FakeEndpoint.Connection connection, boolean faulty)
       throws Exception {
