Refuse requests with a prompt segment that crashes endpoints

Cause: evidence was kept by the hash of a whole request, and no two of these requests are equal.

Each segment of a prompt but the last is now a suspect of its own. It is refused at the fourth crash, at every daemon and before every attempt, as requests are. What tells the culprit from the segments beside it, which ended with as many endpoints: no answer to a prompt with it ever gets to its second event. A daemon keeps the last success of the 4,096 segments that it served last; a success within a minute before a crash, or at any time after it, refutes the crash, and daemons tell each other. Answers that had begun incriminate no segment. Crashes that a refused segment explains count for no request, so what was retried beside it is served again.

--- a/core/src/main/java/org/heatherspread/core/poison/CrashLedger.java
+++ b/core/src/main/java/org/heatherspread/core/poison/CrashLedger.java
@@ -30,16 +30,34 @@
  */
 public final class CrashLedger {
   private static final int MAX_CRASHES = 16;
+
+  /** Maximum number of prompt segments whose last success is kept. */
+  private static final int MAX_SUCCESSES = 4_096;
+
+  /** Time for which a success is sent to daemons that count crashes before it. */
+  private static final long REFUTATION_SENT_MILLIS = 15_000;
+
   private static final long NEVER = Long.MIN_VALUE / 2;
 
   private final CrashPolicy policy;
   private final MonotonicClock clock;
   private final Map<Suspect, Entry> entries = new HashMap<>();
+  private final Map<Suspect, Long> successMillis =
+      new LinkedHashMap<>(16, 0.75f, true) {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Suspect, Long> eldest) {
+          return size() > MAX_SUCCESSES;
+        }
+      };
+
   private Map<Suspect, Long> refusedUntilMillis = Map.of();
 
   private static final class Entry {
     private final Map<String, Long> crashMillis = new LinkedHashMap<>();
     private long succeededMillis = NEVER;
+    private long refutedMillis = NEVER;
     private boolean own;
 
     private long newestMillis() {
@@ -101,6 +119,9 @@
    * @return whether the suspect had crashes that no longer count
    */
   public boolean recordSuccess(Suspect suspect) {
+    if (suspect.kind() == Suspect.Kind.PROMPT_SEGMENT) {
+      successMillis.put(suspect, clock.millis());
+    }
     Entry entry = entries.get(suspect);
     if (entry == null) {
       return false;
@@ -108,19 +129,29 @@
     boolean changes = !countedCrashes(entry).isEmpty();
     entry.succeededMillis = clock.millis();
     if (changes) {
+      entry.refutedMillis = clock.millis();
       decide();
     }
     return changes;
   }
 
+  /**
+   * The result of a merge.
+   *
+   * @param changed suspects with crashes that were not known
+   * @param refuted whether this daemon knows successes that the other one does not know
+   */
+  public record MergeResult(List<Suspect> changed, boolean refuted) {}
+
   /**
    * Merges evidence of another daemon.
    *
    * @param transitMillis time since the other daemon determined the ages
-   * @return the suspects with crashes that were not known
+   * @return what has changed
    */
-  public List<Suspect> merge(Collection<CrashEvidence> evidence, long transitMillis) {
+  public MergeResult merge(Collection<CrashEvidence> evidence, long transitMillis) {
     List<Suspect> changed = new ArrayList<>();
+    boolean refuted = false;
     long now = clock.millis();
     for (CrashEvidence received : evidence) {
       if (received.crashAgesMillis().isEmpty()) {
@@ -131,16 +162,25 @@
       for (Map.Entry<String, Long> crash : received.crashAgesMillis().entrySet()) {
         isNew |= addCrash(entry, crash.getKey(), now - crash.getValue() - transitMillis);
       }
+      long succeeded = NEVER;
       if (received.successAgeMillis() != CrashEvidence.NO_SUCCESS) {
-        long succeeded = now - received.successAgeMillis() - transitMillis;
-        entry.succeededMillis = Math.max(entry.succeededMillis, succeeded);
+        succeeded = now - received.successAgeMillis() - transitMillis;
       }
+      if (isNew && isRefuted(entry) && succeeded < entry.succeededMillis) {
+        entry.refutedMillis = now;
+        refuted = true;
+      }
+      entry.succeededMillis = Math.max(entry.succeededMillis, succeeded);
       if (isNew) {
         changed.add(received.suspect());
       }
     }
     decide();
-    return changed;
+    return new MergeResult(changed, refuted);
+  }
+
+  private boolean isRefuted(Entry entry) {
+    return countedCrashes(entry).size() < entry.crashMillis.size();
   }
 
   private Entry entryOf(Suspect suspect) {
@@ -153,6 +193,7 @@
       evictLeastIncriminated();
     }
     Entry entry = new Entry();
+    entry.succeededMillis = successMillis.getOrDefault(suspect, NEVER);
     entries.put(suspect, entry);
     return entry;
   }
@@ -247,7 +288,7 @@
 
   /**
    * Returns the evidence to send to other daemons: on the suspects that are refused, whoever found
-   * it, and on the others what this daemon found itself.
+   * it, on the others what this daemon found itself, and for a time what refutes it.
    *
    * @param maxSuspects maximum number of suspects; refused ones and then the latest come first
    */
@@ -255,7 +296,7 @@
     removeExpired();
     List<Map.Entry<Suspect, Entry>> sent = new ArrayList<>();
     for (Map.Entry<Suspect, Entry> entry : entries.entrySet()) {
-      if (entry.getValue().own || refusedUntilMillis.containsKey(entry.getKey())) {
+      if (isSent(entry.getKey(), entry.getValue())) {
         sent.add(entry);
       }
     }
@@ -269,6 +310,12 @@
     return evidence;
   }
 
+  private boolean isSent(Suspect suspect, Entry entry) {
+    return refusedUntilMillis.containsKey(suspect)
+        || entry.own && !countedCrashes(entry).isEmpty()
+        || clock.millis() - entry.refutedMillis < REFUTATION_SENT_MILLIS;
+  }
+
   /** Returns the evidence on a suspect, empty if there is none. */
   public Optional<CrashEvidence> findEvidence(Suspect suspect) {
     return Optional.ofNullable(entries.get(suspect)).map(entry -> toEvidence(suspect, entry));
--- a/core/src/main/java/org/heatherspread/core/poison/Suspect.java
+++ b/core/src/main/java/org/heatherspread/core/poison/Suspect.java
@@ -9,11 +9,18 @@
   /** Kinds of suspects. */
   public enum Kind {
     /** A request, identified by its content independently of its id. */
-    REQUEST
+    REQUEST,
+    /** A segment of prompts, which many requests may have. */
+    PROMPT_SEGMENT
   }
 
   /** Creates the suspect for a request. */
   public static Suspect request(String fingerprint) {
     return new Suspect(Kind.REQUEST, fingerprint);
   }
+
+  /** Creates the suspect for a prompt segment. */
+  public static Suspect promptSegment(long id) {
+    return new Suspect(Kind.PROMPT_SEGMENT, Long.toHexString(id));
+  }
 }
--- a/core/src/test/java/org/heatherspread/core/poison/CrashLedgerTest.java
+++ b/core/src/test/java/org/heatherspread/core/poison/CrashLedgerTest.java
@@ -15,8 +15,9 @@
   private static final Duration REFUSAL = Duration.ofMinutes(2);
   private static final Duration RETENTION = Duration.ofMinutes(30);
   private static final CrashPolicy POLICY =
-      new CrashPolicy(3, REFUSAL, RETENTION, Duration.ofMinutes(1), 100);
+      new CrashPolicy(3, 4, REFUSAL, RETENTION, Duration.ofMinutes(1), 100);
   private static final Suspect CULPRIT = Suspect.request("culprit");
+  private static final Suspect SEGMENT = Suspect.promptSegment(0xdeadL);
   private static final Suspect SOUND = Suspect.request("another");
 
   private final ManualClock clock = ManualClock.create();
@@ -151,4 +152,52 @@
     }
     assertThat(ledger.findEvidence(CULPRIT).orElseThrow().crashAgesMillis()).hasSizeLessThan(20);
   }
+
+  @Test
+  void refusesPromptSegmentAtTheFourthCrash() {
+    recordCrashes(ledger, SEGMENT, 0, 3);
+    assertThat(ledger.refusal(SEGMENT)).isEmpty();
+    recordCrashes(ledger, SEGMENT, 3, 4);
+    assertThat(ledger.refusal(SEGMENT)).isPresent();
+  }
+
+  /** Sound requests with the segment have run on all endpoints before these crashed. */
+  @Test
+  void doesNotRefusePromptSegmentThatSucceededBeforeTheCrashes() {
+    ledger.recordSuccess(SEGMENT);
+    recordCrashes(ledger, SEGMENT, 0, 10);
+    assertThat(ledger.refusal(SEGMENT)).isEmpty();
+    assertThat(ledger.evidence(10)).isEmpty();
+  }
+
+  @Test
+  void successOfPromptSegmentAtAnotherDaemonIsSentToTheDaemonThatCountsCrashes() {
+    CrashLedger other = CrashLedger.create(POLICY, clock);
+    other.recordSuccess(SEGMENT);
+    recordCrashes(ledger, SEGMENT, 0, 4);
+    assertThat(other.merge(ledger.evidence(10), 0).refuted()).isTrue();
+    assertThat(other.refusal(SEGMENT)).isEmpty();
+    assertThat(ledger.merge(other.evidence(10), 0).refuted()).isFalse();
+    assertThat(ledger.refusal(SEGMENT)).isEmpty();
+    assertThat(other.merge(ledger.evidence(10), 0).refuted()).isFalse();
+  }
+
+  /** Sound segments that run beside a culprit crash as often, but not without it. */
+  @Test
+  void explainsCrashesOfRequestsByTheirCrashingPromptSegment() {
+    recordCrashes(ledger, CULPRIT, 0, 3);
+    recordCrashes(ledger, SEGMENT, 0, 4);
+    assertThat(ledger.refusal(SEGMENT)).isPresent();
+    assertThat(ledger.refusal(CULPRIT)).isEmpty();
+  }
+
+  @Test
+  void keepsLimitedNumberOfSuccesses() {
+    ledger.recordSuccess(SEGMENT);
+    for (int i = 0; i < 10_000; i++) {
+      ledger.recordSuccess(Suspect.promptSegment(i));
+    }
+    recordCrashes(ledger, SEGMENT, 0, 4);
+    assertThat(ledger.refusal(SEGMENT)).isPresent();
+  }
 }
--- a/node/src/test/java/org/heatherspread/node/soak/CrashingPromptSegmentTest.java
+++ b/node/src/test/java/org/heatherspread/node/soak/CrashingPromptSegmentTest.java
@@ -6,7 +6,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -83,7 +82,6 @@
   }
 
   @Test
-  @Tag("known-red")
   void requestsWithCrashingPromptSegmentAreRefusedAndSoundOnesServed() throws Exception {
     try (CrashFleet fleet = CrashFleet.start(DAEMONS, ENDPOINTS, folder)) {
       sendSoundRequests(fleet);
@@ -99,7 +97,6 @@
   }
 
   @Test
-  @Tag("known-red")
   void requestsWithCrashingPromptSegmentAreRefusedAfterAllDaemonsRestart() throws Exception {
     try (CrashFleet fleet = CrashFleet.start(DAEMONS, ENDPOINTS, folder)) {
       sendSoundRequests(fleet);
--- a/relay/src/main/java/org/heatherspread/relay/call/Attempt.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/Attempt.java
@@ -41,6 +41,12 @@
 
   private static final int MISDIRECTED_REQUEST = 421;
 
+  /**
+   * Number of events that prove that an endpoint is writing the answer: it may send one before it
+   * crashes.
+   */
+  private static final int EVENTS_OF_BEGUN_ANSWER = 2;
+
   /** Time without data from an endpoint for any request, after which a stream is retried. */
   private static final long ENDPOINT_SILENCE_MILLIS = 1_300;
 
@@ -75,6 +81,7 @@
   private ByteArrayOutputStream body;
   private long sentMillis;
   private long lastProgressMillis;
+  private int eventCount;
   private boolean closed;
   private boolean migrating;
   private String failureDuringMigration;
@@ -262,6 +269,10 @@
     }
     trackedRequest.recordFirstResponse(now - sentMillis, baseLatencyMillis, now);
     call.countUsage();
+    eventCount++;
+    if (eventCount == EVENTS_OF_BEGUN_ANSWER) {
+      state.poisonFilter().answerBegan(context);
+    }
     if (id >= 0) {
       progress.lastEventId = id;
     }
@@ -457,7 +468,8 @@
       return;
     }
     logOutcome("broken", reason);
-    state.poisonFilter().connectionLost(endpoint, context);
+    boolean answerBegun = eventCount >= EVENTS_OF_BEGUN_ANSWER;
+    state.poisonFilter().connectionLost(endpoint, context, answerBegun);
     if (!context.route().isRepeatable()) {
       call.countUsage();
       call.fail(Refusal.ANSWER_LOST);
--- a/relay/src/main/java/org/heatherspread/relay/call/PoisonRequestFilter.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/PoisonRequestFilter.java
@@ -1,6 +1,8 @@
 package org.heatherspread.relay.call;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -61,25 +63,45 @@
 
   /** Returns the time for which a request is refused, empty if it is not. */
   Optional<Duration> refusal(CallContext context) {
-    return ledger.isEmpty() ? Optional.empty() : ledger.refusal(request(context));
+    if (ledger.isEmpty()) {
+      return Optional.empty();
+    }
+    Optional<Duration> longest = ledger.refusal(request(context));
+    for (Suspect segment : sharedSegments(context)) {
+      Optional<Duration> refusal = ledger.refusal(segment);
+      if (refusal.isPresent() && refusal.get().compareTo(longest.orElse(Duration.ZERO)) > 0) {
+        longest = refusal;
+      }
+    }
+    return longest;
   }
 
-  /** Records that the connection to an endpoint was lost during the request. */
-  void connectionLost(TrackedEndpoint endpoint, CallContext context) {
+  /**
+   * Records that the connection to an endpoint was lost during the request.
+   *
+   * @param answerBegun whether the answer had begun, so that the prompt is no suspect
+   */
+  void connectionLost(TrackedEndpoint endpoint, CallContext context, boolean answerBegun) {
     if (endpoint.registration().leaving()) {
       return;
     }
     EndpointIncarnation incarnation = incarnation(endpoint);
     Suspect request = request(context);
+    Set<Suspect> suspects = new HashSet<>();
+    suspects.add(request);
+    if (!answerBegun) {
+      suspects.addAll(sharedSegments(context));
+    }
     log.atInfo()
         .addKeyValue("id", context.id())
         .addKeyValue("fingerprint", request.fingerprint())
         .addKeyValue("endpoint", incarnation.crashId())
         .addKeyValue("prompt", formatSharedSegments(context.work()))
+        .addKeyValue("answer_begun", answerBegun)
         .log("endpoint may have crashed");
-    switch (losses.recordLoss(incarnation, Set.of(request))) {
+    switch (losses.recordLoss(incarnation, suspects)) {
       case PROBE -> probe.probe(endpoint);
-      case COUNT_CRASH -> recordCrash(Set.of(request), incarnation);
+      case COUNT_CRASH -> recordCrash(suspects, incarnation);
       case AWAIT_PROBE -> {
         // The loss is counted if the probe finds a crash.
       }
@@ -128,8 +150,20 @@
     }
   }
 
+  /** Records that the answer to a request has begun, which its prompt did not prevent. */
+  void answerBegan(CallContext context) {
+    boolean refuted = false;
+    for (Suspect segment : sharedSegments(context)) {
+      refuted |= ledger.recordSuccess(segment);
+    }
+    if (refuted) {
+      newEvidenceListener.run();
+    }
+  }
+
   /** Records that a request was answered completely. */
   void requestCompleted(CallContext context) {
+    answerBegan(context);
     if (!ledger.isEmpty() && ledger.recordSuccess(request(context))) {
       newEvidenceListener.run();
     }
@@ -141,8 +175,10 @@
    * @param ageMillis age of the report
    */
   public void mergeEvidence(List<CrashEvidence> evidence, long ageMillis) {
-    for (Suspect suspect : ledger.merge(evidence, ageMillis)) {
-      logEvidence(suspect, "");
+    CrashLedger.MergeResult result = ledger.merge(evidence, ageMillis);
+    result.changed().forEach(suspect -> logEvidence(suspect, ""));
+    if (result.refuted()) {
+      newEvidenceListener.run();
     }
   }
 
@@ -170,6 +206,14 @@
         .log("request suspected of crashes");
   }
 
+  private static List<Suspect> sharedSegments(CallContext context) {
+    List<Suspect> suspects = new ArrayList<>();
+    for (PromptSegment segment : context.work().sharedSegments()) {
+      suspects.add(Suspect.promptSegment(segment.id()));
+    }
+    return suspects;
+  }
+
   /** Returns the ids of the prompt segments that other requests may share. */
   private static String formatSharedSegments(Workload work) {
     StringJoiner ids = new StringJoiner(",");
--- a/relay/src/main/java/org/heatherspread/relay/call/RelayState.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/RelayState.java
@@ -41,12 +41,12 @@
   private static final long DEFAULT_CACHE_TOKENS = 100_000;
 
   /**
-   * Policy of refusals: one or two crashes may be coincidence, and a request that was refused
-   * wrongly is tried again after a few minutes.
+   * Policy of refusals: one or two crashes may be coincidence, for a prompt segment that many
+   * requests have also three, and what was refused wrongly is tried again after a few minutes.
    */
   private static final CrashPolicy CRASH_POLICY =
       new CrashPolicy(
-          3, Duration.ofMinutes(2), Duration.ofMinutes(30), Duration.ofMinutes(1), 1_000);
+          3, 4, Duration.ofMinutes(2), Duration.ofMinutes(30), Duration.ofMinutes(1), 1_000);
 
   /** Pause before an endpoint is probed again that did not respond to a probe. */
   private static final long PROBE_PAUSE_MILLIS = 250;
--- a/relay/src/test/java/org/heatherspread/relay/call/PoisonRequestFilterTest.java
+++ b/relay/src/test/java/org/heatherspread/relay/call/PoisonRequestFilterTest.java
@@ -31,7 +31,7 @@
 
   private PoisonRequestFilter createFilter() {
     CrashPolicy policy =
-        new CrashPolicy(3, Duration.ofMinutes(1), RETENTION, Duration.ofMinutes(1), 100);
+        new CrashPolicy(3, 4, Duration.ofMinutes(1), RETENTION, Duration.ofMinutes(1), 100);
     return PoisonRequestFilter.create(policy, clock, endpoint -> probes.add(endpoint.id()));
   }
 
@@ -64,7 +64,7 @@
 
   private void crash(String id) {
     TrackedEndpoint endpoint = endpoint(id);
-    reporter.connectionLost(endpoint, context());
+    reporter.connectionLost(endpoint, context(), false);
     reporter.endpointCrashed(endpoint);
   }
 
@@ -99,11 +99,11 @@
   @Test
   void lostConnectionIsProbedOnceUntilTheProbeIsAccepted() {
     TrackedEndpoint endpoint = endpoint("e1");
-    reporter.connectionLost(endpoint, context());
-    reporter.connectionLost(endpoint, context());
+    reporter.connectionLost(endpoint, context(), false);
+    reporter.connectionLost(endpoint, context(), false);
     assertThat(probes).containsExactly("e1");
     reporter.probeAccepted(endpoint);
-    reporter.connectionLost(endpoint, context());
+    reporter.connectionLost(endpoint, context(), false);
     assertThat(probes).containsExactly("e1", "e1");
   }
 
@@ -113,7 +113,7 @@
     HostPort address = new HostPort("127.0.0.1", 1);
     table.put(new RegisteredEndpoint("e1", "s", address, "z", 6, true, false, -1, 1));
     TrackedEndpoint leaving = table.get("e1").orElseThrow();
-    reporter.connectionLost(leaving, context());
+    reporter.connectionLost(leaving, context(), false);
     reporter.endpointCrashed(leaving);
     assertThat(reporter.evidence()).isEmpty();
   }
