Do not take an answer that ends with its connection as proof against a crash

A response with neither a length nor chunks ends with its connection. If the endpoint crashes between two events, the answer looks complete; it then refuted the crash of the request, and was no evidence itself.

--- a/relay/src/main/java/org/heatherspread/relay/call/Attempt.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/Attempt.java
@@ -76,6 +76,7 @@
   private HttpHeaders headers;
   private int status;
   private boolean notExecuted;
+  private boolean delimitedByClose;
   private boolean streaming;
   private EventSplitter splitter;
   private ByteArrayOutputStream body;
@@ -216,6 +217,7 @@
     headers = response.headers();
     notExecuted =
         headers.contains(call.headerNames().notExecuted()) || status == MISDIRECTED_REQUEST;
+    delimitedByClose = !EndpointConnection.isSelfDelimiting(response);
     boolean signed = headers.contains(call.headerNames().signature());
     if (status >= 200 && status < 300 && !signed) {
       rejectResponse("success response without a signature");
@@ -308,8 +310,7 @@
       return;
     }
     long now = state.clock().millis();
-    state.poisonFilter().endpointResponded(endpoint, sentMillis);
-    state.poisonFilter().requestCompleted(context);
+    recordCompletion();
     boolean serverError = status >= 500 || status == 429 || status == 408;
     if (serverError) {
       trackedRequest.recordFailure(now);
@@ -363,8 +364,7 @@
       rejectResponse("stream without events");
       return;
     }
-    state.poisonFilter().endpointResponded(endpoint, sentMillis);
-    state.poisonFilter().requestCompleted(context);
+    recordCompletion();
     close();
     recordAnswerLength();
     state.metrics().recordResponse(context.service(), status, progress.firstResponseMillis);
@@ -372,6 +372,24 @@
     responseWriter.complete();
   }
 
+  /**
+   * Records that the request did not crash the endpoint, unless the response ended with its
+   * connection, as it does if the endpoint crashes.
+   */
+  private void recordCompletion() {
+    if (delimitedByClose) {
+      recordLoss();
+      return;
+    }
+    state.poisonFilter().endpointResponded(endpoint, sentMillis);
+    state.poisonFilter().requestCompleted(context);
+  }
+
+  private void recordLoss() {
+    boolean answerBegun = eventCount >= EVENTS_OF_BEGUN_ANSWER;
+    state.poisonFilter().connectionLost(endpoint, context, answerBegun);
+  }
+
   private void recordAnswerLength() {
     int declaredTokens = context.declaredTokens() - context.work().promptTokens();
     long tokens = progress.lastEventId * state.tokensPerEvent(context.service());
@@ -468,8 +486,7 @@
       return;
     }
     logOutcome("broken", reason);
-    boolean answerBegun = eventCount >= EVENTS_OF_BEGUN_ANSWER;
-    state.poisonFilter().connectionLost(endpoint, context, answerBegun);
+    recordLoss();
     if (!context.route().isRepeatable()) {
       call.countUsage();
       call.fail(Refusal.ANSWER_LOST);
--- a/relay/src/main/java/org/heatherspread/relay/call/PoisonRequestFilter.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/PoisonRequestFilter.java
@@ -99,12 +99,11 @@
         .addKeyValue("prompt", formatSharedSegments(context.work()))
         .addKeyValue("answer_begun", answerBegun)
         .log("endpoint may have crashed");
-    switch (losses.recordLoss(incarnation, suspects)) {
-      case PROBE -> probe.probe(endpoint);
-      case COUNT_CRASH -> recordCrash(suspects, incarnation);
-      case AWAIT_PROBE -> {
-        // The loss is counted if the probe finds a crash.
-      }
+    EndpointLossTracker.NextStep step = losses.recordLoss(incarnation, suspects);
+    if (step == EndpointLossTracker.NextStep.PROBE) {
+      probe.probe(endpoint);
+    } else if (step == EndpointLossTracker.NextStep.COUNT_CRASH) {
+      recordCrash(suspects, incarnation);
     }
   }
 
--- a/relay/src/main/java/org/heatherspread/relay/endpoint/EndpointConnection.java
+++ b/relay/src/main/java/org/heatherspread/relay/endpoint/EndpointConnection.java
@@ -160,7 +160,8 @@
     return mismatch;
   }
 
-  private static boolean isSelfDelimiting(HttpResponse head) {
+  /** Returns whether a response does not end with its connection. */
+  public static boolean isSelfDelimiting(HttpResponse head) {
     return HttpUtil.isContentLengthSet(head)
         || HttpUtil.isTransferEncodingChunked(head)
         || head.status().code() == 204
--- a/relay/src/test/java/org/heatherspread/relay/call/CrashingRequestPathsTest.java
+++ b/relay/src/test/java/org/heatherspread/relay/call/CrashingRequestPathsTest.java
@@ -2,7 +2,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -80,6 +82,34 @@
     assertThat(first.requests().size() + second.requests().size()).isEqualTo(1);
   }
 
+  /** Such an answer looks complete if its endpoint crashes after an event. */
+  @Test
+  void answerThatEndsWithItsConnectionProvesNoSuccess() throws Exception {
+    harness = RelayHarness.start();
+    FakeEndpoint[] endpoint = new FakeEndpoint[1];
+    endpoint[0] =
+        FakeEndpoint.start(
+            (request, connection) -> {
+              connection.send("HTTP/1.1 200 OK\r\nAttempt-Id: id-1\r\nServer-Signature: sig\r\n");
+              connection.send("\r\nid: 1\ndata: piece-1\n\n");
+              endpoint[0].close();
+              throw new IOException("crash");
+            });
+    harness.register(endpoint[0]);
+    String prompt = "Prompt-Prefix: a1:50,b2:20,c3:30";
+    String response = harness.call("POST", "/reply/a", "id-1", "Token-Counts: 100,20", prompt);
+    assertThat(response).contains("piece-1");
+    List<CrashEvidence> evidence = new ArrayList<>();
+    for (int i = 0; i < 100 && evidence.isEmpty(); i++) {
+      Thread.sleep(10);
+      harness.onLoop(state -> evidence.addAll(state.poisonFilter().evidence()));
+    }
+    assertThat(evidence)
+        .extracting(CrashEvidence::suspect)
+        .contains(Suspect.promptSegment(0xa1), Suspect.promptSegment(0xb2))
+        .doesNotContain(Suspect.promptSegment(0xc3));
+  }
+
   @Test
   void refusedStreamIsNotMigrated() throws Exception {
     harness = RelayHarness.start(migrator);
