--- a/relay/src/main/java/org/heatherspread/relay/call/Attempt.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/Attempt.java
@@ -41,6 +41,12 @@
 
   private static final int MISDIRECTED_REQUEST = 421;
 
+  /**
+   * Number of events that prove that an endpoint is writing the answer: it may send one before it
+   * crashes.
+   */
+  private static final int EVENTS_OF_BEGUN_ANSWER = 2;
+
   /** Time without data from an endpoint for any request, after which a stream is retried. */
   private static final long ENDPOINT_SILENCE_MILLIS = 1_300;
 
@@ -70,11 +76,13 @@
   private HttpHeaders headers;
   private int status;
   private boolean notExecuted;
+  private boolean delimitedByClose;
   private boolean streaming;
   private EventSplitter splitter;
   private ByteArrayOutputStream body;
   private long sentMillis;
   private long lastProgressMillis;
+  private int eventCount;
   private boolean closed;
   private boolean migrating;
   private String failureDuringMigration;
@@ -125,10 +133,12 @@
       }
       return;
     }
-    connection = acquired;
-    if (acquired.isUnused()) {
-      state.poisonFilter().connectionAccepted(endpoint);
+    if (call.failIfCrashing()) {
+      close();
+      acquired.releaseUnused();
+      return;
     }
+    connection = acquired;
     progress.sendCount++;
     progress.possibleExecutions += cacheCopy == null ? 1 : 0;
     sentMillis = now;
@@ -207,6 +217,7 @@
     headers = response.headers();
     notExecuted =
         headers.contains(call.headerNames().notExecuted()) || status == MISDIRECTED_REQUEST;
+    delimitedByClose = !EndpointConnection.isSelfDelimiting(response);
     boolean signed = headers.contains(call.headerNames().signature());
     if (status >= 200 && status < 300 && !signed) {
       rejectResponse("success response without a signature");
@@ -260,6 +271,10 @@
     }
     trackedRequest.recordFirstResponse(now - sentMillis, baseLatencyMillis, now);
     call.countUsage();
+    eventCount++;
+    if (eventCount == EVENTS_OF_BEGUN_ANSWER) {
+      state.poisonFilter().answerBegan(context);
+    }
     if (id >= 0) {
       progress.lastEventId = id;
     }
@@ -295,6 +310,7 @@
       return;
     }
     long now = state.clock().millis();
+    recordCompletion();
     boolean serverError = status >= 500 || status == 429 || status == 408;
     if (serverError) {
       trackedRequest.recordFailure(now);
@@ -348,6 +364,7 @@
       rejectResponse("stream without events");
       return;
     }
+    recordCompletion();
     close();
     recordAnswerLength();
     state.metrics().recordResponse(context.service(), status, progress.firstResponseMillis);
@@ -355,6 +372,24 @@
     responseWriter.complete();
   }
 
+  /**
+   * Records that the request did not crash the endpoint, unless the response ended with its
+   * connection, as it does if the endpoint crashes.
+   */
+  private void recordCompletion() {
+    if (delimitedByClose) {
+      recordLoss();
+      return;
+    }
+    state.poisonFilter().endpointResponded(endpoint, sentMillis);
+    state.poisonFilter().requestCompleted(context);
+  }
+
+  private void recordLoss() {
+    boolean answerBegun = eventCount >= EVENTS_OF_BEGUN_ANSWER;
+    state.poisonFilter().connectionLost(endpoint, context, answerBegun);
+  }
+
   private void recordAnswerLength() {
     int declaredTokens = context.declaredTokens() - context.work().promptTokens();
     long tokens = progress.lastEventId * state.tokensPerEvent(context.service());
@@ -370,7 +405,8 @@
         || !progress.streamStarted
         || migrating
         || migrator.isEmpty()
-        || context.id().isEmpty()) {
+        || context.id().isEmpty()
+        || state.poisonFilter().refusal(context).isPresent()) {
       return;
     }
     Optional<Choice> target = chooseMigrationTarget();
@@ -418,6 +454,10 @@
   }
 
   private void onRefused() {
+    if (status == MISDIRECTED_REQUEST) {
+      // Another incarnation listens at the address.
+      state.poisonFilter().endpointCrashed(endpoint);
+    }
     trackedRequest.recordRefusal(state.clock().millis());
     close();
     progress.possibleExecutions -= cacheCopy == null ? 1 : 0;
@@ -446,7 +486,7 @@
       return;
     }
     logOutcome("broken", reason);
-    state.poisonFilter().connectionLost(endpoint, context);
+    recordLoss();
     if (!context.route().isRepeatable()) {
       call.countUsage();
       call.fail(Refusal.ANSWER_LOST);
--- a/relay/src/main/java/org/heatherspread/relay/call/PoisonRequestFilter.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/PoisonRequestFilter.java
@@ -1,112 +1,237 @@
 package org.heatherspread.relay.call;
 
-import java.io.ByteArrayOutputStream;
-import java.nio.charset.StandardCharsets;
-import java.time.InstantSource;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.StringJoiner;
+import org.heatherspread.core.placement.PromptSegment;
 import org.heatherspread.core.placement.TrackedEndpoint;
+import org.heatherspread.core.placement.Workload;
+import org.heatherspread.core.poison.CrashEvidence;
+import org.heatherspread.core.poison.CrashLedger;
+import org.heatherspread.core.poison.CrashPolicy;
 import org.heatherspread.core.poison.EndpointIncarnation;
-import org.heatherspread.core.poison.Evidence;
+import org.heatherspread.core.poison.EndpointLossTracker;
 import org.heatherspread.core.poison.Fingerprints;
-import org.heatherspread.core.poison.PoisonDetector;
-import org.heatherspread.core.poison.PoisonPolicy;
-import org.heatherspread.core.poison.PoisonStatus;
+import org.heatherspread.core.poison.Suspect;
+import org.heatherspread.core.time.MonotonicClock;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
- * Refuses requests that repeatedly crash endpoints, by the evidence of all daemons in a {@link
- * PoisonDetector}. A lost connection counts as a crash if the endpoint then refuses connections,
- * and not if it accepts one. Confined to one thread.
+ * Refuses requests that crash endpoints, by the evidence of all daemons in a {@link CrashLedger}. A
+ * lost connection is evidence once its endpoint is found to have crashed: a probe or a request is
+ * refused, or another incarnation is found in its place. Confined to one thread.
  */
 public final class PoisonRequestFilter {
   private static final Logger log = LoggerFactory.getLogger(PoisonRequestFilter.class);
 
-  private final PoisonDetector detector;
-  private final Set<String> localFingerprints = new HashSet<>();
-  private boolean hasEvidence;
+  /** Maximum number of suspects in a report, so that the report fits into a row of the store. */
+  private static final int MAX_REPORTED_SUSPECTS = 48;
 
-  private PoisonRequestFilter(PoisonDetector detector) {
-    this.detector = detector;
+  private final CrashLedger ledger;
+  private final EndpointLossTracker losses;
+  private final EndpointProbe probe;
+  private Runnable newEvidenceListener = () -> {};
+
+  /** Finds out whether an endpoint still listens. */
+  @FunctionalInterface
+  interface EndpointProbe {
+    /** Connects to an endpoint, and reports a refusal to {@link #endpointCrashed}. */
+    void probe(TrackedEndpoint endpoint);
+  }
+
+  private PoisonRequestFilter(CrashLedger ledger, EndpointLossTracker losses, EndpointProbe probe) {
+    this.ledger = ledger;
+    this.losses = losses;
+    this.probe = probe;
   }
 
   /** Creates a filter without evidence. */
-  public static PoisonRequestFilter create(PoisonPolicy limits, InstantSource clock) {
-    return new PoisonRequestFilter(PoisonDetector.create(limits, clock));
+  static PoisonRequestFilter create(CrashPolicy policy, MonotonicClock clock, EndpointProbe probe) {
+    return new PoisonRequestFilter(
+        CrashLedger.create(policy, clock), EndpointLossTracker.create(clock), probe);
+  }
+
+  /** Sets an action that runs when this daemon has evidence that others do not know. */
+  public void onNewEvidence(Runnable listener) {
+    newEvidenceListener = listener;
+  }
+
+  /** Returns the time for which a request is refused, empty if it is not. */
+  Optional<Duration> refusal(CallContext context) {
+    if (ledger.isEmpty()) {
+      return Optional.empty();
+    }
+    Optional<Duration> longest = ledger.refusal(request(context));
+    for (Suspect segment : sharedSegments(context)) {
+      Optional<Duration> refusal = ledger.refusal(segment);
+      if (refusal.isPresent() && refusal.get().compareTo(longest.orElse(Duration.ZERO)) > 0) {
+        longest = refusal;
+      }
+    }
+    return longest;
   }
 
-  /** Returns whether a request must be refused. */
-  boolean isPoisoned(CallContext context) {
-    return hasEvidence && detector.status(fingerprint(context)) == PoisonStatus.POISONED;
+  /**
+   * Records that the connection to an endpoint was lost during the request.
+   *
+   * @param answerBegun whether the answer had begun, so that the prompt is no suspect
+   */
+  void connectionLost(TrackedEndpoint endpoint, CallContext context, boolean answerBegun) {
+    if (endpoint.registration().leaving()) {
+      return;
+    }
+    EndpointIncarnation incarnation = incarnation(endpoint);
+    Suspect request = request(context);
+    Set<Suspect> suspects = new HashSet<>();
+    suspects.add(request);
+    if (!answerBegun) {
+      suspects.addAll(sharedSegments(context));
+    }
+    log.atInfo()
+        .addKeyValue("id", context.id())
+        .addKeyValue("fingerprint", request.fingerprint())
+        .addKeyValue("endpoint", incarnation.crashId())
+        .addKeyValue("prompt", formatSharedSegments(context.work()))
+        .addKeyValue("answer_begun", answerBegun)
+        .log("endpoint may have crashed");
+    EndpointLossTracker.NextStep step = losses.recordLoss(incarnation, suspects);
+    if (step == EndpointLossTracker.NextStep.PROBE) {
+      probe.probe(endpoint);
+    } else if (step == EndpointLossTracker.NextStep.COUNT_CRASH) {
+      recordCrash(suspects, incarnation);
+    }
+  }
+
+  /** Records that an endpoint accepted the connection of a probe. */
+  void probeAccepted(TrackedEndpoint endpoint) {
+    losses.probeAccepted(incarnation(endpoint));
   }
 
-  /** Records that the connection to an endpoint was lost during the request. */
-  void connectionLost(TrackedEndpoint endpoint, CallContext context) {
-    detector.connectionLost(fingerprint(context), incarnation(endpoint));
+  /** Returns whether it is not known yet whether an endpoint with lost connections has crashed. */
+  boolean isUnresolved(TrackedEndpoint endpoint) {
+    return losses.isUnresolved(incarnation(endpoint));
   }
 
-  /** Records that the endpoint accepted a connection. */
-  void connectionAccepted(TrackedEndpoint endpoint) {
-    detector.endpointNotCrashed(incarnation(endpoint));
+  /**
+   * Records that an endpoint responded.
+   *
+   * @param sentMillis time at which the request was sent
+   */
+  void endpointResponded(TrackedEndpoint endpoint, long sentMillis) {
+    if (losses.resolveAsAlive(incarnation(endpoint), sentMillis)) {
+      log.atInfo()
+          .addKeyValue("endpoint", incarnation(endpoint).crashId())
+          .log("endpoint has not crashed");
+    }
   }
 
   /** Records that the endpoint refused a connection or that its incarnation ended. */
   public void endpointCrashed(TrackedEndpoint endpoint) {
-    for (Evidence evidence : detector.endpointCrashed(incarnation(endpoint))) {
-      localFingerprints.add(evidence.fingerprint());
-      logEvidence(evidence);
+    if (!endpoint.registration().leaving()) {
+      EndpointIncarnation incarnation = incarnation(endpoint);
+      recordCrash(losses.resolveAsCrash(incarnation), incarnation);
     }
   }
 
-  /** Merges the evidence reported by another daemon. */
-  public void mergeEvidence(List<Evidence> evidence) {
-    for (Evidence reported : evidence) {
-      Optional<Evidence> before = detector.findEvidence(reported.fingerprint());
-      List<Evidence> changed = detector.mergeEvidence(reported);
-      Optional<Evidence> after = detector.findEvidence(reported.fingerprint());
-      changed.forEach(this::logEvidence);
-      if (!changed.contains(reported) && !after.equals(before)) {
-        after.ifPresent(this::logEvidence);
+  private void recordCrash(Set<Suspect> suspects, EndpointIncarnation incarnation) {
+    for (Suspect suspect : suspects) {
+      if (ledger.recordCrash(suspect, incarnation.crashId())) {
+        logEvidence(suspect, incarnation.crashId());
       }
     }
+    if (!suspects.isEmpty()) {
+      newEvidenceListener.run();
+    }
+  }
+
+  /** Records that the answer to a request has begun, which its prompt did not prevent. */
+  void answerBegan(CallContext context) {
+    boolean refuted = false;
+    for (Suspect segment : sharedSegments(context)) {
+      refuted |= ledger.recordSuccess(segment);
+    }
+    if (refuted) {
+      newEvidenceListener.run();
+    }
+  }
+
+  /** Records that a request was answered completely. */
+  void requestCompleted(CallContext context) {
+    answerBegan(context);
+    if (!ledger.isEmpty() && ledger.recordSuccess(request(context))) {
+      newEvidenceListener.run();
+    }
   }
 
   /**
-   * Returns the unexpired evidence found by this daemon, for its report. Excludes evidence of other
-   * daemons, which report it themselves: if all daemons repeated it, it would never expire.
+   * Merges the evidence reported by another daemon.
+   *
+   * @param ageMillis age of the report
    */
-  public List<Evidence> localEvidence() {
-    List<Evidence> evidence = new ArrayList<>();
-    localFingerprints.removeIf(fingerprint -> detector.findEvidence(fingerprint).isEmpty());
-    localFingerprints.forEach(
-        fingerprint -> detector.findEvidence(fingerprint).ifPresent(evidence::add));
-    return evidence;
+  public void mergeEvidence(List<CrashEvidence> evidence, long ageMillis) {
+    CrashLedger.MergeResult result = ledger.merge(evidence, ageMillis);
+    result.changed().forEach(suspect -> logEvidence(suspect, ""));
+    if (result.refuted()) {
+      newEvidenceListener.run();
+    }
   }
 
-  private void logEvidence(Evidence evidence) {
-    hasEvidence = true;
+  /** Returns the evidence for other daemons. */
+  public List<CrashEvidence> evidence() {
+    return ledger.isEmpty() ? List.of() : ledger.evidence(MAX_REPORTED_SUSPECTS);
+  }
+
+  /** Returns the number of suspects that are refused. */
+  public int refusedCount() {
+    return ledger.refusedCount();
+  }
+
+  /** Logs new evidence from a crash, empty if another daemon reported it. */
+  private void logEvidence(Suspect suspect, String crash) {
+    int crashes =
+        ledger.findEvidence(suspect).map(found -> found.crashAgesMillis().size()).orElse(0);
+    long refusedMillis = ledger.refusal(suspect).map(Duration::toMillis).orElse(0L);
     log.atInfo()
-        .addKeyValue("fingerprint", evidence.fingerprint())
-        .addKeyValue("crashes", evidence.crashes().size())
-        .addKeyValue("refused", evidence.poisoned())
+        .addKeyValue("kind", suspect.kind())
+        .addKeyValue("fingerprint", suspect.fingerprint())
+        .addKeyValue("endpoint", crash)
+        .addKeyValue("crashes", crashes)
+        .addKeyValue("refused_ms", refusedMillis)
         .log("request suspected of crashes");
   }
 
+  private static List<Suspect> sharedSegments(CallContext context) {
+    List<Suspect> suspects = new ArrayList<>();
+    for (PromptSegment segment : context.work().sharedSegments()) {
+      suspects.add(Suspect.promptSegment(segment.id()));
+    }
+    return suspects;
+  }
+
+  /** Returns the ids of the prompt segments that other requests may share. */
+  private static String formatSharedSegments(Workload work) {
+    StringJoiner ids = new StringJoiner(",");
+    for (PromptSegment segment : work.sharedSegments()) {
+      ids.add(Long.toHexString(segment.id()));
+    }
+    return ids.toString();
+  }
+
   private static EndpointIncarnation incarnation(TrackedEndpoint endpoint) {
     return new EndpointIncarnation(endpoint.id(), endpoint.registration().startedAtMillis());
   }
 
-  private static String fingerprint(CallContext context) {
-    ByteArrayOutputStream request = new ByteArrayOutputStream();
-    request.writeBytes(context.request().target().getBytes(StandardCharsets.UTF_8));
-    request.write(0);
-    request.writeBytes(context.account().getBytes(StandardCharsets.UTF_8));
-    request.write(0);
-    request.writeBytes(context.request().body());
-    return Fingerprints.of(context.service(), request.toByteArray());
+  private static Suspect request(CallContext context) {
+    return Suspect.request(
+        Fingerprints.ofRequest(
+            context.request().method().name(),
+            context.request().target(),
+            context.account(),
+            context.request().body()));
   }
 }
--- a/relay/src/main/java/org/heatherspread/relay/call/RelayState.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/RelayState.java
@@ -2,7 +2,6 @@
 
 import io.netty.channel.EventLoop;
 import java.time.Duration;
-import java.time.Instant;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -20,7 +19,8 @@
 import org.heatherspread.core.placement.EngineChooser;
 import org.heatherspread.core.placement.EnginePerformance;
 import org.heatherspread.core.placement.PlainServiceChooser;
-import org.heatherspread.core.poison.PoisonPolicy;
+import org.heatherspread.core.placement.TrackedEndpoint;
+import org.heatherspread.core.poison.CrashPolicy;
 import org.heatherspread.core.retry.WindowedRetryBudget;
 import org.heatherspread.core.routing.HealthPolicy;
 import org.heatherspread.core.serving.ClientLimits;
@@ -30,6 +30,7 @@
 import org.heatherspread.core.time.MonotonicClock;
 import org.heatherspread.core.usage.UsageWindows;
 import org.heatherspread.relay.endpoint.ConnectionPool;
+import org.heatherspread.relay.endpoint.EndpointConnection;
 
 /**
  * Configuration, endpoints and shared components of the relay, updated by the control tasks on the
@@ -39,11 +40,16 @@
 public final class RelayState {
   private static final long DEFAULT_CACHE_TOKENS = 100_000;
 
-  /** Crashes that cause a refusal; fewer may be coincidence when many endpoints fail. */
-  private static final int POISON_CRASH_THRESHOLD = 3;
+  /**
+   * Policy of refusals: one or two crashes may be coincidence, for a prompt segment that many
+   * requests have also three, and what was refused wrongly is tried again after a few minutes.
+   */
+  private static final CrashPolicy CRASH_POLICY =
+      new CrashPolicy(
+          3, 4, Duration.ofMinutes(2), Duration.ofMinutes(30), Duration.ofMinutes(1), 1_000);
 
-  private static final Duration POISON_RETENTION = Duration.ofMinutes(10);
-  private static final int POISON_MAX_ENTRIES = 1_000;
+  /** Pause before an endpoint is probed again that did not respond to a probe. */
+  private static final long PROBE_PAUSE_MILLIS = 250;
 
   /**
    * Delay from an endpoint's reclaim notice to the migration of its streams: many streams end by
@@ -105,14 +111,36 @@
     this.metrics = metrics;
     this.usage = usage;
     this.migrator = migrator;
-    this.poisonFilter =
-        PoisonRequestFilter.create(
-            new PoisonPolicy(POISON_CRASH_THRESHOLD, POISON_RETENTION, POISON_MAX_ENTRIES),
-            () -> Instant.ofEpochMilli(clock.millis()));
+    this.poisonFilter = PoisonRequestFilter.create(CRASH_POLICY, clock, this::probe);
     this.accountAdmission = accountAdmission;
     this.endpoints = EndpointTable.create(health, this::cacheTokens);
   }
 
+  /** Connects to an endpoint until it accepts or refuses, or its loss is resolved otherwise. */
+  private void probe(TrackedEndpoint endpoint) {
+    if (!poisonFilter.isUnresolved(endpoint)) {
+      return;
+    }
+    connectionPool.open(
+        endpoint.registration().address(),
+        new ConnectionPool.ConnectionListener() {
+          @Override
+          public void onConnected(EndpointConnection connection) {
+            poisonFilter.probeAccepted(endpoint);
+            connection.releaseUnused();
+          }
+
+          @Override
+          public void onConnectFailed(String reason, boolean refused) {
+            if (refused) {
+              poisonFilter.endpointCrashed(endpoint);
+            } else {
+              loop.schedule(() -> probe(endpoint), PROBE_PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+            }
+          }
+        });
+  }
+
   private Optional<ServiceConfig> service(String name) {
     return config().flatMap(current -> current.service(name));
   }
--- a/relay/src/test/java/org/heatherspread/relay/call/PoisonRequestFilterTest.java
+++ b/relay/src/test/java/org/heatherspread/relay/call/PoisonRequestFilterTest.java
@@ -5,11 +5,12 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import org.heatherspread.core.placement.EndpointTable;
 import org.heatherspread.core.placement.TrackedEndpoint;
 import org.heatherspread.core.placement.Workload;
-import org.heatherspread.core.poison.PoisonPolicy;
+import org.heatherspread.core.poison.CrashPolicy;
 import org.heatherspread.core.routing.HealthPolicy;
 import org.heatherspread.core.serving.CallKind;
 import org.heatherspread.core.serving.HostPort;
@@ -24,11 +25,14 @@
   private static final Duration RETENTION = Duration.ofMinutes(10);
 
   private final ManualClock clock = ManualClock.create();
+  private final List<String> probes = new ArrayList<>();
   private final PoisonRequestFilter reporter = createFilter();
   private final PoisonRequestFilter receiver = createFilter();
 
   private PoisonRequestFilter createFilter() {
-    return PoisonRequestFilter.create(new PoisonPolicy(3, RETENTION, 100), clock);
+    CrashPolicy policy =
+        new CrashPolicy(3, 4, Duration.ofMinutes(1), RETENTION, Duration.ofMinutes(1), 100);
+    return PoisonRequestFilter.create(policy, clock, endpoint -> probes.add(endpoint.id()));
   }
 
   private static CallContext context() {
@@ -60,7 +64,7 @@
 
   private void crash(String id) {
     TrackedEndpoint endpoint = endpoint(id);
-    reporter.connectionLost(endpoint, context());
+    reporter.connectionLost(endpoint, context(), false);
     reporter.endpointCrashed(endpoint);
   }
 
@@ -68,21 +72,49 @@
   void poisonedRequestIsRefusedByDaemonsThatReceivedTheEvidence() {
     crash("e1");
     crash("e2");
-    receiver.mergeEvidence(reporter.localEvidence());
-    assertThat(receiver.isPoisoned(context())).isFalse();
+    receiver.mergeEvidence(reporter.evidence(), 0);
+    assertThat(receiver.refusal(context())).isEmpty();
     crash("e3");
-    receiver.mergeEvidence(reporter.localEvidence());
-    assertThat(receiver.isPoisoned(context())).isTrue();
+    receiver.mergeEvidence(reporter.evidence(), 0);
+    assertThat(receiver.refusal(context())).isPresent();
   }
 
-  /** Evidence would never expire if each daemon that received it reported it again. */
+  /** Other daemons repeat the evidence on what is refused, which must not keep it alive. */
   @Test
-  void evidenceIsReportedOnlyByItsOriginAndExpires() {
+  void evidenceBelowTheThresholdIsReportedOnlyByItsOriginAndAllExpires() {
     crash("e1");
-    receiver.mergeEvidence(reporter.localEvidence());
-    assertThat(reporter.localEvidence()).hasSize(1);
-    assertThat(receiver.localEvidence()).isEmpty();
+    receiver.mergeEvidence(reporter.evidence(), 0);
+    assertThat(reporter.evidence()).hasSize(1);
+    assertThat(receiver.evidence()).isEmpty();
+    crash("e2");
+    crash("e3");
+    receiver.mergeEvidence(reporter.evidence(), 0);
+    assertThat(receiver.evidence()).hasSize(1);
     clock.advance(RETENTION.plusSeconds(1));
-    assertThat(reporter.localEvidence()).isEmpty();
+    reporter.mergeEvidence(receiver.evidence(), 0);
+    assertThat(reporter.evidence()).isEmpty();
+    assertThat(receiver.evidence()).isEmpty();
+  }
+
+  @Test
+  void lostConnectionIsProbedOnceUntilTheProbeIsAccepted() {
+    TrackedEndpoint endpoint = endpoint("e1");
+    reporter.connectionLost(endpoint, context(), false);
+    reporter.connectionLost(endpoint, context(), false);
+    assertThat(probes).containsExactly("e1");
+    reporter.probeAccepted(endpoint);
+    reporter.connectionLost(endpoint, context(), false);
+    assertThat(probes).containsExactly("e1", "e1");
+  }
+
+  @Test
+  void endOfLeavingEndpointIsNoEvidence() {
+    EndpointTable table = EndpointTable.create(HealthPolicy.defaults(), service -> 1_000);
+    HostPort address = new HostPort("127.0.0.1", 1);
+    table.put(new RegisteredEndpoint("e1", "s", address, "z", 6, true, false, -1, 1));
+    TrackedEndpoint leaving = table.get("e1").orElseThrow();
+    reporter.connectionLost(leaving, context(), false);
+    reporter.endpointCrashed(leaving);
+    assertThat(reporter.evidence()).isEmpty();
   }
 }
