Read the tables again when the store returns from an earlier copy

The platform's store may come back from a copy that is some seconds old; it then assigns versions again. A daemon continued from the last version that it had read: until the store had caught up it got 410 and read again, but once it had, what was written under the versions given out twice was missed until the next full read (20 s); this holds for reports, and so for crash evidence. A daemon that reads for its failure domain kept the higher version and passed on nothing of this. A store clock that went back with the copy would have been rejected for good, and with it all keys.

Answers of an earlier era are rejected.

--- a/core/src/main/java/org/heatherspread/core/freshness/StoreFreshness.java
+++ b/core/src/main/java/org/heatherspread/core/freshness/StoreFreshness.java
@@ -12,7 +12,8 @@
  * age counts from the start of a valid read rather than from its response. The monotonic clock does
  * not advance during a suspension and the wall clock can jump. The age is therefore the greater of
  * both elapsed times: a forward jump costs one read, and a suspension is never missed. Invariant: a
- * read whose store clock lags behind an earlier one is not valid. Confined to one thread.
+ * read whose store clock lags behind an earlier one of the same era is not valid. Confined to one
+ * thread.
  */
 public final class StoreFreshness {
   /** Lag of the store's clock that is attributed to rounding. */
@@ -21,6 +22,7 @@
   private final MonotonicClock clock;
   private final InstantSource wallClock;
   private boolean initialized;
+  private long era;
   private long readStartMonotonicMillis;
   private long readStartWallMillis;
   private long lastStoreMillis;
@@ -44,7 +46,8 @@
   /** Records the result of a read; returns false if its store clock lags behind an earlier one. */
   public boolean recordRead(ReadStart start, SharedReadResult reading) {
     long earliest = lastStoreMillis + (start.monotonicMillis - storeReadAtMonotonicMillis);
-    if (initialized && reading.storeMillis() + CLOCK_TOLERANCE_MILLIS < earliest) {
+    boolean restored = reading.position().era() != era;
+    if (initialized && !restored && reading.storeMillis() + CLOCK_TOLERANCE_MILLIS < earliest) {
       return false;
     }
     if (!initialized || start.monotonicMillis >= readStartMonotonicMillis) {
@@ -52,6 +55,7 @@
       readStartWallMillis = start.wallMillis;
     }
     initialized = true;
+    era = reading.position().era();
     lastStoreMillis = reading.storeMillis();
     storeReadAtMonotonicMillis = clock.millis();
     return true;
--- a/core/src/main/java/org/heatherspread/core/store/SharedStore.java
+++ b/core/src/main/java/org/heatherspread/core/store/SharedStore.java
@@ -16,8 +16,11 @@
   /** Reads a whole table; each page is consistent, but pages may be of different times. */
   CompletableFuture<SharedReadResult> read(String table);
 
-  /** Waits for rows that changed after a version; the result may have no rows. */
-  CompletableFuture<SharedReadResult> changes(String table, long afterVersion, Duration maxWait);
+  /**
+   * Waits for rows that changed after a position; the result may have no rows. The history is lost
+   * if the store was restored from an earlier copy since.
+   */
+  CompletableFuture<SharedReadResult> changes(String table, StorePosition after, Duration maxWait);
 
   /** Writes and deletes rows of one table in one transaction, unconditionally. */
   CompletableFuture<Void> write(String table, Map<String, byte[]> puts, List<String> deletes);
--- a/core/src/main/java/org/heatherspread/core/store/TableMirror.java
+++ b/core/src/main/java/org/heatherspread/core/store/TableMirror.java
@@ -13,7 +13,8 @@
  * the table through this one.
  *
  * <p>Invariant: a result contains every row whose newest version is later than the requested one,
- * including deleted rows; if this cannot be ensured, there is no result. Confined to one thread.
+ * including deleted rows; if this cannot be ensured, as after a restore of the store, there is no
+ * result. Confined to one thread.
  */
 public final class TableMirror {
   /** Deleted rows kept; a follower that needs more of them must read the whole table. */
@@ -23,7 +24,7 @@
   private final Map<String, SharedRow> deletedRows = new HashMap<>();
   private boolean initialized;
   private long completeAfterVersion;
-  private long version;
+  private StorePosition position = new StorePosition(0, 0);
 
   private TableMirror() {}
 
@@ -34,9 +35,13 @@
 
   /** Replaces the content by a read of the whole table. */
   public void replaceAll(SharedReadResult result) {
-    if (!initialized) {
+    boolean restored = result.position().era() != position.era();
+    if (!initialized || restored) {
       initialized = true;
       completeAfterVersion = result.version();
+      position = result.position();
+      rows.clear();
+      deletedRows.clear();
     }
     Set<String> presentKeys = new HashSet<>();
     for (SharedRow row : result.rows()) {
@@ -60,7 +65,9 @@
         rows.put(row.key(), row);
       }
     }
-    version = Math.max(version, result.version());
+    if (result.version() > position.version()) {
+      position = result.position();
+    }
   }
 
   private void delete(SharedRow row) {
@@ -79,18 +86,18 @@
   }
 
   /** Returns the newest transaction that the mirror covers. */
-  public long version() {
-    return version;
+  public StorePosition position() {
+    return position;
   }
 
-  /** Returns the rows that changed after a version; empty if not all of them are known. */
-  public Optional<List<SharedRow>> changesAfter(long afterVersion) {
-    if (!initialized || afterVersion < completeAfterVersion) {
+  /** Returns the rows that changed after a position; empty if not all of them are known. */
+  public Optional<List<SharedRow>> changesAfter(StorePosition after) {
+    if (!initialized || after.era() != position.era() || after.version() < completeAfterVersion) {
       return Optional.empty();
     }
     List<SharedRow> changes = new ArrayList<>();
-    addChangedAfter(changes, rows, afterVersion);
-    addChangedAfter(changes, deletedRows, afterVersion);
+    addChangedAfter(changes, rows, after.version());
+    addChangedAfter(changes, deletedRows, after.version());
     return Optional.of(changes);
   }
 
--- a/core/src/test/java/org/heatherspread/core/freshness/StoreFreshnessTest.java
+++ b/core/src/test/java/org/heatherspread/core/freshness/StoreFreshnessTest.java
@@ -5,6 +5,7 @@
 import java.time.Instant;
 import java.util.List;
 import org.heatherspread.core.store.SharedReadResult;
+import org.heatherspread.core.store.StorePosition;
 import org.junit.jupiter.api.Test;
 
 class StoreFreshnessTest {
@@ -24,6 +25,14 @@
     return freshness.recordRead(start, new SharedReadResult(List.of(), 1, storeMillis));
   }
 
+  @Test
+  void acceptsAnEarlierClockAfterTheStoreWasRestored() {
+    assertThat(read(10, 5_000)).isTrue();
+    SharedReadResult restored = new SharedReadResult(List.of(), new StorePosition(1, 1), 2_000, 0);
+    assertThat(freshness.recordRead(freshness.startRead(), restored)).isTrue();
+    assertThat(freshness.storeMillis()).isEqualTo(2_000);
+  }
+
   @Test
   void countsAgeFromTheStartOfTheRead() {
     assertThat(freshness.ageMillis()).isEqualTo(Long.MAX_VALUE);
--- a/core/src/test/java/org/heatherspread/core/store/TableMirrorTest.java
+++ b/core/src/test/java/org/heatherspread/core/store/TableMirrorTest.java
@@ -16,6 +16,10 @@
     return new SharedRow(key, new byte[0], version, deleted);
   }
 
+  private static StorePosition at(long version) {
+    return new StorePosition(0, version);
+  }
+
   private static SharedReadResult readResult(long version, SharedRow... rows) {
     return new SharedReadResult(List.of(rows), version, 0);
   }
@@ -23,10 +27,10 @@
   @Test
   void hasNoResultBeforeFirstFullRead() {
     TableMirror mirror = TableMirror.create();
-    assertThat(mirror.changesAfter(0)).isEmpty();
+    assertThat(mirror.changesAfter(at(0))).isEmpty();
     mirror.replaceAll(readResult(10, row("a", 3, false)));
-    assertThat(mirror.changesAfter(9)).isEmpty();
-    assertThat(mirror.changesAfter(10)).contains(List.of());
+    assertThat(mirror.changesAfter(at(9))).isEmpty();
+    assertThat(mirror.changesAfter(at(10))).contains(List.of());
   }
 
   @Test
@@ -34,7 +38,7 @@
     TableMirror mirror = TableMirror.create();
     mirror.replaceAll(readResult(10, row("a", 3, false), row("b", 4, false)));
     mirror.replaceAll(readResult(20, row("a", 3, false)));
-    assertThat(mirror.changesAfter(10).orElseThrow())
+    assertThat(mirror.changesAfter(at(10)).orElseThrow())
         .singleElement()
         .matches(row -> row.key().equals("b") && row.deleted());
   }
@@ -58,7 +62,7 @@
       }
       mirror.applyChanges(readResult(version, row(key, version, deleted)));
       if (random.nextInt(5) == 0 || version == 300) {
-        Optional<List<SharedRow>> changes = mirror.changesAfter(followedVersion);
+        Optional<List<SharedRow>> changes = mirror.changesAfter(at(followedVersion));
         for (SharedRow each : changes.orElseThrow()) {
           if (each.deleted()) {
             follower.remove(each.key());
@@ -66,9 +70,23 @@
             follower.put(each.key(), each.version());
           }
         }
-        followedVersion = mirror.version();
+        followedVersion = mirror.position().version();
         assertThat(follower).isEqualTo(table);
       }
     }
   }
+
+  /** A restored store assigns versions again that followers have already seen. */
+  @Test
+  void followersOfAnEarlierEraMustReadTheWholeTable() {
+    TableMirror mirror = TableMirror.create();
+    mirror.replaceAll(new SharedReadResult(List.of(), new StorePosition(1, 20), 0, 0));
+    SharedRow row = new SharedRow("a", new byte[0], 8, false);
+    mirror.replaceAll(new SharedReadResult(List.of(row), new StorePosition(2, 9), 0, 0));
+    assertThat(mirror.changesAfter(new StorePosition(1, 20))).isEmpty();
+    assertThat(mirror.changesAfter(new StorePosition(2, 9))).contains(List.of());
+    SharedRow changed = new SharedRow("a", new byte[0], 10, false);
+    mirror.applyChanges(new SharedReadResult(List.of(changed), new StorePosition(2, 10), 0, 0));
+    assertThat(mirror.changesAfter(new StorePosition(2, 9)).orElseThrow()).hasSize(1);
+  }
 }
--- a/node/src/main/java/org/heatherspread/node/control/TableWatcher.java
+++ b/node/src/main/java/org/heatherspread/node/control/TableWatcher.java
@@ -11,16 +11,17 @@
 import org.heatherspread.core.freshness.StoreFreshness;
 import org.heatherspread.core.store.SharedReadResult;
 import org.heatherspread.core.store.SharedStore;
+import org.heatherspread.core.store.StorePosition;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
  * Actor that follows one shared table: reads the whole table, then waits for changes repeatedly.
  *
- * <p>Tolerates stores that are slow, unavailable or no longer have the history, and watches that
- * miss changes: each wait is short and has a timeout, and the whole table is read again when
- * history is lost, and at regular intervals regardless of the watch. Invariant: at most one call is
- * in progress.
+ * <p>Tolerates stores that are slow, unavailable, restored from an earlier copy or without the
+ * history, and watches that miss changes: each wait is short and has a timeout, and the whole table
+ * is read again when history is lost, and at regular intervals regardless of the watch. Invariant:
+ * at most one call is in progress.
  */
 final class TableWatcher extends AbstractBehavior<TableWatcher.Command> {
   private static final Logger log = LoggerFactory.getLogger(TableWatcher.class);
@@ -47,7 +48,7 @@
   private final TableListener listener;
   private final TimerScheduler<Command> timers;
   private boolean fullReadNeeded = true;
-  private long version;
+  private StorePosition position = new StorePosition(0, 0);
   private long lastFullReadMillis;
   private Duration retryPause = INITIAL_RETRY_PAUSE;
   private boolean failing;
@@ -118,7 +119,9 @@
     // Request an immediate response after a failure: keys may be rejected until a read succeeds.
     Duration maxWait = failing ? Duration.ZERO : settings.maxWait().get();
     var future =
-        fullRead ? store.read(settings.table()) : store.changes(settings.table(), version, maxWait);
+        fullRead
+            ? store.read(settings.table())
+            : store.changes(settings.table(), position, maxWait);
     getContext()
         .pipeToSelf(
             future,
@@ -142,10 +145,12 @@
     if (read.fullRead) {
       fullReadNeeded = false;
       lastFullReadMillis = read.start.monotonicMillis();
-      version = read.result.version();
+      position = read.result.position();
       listener.onFullRead(read.result);
     } else {
-      version = Math.max(version, read.result.version());
+      if (read.result.version() > position.version()) {
+        position = read.result.position();
+      }
       listener.onChanges(read.result);
     }
     Duration pause = settings.pause().get();
--- a/node/src/main/java/org/heatherspread/node/peer/DomainReaderStore.java
+++ b/node/src/main/java/org/heatherspread/node/peer/DomainReaderStore.java
@@ -12,6 +12,7 @@
 import org.heatherspread.core.error.ServingException;
 import org.heatherspread.core.store.SharedReadResult;
 import org.heatherspread.core.store.SharedStore;
+import org.heatherspread.core.store.StorePosition;
 import org.heatherspread.core.time.MonotonicClock;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -50,9 +51,9 @@
 
   /** Waits for changes through another daemon. */
   interface ChangesClient {
-    /** Returns the changes after a version, as read by the daemon. */
+    /** Returns the changes after a position, as read by the daemon. */
     CompletableFuture<SharedReadResult> awaitChanges(
-        String daemon, String table, long afterVersion, Duration maxWait);
+        String daemon, String table, StorePosition after, Duration maxWait);
   }
 
   private DomainReaderStore(
@@ -95,13 +96,13 @@
 
   @Override
   public CompletableFuture<SharedReadResult> changes(
-      String table, long afterVersion, Duration maxWait) {
+      String table, StorePosition after, Duration maxWait) {
     Optional<String> daemon = reader.get();
     if (daemon.isEmpty() || clock.millis() < readerPausedUntilMillis) {
-      return store.changes(table, afterVersion, maxWait);
+      return store.changes(table, after, maxWait);
     }
     return changesClient
-        .awaitChanges(daemon.get(), table, afterVersion, maxWait)
+        .awaitChanges(daemon.get(), table, after, maxWait)
         .thenApply(DomainReaderStore::requireFresh)
         .handle(
             (result, failure) -> {
@@ -109,7 +110,7 @@
                 return CompletableFuture.completedFuture(result);
               }
               pauseReader(daemon.get(), table, failure);
-              return store.changes(table, afterVersion, Duration.ZERO);
+              return store.changes(table, after, Duration.ZERO);
             })
         .thenCompose(Function.identity());
   }
--- a/node/src/main/java/org/heatherspread/node/peer/MirroredTable.java
+++ b/node/src/main/java/org/heatherspread/node/peer/MirroredTable.java
@@ -9,6 +9,7 @@
 import org.heatherspread.core.freshness.StoreFreshness;
 import org.heatherspread.core.store.SharedReadResult;
 import org.heatherspread.core.store.SharedRow;
+import org.heatherspread.core.store.StorePosition;
 import org.heatherspread.core.store.TableMirror;
 
 /**
@@ -49,7 +50,7 @@
     reachable = true;
     List<PendingRequest> due = new ArrayList<>();
     for (PendingRequest request : pendingRequests) {
-      Optional<List<SharedRow>> changes = mirror.changesAfter(request.afterVersion);
+      Optional<List<SharedRow>> changes = mirror.changesAfter(request.after);
       if (changes.isEmpty() || !changes.get().isEmpty()) {
         due.add(request);
       }
@@ -69,55 +70,55 @@
   /** This daemon cannot read the store. */
   record Unreachable() implements ChangesResult {}
 
-  /** The mirror no longer has all changes after the requested version. */
+  /** The mirror does not have all changes after the requested position. */
   record HistoryLost() implements ChangesResult {}
 
   /** The changes, which may be none. */
   record Changes(SharedReadResult result) implements ChangesResult {}
 
   /**
-   * Passes the changes after a version to a callback: at once if there are any or they cannot be
+   * Passes the changes after a position to a callback: at once if there are any or they cannot be
    * returned, otherwise when rows change, the store becomes unreachable or the wait is over. The
    * callback is called exactly once.
    */
-  void awaitChanges(long afterVersion, long waitMillis, Consumer<ChangesResult> callback) {
-    ChangesResult result = currentResult(afterVersion);
+  void awaitChanges(StorePosition after, long waitMillis, Consumer<ChangesResult> callback) {
+    ChangesResult result = currentResult(after);
     boolean empty = result instanceof Changes changes && changes.result.rows().isEmpty();
     if (!empty || waitMillis <= 0) {
       callback.accept(result);
       return;
     }
-    PendingRequest request = new PendingRequest(afterVersion, callback);
+    PendingRequest request = new PendingRequest(after, callback);
     pendingRequests.add(request);
     loop.schedule(request::complete, waitMillis, TimeUnit.MILLISECONDS);
   }
 
-  private ChangesResult currentResult(long afterVersion) {
+  private ChangesResult currentResult(StorePosition after) {
     if (!reachable) {
       return new Unreachable();
     }
-    Optional<List<SharedRow>> changes = mirror.changesAfter(afterVersion);
+    Optional<List<SharedRow>> changes = mirror.changesAfter(after);
     if (changes.isEmpty()) {
       return new HistoryLost();
     }
     return new Changes(
         new SharedReadResult(
-            changes.get(), mirror.version(), freshness.storeMillis(), freshness.ageMillis()));
+            changes.get(), mirror.position(), freshness.storeMillis(), freshness.ageMillis()));
   }
 
   /** A request that waits for changes; completes at most once. */
   private final class PendingRequest {
-    private final long afterVersion;
+    private final StorePosition after;
     private final Consumer<ChangesResult> callback;
 
-    private PendingRequest(long afterVersion, Consumer<ChangesResult> callback) {
-      this.afterVersion = afterVersion;
+    private PendingRequest(StorePosition after, Consumer<ChangesResult> callback) {
+      this.after = after;
       this.callback = callback;
     }
 
     private void complete() {
       if (pendingRequests.remove(this)) {
-        callback.accept(currentResult(afterVersion));
+        callback.accept(currentResult(after));
       }
     }
   }
--- a/node/src/main/java/org/heatherspread/node/peer/PeerClient.java
+++ b/node/src/main/java/org/heatherspread/node/peer/PeerClient.java
@@ -17,6 +17,7 @@
 import org.heatherspread.core.serving.HostPort;
 import org.heatherspread.core.store.SharedReadResult;
 import org.heatherspread.core.store.SharedStore;
+import org.heatherspread.core.store.StorePosition;
 import org.heatherspread.relay.rpc.RpcClient;
 import org.heatherspread.relay.rpc.RpcResponse;
 
@@ -84,14 +85,14 @@
   }
 
   /**
-   * Waits for rows of a table that changed after a version, as read by the daemon.
+   * Waits for rows of a table that changed after a position, as read by the daemon.
    *
    * @return fails with {@link SharedStore.HistoryLostException} if the daemon no longer has all
-   *     changes after the version
+   *     changes after the position
    */
   CompletableFuture<SharedReadResult> awaitChanges(
-      String daemon, String table, long afterVersion, Duration maxWait) {
-    String target = PeerFormat.changesTarget(table, afterVersion, maxWait);
+      String daemon, String table, StorePosition after, Duration maxWait) {
+    String target = PeerFormat.changesTarget(table, after, maxWait);
     return call(daemon, HttpMethod.GET, target, EMPTY, CHANGES_TIMEOUT.plus(maxWait))
         .thenApply(
             response -> {
--- a/node/src/main/java/org/heatherspread/node/peer/PeerFormat.java
+++ b/node/src/main/java/org/heatherspread/node/peer/PeerFormat.java
@@ -22,6 +22,7 @@
 import org.heatherspread.core.poison.CrashEvidence;
 import org.heatherspread.core.store.SharedReadResult;
 import org.heatherspread.core.store.SharedRow;
+import org.heatherspread.core.store.StorePosition;
 
 /**
  * Paths, status codes and JSON format of calls between daemons. Field names are short, as tables
@@ -130,12 +131,14 @@
         readOwner(node));
   }
 
-  static String changesTarget(String table, long afterVersion, Duration wait) {
+  static String changesTarget(String table, StorePosition after, Duration wait) {
     return CHANGES_PATH
         + "?table="
         + URLEncoder.encode(table, StandardCharsets.UTF_8)
         + "&after="
-        + afterVersion
+        + after.version()
+        + "&era="
+        + after.era()
         + "&wait="
         + wait.toMillis();
   }
@@ -145,6 +148,7 @@
         MAPPER
             .createObjectNode()
             .put("version", result.version())
+            .put("era", result.position().era())
             .put("store", result.storeMillis())
             .put("age", result.ageMillis());
     for (SharedRow row : result.rows()) {
@@ -171,7 +175,7 @@
     }
     return new SharedReadResult(
         rows,
-        node.path("version").asLong(),
+        new StorePosition(node.path("era").asLong(), node.path("version").asLong()),
         node.path("store").asLong(),
         node.path("age").asLong());
   }
--- a/node/src/main/java/org/heatherspread/node/peer/PeerRequestHandler.java
+++ b/node/src/main/java/org/heatherspread/node/peer/PeerRequestHandler.java
@@ -11,6 +11,7 @@
 import org.heatherspread.core.limit.LimitOwnerClient;
 import org.heatherspread.core.serving.AccountConfig;
 import org.heatherspread.core.serving.ServingConfig;
+import org.heatherspread.core.store.StorePosition;
 import org.heatherspread.relay.call.RelayState;
 import org.heatherspread.relay.caller.CallerRequest;
 import org.heatherspread.relay.caller.CallerRequestHandler;
@@ -135,10 +136,10 @@
       respond(responseWriter, PeerFormat.NOT_READER, EMPTY);
       return;
     }
-    long afterVersion = Long.parseLong(query.get("after").get(0));
+    long era = Long.parseLong(query.getOrDefault("era", List.of("0")).get(0));
+    StorePosition after = new StorePosition(era, Long.parseLong(query.get("after").get(0)));
     long waitMillis = Math.min(MAX_WAIT_MILLIS, Long.parseLong(query.get("wait").get(0)));
-    table.awaitChanges(
-        afterVersion, waitMillis, result -> respondWithChanges(result, responseWriter));
+    table.awaitChanges(after, waitMillis, result -> respondWithChanges(result, responseWriter));
   }
 
   private static void respondWithChanges(
--- a/node/src/test/java/org/heatherspread/node/control/CleanupDutyTest.java
+++ b/node/src/test/java/org/heatherspread/node/control/CleanupDutyTest.java
@@ -16,6 +16,7 @@
 import org.heatherspread.core.store.SharedReadResult;
 import org.heatherspread.core.store.SharedRow;
 import org.heatherspread.core.store.SharedStore;
+import org.heatherspread.core.store.StorePosition;
 import org.heatherspread.core.time.ManualClock;
 import org.heatherspread.node.RelayStateFixtures;
 import org.heatherspread.relay.call.RelayState;
@@ -34,7 +35,7 @@
 
     @Override
     public CompletableFuture<SharedReadResult> changes(
-        String table, long afterVersion, Duration maxWait) {
+        String table, StorePosition after, Duration maxWait) {
       throw new UnsupportedOperationException();
     }
 
--- a/node/src/test/java/org/heatherspread/node/peer/DomainReaderStoreTest.java
+++ b/node/src/test/java/org/heatherspread/node/peer/DomainReaderStoreTest.java
@@ -12,6 +12,7 @@
 import org.heatherspread.core.error.ServingException;
 import org.heatherspread.core.store.SharedReadResult;
 import org.heatherspread.core.store.SharedStore;
+import org.heatherspread.core.store.StorePosition;
 import org.heatherspread.core.time.ManualClock;
 import org.junit.jupiter.api.Test;
 
@@ -31,7 +32,7 @@
 
         @Override
         public CompletableFuture<SharedReadResult> changes(
-            String table, long afterVersion, Duration maxWait) {
+            String table, StorePosition after, Duration maxWait) {
           calls.add("changes");
           return CompletableFuture.completedFuture(new SharedReadResult(List.of(), 9, 0));
         }
@@ -48,27 +49,33 @@
       DomainReaderStore.create(
           underlying,
           () -> reader,
-          (daemon, table, afterVersion, maxWait) -> {
+          (daemon, table, after, maxWait) -> {
             calls.add(daemon);
             return readerResult;
           },
           clock);
 
+  private static StorePosition at(long version) {
+    return new StorePosition(0, version);
+  }
+
   private long readVersion() {
-    return store.changes("op", 3, Duration.ofMillis(300)).join().version();
+    return store.changes("op", at(3), Duration.ofMillis(300)).join().version();
   }
 
   @Test
   void readsChangesFromTheReaderWithTheirAge() {
-    readerResult = CompletableFuture.completedFuture(new SharedReadResult(List.of(), 4, 0, 700));
-    assertThat(store.changes("op", 3, Duration.ZERO).join().ageMillis()).isEqualTo(700);
+    readerResult =
+        CompletableFuture.completedFuture(new SharedReadResult(List.of(), at(4), 0, 700));
+    assertThat(store.changes("op", at(3), Duration.ZERO).join().ageMillis()).isEqualTo(700);
     assertThat(calls).containsExactly("daemon-1");
   }
 
   /** A reader that is disconnected from the store still responds to other daemons. */
   @Test
   void rejectsStaleChangesFromTheReader() {
-    readerResult = CompletableFuture.completedFuture(new SharedReadResult(List.of(), 4, 0, 1_200));
+    readerResult =
+        CompletableFuture.completedFuture(new SharedReadResult(List.of(), at(4), 0, 1_200));
     assertThat(readVersion()).isEqualTo(9);
     assertThat(calls).containsExactly("daemon-1", "changes");
   }
@@ -80,7 +87,7 @@
     assertThat(readVersion()).isEqualTo(9);
     assertThat(calls).containsExactly("daemon-1", "changes", "changes");
     clock.advance(Duration.ofMillis(3_100));
-    readerResult = CompletableFuture.completedFuture(new SharedReadResult(List.of(), 10, 0, 0));
+    readerResult = CompletableFuture.completedFuture(new SharedReadResult(List.of(), at(10), 0, 0));
     assertThat(readVersion()).isEqualTo(10);
   }
 
@@ -90,7 +97,7 @@
     readerResult =
         CompletableFuture.failedFuture(ServingException.of(ErrorKind.BODY_TOO_LARGE, "too large"));
     assertThat(readVersion()).isEqualTo(9);
-    readerResult = CompletableFuture.completedFuture(new SharedReadResult(List.of(), 10, 0, 0));
+    readerResult = CompletableFuture.completedFuture(new SharedReadResult(List.of(), at(10), 0, 0));
     assertThat(readVersion()).isEqualTo(10);
   }
 
--- a/relay/src/main/java/org/heatherspread/relay/rpc/RpcClient.java
+++ b/relay/src/main/java/org/heatherspread/relay/rpc/RpcClient.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
@@ -114,6 +115,7 @@
     private EndpointConnection connection;
     private boolean started;
     private int status;
+    private HttpHeaders responseHeaders;
     private final long startMillis = clock.millis();
 
     private PendingCall(FullHttpRequest request, CompletableFuture<RpcResponse> result) {
@@ -162,6 +164,7 @@
     @Override
     public void onHead(HttpResponse head) {
       status = head.status().code();
+      responseHeaders = head.headers();
     }
 
     @Override
@@ -172,7 +175,7 @@
     @Override
     public void onComplete() {
       end(Integer.toString(status));
-      result.complete(new RpcResponse(status, body.toByteArray()));
+      result.complete(new RpcResponse(status, responseHeaders, body.toByteArray()));
     }
 
     @Override
