Keep endpoints and daemons whose rows a restored store has lost until they are written again

After a restore, the first read of the whole table lacks what was registered since the copy: such endpoints were out of use at once, with nothing else wrong, and such daemons were no longer live (8 became 1), so that the others took larger shares. An endpoint that had given notice since the copy was used again, as its old row says that it is ready.

Endpoints get the grace period of a store failure (1.8 s), a notice holds for the incarnation, and reports expire by their age only. EndpointListenerTest (2) and daemonsWhoseReportsTheRestoredStoreLostStayLive failed before.

--- a/node/src/main/java/org/heatherspread/node/control/EndpointListener.java
+++ b/node/src/main/java/org/heatherspread/node/control/EndpointListener.java
@@ -14,8 +14,9 @@
 
 /**
  * Applies endpoint registrations to the relay's endpoint table. A registration that disappears
- * shortly after a store failure may merely have expired during it, so its endpoint stays in use for
- * a grace period. Confined to the event loop.
+ * shortly after a store failure may merely have expired during it, and one that disappears or is no
+ * longer leaving when the store was restored from an earlier copy may be written again, so its
+ * endpoint stays as it was for a grace period. Confined to the event loop.
  */
 final class EndpointListener implements TableListener {
   private static final Logger log = LoggerFactory.getLogger(EndpointListener.class);
@@ -32,6 +33,7 @@
   private final RelayState state;
   private final BiFunction<String, byte[], Optional<RegisteredEndpoint>> parser;
   private long lastFailureMillis = -FAILURE_WINDOW_MILLIS;
+  private long era;
   private boolean initialized;
 
   /**
@@ -52,6 +54,10 @@
 
   @Override
   public void onFullRead(SharedReadResult result) {
+    if (initialized && result.position().era() != era) {
+      lastFailureMillis = state.clock().millis();
+    }
+    era = result.position().era();
     initialized = true;
     Set<String> present = new HashSet<>();
     for (SharedRow row : result.rows()) {
@@ -98,6 +104,9 @@
       return;
     }
     RegisteredEndpoint next = parsed.get();
+    if (mayHaveLapsed() && isLeavingIncarnation(next)) {
+      return;
+    }
     Optional<RegisteredEndpoint> previous =
         state.endpoints().get(next.id()).map(TrackedEndpoint::registration);
     state
@@ -123,6 +132,18 @@
     }
   }
 
+  /** Returns whether an endpoint has given notice, which a registration does not repeat. */
+  private boolean isLeavingIncarnation(RegisteredEndpoint next) {
+    return !next.leaving()
+        && state
+            .endpoints()
+            .get(next.id())
+            .map(TrackedEndpoint::registration)
+            .filter(known -> known.startedAtMillis() == next.startedAtMillis())
+            .map(RegisteredEndpoint::leaving)
+            .orElse(false);
+  }
+
   /** Returns the time from which an endpoint without a registration is no longer used. */
   private long unusableFromMillis() {
     long now = state.clock().millis();
--- a/node/src/main/java/org/heatherspread/node/control/FleetListener.java
+++ b/node/src/main/java/org/heatherspread/node/control/FleetListener.java
@@ -44,6 +44,7 @@
   private final Duration minLifetime;
   private Set<String> liveNames = Set.of();
   private Map<String, String> readersByDomain = Map.of();
+  private long era;
   private boolean initialized;
   private boolean ownerCandidate;
 
@@ -91,8 +92,13 @@
     for (SharedRow row : result.rows()) {
       present.add(row.key());
     }
+    boolean restored = initialized && result.position().era() != era;
+    if (!restored) {
+      // After a restore of the store, daemons write the reports again that it lost.
+      fleet.retainRows(present);
+    }
+    era = result.position().era();
     initialized = true;
-    fleet.retainRows(present);
     onChanges(result);
   }
 
--- /dev/null
+++ b/node/src/test/java/org/heatherspread/node/control/EndpointListenerTest.java
@@ -0,0 +1,64 @@
+package org.heatherspread.node.control;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.List;
+import org.heatherspread.core.freshness.StoreFreshness;
+import org.heatherspread.core.placement.TrackedEndpoint;
+import org.heatherspread.core.store.SharedReadResult;
+import org.heatherspread.core.store.SharedRow;
+import org.heatherspread.core.store.StorePosition;
+import org.heatherspread.core.time.ManualClock;
+import org.heatherspread.node.RelayStateFixtures;
+import org.heatherspread.platform.RegistrationParser;
+import org.heatherspread.relay.call.RelayState;
+import org.junit.jupiter.api.Test;
+
+/** The store returns from a copy that was made before the latest registrations. */
+class EndpointListenerTest {
+  private static final String REGISTRATION =
+      """
+      {"service": "s", "address": "127.0.0.1:1", "zone": "z", "concurrency-slots": 1,
+       "state": "%s", "sequence-number": 1, "born": 7}
+      """;
+
+  private final ManualClock clock = ManualClock.create();
+  private final RelayState state =
+      RelayStateFixtures.create(clock, StoreFreshness.create(clock, InstantSource.system()), null);
+  private final EndpointListener listener = new EndpointListener(state, RegistrationParser::parse);
+
+  private void read(long era, long version, SharedRow... rows) {
+    listener.onFullRead(
+        new SharedReadResult(List.of(rows), new StorePosition(era, version), 1_000, 0));
+  }
+
+  private static SharedRow registration(String endpointState) {
+    byte[] value = REGISTRATION.formatted(endpointState).getBytes(StandardCharsets.UTF_8);
+    return new SharedRow("e1", value, 3, false);
+  }
+
+  private TrackedEndpoint endpoint() {
+    return state.endpoints().get("e1").orElseThrow();
+  }
+
+  @Test
+  void endpointWhoseRegistrationTheRestoredStoreLostStaysInUseForSomeTime() {
+    clock.advance(Duration.ofMinutes(1));
+    read(1, 3, registration("ready"));
+    read(2, 2);
+    assertThat(endpoint().isUsable(clock.millis())).isTrue();
+    clock.advance(Duration.ofSeconds(2));
+    assertThat(endpoint().isUsable(clock.millis())).isFalse();
+  }
+
+  @Test
+  void endpointThatGaveNoticeBeforeTheRestoreIsNotUsedAgain() {
+    clock.advance(Duration.ofMinutes(1));
+    read(1, 3, registration("draining"));
+    read(2, 2, registration("ready"));
+    assertThat(endpoint().isUsable(clock.millis())).isFalse();
+  }
+}
--- a/node/src/test/java/org/heatherspread/node/control/FleetListenerTest.java
+++ b/node/src/test/java/org/heatherspread/node/control/FleetListenerTest.java
@@ -19,6 +19,7 @@
 import org.heatherspread.core.poison.Suspect;
 import org.heatherspread.core.store.SharedReadResult;
 import org.heatherspread.core.store.SharedRow;
+import org.heatherspread.core.store.StorePosition;
 import org.heatherspread.core.time.ManualClock;
 import org.heatherspread.node.RelayStateFixtures;
 import org.heatherspread.node.peer.PeerClient;
@@ -148,6 +149,16 @@
     assertThat(state.poisonFilter().refusedCount()).isEqualTo(1);
   }
 
+  @Test
+  void daemonsWhoseReportsTheRestoredStoreLostStayLive() {
+    listener.onFullRead(new SharedReadResult(List.of(), 1, 1));
+    runRound(Set.of(), null);
+    assertThat(state.daemonCount()).isEqualTo(DAEMONS);
+    listener.onFullRead(
+        new SharedReadResult(List.of(), new StorePosition(1, sequence - 1), 10_000, 0));
+    assertThat(state.daemonCount()).isEqualTo(DAEMONS);
+  }
+
   /** A report that stays in the store must not renew the evidence in it. */
   @Test
   void ageOfReportCountsTowardsAgeOfItsEvidence() {
