Take a lease over with an epoch of its own after the store was restored

If the store returns from an earlier copy, a change of the holder of the duties may be lost. The row then names the holder before it, which went on with its lower epoch, or another daemon took the lease over with an epoch that had been used; a release that was taken up since let the next holder act at once, beside the one that was lost.

After a restore nobody continues a lease: it is taken over once it was seen unchanged in the new era for as long as a lease lasts, with an epoch from a range of the era's own. nobodyContinuesOrRepeatsAnEpochAfterTheStoreWasRestored and releasedLeaseOfAnEarlierEraIsNotTakenOverAtOnce failed before (epochs 1 and 2 at once).

--- a/core/src/main/java/org/heatherspread/core/lease/LeaseClient.java
+++ b/core/src/main/java/org/heatherspread/core/lease/LeaseClient.java
@@ -20,11 +20,16 @@
  * {@link #fencingToken} is present only until the last renewal, measured from before it was sent,
  * expires less the margin. After a longer pause of the process it is empty until the row has been
  * read or written again. A write without an answer extends the lease only once the row has been
- * read back. Thread-safe.
+ * read back. After a restore of the store, which may have lost a change of holder, nobody continues
+ * a lease: it is taken over as if its holder had stopped, with an epoch that no holder can have had
+ * before. Thread-safe.
  */
 public final class LeaseClient {
   private static final String PARTITION = "lease";
 
+  /** Epochs for each era of the store, more than there are changes of holder in an era. */
+  private static final long EPOCHS_PER_ERA = 1_000;
+
   private final String name;
   private final String self;
   private final LeaseSettings settings;
@@ -32,6 +37,7 @@
   private final MonotonicClock clock;
   private final Supplier<String> writeIds;
   private Row observedRow;
+  private long observedEra;
   private long observedSinceMillis;
   private long nextStepMillis;
   private boolean stepInProgress;
@@ -126,6 +132,9 @@
     Row row;
     boolean expired;
     synchronized (this) {
+      if (heldEpoch.isPresent() && isFromEarlierEra(heldEpoch.getAsLong())) {
+        clearHold();
+      }
       row = observedRow;
       expired = heldEpoch.isPresent() && clock.millis() >= validUntilMillis;
     }
@@ -137,31 +146,43 @@
 
   private CompletableFuture<Void> afterRead(Optional<Row> found, int rank) {
     if (found.isEmpty()) {
-      return rank == 0 ? write(null, new LeaseRecord(self, 1)) : completed();
+      return rank == 0 ? write(null, new LeaseRecord(self, firstEpoch())) : completed();
     }
     Row row = found.get();
     observe(row);
     LeaseRecord lease = LeaseRecord.parse(row.body());
-    if (lease.holder().equals(self)) {
+    if (lease.holder().equals(self) && !isFromEarlierEra(lease.epoch())) {
       return write(row, lease);
     }
     clearHold();
     if (!mayTakeOver(lease, rank)) {
       return completed();
     }
-    return write(row, new LeaseRecord(self, lease.epoch() + 1));
+    return write(row, new LeaseRecord(self, Math.max(firstEpoch(), lease.epoch() + 1)));
+  }
+
+  private long firstEpoch() {
+    return store.era() * EPOCHS_PER_ERA + 1;
+  }
+
+  private boolean isFromEarlierEra(long epoch) {
+    return epoch < firstEpoch();
   }
 
   private synchronized void observe(Row row) {
-    boolean unchanged = observedRow != null && observedRow.writeId().equals(row.writeId());
+    boolean unchanged =
+        observedRow != null
+            && observedEra == store.era()
+            && observedRow.writeId().equals(row.writeId());
     if (!unchanged) {
       observedRow = row;
+      observedEra = store.era();
       observedSinceMillis = clock.millis();
     }
   }
 
   private synchronized boolean mayTakeOver(LeaseRecord lease, int rank) {
-    if (lease.holder().isEmpty()) {
+    if (lease.holder().isEmpty() && !isFromEarlierEra(lease.epoch())) {
       return rank == 0 || rowUnchangedMillis() >= rank * settings.duration().toMillis();
     }
     long expiryMillis = settings.duration().plus(settings.margin()).toMillis();
--- a/core/src/main/java/org/heatherspread/core/store/TableStore.java
+++ b/core/src/main/java/org/heatherspread/core/store/TableStore.java
@@ -25,4 +25,12 @@
 
   /** Deletes a row if the condition is met. */
   CompletableFuture<WriteResult> delete(RowKey key, Condition condition);
+
+  /**
+   * Returns the number of times that the service is known to have been restored from an earlier
+   * copy, without the latest writes.
+   */
+  default long era() {
+    return 0;
+  }
 }
--- a/core/src/test/java/org/heatherspread/core/lease/LeaseClientTest.java
+++ b/core/src/test/java/org/heatherspread/core/lease/LeaseClientTest.java
@@ -78,6 +78,45 @@
     assertThat(first.fencingToken()).hasValue(1);
   }
 
+  /**
+   * The restored store has lost that the second daemon took the lease over; the first one finds
+   * itself in the row.
+   */
+  @Test
+  void nobodyContinuesOrRepeatsAnEpochAfterTheStoreWasRestored() {
+    RestorableTableStore store = new RestorableTableStore();
+    LeaseClient first = client("d1", store);
+    final LeaseClient second = client("d2", store);
+    final LeaseClient third = client("d3", store);
+    advance(Duration.ofSeconds(10), first);
+    store.backUp();
+    advance(Duration.ofSeconds(40), second);
+    final long lostEpoch = second.fencingToken().orElseThrow();
+    store.restore();
+    advance(Duration.ofSeconds(2), first, second, third);
+    assertThat(first.fencingToken()).as("before the lost holder's lease has expired").isEmpty();
+    advance(Duration.ofSeconds(40), first, third);
+    assertThat(first.fencingToken().orElseThrow()).isGreaterThan(lostEpoch);
+    assertThat(second.fencingToken()).isEmpty();
+  }
+
+  @Test
+  void releasedLeaseOfAnEarlierEraIsNotTakenOverAtOnce() {
+    RestorableTableStore store = new RestorableTableStore();
+    LeaseClient first = client("d1", store);
+    final LeaseClient second = client("d2", store);
+    advance(Duration.ofSeconds(10), first);
+    first.release();
+    store.backUp();
+    advance(Duration.ofSeconds(5), second);
+    final long lostEpoch = second.fencingToken().orElseThrow();
+    store.restore();
+    advance(Duration.ofSeconds(2), first);
+    assertThat(first.fencingToken()).isEmpty();
+    advance(Duration.ofSeconds(40), first);
+    assertThat(first.fencingToken().orElseThrow()).isGreaterThan(lostEpoch);
+  }
+
   /**
    * Two daemons could hold the lease at once if their clocks run at different rates (here up to 5 %
    * apart), if a process is paused, or if the store loses or delays writes.
