Count each end of an endpoint that starts again under its id before its registration says so

The endpoint that the second request chose had ended before and was back under its id; its start time comes with the store, which was away, so that both ends had the same id and counted once.

A connection that an endpoint accepts after it has crashed shows that it started again, and its next crash gets an id of its own. A daemon that did not see all restarts numbers fewer crashes than there were, never more. crashingRequestIsRefusedIfTheSameEndpointsEndAgainWhileTheStoreIsDown, with two endpoints, failed before (6 executions instead of 4).

--- a/core/src/main/java/org/heatherspread/core/poison/EndpointLossTracker.java
+++ b/core/src/main/java/org/heatherspread/core/poison/EndpointLossTracker.java
@@ -12,8 +12,11 @@
  * crashed.
  *
  * <p>An accepted connection does not prove that the incarnation is alive, as its successor may
- * already listen at the same address; only a response of the incarnation itself does. Invariant:
- * losses and crashes are kept for a limited time and in limited number. Confined to one thread.
+ * already listen at the same address; only a response of the incarnation itself does. After a
+ * crash, an accepted connection shows that the endpoint has started again, which its registration
+ * may not say yet; its next crash then has an id of its own. Daemons may number fewer crashes of an
+ * endpoint than there were, but never more. Invariant: losses and crashes are kept for a limited
+ * time and in limited number. Confined to one thread.
  */
 public final class EndpointLossTracker {
   /** Time in which a crash is noticed by a refused connection or by the endpoint's registration. */
@@ -27,13 +30,15 @@
 
   private static final class Losses {
     private final long startMillis;
+    private final int restarts;
     private final Set<Suspect> suspects = new HashSet<>();
     private long lastMillis;
     private boolean probing;
     private boolean crashed;
 
-    private Losses(long startMillis) {
+    private Losses(long startMillis, int restarts) {
       this.startMillis = startMillis;
+      this.restarts = restarts;
     }
   }
 
@@ -64,7 +69,7 @@
     if (known != null && known.crashed) {
       return NextStep.COUNT_CRASH;
     }
-    Losses current = known == null ? new Losses(now) : known;
+    Losses current = known == null ? new Losses(now, 0) : known;
     losses.put(incarnation, current);
     if (losses.size() > MAX_INCARNATIONS) {
       losses.remove(losses.keySet().iterator().next());
@@ -91,19 +96,34 @@
     }
   }
 
-  /** Records that a probe was accepted, so that the next loss requires another one. */
-  public void probeAccepted(EndpointIncarnation incarnation) {
+  /**
+   * Records that the endpoint accepted a new connection, so that the next loss requires another
+   * probe.
+   */
+  public void connectionAccepted(EndpointIncarnation incarnation) {
     Losses known = losses.get(incarnation);
-    if (known != null) {
-      known.probing = false;
+    if (known == null) {
+      return;
+    }
+    known.probing = false;
+    if (known.crashed) {
+      losses.remove(incarnation);
+      losses.put(incarnation, new Losses(clock.millis(), known.restarts + 1));
     }
   }
 
+  /** Returns the id of the latest crash of an incarnation. */
+  public String crashId(EndpointIncarnation incarnation) {
+    Losses known = losses.get(incarnation);
+    int restarts = known == null ? 0 : known.restarts;
+    return incarnation.crashId() + (restarts == 0 ? "" : "/" + restarts);
+  }
+
   /** Returns whether connections broke and it is not known whether the incarnation has crashed. */
   public boolean isUnresolved(EndpointIncarnation incarnation) {
     removeExpired();
     Losses known = losses.get(incarnation);
-    return known != null && !known.crashed;
+    return known != null && !known.crashed && !known.suspects.isEmpty();
   }
 
   /** Records that an incarnation has crashed, and returns the suspects whose connections broke. */
--- a/core/src/test/java/org/heatherspread/core/poison/EndpointLossTrackerTest.java
+++ b/core/src/test/java/org/heatherspread/core/poison/EndpointLossTrackerTest.java
@@ -29,12 +29,25 @@
   @Test
   void acceptedProbeDoesNotRefuteLosses() {
     tracker.recordLoss(ENDPOINT, Set.of(FIRST));
-    tracker.probeAccepted(ENDPOINT);
+    tracker.connectionAccepted(ENDPOINT);
     assertThat(tracker.isUnresolved(ENDPOINT)).isTrue();
     assertThat(tracker.recordLoss(ENDPOINT, Set.of(SECOND))).isEqualTo(NextStep.PROBE);
     assertThat(tracker.resolveAsCrash(ENDPOINT)).containsExactlyInAnyOrder(FIRST, SECOND);
   }
 
+  /** The registration that tells the new incarnation may arrive later, or the store may be away. */
+  @Test
+  void endpointThatAcceptsConnectionsAgainHasAnotherCrash() {
+    tracker.recordLoss(ENDPOINT, Set.of(FIRST));
+    tracker.resolveAsCrash(ENDPOINT);
+    final String firstCrash = tracker.crashId(ENDPOINT);
+    tracker.connectionAccepted(ENDPOINT);
+    assertThat(tracker.isUnresolved(ENDPOINT)).isFalse();
+    assertThat(tracker.recordLoss(ENDPOINT, Set.of(SECOND))).isEqualTo(NextStep.PROBE);
+    assertThat(tracker.resolveAsCrash(ENDPOINT)).containsExactly(SECOND);
+    assertThat(tracker.crashId(ENDPOINT)).isNotEqualTo(firstCrash);
+  }
+
   @Test
   void responseToLaterRequestRefutesEarlierLosses() {
     long beforeMillis = clock.millis();
--- a/core/src/test/java/org/heatherspread/core/lease/RestorableTableStore.java
+++ b/core/src/test/java/org/heatherspread/core/store/RestorableTableStore.java
@@ -1,28 +1,31 @@
-package org.heatherspread.core.lease;
+package org.heatherspread.core.store;
 
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import org.heatherspread.core.store.Condition;
-import org.heatherspread.core.store.InMemoryTableStore;
-import org.heatherspread.core.store.Row;
-import org.heatherspread.core.store.RowKey;
-import org.heatherspread.core.store.TableStore;
-import org.heatherspread.core.store.WriteResult;
-
-/** Store of leases that can return from an earlier copy. Not thread-safe. */
-final class RestorableTableStore implements TableStore {
+
+/** Store whose rows of one partition can return from an earlier copy. Not thread-safe. */
+public final class RestorableTableStore implements TableStore {
   private static final int MAX_ROWS = 100;
 
+  private final String partition;
+
   private InMemoryTableStore store = InMemoryTableStore.create();
   private List<Row> copy = List.of();
   private long era;
 
-  void backUp() {
-    copy = store.query("lease", "", MAX_ROWS).join();
+  /** Creates an empty store. */
+  public RestorableTableStore(String partition) {
+    this.partition = partition;
+  }
+
+  /** Copies the rows. */
+  public void backUp() {
+    copy = store.query(partition, "", MAX_ROWS).join();
   }
 
-  void restore() {
+  /** Replaces the rows by the copy. */
+  public void restore() {
     store = InMemoryTableStore.create();
     copy.forEach(row -> store.put(row, Condition.absent()).join());
     era++;
--- a/node/src/test/java/org/heatherspread/node/soak/CrashingRequestTest.java
+++ b/node/src/test/java/org/heatherspread/node/soak/CrashingRequestTest.java
@@ -102,21 +102,33 @@
   @Test
   void crashingRequestIsRefusedByAllDaemonsWhileTheStoreIsDown() throws Exception {
     try (CrashFleet fleet = CrashFleet.start(DAEMONS, ENDPOINTS, folder)) {
-      for (SoakEndpoint endpoint : fleet.endpoints()) {
-        endpoint.setRestart(500, true);
-      }
-      fleet.platform().setFault(FakePlatform.Fault.UNAVAILABLE);
-      while (fleet.crashingExecutions() < CRASHES) {
-        fleet.sendCrashing(0);
-      }
+      checkRefusalWithoutStore(fleet);
+    }
+  }
+
+  /** Without the store, daemons do not learn that an endpoint has started again under its id. */
+  @Test
+  void crashingRequestIsRefusedIfTheSameEndpointsEndAgainWhileTheStoreIsDown() throws Exception {
+    try (CrashFleet fleet = CrashFleet.start(DAEMONS, 2, folder)) {
+      checkRefusalWithoutStore(fleet);
+    }
+  }
+
+  private static void checkRefusalWithoutStore(CrashFleet fleet) throws Exception {
+    for (SoakEndpoint endpoint : fleet.endpoints()) {
+      endpoint.setRestart(500, true);
+    }
+    fleet.platform().setFault(FakePlatform.Fault.UNAVAILABLE);
+    while (fleet.crashingExecutions() < CRASHES) {
+      fleet.sendCrashing(0);
       fleet.awaitEndpoints();
-      long before = fleet.crashingExecutions();
-      for (int daemon = 0; daemon < DAEMONS; daemon++) {
-        fleet.sendCrashing(daemon);
-      }
-      assertThat(fleet.crashingExecutions()).isEqualTo(before);
-      assertThat(fleet.send(1, "sound", "sound", "")).isEqualTo(200);
     }
+    long before = fleet.crashingExecutions();
+    for (int daemon = 0; daemon < DAEMONS; daemon++) {
+      fleet.sendCrashing(daemon);
+    }
+    assertThat(fleet.crashingExecutions()).isEqualTo(before);
+    assertThat(fleet.send(1, "sound", "sound", "")).isEqualTo(200);
   }
 
   /** A restarted endpoint accepts connections that were meant for its predecessor. */
--- a/relay/src/main/java/org/heatherspread/relay/call/Attempt.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/Attempt.java
@@ -133,6 +133,9 @@
       }
       return;
     }
+    if (acquired.isUnused()) {
+      state.poisonFilter().connectionAccepted(endpoint);
+    }
     if (call.failIfCrashing()) {
       close();
       acquired.releaseUnused();
--- a/relay/src/main/java/org/heatherspread/relay/call/PoisonRequestFilter.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/PoisonRequestFilter.java
@@ -103,13 +103,13 @@
     if (step == EndpointLossTracker.NextStep.PROBE) {
       probe.probe(endpoint);
     } else if (step == EndpointLossTracker.NextStep.COUNT_CRASH) {
-      recordCrash(suspects, incarnation);
+      recordCrash(suspects, losses.crashId(incarnation));
     }
   }
 
-  /** Records that an endpoint accepted the connection of a probe. */
-  void probeAccepted(TrackedEndpoint endpoint) {
-    losses.probeAccepted(incarnation(endpoint));
+  /** Records that an endpoint accepted a new connection. */
+  void connectionAccepted(TrackedEndpoint endpoint) {
+    losses.connectionAccepted(incarnation(endpoint));
   }
 
   /** Returns whether it is not known yet whether an endpoint with lost connections has crashed. */
@@ -134,14 +134,14 @@
   public void endpointCrashed(TrackedEndpoint endpoint) {
     if (!endpoint.registration().leaving()) {
       EndpointIncarnation incarnation = incarnation(endpoint);
-      recordCrash(losses.resolveAsCrash(incarnation), incarnation);
+      recordCrash(losses.resolveAsCrash(incarnation), losses.crashId(incarnation));
     }
   }
 
-  private void recordCrash(Set<Suspect> suspects, EndpointIncarnation incarnation) {
+  private void recordCrash(Set<Suspect> suspects, String crashId) {
     for (Suspect suspect : suspects) {
-      if (ledger.recordCrash(suspect, incarnation.crashId())) {
-        logEvidence(suspect, incarnation.crashId());
+      if (ledger.recordCrash(suspect, crashId)) {
+        logEvidence(suspect, crashId);
       }
     }
     if (!suspects.isEmpty()) {
--- a/relay/src/main/java/org/heatherspread/relay/call/RelayState.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/RelayState.java
@@ -126,7 +126,7 @@
         new ConnectionPool.ConnectionListener() {
           @Override
           public void onConnected(EndpointConnection connection) {
-            poisonFilter.probeAccepted(endpoint);
+            poisonFilter.connectionAccepted(endpoint);
             connection.releaseUnused();
           }
 
--- a/relay/src/test/java/org/heatherspread/relay/call/PoisonRequestFilterTest.java
+++ b/relay/src/test/java/org/heatherspread/relay/call/PoisonRequestFilterTest.java
@@ -102,7 +102,7 @@
     reporter.connectionLost(endpoint, context(), false);
     reporter.connectionLost(endpoint, context(), false);
     assertThat(probes).containsExactly("e1");
-    reporter.probeAccepted(endpoint);
+    reporter.connectionAccepted(endpoint);
     reporter.connectionLost(endpoint, context(), false);
     assertThat(probes).containsExactly("e1", "e1");
   }
