Bound the memory that endless responses can take

An endpoint, or what listens at its address, may send bytes without end. Each response could take 8 MB, of as many requests as there are at once, beside a heap of 120 MB; a call between processes, such as that which migrates a stream, had no bound at all.

Responses that are buffered until they are complete share 24 MB, an event may take 256 KB, and a call fails beyond 4 MB. endlessResponseEndsTheCallAndItsConnection failed before (305 MB were received until the loop ran out of memory); EndlessResponseTest guards bodies, heads and events, of which only the shared buffer is new.

--- a/relay/src/main/java/org/heatherspread/relay/call/Attempt.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/Attempt.java
@@ -35,7 +35,7 @@
     implements ConnectionPool.ConnectionListener, ResponseListener, RelayState.MigratableStream {
   private static final Logger log = LoggerFactory.getLogger(Attempt.class);
 
-  private static final int MAX_EVENT_BYTES = 1 << 20;
+  private static final int MAX_EVENT_BYTES = 1 << 18;
 
   private static final int MAX_BODY_BYTES = 8 << 20;
 
@@ -249,10 +249,15 @@
       }
       return;
     }
-    body.writeBytes(chunk);
-    if (body.size() > MAX_BODY_BYTES) {
-      rejectResponse("response too large");
+    if (body.size() + chunk.length > MAX_BODY_BYTES) {
+      rejectResponse("response exceeds " + MAX_BODY_BYTES + " bytes");
+      return;
+    }
+    if (!state.responseBuffers().reserve(chunk.length)) {
+      rejectResponse("responses in progress exceed their buffers");
+      return;
     }
+    body.writeBytes(chunk);
   }
 
   private void onEvent(byte[] bytes, long id) {
@@ -507,6 +512,9 @@
   }
 
   private void close() {
+    if (!closed && body != null) {
+      state.responseBuffers().release(body.size());
+    }
     closed = true;
     trackedRequest.end();
     state.unregisterStream(endpoint.id(), this);
--- a/relay/src/main/java/org/heatherspread/relay/call/RelayState.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/RelayState.java
@@ -48,6 +48,9 @@
       new CrashPolicy(
           3, 4, Duration.ofMinutes(2), Duration.ofMinutes(30), Duration.ofMinutes(1), 1_000);
 
+  /** Maximum size of all buffered response bodies, a small part of the heap. */
+  private static final long MAX_BUFFERED_BYTES = 24 << 20;
+
   /** Pause before an endpoint is probed again that did not respond to a probe. */
   private static final long PROBE_PAUSE_MILLIS = 250;
 
@@ -78,6 +81,7 @@
   private final StreamMigrator migrator;
   private final Map<String, Set<MigratableStream>> streamsByEndpoint = new HashMap<>();
   private final PoisonRequestFilter poisonFilter;
+  private final BufferBudget responseBuffers = BufferBudget.create(MAX_BUFFERED_BYTES);
   private final AnswerLengthEstimator answerLengths = AnswerLengthEstimator.create();
   private ServingConfig config;
   private int daemonCount = 1;
@@ -270,6 +274,11 @@
     return poisonFilter;
   }
 
+  /** Returns the budget for buffered response bodies. */
+  BufferBudget responseBuffers() {
+    return responseBuffers;
+  }
+
   /** Returns the estimator of answer lengths. */
   public AnswerLengthEstimator answerLengths() {
     return answerLengths;
--- a/relay/src/main/java/org/heatherspread/relay/rpc/RpcClient.java
+++ b/relay/src/main/java/org/heatherspread/relay/rpc/RpcClient.java
@@ -30,10 +30,10 @@
 import org.heatherspread.relay.endpoint.ResponseListener;
 
 /**
- * Makes short HTTP calls to one address over pooled connections. Calls beyond the maximum in
- * progress wait in order, within their timeouts. A call that times out closes its connection and
- * the idle ones, which a network partition may have made unresponsive as well. Futures complete on
- * the event loop; confined to it.
+ * Makes short HTTP calls to one address over pooled connections, with responses of limited size.
+ * Calls beyond the maximum in progress wait in order, within their timeouts. A call that times out
+ * closes its connection and the idle ones, which a network partition may have made unresponsive as
+ * well. Futures complete on the event loop; confined to it.
  */
 public final class RpcClient {
   private static final int MAX_CALLS_IN_PROGRESS = 8;
@@ -44,6 +44,9 @@
   private static final int CONNECT_TIMEOUT_MILLIS = 600;
   private static final long MAX_IDLE_MILLIS = 8_000;
 
+  /** Maximum size of a response, several times that of the largest page of the store. */
+  private static final int MAX_RESPONSE_BYTES = 4 << 20;
+
   private final EventLoop loop;
   private final HostPort address;
   private final ConnectionPool pool;
@@ -169,6 +172,14 @@
 
     @Override
     public void onContent(ByteBuf bytes) {
+      if (body.size() + bytes.readableBytes() > MAX_RESPONSE_BYTES) {
+        connection.abort();
+        fail(
+            failure(
+                ErrorKind.STORE_OUTCOME_UNKNOWN,
+                "response exceeds " + MAX_RESPONSE_BYTES + " bytes"));
+        return;
+      }
       body.writeBytes(ByteBufUtil.getBytes(bytes));
     }
 
--- /dev/null
+++ b/relay/src/test/java/org/heatherspread/relay/call/EndlessResponseTest.java
@@ -0,0 +1,109 @@
+package org.heatherspread.relay.call;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.heatherspread.relay.FakeEndpoint;
+import org.heatherspread.relay.RelayHarness;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Endpoints that send bytes until the relay closes the connection. */
+class EndlessResponseTest {
+  private static final int CALLS = 16;
+  private static final String BLOCK = "x".repeat(1 << 16);
+
+  private final AtomicLong sentBytes = new AtomicLong();
+  private RelayHarness harness;
+
+  @BeforeEach
+  void start() throws Exception {
+    harness = RelayHarness.start();
+  }
+
+  @AfterEach
+  void stop() {
+    harness.close();
+  }
+
+  private FakeEndpoint endless(String head, String block) throws Exception {
+    return FakeEndpoint.start(
+        (request, connection) -> {
+          connection.send(head);
+          while (true) {
+            connection.send(block);
+            sentBytes.addAndGet(block.length());
+          }
+        });
+  }
+
+  private List<String> callAll(String method, String path) {
+    List<CompletableFuture<String>> calls = new ArrayList<>();
+    for (int i = 0; i < CALLS; i++) {
+      String id = "id-" + i;
+      calls.add(
+          CompletableFuture.supplyAsync(
+              () -> {
+                try {
+                  return harness.call(method, path, id);
+                } catch (Exception e) {
+                  throw new IllegalStateException(e);
+                }
+              }));
+    }
+    List<String> responses = new ArrayList<>();
+    for (CompletableFuture<String> call : calls) {
+      responses.add(call.orTimeout(20, TimeUnit.SECONDS).join());
+    }
+    return responses;
+  }
+
+  @Test
+  void endlessBodiesShareOneBuffer() throws Exception {
+    String head = "HTTP/1.1 200 X\r\nServer-Signature: s\r\nContent-Length: 900000000\r\n\r\n";
+    FakeEndpoint endpoint =
+        FakeEndpoint.start(
+            (request, connection) -> {
+              connection.send(head.replace("X\r", "X\r\nAttempt-Id: " + id(request) + "\r"));
+              while (true) {
+                connection.send(BLOCK);
+                sentBytes.addAndGet(BLOCK.length());
+              }
+            });
+    harness.register(endpoint);
+    CompletableFuture<List<String>> responses =
+        CompletableFuture.supplyAsync(() -> callAll("POST", "/write/a"));
+    AtomicLong peakBytes = new AtomicLong();
+    while (!responses.isDone()) {
+      harness.onLoop(
+          state -> peakBytes.accumulateAndGet(state.responseBuffers().usedBytes(), Math::max));
+    }
+    assertThat(responses.get()).allMatch(text -> text.startsWith("HTTP/1.1 50"));
+    assertThat(peakBytes.get()).isBetween(1L, 24L << 20);
+    harness.onLoop(state -> assertThat(state.responseBuffers().usedBytes()).isZero());
+  }
+
+  private static String id(FakeEndpoint.Request request) {
+    return request.header("attempt-id");
+  }
+
+  @Test
+  void endlessHeadEndsTheRequest() throws Exception {
+    harness.register(endless("HTTP/1.1 200 X\r\n", "X-Filler: " + "x".repeat(1_000) + "\r\n"));
+    assertThat(harness.call("POST", "/write/a", "id-1")).startsWith("HTTP/1.1 502");
+    assertThat(sentBytes.get()).isLessThan(16 << 20);
+  }
+
+  @Test
+  void endlessEventEndsTheStream() throws Exception {
+    String head = "HTTP/1.1 200 X\r\nAttempt-Id: id-1\r\nServer-Signature: s\r\n\r\n";
+    harness.register(endless(head, BLOCK));
+    assertThat(harness.call("POST", "/reply/a", "id-1")).startsWith("HTTP/1.1 502");
+    assertThat(sentBytes.get()).isLessThan(16 << 20);
+  }
+}
--- a/relay/src/test/java/org/heatherspread/relay/rpc/RpcClientTest.java
+++ b/relay/src/test/java/org/heatherspread/relay/rpc/RpcClientTest.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
 import org.heatherspread.core.serving.HostPort;
 import org.heatherspread.core.time.MonotonicClock;
 import org.heatherspread.relay.FakeEndpoint;
@@ -63,6 +64,33 @@
     }
   }
 
+  @Test
+  void endlessResponseEndsTheCallAndItsConnection() throws Exception {
+    CompletableFuture<Void> closed = new CompletableFuture<>();
+    AtomicLong sentBytes = new AtomicLong();
+    FakeEndpoint.Script script =
+        (request, connection) -> {
+          String block = "x".repeat(1 << 16);
+          try {
+            connection.send("HTTP/1.1 200 X\r\n\r\n");
+            while (true) {
+              connection.send(block);
+              sentBytes.addAndGet(block.length());
+            }
+          } finally {
+            closed.complete(null);
+          }
+        };
+    try (FakeEndpoint endpoint = FakeEndpoint.start(script)) {
+      RpcClient client = createClient(endpoint);
+      CompletableFuture<RpcResponse> call =
+          loop.submit(() -> client.call(HttpMethod.GET, "/", Map.of(), new byte[0], TIMEOUT)).get();
+      assertThat(call).failsWithin(Duration.ofSeconds(10));
+      assertThat(closed).succeedsWithin(Duration.ofSeconds(10));
+      assertThat(sentBytes.get()).isLessThan(32 << 20);
+    }
+  }
+
   @Test
   void waitingCallsFailAtTheirTimeout() throws Exception {
     try (FakeEndpoint endpoint =
