Let the soak end endpoints by requests, restore the store, and send answers without end or with the connection's end

New kinds: STORE_RESTORED (the store is away for 0.3 s and returns from a copy some seconds old; operators and endpoints write again) and CRASHING_REQUESTS (one request, and prompts with one segment, that end each endpoint that begins their answers, until the end of the run; once five endpoints ended, at most three more may after the faults are cleared, beside the bound on what sound callers of the same account and first segment get). A faulty endpoint may send a head or body without end; a tenth of all answers end with their connections, some streams within an event.

--- a/node/src/test/java/org/heatherspread/node/soak/FaultKind.java
+++ b/node/src/test/java/org/heatherspread/node/soak/FaultKind.java
@@ -20,6 +20,10 @@
   STORE,
   /** The store drops its history of changes. */
   STORE_HISTORY,
+  /** The store fails for a moment and returns from a copy that is some seconds old. */
+  STORE_RESTORED,
+  /** Callers send requests that end each endpoint that begins their answers. */
+  CRASHING_REQUESTS,
   /** The proxy in front of an endpoint delays, stalls or refuses its connections. */
   ENDPOINT_LINK,
   /** All connections to an endpoint are reset. */
--- a/node/src/test/java/org/heatherspread/node/soak/RequestHistory.java
+++ b/node/src/test/java/org/heatherspread/node/soak/RequestHistory.java
@@ -28,6 +28,9 @@
 
   private static final int OK = 200;
 
+  /** Start of the ids of requests that end each endpoint that begins their answers. */
+  static final String CRASHING = "crash-";
+
   private final Map<String, SentRequest> sent = new ConcurrentHashMap<>();
   private final Queue<Execution> executions = new ConcurrentLinkedQueue<>();
   private final Queue<String> reportedViolations = new ConcurrentLinkedQueue<>();
@@ -67,7 +70,11 @@
    *
    * @param keyForwarded whether the endpoint received the caller's key
    */
-  record Execution(String id, String service, String account, boolean keyForwarded) {}
+  record Execution(String id, String service, String account, boolean keyForwarded, long atNanos) {
+    Execution(String id, String service, String account, boolean keyForwarded) {
+      this(id, service, account, keyForwarded, System.nanoTime());
+    }
+  }
 
   /**
    * The result of a request at its caller.
@@ -105,15 +112,16 @@
   }
 
   /**
-   * Returns the fraction of requests with valid keys sent since a time that got a complete response
-   * with status 200.
+   * Returns the fraction of sound requests with valid keys sent since a time that got a complete
+   * response with status 200.
    */
   double successRateSince(long nanos) {
     int total = 0;
     int succeeded = 0;
     for (SentRequest request : sent.values()) {
       Response response = responses.get(request.id());
-      if (request.sentNanos() < nanos || response == null || request.mayBeRejected()) {
+      boolean sound = !request.id().startsWith(CRASHING);
+      if (!sound || request.sentNanos() < nanos || response == null || request.mayBeRejected()) {
         continue;
       }
       total++;
@@ -124,7 +132,14 @@
 
   /** Returns the number of executions of requests whose ids start with a prefix. */
   long executionCount(String idPrefix) {
-    return executions.stream().filter(execution -> execution.id().startsWith(idPrefix)).count();
+    return executionCountSince(idPrefix, Long.MIN_VALUE);
+  }
+
+  /** Returns the number of these executions since a time. */
+  long executionCountSince(String idPrefix, long nanos) {
+    return executions.stream()
+        .filter(execution -> execution.id().startsWith(idPrefix) && execution.atNanos() >= nanos)
+        .count();
   }
 
   /** Returns all violations found so far. */
--- a/node/src/test/java/org/heatherspread/node/soak/SoakCaller.java
+++ b/node/src/test/java/org/heatherspread/node/soak/SoakCaller.java
@@ -15,19 +15,34 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Supplier;
+import org.heatherspread.relay.FakeEndpoint;
 
 /**
  * Caller that sends requests one after the other on a persistent connection and checks each
- * response. Confined to one thread.
+ * response. The prompts of all callers begin with the same segment. Confined to one thread.
  */
 final class SoakCaller implements Runnable {
   private static final Set<String> RETRYABLE_ROUTES = Set.of("read", "draft");
   private static final List<String> ROUTES = List.of("read", "write", "draft", "reply");
   private static final int DEADLINE_MILLIS = 2_500;
   private static final int MAX_PAUSE_MILLIS = 40;
+  private static final int CRASHING_PAUSE_MILLIS = 300;
   private static final double DISCONNECT_PROBABILITY = 0.02;
+  private static final String CRASHING_PATH = "/draft/crash";
+  private static final String CRASHING_SEGMENT = "dead:20,";
+
+  /** What the requests of a caller have in common. */
+  enum Kind {
+    /** They are sound. */
+    SOUND,
+    /** They are identical and end each endpoint that begins their answers. */
+    CRASHING_REQUEST,
+    /** They have a segment in their prompts that does so. */
+    CRASHING_SEGMENT
+  }
 
   private final String name;
+  private final Kind kind;
   private final RequestHistory history;
   private final SplittableRandom random;
   private final Supplier<List<Integer>> daemons;
@@ -38,12 +53,14 @@
 
   SoakCaller(
       String name,
+      Kind kind,
       RequestHistory history,
       SplittableRandom random,
       Supplier<List<Integer>> daemons,
       Supplier<AccountKeys.Key> keys,
       AtomicBoolean stopped) {
     this.name = name;
+    this.kind = kind;
     this.history = history;
     this.random = random;
     this.daemons = daemons;
@@ -56,7 +73,8 @@
     while (!stopped.get()) {
       try {
         sendRequest();
-        TimeUnit.MILLISECONDS.sleep(random.nextInt(MAX_PAUSE_MILLIS));
+        int maxPauseMillis = kind == Kind.SOUND ? MAX_PAUSE_MILLIS : CRASHING_PAUSE_MILLIS;
+        TimeUnit.MILLISECONDS.sleep(random.nextInt(maxPauseMillis));
       } catch (InterruptedException e) {
         return;
       }
@@ -64,7 +82,7 @@
   }
 
   private void sendRequest() throws InterruptedException {
-    String route = ROUTES.get(random.nextInt(ROUTES.size()));
+    String route = kind == Kind.SOUND ? ROUTES.get(random.nextInt(ROUTES.size())) : "draft";
     String id = name + "-" + sentCount++;
     AccountKeys.Key key = keys.get();
     boolean disconnects = random.nextDouble() < DISCONNECT_PROBABILITY;
@@ -88,12 +106,14 @@
               key));
       String head =
           (route.equals("read") ? "GET" : "POST")
-              + " /"
-              + route
-              + "/x HTTP/1.1\r\nHost: soak.example\r\nAttempt-Id: "
+              + " "
+              + (kind == Kind.CRASHING_REQUEST ? CRASHING_PATH : "/" + route + "/x")
+              + " HTTP/1.1\r\nHost: soak.example\r\nAttempt-Id: "
               + id
               + "\r\nDeadline-Remaining: "
               + DEADLINE_MILLIS
+              + "\r\nToken-Counts: 100,20\r\nPrompt-Prefix: "
+              + prompt()
               + "\r\nAuthorization: Bearer "
               + key.value()
               + "\r\nContent-Length: 0\r\n\r\n";
@@ -113,6 +133,18 @@
     }
   }
 
+  /** Returns the segments of a prompt of which only the last differs from those of its kind. */
+  private String prompt() {
+    String own = Integer.toHexString(System.identityHashCode(this)) + sentCount + ":30";
+    return "a1:50," + (kind == Kind.CRASHING_SEGMENT ? CRASHING_SEGMENT : "") + own;
+  }
+
+  /** Returns whether an endpoint that begins the answer to a request ends. */
+  static boolean endsEndpoint(FakeEndpoint.Request request) {
+    String prompt = String.valueOf(request.header("prompt-prefix"));
+    return request.requestLine().contains(CRASHING_PATH) || prompt.contains(CRASHING_SEGMENT);
+  }
+
   private Socket obtainConnection() throws IOException {
     if (socket == null) {
       List<Integer> ports = daemons.get();
--- a/node/src/test/java/org/heatherspread/node/soak/SoakEndpoint.java
+++ b/node/src/test/java/org/heatherspread/node/soak/SoakEndpoint.java
@@ -9,9 +9,10 @@
 
 /**
  * Endpoint behind a proxy that registers itself and fails a configurable fraction of its requests:
- * it refuses them, resets connections before or within the response, or sends a further response
- * that belongs to another request. A request that matches the crash trigger ends the endpoint as
- * soon as its answer begins; a new incarnation starts at the same address later. Thread-safe.
+ * it refuses them, resets connections before or within the response, sends bytes without end, or
+ * sends a further response that belongs to another request. Some of its responses end with their
+ * connections. A request that matches the crash trigger ends the endpoint as soon as its answer
+ * begins; a new incarnation starts at the same address later. Thread-safe.
  */
 final class SoakEndpoint implements AutoCloseable {
   /** Number of events in a complete stream. */
@@ -24,6 +25,8 @@
 
   private static final int MAX_WORK_MILLIS = 30;
   private static final int EVENT_INTERVAL_MILLIS = 25;
+  private static final double DELIMITED_BY_CLOSE_PROBABILITY = 0.1;
+  private static final String ENDLESS_BLOCK = "x".repeat(1 << 14);
 
   private final String name;
   private final String service;
@@ -202,12 +205,21 @@
       beginAnswerAndCrash(request, connection);
       return;
     }
-    if (faulty && faultKind < 0.5) {
+    if (faulty && faultKind < 0.4) {
       connection.reset();
       return;
     }
+    if (faulty && faultKind < 0.5) {
+      sendWithoutEnd(attemptId, connection);
+      return;
+    }
+    boolean delimitedByClose = nextDouble() < DELIMITED_BY_CLOSE_PROBABILITY;
     if (request.requestLine().contains("/draft/") || request.requestLine().contains("/reply/")) {
-      sendStream(request, connection, faulty);
+      if (delimitedByClose) {
+        sendStreamDelimitedByClose(request, connection, faulty);
+      } else {
+        sendStream(request, connection, faulty);
+      }
       return;
     }
     if (faulty && faultKind < 0.75) {
@@ -216,12 +228,48 @@
       connection.reset();
       return;
     }
+    if (delimitedByClose) {
+      connection.send(head(attemptId) + "\r\nok-" + attemptId);
+      connection.socket().close();
+      return;
+    }
     connection.respond(200, attemptId, "ok-" + attemptId);
     if (faulty) {
       connection.respond(200, "other", "of-another-request");
     }
   }
 
+  private static String head(String attemptId) {
+    return "HTTP/1.1 200 X\r\nAttempt-Id: " + attemptId + "\r\nServer-Signature: sig\r\n";
+  }
+
+  /** Sends a head or a body without end until the peer closes the connection. */
+  private void sendWithoutEnd(String attemptId, FakeEndpoint.Connection connection)
+      throws IOException {
+    boolean endlessHead = nextDouble() < 0.5;
+    connection.send(head(attemptId) + (endlessHead ? "" : "\r\n"));
+    while (true) {
+      connection.send(endlessHead ? "X-Filler: " + ENDLESS_BLOCK + "\r\n" : ENDLESS_BLOCK);
+    }
+  }
+
+  private void sendStreamDelimitedByClose(
+      FakeEndpoint.Request request, FakeEndpoint.Connection connection, boolean faulty)
+      throws Exception {
+    String lastEventId = request.header("last-event-id");
+    int first = lastEventId == null ? 1 : Integer.parseInt(lastEventId) + 1;
+    connection.send(head(request.header("attempt-id")) + "\r\n");
+    for (int event = first; event <= EVENT_COUNT; event++) {
+      if (faulty && event > first + EVENT_COUNT / 2) {
+        connection.send("id: " + event + "\nda");
+        break;
+      }
+      connection.send("id: " + event + "\ndata: piece-" + event + "\n\n");
+      TimeUnit.MILLISECONDS.sleep(EVENT_INTERVAL_MILLIS);
+    }
+    connection.socket().close();
+  }
+
   /** Crashes before the answer, after its head, or within its first event. */
   private void beginAnswerAndCrash(FakeEndpoint.Request request, FakeEndpoint.Connection connection)
       throws IOException {
--- a/node/src/test/java/org/heatherspread/node/soak/SoakRun.java
+++ b/node/src/test/java/org/heatherspread/node/soak/SoakRun.java
@@ -7,8 +7,10 @@
 import java.net.http.HttpResponse;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.Deque;
 import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -48,6 +50,20 @@
 
   private static final int MAX_FAULT_MILLIS = 3_000;
   private static final int MAX_GAP_MILLIS = 900;
+  private static final long RESTORE_MILLIS = 300;
+
+  /** Number of copies of the store; a restore uses the oldest. */
+  private static final int BACKUPS = 6;
+
+  private static final String CRASHING_REQUESTS = RequestHistory.CRASHING + "request";
+  private static final String CRASHING_SEGMENTS = RequestHistory.CRASHING + "segment";
+
+  /** Number of crashes after which a request or segment that causes them must be refused. */
+  private static final int KNOWN_CRASHES = 5;
+
+  /** Number of times that it may still reach endpoints. */
+  private static final int PERMITTED_CRASHES = 3;
+
   private static final Pattern WINDOW_NUMBER = Pattern.compile("\"window-number\":(\\d+)");
 
   private static final String ROUTE =
@@ -67,6 +83,7 @@
   private final AtomicBoolean stopped = new AtomicBoolean();
   private final PriorityQueue<ScheduledAction> pendingActions =
       new PriorityQueue<>(Comparator.comparingLong(ScheduledAction::atMillis));
+  private final Deque<FakePlatform.Backup> backups = new ArrayDeque<>();
   private final Set<Object> affected = new HashSet<>();
   private final Map<FaultKind, Integer> injected = new EnumMap<>(FaultKind.class);
   private final HttpClient client =
@@ -145,16 +162,7 @@
     DaemonThreads.start("directory", this::pollDirectory);
     awaitAddresses();
     for (int i = 0; i < CALLER_COUNT; i++) {
-      SplittableRandom callerRandom = random.split();
-      SoakCaller caller =
-          new SoakCaller(
-              "c" + i,
-              history,
-              callerRandom,
-              () -> addresses,
-              () -> keys.pick(callerRandom),
-              stopped);
-      DaemonThreads.start("caller-" + i, caller);
+      startCaller("c" + i, SoakCaller.Kind.SOUND);
     }
     injectFaults();
     clearFaults();
@@ -175,12 +183,56 @@
       }
     }
     checkDuties(violations);
+    checkCrashingRequests(violations, measuredFromNanos);
     return new Result(seed, history.statusCounts(), injected, successRate, violations);
   }
 
+  private void startCaller(String name, SoakCaller.Kind kind) {
+    SplittableRandom callerRandom = random.split();
+    SoakCaller caller =
+        new SoakCaller(
+            name,
+            kind,
+            history,
+            callerRandom,
+            () -> addresses,
+            () -> keys.pick(callerRandom),
+            stopped);
+    DaemonThreads.start("caller-" + name, caller);
+  }
+
   private void addEndpoint(String service) throws IOException {
     String id = service + '-' + createdEndpoints++;
-    endpoints.add(SoakEndpoint.start(id, service, history, random.split(), platform));
+    SoakEndpoint endpoint = SoakEndpoint.start(id, service, history, random.split(), platform);
+    endpoint.setCrashTrigger(SoakCaller::endsEndpoint);
+    endpoints.add(endpoint);
+  }
+
+  /** Starts callers whose requests end endpoints; they send them until the end of the run. */
+  private boolean startCrashingCallers() {
+    if (!affected.add(FaultKind.CRASHING_REQUESTS)) {
+      return false;
+    }
+    startCaller(CRASHING_REQUESTS, SoakCaller.Kind.CRASHING_REQUEST);
+    startCaller(CRASHING_SEGMENTS, SoakCaller.Kind.CRASHING_SEGMENT);
+    return true;
+  }
+
+  private void checkCrashingRequests(List<String> violations, long measuredFromNanos) {
+    for (String name : List.of(CRASHING_REQUESTS, CRASHING_SEGMENTS)) {
+      long late = history.executionCountSince(name, measuredFromNanos);
+      long early = history.executionCount(name) - late;
+      if (early >= KNOWN_CRASHES && late > PERMITTED_CRASHES) {
+        violations.add(name + " reached endpoints " + late + " times after " + early + " crashes");
+      }
+    }
+  }
+
+  private void keepBackup() {
+    backups.addLast(platform.backUp());
+    if (backups.size() > BACKUPS) {
+      backups.removeFirst();
+    }
   }
 
   private void writeConfiguration() {
@@ -300,6 +352,7 @@
   }
 
   private void inject(FaultKind kind) throws Exception {
+    keepBackup();
     boolean isInjected =
         switch (kind) {
           case DAEMON_KILLED, DAEMON_STOPPED, DAEMON_PAUSED, DAEMON_RELOADED, STORE_LINK ->
@@ -309,7 +362,8 @@
             daemons.get(random.nextInt(daemons.size())).storeProxy().resetConnections();
             yield true;
           }
-          case STORE, STORE_HISTORY -> injectStoreFault(kind);
+          case STORE, STORE_HISTORY, STORE_RESTORED -> injectStoreFault(kind);
+          case CRASHING_REQUESTS -> startCrashingCallers();
           case ENDPOINT_LINK, ENDPOINT_LINK_RESET, ENDPOINT_FAULTY -> injectEndpointFault(kind);
           case ENDPOINT_REPLACED, ENDPOINT_LOST -> replaceEndpoint(kind);
           case CONFIGURATION, KEY_REVOKED -> changeConfiguration(kind);
@@ -405,16 +459,23 @@
     if (!affected.add(platform)) {
       return false;
     }
+    if (kind == FaultKind.STORE_RESTORED) {
+      platform.setFault(FakePlatform.Fault.UNAVAILABLE);
+      platform.restore(backups.getFirst(), FakePlatform.OPERATORS, FakePlatform.ENDPOINTS);
+      pendingActions.add(new ScheduledAction(currentStepMillis + RESTORE_MILLIS, this::endFault));
+      return true;
+    }
     FakePlatform.Fault[] faults = FakePlatform.Fault.values();
     platform.setFault(faults[1 + random.nextInt(faults.length - 1)]);
-    scheduleRecovery(
-        () -> {
-          platform.setFault(FakePlatform.Fault.NONE);
-          affected.remove(platform);
-        });
+    scheduleRecovery(this::endFault);
     return true;
   }
 
+  private void endFault() {
+    platform.setFault(FakePlatform.Fault.NONE);
+    affected.remove(platform);
+  }
+
   private boolean injectEndpointFault(FaultKind kind) {
     SoakEndpoint endpoint = acquireIdle(endpoints);
     if (endpoint == null) {
