--- a/core/src/main/java/org/heatherspread/core/freshness/StoreFreshness.java
+++ b/core/src/main/java/org/heatherspread/core/freshness/StoreFreshness.java
@@ -1,6 +1,7 @@
 package org.heatherspread.core.freshness;
 
 import java.time.InstantSource;
+import java.util.OptionalLong;
 import org.heatherspread.core.store.SharedReadResult;
 import org.heatherspread.core.time.MonotonicClock;
 
@@ -12,7 +13,8 @@
  * age counts from the start of a valid read rather than from its response. The monotonic clock does
  * not advance during a suspension and the wall clock can jump. The age is therefore the greater of
  * both elapsed times: a forward jump costs one read, and a suspension is never missed. Invariant: a
- * read whose store clock lags behind an earlier one is not valid. Confined to one thread.
+ * read whose store clock lags behind an earlier one of the same era is not valid. Confined to one
+ * thread.
  */
 public final class StoreFreshness {
   /** Lag of the store's clock that is attributed to rounding. */
@@ -21,10 +23,12 @@
   private final MonotonicClock clock;
   private final InstantSource wallClock;
   private boolean initialized;
+  private long era;
   private long readStartMonotonicMillis;
   private long readStartWallMillis;
   private long lastStoreMillis;
   private long storeReadAtMonotonicMillis;
+  private OptionalLong restoreSeenMillis = OptionalLong.empty();
 
   private StoreFreshness(MonotonicClock clock, InstantSource wallClock) {
     this.clock = clock;
@@ -44,14 +48,19 @@
   /** Records the result of a read; returns false if its store clock lags behind an earlier one. */
   public boolean recordRead(ReadStart start, SharedReadResult reading) {
     long earliest = lastStoreMillis + (start.monotonicMillis - storeReadAtMonotonicMillis);
-    if (initialized && reading.storeMillis() + CLOCK_TOLERANCE_MILLIS < earliest) {
+    boolean restored = reading.position().era() != era;
+    if (initialized && !restored && reading.storeMillis() + CLOCK_TOLERANCE_MILLIS < earliest) {
       return false;
     }
     if (!initialized || start.monotonicMillis >= readStartMonotonicMillis) {
       readStartMonotonicMillis = start.monotonicMillis;
       readStartWallMillis = start.wallMillis;
     }
+    if (initialized && restored) {
+      restoreSeenMillis = OptionalLong.of(clock.millis());
+    }
     initialized = true;
+    era = reading.position().era();
     lastStoreMillis = reading.storeMillis();
     storeReadAtMonotonicMillis = clock.millis();
     return true;
@@ -79,6 +88,16 @@
     return wallClock.millis() - storeMillis();
   }
 
+  /**
+   * Returns the time since a read first showed that the store was restored from an earlier copy,
+   * {@code Long.MAX_VALUE} if none did.
+   */
+  public long sinceRestoreMillis() {
+    return restoreSeenMillis.isPresent()
+        ? clock.millis() - restoreSeenMillis.getAsLong()
+        : Long.MAX_VALUE;
+  }
+
   /** Start time of a read on both clocks. */
   public record ReadStart(long monotonicMillis, long wallMillis) {
     /**
--- a/relay/src/main/java/org/heatherspread/relay/rpc/RpcClient.java
+++ b/relay/src/main/java/org/heatherspread/relay/rpc/RpcClient.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
@@ -29,10 +30,10 @@
 import org.heatherspread.relay.endpoint.ResponseListener;
 
 /**
- * Makes short HTTP calls to one address over pooled connections. Calls beyond the maximum in
- * progress wait in order, within their timeouts. A call that times out closes its connection and
- * the idle ones, which a network partition may have made unresponsive as well. Futures complete on
- * the event loop; confined to it.
+ * Makes short HTTP calls to one address over pooled connections, with responses of limited size.
+ * Calls beyond the maximum in progress wait in order, within their timeouts. A call that times out
+ * closes its connection and the idle ones, which a network partition may have made unresponsive as
+ * well. Futures complete on the event loop; confined to it.
  */
 public final class RpcClient {
   private static final int MAX_CALLS_IN_PROGRESS = 8;
@@ -43,6 +44,9 @@
   private static final int CONNECT_TIMEOUT_MILLIS = 600;
   private static final long MAX_IDLE_MILLIS = 8_000;
 
+  /** Maximum size of a response, several times that of the largest page of the store. */
+  private static final int MAX_RESPONSE_BYTES = 4 << 20;
+
   private final EventLoop loop;
   private final HostPort address;
   private final ConnectionPool pool;
@@ -114,6 +118,7 @@
     private EndpointConnection connection;
     private boolean started;
     private int status;
+    private HttpHeaders responseHeaders;
     private final long startMillis = clock.millis();
 
     private PendingCall(FullHttpRequest request, CompletableFuture<RpcResponse> result) {
@@ -162,17 +167,26 @@
     @Override
     public void onHead(HttpResponse head) {
       status = head.status().code();
+      responseHeaders = head.headers();
     }
 
     @Override
     public void onContent(ByteBuf bytes) {
+      if (body.size() + bytes.readableBytes() > MAX_RESPONSE_BYTES) {
+        connection.abort();
+        fail(
+            failure(
+                ErrorKind.STORE_OUTCOME_UNKNOWN,
+                "response exceeds " + MAX_RESPONSE_BYTES + " bytes"));
+        return;
+      }
       body.writeBytes(ByteBufUtil.getBytes(bytes));
     }
 
     @Override
     public void onComplete() {
       end(Integer.toString(status));
-      result.complete(new RpcResponse(status, body.toByteArray()));
+      result.complete(new RpcResponse(status, responseHeaders, body.toByteArray()));
     }
 
     @Override
