--- a/relay/src/main/java/org/heatherspread/relay/call/PoisonRequestFilter.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/PoisonRequestFilter.java
@@ -201,6 +201,7 @@
         .addKeyValue("fingerprint", suspect.fingerprint())
         .addKeyValue("endpoint", crash)
         .addKeyValue("crashes", crashes)
+        .addKeyValue("refused", refusedMillis > 0)
         .addKeyValue("refused_ms", refusedMillis)
         .log("request suspected of crashes");
   }
