Pass a reset on through the soak's proxy as a reset

Traced: the answer of model-7 to c8-9 ended with its connection after the fifth event, at the moment at which the proxy reset all connections to that endpoint (c5-10 and c11-14 got "Connection reset"). The proxy's copying thread closed the other side in order, and so turned the reset into the regular end of such an answer. It now resets it.

--- a/node/src/test/java/org/heatherspread/node/soak/FaultProxy.java
+++ b/node/src/test/java/org/heatherspread/node/soak/FaultProxy.java
@@ -93,14 +93,16 @@
 
   /** Resets all open connections. */
   void resetConnections() {
-    for (Socket socket : sockets) {
-      try {
-        socket.setSoLinger(true, 0);
-        socket.close();
-      } catch (IOException e) {
-        // The socket was closed concurrently.
-        sockets.remove(socket);
-      }
+    sockets.forEach(this::reset);
+  }
+
+  private void reset(Socket socket) {
+    sockets.remove(socket);
+    try {
+      socket.setSoLinger(true, 0);
+      socket.close();
+    } catch (IOException e) {
+      // The socket was closed concurrently.
     }
   }
 
@@ -142,6 +144,7 @@
 
   private void copy(Socket from, Socket to, Mode stallMode) {
     byte[] buffer = new byte[BUFFER_BYTES];
+    boolean ended = false;
     try {
       InputStream in = from.getInputStream();
       OutputStream out = to.getOutputStream();
@@ -156,13 +159,19 @@
         out.write(buffer, 0, read);
         read = in.read(buffer);
       }
+      ended = true;
     } catch (IOException e) {
       // One side was closed or reset; both sockets are closed below.
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     } finally {
       close(from);
-      close(to);
+      if (ended) {
+        close(to);
+      } else {
+        // An orderly close would make a response that ends with its connection look complete.
+        reset(to);
+      }
     }
   }
 
