Take out what the change of the crash filter left unused

PoisonDetector.endpointNotCrashed returned the requests for a log line of the relay, which decides with another class since; it returns nothing again, and findEvidence, whose only caller was the relay, is gone. CrashFleet had a route and an accessor that no test uses. No behaviour changes.

--- a/core/src/main/java/org/heatherspread/core/poison/PoisonDetector.java
+++ b/core/src/main/java/org/heatherspread/core/poison/PoisonDetector.java
@@ -65,12 +65,6 @@
     return false;
   }
 
-  /** Returns the evidence on a request, empty if there is none or it has expired. */
-  public synchronized Optional<Evidence> findEvidence(String fingerprint) {
-    removeExpired();
-    return Optional.ofNullable(entries.get(fingerprint)).map(Entry::evidence);
-  }
-
   /**
    * Returns whether the request may be found poisoned as soon as it is known whether an endpoint
    * that it lost the connection to has crashed.
@@ -173,12 +167,9 @@
   /**
    * Records that an endpoint is alive, was reclaimed or is unreachable, so that connections lost to
    * it are no evidence against requests.
-   *
-   * @return the requests whose connections to it were lost
    */
-  public synchronized Set<String> endpointNotCrashed(EndpointIncarnation endpoint) {
-    Set<String> requests = unresolvedLosses.remove(endpoint);
-    return requests == null ? Set.of() : requests;
+  public synchronized void endpointNotCrashed(EndpointIncarnation endpoint) {
+    unresolvedLosses.remove(endpoint);
   }
 
   /**
--- a/node/src/test/java/org/heatherspread/node/soak/CrashFleet.java
+++ b/node/src/test/java/org/heatherspread/node/soak/CrashFleet.java
@@ -21,10 +21,10 @@
  */
 final class CrashFleet implements AutoCloseable {
   /** Text in the body of a request that ends each endpoint that begins its answer. */
-  static final String CRASH_MARKER = "crash-marker";
+  private static final String CRASH_MARKER = "crash-marker";
 
   /** Id of a segment that ends each endpoint that begins an answer to a prompt with it. */
-  static final String CRASHING_SEGMENT = "dead";
+  private static final String CRASHING_SEGMENT = "dead";
 
   private static final long GRACE_MILLIS = 2_000;
   private static final long READY_TIMEOUT_MILLIS = 40_000;
@@ -36,9 +36,7 @@
       {"version": 1,
        "routes": [{"name": "draft", "hostname": "localhost", "prefix": "/draft/",
          "route-kind": "streaming", "service": "model", "timeout-ms": 4000, "max-attempts": 2,
-         "stream-resumption": true},
-        {"name": "read", "hostname": "localhost", "prefix": "/read/",
-         "route-kind": "idempotent", "service": "model", "timeout-ms": 4000, "max-attempts": 2}],
+         "stream-resumption": true}],
        "services": [{"name": "model", "connection-limit": 200}],
        "tenants": [{"name": "acme", "api-keys": ["key-1"]}]}
       """;
@@ -91,10 +89,6 @@
     return platform;
   }
 
-  List<SoakDaemon> daemons() {
-    return daemons;
-  }
-
   List<SoakEndpoint> endpoints() {
     return endpoints;
   }
