Decide once for each crash instead of once for each of its suspects

Every suspect of a crash made the ledger sort out the evidence of all suspects again: with a hundred streams on an endpoint and up to a thousand suspects, a hundred such passes on the event loop for one crash. The suspects of a crash are now recorded together and followed by one decision; reports without evidence cause none. The outcome is the same, as only the last decision of a crash was ever visible to requests.

--- a/core/src/main/java/org/heatherspread/core/poison/CrashLedger.java
+++ b/core/src/main/java/org/heatherspread/core/poison/CrashLedger.java
@@ -100,17 +100,22 @@
   }
 
   /**
-   * Records that a suspect was being processed by an endpoint when it crashed.
+   * Records that suspects were being processed by an endpoint when it crashed.
    *
    * @param crashId identifies the crash, the same at every daemon
-   * @return whether this was not known
+   * @return the suspects for which this was not known
    */
-  public boolean recordCrash(Suspect suspect, String crashId) {
-    Entry entry = entryOf(suspect);
-    entry.own = true;
-    boolean isNew = addCrash(entry, crashId, clock.millis());
+  public List<Suspect> recordCrash(Collection<Suspect> suspects, String crashId) {
+    List<Suspect> changed = new ArrayList<>();
+    for (Suspect suspect : suspects) {
+      Entry entry = entryOf(suspect);
+      entry.own = true;
+      if (addCrash(entry, crashId, clock.millis())) {
+        changed.add(suspect);
+      }
+    }
     decide();
-    return isNew;
+    return changed;
   }
 
   /**
--- a/core/src/test/java/org/heatherspread/core/poison/CrashLedgerTest.java
+++ b/core/src/test/java/org/heatherspread/core/poison/CrashLedgerTest.java
@@ -25,7 +25,7 @@
 
   private static void recordCrashes(CrashLedger ledger, Suspect suspect, int from, int to) {
     for (int crash = from; crash < to; crash++) {
-      ledger.recordCrash(suspect, "e" + crash);
+      ledger.recordCrash(List.of(suspect), "e" + crash);
     }
   }
 
@@ -143,12 +143,12 @@
   void keepsRefusedSuspectsWhenFull() {
     recordCrashes(ledger, CULPRIT, 0, 3);
     for (int i = 0; i < 1_000; i++) {
-      ledger.recordCrash(Suspect.request("r" + i), "f" + i);
+      ledger.recordCrash(List.of(Suspect.request("r" + i)), "f" + i);
     }
     assertThat(ledger.evidence(10_000)).hasSize(POLICY.maxSuspects());
     assertThat(ledger.refusal(CULPRIT)).isPresent();
     for (int i = 0; i < 100; i++) {
-      ledger.recordCrash(CULPRIT, "g" + i);
+      ledger.recordCrash(List.of(CULPRIT), "g" + i);
     }
     assertThat(ledger.findEvidence(CULPRIT).orElseThrow().crashAgesMillis()).hasSizeLessThan(20);
   }
--- a/relay/src/main/java/org/heatherspread/relay/call/PoisonRequestFilter.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/PoisonRequestFilter.java
@@ -139,14 +139,13 @@
   }
 
   private void recordCrash(Set<Suspect> suspects, String crashId) {
-    for (Suspect suspect : suspects) {
-      if (ledger.recordCrash(suspect, crashId)) {
-        logEvidence(suspect, crashId);
-      }
+    if (suspects.isEmpty()) {
+      return;
     }
-    if (!suspects.isEmpty()) {
-      newEvidenceListener.run();
+    for (Suspect suspect : ledger.recordCrash(suspects, crashId)) {
+      logEvidence(suspect, crashId);
     }
+    newEvidenceListener.run();
   }
 
   /** Records that the answer to a request has begun, which its prompt did not prevent. */
@@ -174,6 +173,9 @@
    * @param ageMillis age of the report
    */
   public void mergeEvidence(List<CrashEvidence> evidence, long ageMillis) {
+    if (evidence.isEmpty()) {
+      return;
+    }
     CrashLedger.MergeResult result = ledger.merge(evidence, ageMillis);
     result.changed().forEach(suspect -> logEvidence(suspect, ""));
     if (result.refuted()) {
