Compute the suspects of a call once instead of at each check

While there is any crash evidence, the filter hashed the whole request at the start, before each attempt, at a loss and at completion, and converted the segments of its prompt each time, for the log a second time by a loop of its own. CallSuspects holds them for the call; the hash is still computed only when it is needed.

--- a/relay/src/main/java/org/heatherspread/relay/call/CallContext.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/CallContext.java
@@ -10,6 +10,7 @@
  * @param id id of the caller's attempt, empty if absent
  * @param service service selected for the request
  * @param account name of the client account, empty if the route requires no key
+ * @param suspects what may crash endpoints in the request
  * @param work expected work, with the typical answer length of the route
  * @param declaredTokens prompt tokens and maximum answer tokens, 0 if not declared
  * @param urgency priority, 0 is the most urgent
@@ -22,6 +23,7 @@
     Route route,
     String service,
     String account,
+    CallSuspects suspects,
     Workload work,
     int declaredTokens,
     int urgency,
--- a/relay/src/main/java/org/heatherspread/relay/call/PoisonRequestFilter.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/PoisonRequestFilter.java
@@ -1,21 +1,17 @@
 package org.heatherspread.relay.call;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.StringJoiner;
-import org.heatherspread.core.placement.PromptSegment;
+import java.util.stream.Collectors;
 import org.heatherspread.core.placement.TrackedEndpoint;
-import org.heatherspread.core.placement.Workload;
 import org.heatherspread.core.poison.CrashEvidence;
 import org.heatherspread.core.poison.CrashLedger;
 import org.heatherspread.core.poison.CrashPolicy;
 import org.heatherspread.core.poison.EndpointIncarnation;
 import org.heatherspread.core.poison.EndpointLossTracker;
-import org.heatherspread.core.poison.Fingerprints;
 import org.heatherspread.core.poison.Suspect;
 import org.heatherspread.core.time.MonotonicClock;
 import org.slf4j.Logger;
@@ -66,8 +62,8 @@
     if (ledger.isEmpty()) {
       return Optional.empty();
     }
-    Optional<Duration> longest = ledger.refusal(request(context));
-    for (Suspect segment : sharedSegments(context)) {
+    Optional<Duration> longest = ledger.refusal(context.suspects().request());
+    for (Suspect segment : context.suspects().promptSegments()) {
       Optional<Duration> refusal = ledger.refusal(segment);
       if (refusal.isPresent() && refusal.get().compareTo(longest.orElse(Duration.ZERO)) > 0) {
         longest = refusal;
@@ -86,17 +82,18 @@
       return;
     }
     EndpointIncarnation incarnation = incarnation(endpoint);
-    Suspect request = request(context);
+    Suspect request = context.suspects().request();
+    List<Suspect> promptSegments = context.suspects().promptSegments();
     Set<Suspect> suspects = new HashSet<>();
     suspects.add(request);
     if (!answerBegun) {
-      suspects.addAll(sharedSegments(context));
+      suspects.addAll(promptSegments);
     }
     log.atInfo()
         .addKeyValue("id", context.id())
         .addKeyValue("fingerprint", request.fingerprint())
         .addKeyValue("endpoint", incarnation.crashId())
-        .addKeyValue("prompt", formatSharedSegments(context.work()))
+        .addKeyValue("prompt", joinFingerprints(promptSegments))
         .addKeyValue("answer_begun", answerBegun)
         .log("endpoint may have crashed");
     EndpointLossTracker.NextStep step = losses.recordLoss(incarnation, suspects);
@@ -151,7 +148,7 @@
   /** Records that the answer to a request has begun, which its prompt did not prevent. */
   void answerBegan(CallContext context) {
     boolean refuted = false;
-    for (Suspect segment : sharedSegments(context)) {
+    for (Suspect segment : context.suspects().promptSegments()) {
       refuted |= ledger.recordSuccess(segment);
     }
     if (refuted) {
@@ -162,7 +159,7 @@
   /** Records that a request was answered completely. */
   void requestCompleted(CallContext context) {
     answerBegan(context);
-    if (!ledger.isEmpty() && ledger.recordSuccess(request(context))) {
+    if (!ledger.isEmpty() && ledger.recordSuccess(context.suspects().request())) {
       newEvidenceListener.run();
     }
   }
@@ -208,33 +205,11 @@
         .log("request suspected of crashes");
   }
 
-  private static List<Suspect> sharedSegments(CallContext context) {
-    List<Suspect> suspects = new ArrayList<>();
-    for (PromptSegment segment : context.work().sharedSegments()) {
-      suspects.add(Suspect.promptSegment(segment.id()));
-    }
-    return suspects;
-  }
-
-  /** Returns the ids of the prompt segments that other requests may share. */
-  private static String formatSharedSegments(Workload work) {
-    StringJoiner ids = new StringJoiner(",");
-    for (PromptSegment segment : work.sharedSegments()) {
-      ids.add(Long.toHexString(segment.id()));
-    }
-    return ids.toString();
+  private static String joinFingerprints(List<Suspect> suspects) {
+    return suspects.stream().map(Suspect::fingerprint).collect(Collectors.joining(","));
   }
 
   private static EndpointIncarnation incarnation(TrackedEndpoint endpoint) {
     return new EndpointIncarnation(endpoint.id(), endpoint.registration().startedAtMillis());
   }
-
-  private static Suspect request(CallContext context) {
-    return Suspect.request(
-        Fingerprints.ofRequest(
-            context.request().method().name(),
-            context.request().target(),
-            context.account(),
-            context.request().body()));
-  }
 }
--- a/relay/src/main/java/org/heatherspread/relay/call/RelayHandler.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/RelayHandler.java
@@ -127,12 +127,14 @@
     if (account.isPresent() && account.get().priority() >= 0) {
       urgency = account.get().priority();
     }
+    String accountName = account.map(AccountConfig::name).orElse("");
     return new CallContext(
         id,
         request,
         route,
         route.selectService(state.random().nextDouble()),
-        account.map(AccountConfig::name).orElse(""),
+        accountName,
+        CallSuspects.of(request, accountName, work),
         new Workload(work.segments(), work.promptTokens(), expectedAnswerTokens),
         work.promptTokens() + work.answerTokens(),
         urgency,
--- a/relay/src/test/java/org/heatherspread/relay/call/PoisonRequestFilterTest.java
+++ b/relay/src/test/java/org/heatherspread/relay/call/PoisonRequestFilterTest.java
@@ -52,7 +52,9 @@
             400);
     CallerRequest request =
         new CallerRequest(HttpMethod.POST, "/r/x", new DefaultHttpHeaders(), new byte[] {1}, 0);
-    return new CallContext("id", request, route, "s", "acme", Workload.NONE, 0, 0, 1_000, 1);
+    CallSuspects suspects = CallSuspects.of(request, "acme", Workload.NONE);
+    return new CallContext(
+        "id", request, route, "s", "acme", suspects, Workload.NONE, 0, 0, 1_000, 1);
   }
 
   private static TrackedEndpoint endpoint(String id) {
