Recognise a restore of the store in one place

The freshness of a table noted the era of the store, and the listeners of endpoints and of reports noted it once more, each with its own first read to tell from a change. TableWatcher now asks the freshness and tells the listeners with a full read whether the store was restored since the previous one. Mirrors and the store's client keep the position that they need for themselves. StoreFreshnessTest checks the new question; the checks of the listeners' tests stay. No behaviour changes.

--- a/core/src/main/java/org/heatherspread/core/freshness/StoreFreshness.java
+++ b/core/src/main/java/org/heatherspread/core/freshness/StoreFreshness.java
@@ -48,7 +48,7 @@
   /** Records the result of a read; returns false if its store clock lags behind an earlier one. */
   public boolean recordRead(ReadStart start, SharedReadResult reading) {
     long earliest = lastStoreMillis + (start.monotonicMillis - storeReadAtMonotonicMillis);
-    boolean restored = reading.position().era() != era;
+    boolean restored = showsRestore(reading);
     if (initialized && !restored && reading.storeMillis() + CLOCK_TOLERANCE_MILLIS < earliest) {
       return false;
     }
@@ -56,7 +56,7 @@
       readStartMonotonicMillis = start.monotonicMillis;
       readStartWallMillis = start.wallMillis;
     }
-    if (initialized && restored) {
+    if (restored) {
       restoreSeenMillis = OptionalLong.of(clock.millis());
     }
     initialized = true;
@@ -66,6 +66,11 @@
     return true;
   }
 
+  /** Returns whether the store was restored from an earlier copy since the latest valid read. */
+  public boolean showsRestore(SharedReadResult reading) {
+    return initialized && reading.position().era() != era;
+  }
+
   /** Returns the age of the latest valid read, {@code Long.MAX_VALUE} before the first. */
   public long ageMillis() {
     if (!initialized) {
--- a/core/src/test/java/org/heatherspread/core/freshness/StoreFreshnessTest.java
+++ b/core/src/test/java/org/heatherspread/core/freshness/StoreFreshnessTest.java
@@ -29,7 +29,9 @@
   void acceptsAnEarlierClockAfterTheStoreWasRestored() {
     assertThat(read(10, 5_000)).isTrue();
     SharedReadResult restored = new SharedReadResult(List.of(), new StorePosition(1, 1), 2_000, 0);
+    assertThat(freshness.showsRestore(restored)).isTrue();
     assertThat(freshness.recordRead(freshness.startRead(), restored)).isTrue();
+    assertThat(freshness.showsRestore(restored)).isFalse();
     assertThat(freshness.storeMillis()).isEqualTo(2_000);
   }
 
--- a/node/src/main/java/org/heatherspread/node/control/ConfigurationListener.java
+++ b/node/src/main/java/org/heatherspread/node/control/ConfigurationListener.java
@@ -34,7 +34,7 @@
   }
 
   @Override
-  public void onFullRead(SharedReadResult result) {
+  public void onFullRead(SharedReadResult result, boolean restored) {
     onChanges(result);
   }
 
--- a/node/src/main/java/org/heatherspread/node/control/EndpointListener.java
+++ b/node/src/main/java/org/heatherspread/node/control/EndpointListener.java
@@ -33,7 +33,6 @@
   private final RelayState state;
   private final BiFunction<String, byte[], Optional<RegisteredEndpoint>> parser;
   private long lastFailureMillis = -FAILURE_WINDOW_MILLIS;
-  private long era;
   private boolean initialized;
 
   /**
@@ -53,11 +52,10 @@
   }
 
   @Override
-  public void onFullRead(SharedReadResult result) {
-    if (initialized && result.position().era() != era) {
+  public void onFullRead(SharedReadResult result, boolean restored) {
+    if (restored) {
       lastFailureMillis = state.clock().millis();
     }
-    era = result.position().era();
     initialized = true;
     Set<String> present = new HashSet<>();
     for (SharedRow row : result.rows()) {
--- a/node/src/main/java/org/heatherspread/node/control/FleetListener.java
+++ b/node/src/main/java/org/heatherspread/node/control/FleetListener.java
@@ -44,7 +44,6 @@
   private final Duration minLifetime;
   private Set<String> liveNames = Set.of();
   private Map<String, String> readersByDomain = Map.of();
-  private long era;
   private boolean initialized;
   private boolean ownerCandidate;
 
@@ -87,17 +86,15 @@
   }
 
   @Override
-  public void onFullRead(SharedReadResult result) {
+  public void onFullRead(SharedReadResult result, boolean restored) {
     List<String> present = new ArrayList<>();
     for (SharedRow row : result.rows()) {
       present.add(row.key());
     }
-    boolean restored = initialized && result.position().era() != era;
     if (!restored) {
       // After a restore of the store, daemons write the reports again that it lost.
       fleet.retainRows(present);
     }
-    era = result.position().era();
     initialized = true;
     onChanges(result);
   }
--- a/node/src/main/java/org/heatherspread/node/control/MirroringListener.java
+++ b/node/src/main/java/org/heatherspread/node/control/MirroringListener.java
@@ -12,8 +12,8 @@
 record MirroringListener(TableListener listener, MirroredTable mirror, Runnable afterFullRead)
     implements TableListener {
   @Override
-  public void onFullRead(SharedReadResult result) {
-    listener.onFullRead(result);
+  public void onFullRead(SharedReadResult result, boolean restored) {
+    listener.onFullRead(result, restored);
     mirror.replaceAll(result);
     afterFullRead.run();
   }
--- a/node/src/main/java/org/heatherspread/node/control/TableListener.java
+++ b/node/src/main/java/org/heatherspread/node/control/TableListener.java
@@ -4,8 +4,13 @@
 
 /** Receives the contents of a shared table. Called on the event loop. */
 interface TableListener {
-  /** Called with all rows after a read of the whole table. */
-  void onFullRead(SharedReadResult result);
+  /**
+   * Called with all rows after a read of the whole table.
+   *
+   * @param restored whether the store was restored from an earlier copy since the previous read, so
+   *     that rows may be missing or older until their owners write them again
+   */
+  void onFullRead(SharedReadResult result, boolean restored);
 
   /** Called with the rows that changed since the last read, which may be none. */
   void onChanges(SharedReadResult result);
--- a/node/src/main/java/org/heatherspread/node/control/TableWatcher.java
+++ b/node/src/main/java/org/heatherspread/node/control/TableWatcher.java
@@ -132,6 +132,7 @@
   }
 
   private Behavior<Command> onReadCompleted(ReadCompleted read) {
+    final boolean restored = freshness.showsRestore(read.result);
     if (!freshness.recordRead(read.start.minusMillis(read.result.ageMillis()), read.result)) {
       return onReadFailed(
           new ReadFailed(
@@ -146,7 +147,7 @@
       fullReadNeeded = false;
       lastFullReadMillis = read.start.monotonicMillis();
       position = read.result.position();
-      listener.onFullRead(read.result);
+      listener.onFullRead(read.result, restored);
     } else {
       if (read.result.version() > position.version()) {
         position = read.result.position();
--- a/node/src/test/java/org/heatherspread/node/control/EndpointListenerTest.java
+++ b/node/src/test/java/org/heatherspread/node/control/EndpointListenerTest.java
@@ -31,8 +31,9 @@
   private final EndpointListener listener = new EndpointListener(state, RegistrationParser::parse);
 
   private void read(long era, long version, SharedRow... rows) {
-    listener.onFullRead(
-        new SharedReadResult(List.of(rows), new StorePosition(era, version), 1_000, 0));
+    SharedReadResult result =
+        new SharedReadResult(List.of(rows), new StorePosition(era, version), 1_000, 0);
+    listener.onFullRead(result, era > 1);
   }
 
   private static SharedRow registration(String endpointState) {
--- a/node/src/test/java/org/heatherspread/node/control/FleetListenerTest.java
+++ b/node/src/test/java/org/heatherspread/node/control/FleetListenerTest.java
@@ -151,11 +151,11 @@
 
   @Test
   void daemonsWhoseReportsTheRestoredStoreLostStayLive() {
-    listener.onFullRead(new SharedReadResult(List.of(), 1, 1));
+    listener.onFullRead(new SharedReadResult(List.of(), 1, 1), false);
     runRound(Set.of(), null);
     assertThat(state.daemonCount()).isEqualTo(DAEMONS);
     listener.onFullRead(
-        new SharedReadResult(List.of(), new StorePosition(1, sequence - 1), 10_000, 0));
+        new SharedReadResult(List.of(), new StorePosition(1, sequence - 1), 10_000, 0), true);
     assertThat(state.daemonCount()).isEqualTo(DAEMONS);
   }
 
