Count the grace period of a missing registration from the store's return

Callers' requests could be sent to an endpoint for more than 2 s after it had left: an endpoint whose registration was found to be missing within 3 s after a failed read stayed in use for 1.8 s from that finding on. A registration that is removed after the store's return is no lapse, and the time between the removal and its finding came on top.

The grace period now begins when the store returns, as lapsed registrations are back within two seconds of that; one that is found to be missing later is not used any more. endpointThatLeftSoonAfterAnOutageIsNotUsedForTheWholeGracePeriod and endpointThatLeftTwoSecondsAfterAnOutageIsNotUsed failed before; a registration that expired in the outage is kept in use as before (its test passed before and passes now).

--- a/node/src/main/java/org/heatherspread/node/control/EndpointListener.java
+++ b/node/src/main/java/org/heatherspread/node/control/EndpointListener.java
@@ -16,23 +16,28 @@
  * Applies endpoint registrations to the relay's endpoint table. A registration that disappears
  * shortly after a store failure may merely have expired during it, and one that disappears or is no
  * longer leaving when the store was restored from an earlier copy may be written again, so its
- * endpoint stays as it was for a grace period. Confined to the event loop.
+ * endpoint stays as it was for a grace period.
+ *
+ * <p>Invariant: the grace period begins when the store returns and not when a registration is found
+ * to be missing, since one that is removed after the return is that of an endpoint that leaves.
+ * Confined to the event loop.
  */
 final class EndpointListener implements TableListener {
   private static final Logger log = LoggerFactory.getLogger(EndpointListener.class);
 
-  /** Time after a store failure in which registrations may have expired by mistake. */
-  private static final long FAILURE_WINDOW_MILLIS = 3_000;
+  /** Time after the return of the store in which registrations may be missing by mistake. */
+  private static final long LAPSE_WINDOW_MILLIS = 3_000;
 
   /**
-   * Time for which such an endpoint stays in use, shorter than the time in which endpoints register
-   * again.
+   * Time after the return of the store for which endpoints without a registration stay in use,
+   * shorter than the time in which endpoints register again.
    */
   private static final long EXPIRY_GRACE_MILLIS = 1_800;
 
   private final RelayState state;
   private final BiFunction<String, byte[], Optional<RegisteredEndpoint>> parser;
-  private long lastFailureMillis = -FAILURE_WINDOW_MILLIS;
+  private long recoveredMillis = -LAPSE_WINDOW_MILLIS;
+  private boolean failing;
   private boolean initialized;
 
   /**
@@ -54,8 +59,9 @@
   @Override
   public void onFullRead(SharedReadResult result, boolean restored) {
     if (restored) {
-      lastFailureMillis = state.clock().millis();
+      failing = true;
     }
+    recordRecovery();
     initialized = true;
     Set<String> present = new HashSet<>();
     for (SharedRow row : result.rows()) {
@@ -72,6 +78,7 @@
 
   @Override
   public void onChanges(SharedReadResult result) {
+    recordRecovery();
     for (SharedRow row : result.rows()) {
       if (row.deleted()) {
         log.atInfo().addKeyValue("endpoint", row.key()).log("endpoint registration gone");
@@ -87,6 +94,13 @@
     }
   }
 
+  private void recordRecovery() {
+    if (failing) {
+      failing = false;
+      recoveredMillis = state.clock().millis();
+    }
+  }
+
   /** Counts the connections lost to an endpoint as a crash if its registration did not lapse. */
   private void recordEnd(String id) {
     if (!mayHaveLapsed()) {
@@ -144,16 +158,15 @@
 
   /** Returns the time from which an endpoint without a registration is no longer used. */
   private long unusableFromMillis() {
-    long now = state.clock().millis();
-    return mayHaveLapsed() ? now + EXPIRY_GRACE_MILLIS : now;
+    return Math.max(state.clock().millis(), recoveredMillis + EXPIRY_GRACE_MILLIS);
   }
 
   private boolean mayHaveLapsed() {
-    return state.clock().millis() - lastFailureMillis < FAILURE_WINDOW_MILLIS;
+    return state.clock().millis() - recoveredMillis < LAPSE_WINDOW_MILLIS;
   }
 
   @Override
   public void onFailure(String reason) {
-    lastFailureMillis = state.clock().millis();
+    failing = true;
   }
 }
--- a/node/src/test/java/org/heatherspread/node/RelayStateFixtures.java
+++ b/node/src/test/java/org/heatherspread/node/RelayStateFixtures.java
@@ -11,10 +11,12 @@
 import org.heatherspread.relay.call.CallMetrics;
 import org.heatherspread.relay.call.RelaySettings;
 import org.heatherspread.relay.call.RelayState;
+import org.heatherspread.relay.endpoint.ConnectionPool;
+import org.heatherspread.relay.endpoint.PoolSettings;
 
 /**
- * Creates relay states without an event loop or connections, for tests of the control plane.
- * Stateless.
+ * Creates relay states without an event loop, whose connections cannot be opened, for tests of the
+ * control plane. Stateless.
  */
 public final class RelayStateFixtures {
   /** Time for which keys are accepted after a configuration read, in milliseconds. */
@@ -39,7 +41,7 @@
         new RelaySettings(KEY_ACCEPTANCE_MILLIS, 0.2, 10_000, 56),
         storeFreshness,
         UnixTimeEstimator.create(storeFreshness),
-        null,
+        ConnectionPool.create(null, clock, new PoolSettings(500, 4_000), null),
         CallMetrics.create(new SimpleMeterRegistry()),
         UsageWindows.create(USAGE_WINDOW_MILLIS, 6),
         HealthPolicy.defaults(),
--- a/node/src/test/java/org/heatherspread/node/control/EndpointListenerTest.java
+++ b/node/src/test/java/org/heatherspread/node/control/EndpointListenerTest.java
@@ -7,7 +7,6 @@
 import java.time.InstantSource;
 import java.util.List;
 import org.heatherspread.core.freshness.StoreFreshness;
-import org.heatherspread.core.placement.TrackedEndpoint;
 import org.heatherspread.core.store.SharedReadResult;
 import org.heatherspread.core.store.SharedRow;
 import org.heatherspread.core.store.StorePosition;
@@ -17,7 +16,7 @@
 import org.heatherspread.relay.call.RelayState;
 import org.junit.jupiter.api.Test;
 
-/** The store returns from a copy that was made before the latest registrations. */
+/** The store returns after an outage, or from a copy that was made before the latest changes. */
 class EndpointListenerTest {
   private static final String REGISTRATION =
       """
@@ -41,8 +40,8 @@
     return new SharedRow("e1", value, 3, false);
   }
 
-  private TrackedEndpoint endpoint() {
-    return state.endpoints().get("e1").orElseThrow();
+  private boolean isUsable() {
+    return state.endpoints().get("e1").filter(e -> e.isUsable(clock.millis())).isPresent();
   }
 
   @Test
@@ -50,9 +49,9 @@
     clock.advance(Duration.ofMinutes(1));
     read(1, 3, registration("ready"));
     read(2, 2);
-    assertThat(endpoint().isUsable(clock.millis())).isTrue();
+    assertThat(isUsable()).isTrue();
     clock.advance(Duration.ofSeconds(2));
-    assertThat(endpoint().isUsable(clock.millis())).isFalse();
+    assertThat(isUsable()).isFalse();
   }
 
   @Test
@@ -60,6 +59,42 @@
     clock.advance(Duration.ofMinutes(1));
     read(1, 3, registration("draining"));
     read(2, 2, registration("ready"));
-    assertThat(endpoint().isUsable(clock.millis())).isFalse();
+    assertThat(isUsable()).isFalse();
+  }
+
+  private void recoverFromOutage(SharedRow... rows) {
+    clock.advance(Duration.ofMinutes(1));
+    read(1, 3, registration("ready"));
+    listener.onFailure("no response");
+    clock.advance(Duration.ofSeconds(5));
+    listener.onFailure("no response");
+    clock.advance(Duration.ofMillis(400));
+    read(1, 4, rows);
+  }
+
+  @Test
+  void endpointWhoseRegistrationExpiredInAnOutageStaysInUseForSomeTime() {
+    recoverFromOutage();
+    clock.advance(Duration.ofMillis(1_700));
+    assertThat(isUsable()).isTrue();
+    clock.advance(Duration.ofMillis(200));
+    assertThat(isUsable()).isFalse();
+  }
+
+  @Test
+  void endpointThatLeftSoonAfterAnOutageIsNotUsedForTheWholeGracePeriod() {
+    recoverFromOutage(registration("ready"));
+    clock.advance(Duration.ofSeconds(1));
+    read(1, 5);
+    clock.advance(Duration.ofMillis(900));
+    assertThat(isUsable()).isFalse();
+  }
+
+  @Test
+  void endpointThatLeftTwoSecondsAfterAnOutageIsNotUsed() {
+    recoverFromOutage(registration("ready"));
+    clock.advance(Duration.ofSeconds(2));
+    read(1, 5);
+    assertThat(isUsable()).isFalse();
   }
 }
