Drop a request whose caller left before it was read

Callers that gave up while a daemon was busy, as in its first seconds, had their requests sent on to endpoints: the request was read and dispatched in one turn of the event loop, and the close behind it only in the next one.

In CallerServerTest, with the loop blocked while a request and the close arrive, both requests (on a new and on an open connection) were handled before this change.

A connection is now read until nothing is left, so that the close is found in the same read as the request, and a request is dispatched after the read if the connection is still open. Costs one more read call for each request.

--- a/relay/src/main/java/org/heatherspread/relay/caller/CallerConnection.java
+++ b/relay/src/main/java/org/heatherspread/relay/caller/CallerConnection.java
@@ -186,13 +186,24 @@
     }
     requestBody.writeBytes(ByteBufUtil.getBytes(content.content()));
     if (content instanceof LastHttpContent) {
-      dispatchRequest();
+      state = State.RESPONDING;
+      cancelTimeoutCheck();
+      context.executor().execute(this::dispatchRequest);
     }
   }
 
+  /**
+   * Passes the request to the handler, unless the same read found that the caller has closed the
+   * connection, as for requests that have waited for this process.
+   */
   private void dispatchRequest() {
-    state = State.RESPONDING;
-    cancelTimeoutCheck();
+    if (!context.channel().isOpen()) {
+      log.atInfo()
+          .addKeyValue("target", requestHead.uri())
+          .addKeyValue("peer", String.valueOf(context.channel().remoteAddress()))
+          .log("request dropped as its caller has left");
+      return;
+    }
     responseWriter = new ConnectionResponseWriter();
     CallerRequest request =
         new CallerRequest(
--- a/relay/src/main/java/org/heatherspread/relay/caller/CallerServer.java
+++ b/relay/src/main/java/org/heatherspread/relay/caller/CallerServer.java
@@ -1,12 +1,14 @@
 package org.heatherspread.relay.caller;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -28,6 +30,9 @@
   private static final int MAX_CHUNK_BYTES = 16_384;
   private static final int BACKLOG = 1_024;
 
+  /** Buffers read from one connection before the others have their turn. */
+  private static final int MAX_BUFFERS_PER_READ = 16;
+
   private final EventLoop loop;
   private final MonotonicClock clock;
   private final Supplier<ClientLimits> limits;
@@ -65,6 +70,7 @@
             .option(ChannelOption.SO_REUSEADDR, true)
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.RCVBUF_ALLOCATOR, exhaustiveAllocator())
             .childHandler(
                 new ChannelInitializer<SocketChannel>() {
                   @Override
@@ -82,6 +88,13 @@
     listener = bootstrap.bind(address.host(), address.port()).sync().channel();
   }
 
+  /** Returns an allocator that reads until nothing is left, which finds a close at once. */
+  private static RecvByteBufAllocator exhaustiveAllocator() {
+    return new AdaptiveRecvByteBufAllocator()
+        .respectMaybeMoreData(false)
+        .maxMessagesPerRead(MAX_BUFFERS_PER_READ);
+  }
+
   /** Returns the bound port. */
   public int port() {
     return ((java.net.InetSocketAddress) listener.localAddress()).getPort();
--- /dev/null
+++ b/relay/src/test/java/org/heatherspread/relay/caller/CallerServerTest.java
@@ -0,0 +1,103 @@
+package org.heatherspread.relay.caller;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import org.heatherspread.core.serving.ClientLimits;
+import org.heatherspread.core.serving.HostPort;
+import org.heatherspread.core.time.MonotonicClock;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class CallerServerTest {
+  private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+  private final EventLoop loop = group.next();
+  private final List<String> handled = new CopyOnWriteArrayList<>();
+  private final CallerServer server =
+      CallerServer.create(
+          loop,
+          MonotonicClock.system(),
+          ClientLimits::defaults,
+          (request, writer) -> {
+            handled.add(request.target());
+            writer.send(200, new DefaultHttpHeaders(), new byte[0]);
+          });
+
+  @BeforeEach
+  void listen() throws Exception {
+    server.listen(new HostPort("127.0.0.1", 0));
+  }
+
+  @AfterEach
+  void stop() {
+    group.shutdownGracefully();
+  }
+
+  private Socket connect() throws IOException {
+    return new Socket("127.0.0.1", server.port());
+  }
+
+  private static void send(Socket socket, String target) throws IOException {
+    String request = "POST " + target + " HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nhi";
+    socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+  }
+
+  private static void exchange(Socket socket, String target) throws IOException {
+    send(socket, target);
+    assertThat(socket.getInputStream().read()).isEqualTo('H');
+  }
+
+  /** Blocks the event loop until the latch is released. */
+  private CountDownLatch blockLoop() throws InterruptedException {
+    CountDownLatch blocked = new CountDownLatch(1);
+    CountDownLatch released = new CountDownLatch(1);
+    loop.execute(
+        () -> {
+          blocked.countDown();
+          try {
+            released.await();
+          } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+          }
+        });
+    blocked.await();
+    return released;
+  }
+
+  @Test
+  void requestOfCallerThatLeftBeforeItWasReadIsNotHandled() throws Exception {
+    CountDownLatch released = blockLoop();
+    try (Socket left = connect()) {
+      send(left, "/left");
+    }
+    released.countDown();
+    try (Socket next = connect()) {
+      exchange(next, "/next");
+    }
+    assertThat(handled).containsExactly("/next");
+  }
+
+  @Test
+  void requestOnAnOpenConnectionOfCallerThatLeftBeforeItWasReadIsNotHandled() throws Exception {
+    CountDownLatch released;
+    try (Socket left = connect()) {
+      exchange(left, "/first");
+      released = blockLoop();
+      send(left, "/left");
+    }
+    released.countDown();
+    try (Socket next = connect()) {
+      exchange(next, "/next");
+    }
+    assertThat(handled).containsExactly("/first", "/next");
+  }
+}
