--- a/node/src/test/java/org/heatherspread/node/soak/CrashFleet.java
+++ b/node/src/test/java/org/heatherspread/node/soak/CrashFleet.java
@@ -1,10 +1,12 @@
 package org.heatherspread.node.soak;
 
 import java.io.IOException;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -167,6 +169,32 @@
     }
   }
 
+  /** Sends a request to a daemon and closes the connection without waiting for the answer. */
+  void sendAndLeave(int daemon, String id) throws IOException {
+    String request =
+        "POST /draft/x HTTP/1.1\r\nHost: localhost\r\nAuthorization: Bearer %s\r\n"
+            + "Attempt-Id: %s\r\nDeadline-Remaining: 3500\r\nContent-Length: 0\r\n\r\n";
+    try (Socket socket = new Socket("127.0.0.1", daemons.get(daemon).callers())) {
+      String text = request.formatted(KEY, id);
+      socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+    }
+  }
+
+  /** Suspends a daemon while an action runs. */
+  void pause(int daemon, PausedAction whilePaused) throws Exception {
+    daemons.get(daemon).signal("STOP");
+    try {
+      whilePaused.run();
+    } finally {
+      daemons.get(daemon).signal("CONT");
+    }
+  }
+
+  /** Is carried out while a daemon is suspended. */
+  interface PausedAction {
+    void run() throws Exception;
+  }
+
   /** Sends a crashing request to a daemon. */
   interface CrashSender {
     int send(int daemon) throws InterruptedException;
@@ -234,7 +262,12 @@
 
   /** Returns how often crashing requests have reached endpoints. */
   long crashingExecutions() {
-    return history.executionCount("crash-");
+    return executions("crash-");
+  }
+
+  /** Returns how often requests whose ids start with a prefix have reached endpoints. */
+  long executions(String idPrefix) {
+    return history.executionCount(idPrefix);
   }
 
   @Override
