--- a/relay/src/test/java/org/heatherspread/relay/call/CrashingRequestPathsTest.java
+++ b/relay/src/test/java/org/heatherspread/relay/call/CrashingRequestPathsTest.java
@@ -43,17 +43,41 @@
         public void discardCopy(HostPort from, String copy) {}
       };
 
+  /** Returns evidence of three crashes of a request without a body. */
+  private static CrashEvidence evidence(String method, String target) {
+    byte[] body = "".getBytes(StandardCharsets.UTF_8);
+    return new CrashEvidence(
+        Suspect.request(Fingerprints.ofRequest(method, target, "acme", body)),
+        Map.of("a@1", 0L, "b@1", 0L, "c@1", 0L),
+        CrashEvidence.NO_SUCCESS);
+  }
+
   /** Reports three crashes of a request without a body, as another daemon does. */
   private void reportCrashes(String method, String target) throws Exception {
-    byte[] body = "".getBytes(StandardCharsets.UTF_8);
-    CrashEvidence evidence =
-        new CrashEvidence(
-            Suspect.request(Fingerprints.ofRequest(method, target, "acme", body)),
-            Map.of("a@1", 0L, "b@1", 0L, "c@1", 0L),
-            CrashEvidence.NO_SUCCESS);
+    CrashEvidence evidence = evidence(method, target);
     harness.onLoop(state -> state.poisonFilter().mergeEvidence(List.of(evidence), 0));
   }
 
+  /** Reports the evidence once an attempt has begun, before its connection is open. */
+  private static void reportDuringAttempt(RelayState state, CrashEvidence evidence) {
+    if (state.endpoints().get("e0").orElseThrow().running() == 0) {
+      state.loop().execute(() -> reportDuringAttempt(state, evidence));
+      return;
+    }
+    state.poisonFilter().mergeEvidence(List.of(evidence), 0);
+  }
+
+  @Test
+  void requestRefusedWhileItsConnectionOpensIsNotSent() throws Exception {
+    harness = RelayHarness.start();
+    FakeEndpoint endpoint =
+        FakeEndpoint.start((request, connection) -> connection.respond(200, "id-1", "hello"));
+    harness.register(endpoint);
+    harness.onLoop(state -> reportDuringAttempt(state, evidence("GET", "/read/a")));
+    assertThat(harness.call("GET", "/read/a", "id-1")).startsWith("HTTP/1.1 503");
+    assertThat(endpoint.requests()).isEmpty();
+  }
+
   @Test
   void refusedRequestIsToldWhenTheRefusalEnds() throws Exception {
     harness = RelayHarness.start();
