Explain a crash by the suspect with the most crashes still unexplained

Callers of a sound request got 503 crashes-endpoints for minutes after others' requests had crashed endpoints.

All refusals were of /draft/x, which all sound callers send. Cause: two things crashed endpoints, a request (6 crashes) and a prompt segment (4 others). The sound request had run beside both, with 6 crashes. Suspects were taken in the order of all their crashes: the request explained its 6, then the sound one 3 of the segment's 4, which left the segment under its threshold, so that the sound request stayed refused. Suspects now are taken in the order of the crashes that are still unexplained, each time anew, so the segment comes before the sound request and explains the rest. refusesSecondCulpritInsteadOfSoundRequestThatRanBesideBoth failed before.

--- a/core/src/main/java/org/heatherspread/core/poison/CrashLedger.java
+++ b/core/src/main/java/org/heatherspread/core/poison/CrashLedger.java
@@ -10,6 +10,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Queue;
 import java.util.Set;
 import org.heatherspread.core.time.MonotonicClock;
 
@@ -249,44 +251,50 @@
     return counted;
   }
 
+  /** A suspect with the crashes that no other suspect explains, as of when it was queued. */
   private record Candidate(Suspect suspect, Set<String> crashes) {}
 
   /**
    * Decides which suspects are refused. Each crash has one cause, which is taken to be the suspect
-   * with the most crashes; among equals the choice is arbitrary, but the same at every daemon.
+   * with the most crashes that are not yet explained; among equals the choice is arbitrary, but the
+   * same at every daemon.
    */
   private void decide() {
     removeExpired();
-    List<Candidate> candidates = new ArrayList<>();
-    entries.forEach(
-        (suspect, entry) -> {
-          Set<String> crashes = countedCrashes(entry);
-          if (crashes.size() >= policy.threshold(suspect)) {
-            candidates.add(new Candidate(suspect, crashes));
-          }
-        });
-    candidates.sort(
-        Comparator.comparingInt((Candidate candidate) -> -candidate.crashes.size())
-            .thenComparing(candidate -> candidate.suspect.fingerprint()));
+    PriorityQueue<Candidate> candidates =
+        new PriorityQueue<>(
+            Comparator.comparingInt((Candidate candidate) -> -candidate.crashes.size())
+                .thenComparing(candidate -> candidate.suspect.fingerprint()));
+    entries.forEach((suspect, entry) -> addCandidate(candidates, suspect, countedCrashes(entry)));
     Set<String> explained = new HashSet<>();
     Map<Suspect, Long> refused = new HashMap<>();
-    for (Candidate candidate : candidates) {
-      candidate.crashes.removeAll(explained);
-      int excess = candidate.crashes.size() - policy.threshold(candidate.suspect);
-      if (excess >= 0) {
-        explained.addAll(candidate.crashes);
-        refused.put(candidate.suspect, refusalEndMillis(candidate, excess));
+    while (!candidates.isEmpty()) {
+      Candidate next = candidates.poll();
+      Set<String> unexplained = new HashSet<>(next.crashes);
+      unexplained.removeAll(explained);
+      if (unexplained.size() < next.crashes.size()) {
+        addCandidate(candidates, next.suspect, unexplained);
+        continue;
       }
+      explained.addAll(unexplained);
+      refused.put(next.suspect, refusalEndMillis(next));
     }
     refusedUntilMillis = refused;
   }
 
-  private long refusalEndMillis(Candidate candidate, int excess) {
+  private void addCandidate(Queue<Candidate> candidates, Suspect suspect, Set<String> crashes) {
+    if (crashes.size() >= policy.threshold(suspect)) {
+      candidates.add(new Candidate(suspect, crashes));
+    }
+  }
+
+  private long refusalEndMillis(Candidate candidate) {
     Entry entry = entries.get(candidate.suspect);
     long newest = NEVER;
     for (String crash : candidate.crashes) {
       newest = Math.max(newest, entry.crashMillis.get(crash));
     }
+    int excess = candidate.crashes.size() - policy.threshold(candidate.suspect);
     long refusal = policy.initialRefusal().toMillis() << excess;
     return newest + Math.min(refusal, policy.retention().toMillis());
   }
--- a/core/src/test/java/org/heatherspread/core/poison/CrashLedgerTest.java
+++ b/core/src/test/java/org/heatherspread/core/poison/CrashLedgerTest.java
@@ -191,6 +191,18 @@
     assertThat(ledger.refusal(CULPRIT)).isEmpty();
   }
 
+  /** A sound request that ran beside both culprits has more crashes than the second one. */
+  @Test
+  void refusesSecondCulpritInsteadOfSoundRequestThatRanBesideBoth() {
+    recordCrashes(ledger, CULPRIT, 0, 7);
+    recordCrashes(ledger, SEGMENT, 7, 11);
+    recordCrashes(ledger, SOUND, 0, 3);
+    recordCrashes(ledger, SOUND, 7, 10);
+    assertThat(ledger.refusal(CULPRIT)).isPresent();
+    assertThat(ledger.refusal(SEGMENT)).isPresent();
+    assertThat(ledger.refusal(SOUND)).isEmpty();
+  }
+
   @Test
   void keepsLimitedNumberOfSuccesses() {
     ledger.recordSuccess(SEGMENT);
