Let a request that was answered lately be no suspect of crashes

Callers of a sound request that many send got 503 crashes-endpoints for two minutes after three endpoints had crashed at once.

While it is refused nothing can prove it sound. Cause: successes before the first crash were kept for prompt segments, but not for requests. They now are kept for requests too, in a bounded number of their own. Like that of a segment, a success counts for a minute.

--- a/core/src/main/java/org/heatherspread/core/poison/CrashLedger.java
+++ b/core/src/main/java/org/heatherspread/core/poison/CrashLedger.java
@@ -33,9 +33,6 @@
 public final class CrashLedger {
   private static final int MAX_CRASHES = 16;
 
-  /** Maximum number of prompt segments whose last success is kept. */
-  private static final int MAX_SUCCESSES = 4_096;
-
   /** Time for which a success is sent to daemons that count crashes before it. */
   private static final long REFUTATION_SENT_MILLIS = 15_000;
 
@@ -44,16 +41,7 @@
   private final CrashPolicy policy;
   private final MonotonicClock clock;
   private final Map<Suspect, Entry> entries = new HashMap<>();
-  private final Map<Suspect, Long> successMillis =
-      new LinkedHashMap<>(16, 0.75f, true) {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<Suspect, Long> eldest) {
-          return size() > MAX_SUCCESSES;
-        }
-      };
-
+  private final RecentSuccesses successes = new RecentSuccesses();
   private Map<Suspect, Long> refusedUntilMillis = Map.of();
 
   private static final class Entry {
@@ -126,9 +114,7 @@
    * @return whether the suspect had crashes that no longer count
    */
   public boolean recordSuccess(Suspect suspect) {
-    if (suspect.kind() == Suspect.Kind.PROMPT_SEGMENT) {
-      successMillis.put(suspect, clock.millis());
-    }
+    successes.record(suspect, clock.millis());
     Entry entry = entries.get(suspect);
     if (entry == null) {
       return false;
@@ -200,7 +186,7 @@
       evictLeastIncriminated();
     }
     Entry entry = new Entry();
-    entry.succeededMillis = successMillis.getOrDefault(suspect, NEVER);
+    entry.succeededMillis = successes.lastMillis(suspect, NEVER);
     entries.put(suspect, entry);
     return entry;
   }
--- a/core/src/test/java/org/heatherspread/core/poison/CrashLedgerTest.java
+++ b/core/src/test/java/org/heatherspread/core/poison/CrashLedgerTest.java
@@ -170,6 +170,17 @@
     assertThat(ledger.evidence(10)).isEmpty();
   }
 
+  /** Equal sound requests ran on all endpoints before these crashed at once. */
+  @Test
+  void doesNotRefuseRequestThatSucceededBeforeTheCrashes() {
+    ledger.recordSuccess(SOUND);
+    recordCrashes(ledger, SOUND, 0, 10);
+    assertThat(ledger.refusal(SOUND)).isEmpty();
+    clock.advance(Duration.ofMinutes(2));
+    recordCrashes(ledger, SOUND, 10, 13);
+    assertThat(ledger.refusal(SOUND)).isPresent();
+  }
+
   @Test
   void successOfPromptSegmentAtAnotherDaemonIsSentToTheDaemonThatCountsCrashes() {
     CrashLedger other = CrashLedger.create(POLICY, clock);
--- a/relay/src/main/java/org/heatherspread/relay/call/PoisonRequestFilter.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/PoisonRequestFilter.java
@@ -159,7 +159,7 @@
   /** Records that a request was answered completely. */
   void requestCompleted(CallContext context) {
     answerBegan(context);
-    if (!ledger.isEmpty() && ledger.recordSuccess(context.suspects().request())) {
+    if (ledger.recordSuccess(context.suspects().request())) {
       newEvidenceListener.run();
     }
   }
