Test that identical sound requests are served after endpoints crash at once

Four daemons, four endpoints that crash at the same moment, each with the same sound request in progress, as when a failure domain is lost.

--- a/node/src/test/java/org/heatherspread/node/soak/CrashingRequestTest.java
+++ b/node/src/test/java/org/heatherspread/node/soak/CrashingRequestTest.java
@@ -22,6 +22,8 @@
   /** Crashes after which the request must no longer be sent. */
   private static final int CRASHES = 3;
 
+  private static final int MEASURED_REQUESTS = 20;
+
   @TempDir private Path folder;
 
   @Test
@@ -123,33 +125,61 @@
   @Test
   void crashingRequestIsRefusedAndIdenticalSoundRequestsBesideItAreServed() throws Exception {
     try (CrashFleet fleet = CrashFleet.start(DAEMONS, ENDPOINTS, folder)) {
-      AtomicBoolean stopped = new AtomicBoolean();
-      AtomicInteger sent = new AtomicInteger();
-      for (int i = 0; i < 3 * DAEMONS; i++) {
-        int daemon = i % DAEMONS;
-        DaemonThreads.start(
-            "sound-" + i,
-            () -> {
-              try {
-                while (!stopped.get()) {
-                  fleet.send(daemon, "sound", "sound-" + sent.incrementAndGet(), "");
-                }
-              } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-              }
-            });
-      }
+      AtomicBoolean stopped = startIdenticalSoundRequests(fleet);
       fleet.crashEndpoints(CRASHES, fleet::sendCrashing);
       final long executions = fleet.repeatCrashing(fleet::sendCrashing);
       stopped.set(true);
       fleet.awaitEndpoints();
-      int served = 0;
-      for (int i = 0; i < 20; i++) {
-        served += fleet.send(i % DAEMONS, "sound", "last-" + i, "") == 200 ? 1 : 0;
-        TimeUnit.MILLISECONDS.sleep(50);
-      }
+      final int served = countServed(fleet);
       assertThat(executions).isLessThanOrEqualTo(CrashFleet.PERMITTED_EXECUTIONS);
       assertThat(served).isGreaterThan(17);
     }
   }
+
+  /** Each of the endpoints has such a request in progress. */
+  @Test
+  void identicalSoundRequestsAreServedAfterAllEndpointsCrashAtOnce() throws Exception {
+    try (CrashFleet fleet = CrashFleet.start(DAEMONS, ENDPOINTS, folder)) {
+      AtomicBoolean stopped = startIdenticalSoundRequests(fleet);
+      TimeUnit.SECONDS.sleep(1);
+      for (SoakEndpoint endpoint : fleet.endpoints()) {
+        endpoint.crash();
+      }
+      fleet.awaitEndpoints();
+      TimeUnit.MILLISECONDS.sleep(CrashFleet.PROPAGATION_MILLIS);
+      int served = countServed(fleet);
+      stopped.set(true);
+      assertThat(served).isEqualTo(MEASURED_REQUESTS);
+    }
+  }
+
+  /** Sends the same sound request to all daemons, three at a time each, until stopped. */
+  private static AtomicBoolean startIdenticalSoundRequests(CrashFleet fleet) {
+    AtomicBoolean stopped = new AtomicBoolean();
+    AtomicInteger sent = new AtomicInteger();
+    for (int i = 0; i < 3 * DAEMONS; i++) {
+      int daemon = i % DAEMONS;
+      DaemonThreads.start(
+          "sound-" + i,
+          () -> {
+            try {
+              while (!stopped.get()) {
+                fleet.send(daemon, "sound", "sound-" + sent.incrementAndGet(), "");
+              }
+            } catch (InterruptedException e) {
+              Thread.currentThread().interrupt();
+            }
+          });
+    }
+    return stopped;
+  }
+
+  private static int countServed(CrashFleet fleet) throws Exception {
+    int served = 0;
+    for (int i = 0; i < MEASURED_REQUESTS; i++) {
+      served += fleet.send(i % DAEMONS, "sound", "last-" + i, "") == 200 ? 1 : 0;
+      TimeUnit.MILLISECONDS.sleep(50);
+    }
+    return served;
+  }
 }
