--- a/node/src/test/java/org/heatherspread/node/soak/CrashingRequestTest.java
+++ b/node/src/test/java/org/heatherspread/node/soak/CrashingRequestTest.java
@@ -140,7 +140,7 @@
   @Test
   void identicalSoundRequestsAreServedAfterAllEndpointsCrashAtOnce() throws Exception {
     try (CrashFleet fleet = CrashFleet.start(DAEMONS, ENDPOINTS, folder)) {
-      AtomicBoolean stopped = startIdenticalSoundRequests(fleet);
+      final AtomicBoolean stopped = startIdenticalSoundRequests(fleet);
       TimeUnit.SECONDS.sleep(1);
       for (SoakEndpoint endpoint : fleet.endpoints()) {
         endpoint.crash();
