--- a/core/src/main/java/org/heatherspread/core/poison/CrashLedger.java
+++ b/core/src/main/java/org/heatherspread/core/poison/CrashLedger.java
@@ -10,6 +10,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Queue;
 import java.util.Set;
 import org.heatherspread.core.time.MonotonicClock;
 
@@ -31,9 +33,6 @@
 public final class CrashLedger {
   private static final int MAX_CRASHES = 16;
 
-  /** Maximum number of prompt segments whose last success is kept. */
-  private static final int MAX_SUCCESSES = 4_096;
-
   /** Time for which a success is sent to daemons that count crashes before it. */
   private static final long REFUTATION_SENT_MILLIS = 15_000;
 
@@ -42,16 +41,7 @@
   private final CrashPolicy policy;
   private final MonotonicClock clock;
   private final Map<Suspect, Entry> entries = new HashMap<>();
-  private final Map<Suspect, Long> successMillis =
-      new LinkedHashMap<>(16, 0.75f, true) {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<Suspect, Long> eldest) {
-          return size() > MAX_SUCCESSES;
-        }
-      };
-
+  private final RecentSuccesses successes = new RecentSuccesses();
   private Map<Suspect, Long> refusedUntilMillis = Map.of();
 
   private static final class Entry {
@@ -124,9 +114,7 @@
    * @return whether the suspect had crashes that no longer count
    */
   public boolean recordSuccess(Suspect suspect) {
-    if (suspect.kind() == Suspect.Kind.PROMPT_SEGMENT) {
-      successMillis.put(suspect, clock.millis());
-    }
+    successes.record(suspect, clock.millis());
     Entry entry = entries.get(suspect);
     if (entry == null) {
       return false;
@@ -198,7 +186,7 @@
       evictLeastIncriminated();
     }
     Entry entry = new Entry();
-    entry.succeededMillis = successMillis.getOrDefault(suspect, NEVER);
+    entry.succeededMillis = successes.lastMillis(suspect, NEVER);
     entries.put(suspect, entry);
     return entry;
   }
@@ -249,44 +237,50 @@
     return counted;
   }
 
+  /** A suspect with the crashes that no other suspect explains, as of when it was queued. */
   private record Candidate(Suspect suspect, Set<String> crashes) {}
 
   /**
    * Decides which suspects are refused. Each crash has one cause, which is taken to be the suspect
-   * with the most crashes; among equals the choice is arbitrary, but the same at every daemon.
+   * with the most crashes that are not yet explained; among equals the choice is arbitrary, but the
+   * same at every daemon.
    */
   private void decide() {
     removeExpired();
-    List<Candidate> candidates = new ArrayList<>();
-    entries.forEach(
-        (suspect, entry) -> {
-          Set<String> crashes = countedCrashes(entry);
-          if (crashes.size() >= policy.threshold(suspect)) {
-            candidates.add(new Candidate(suspect, crashes));
-          }
-        });
-    candidates.sort(
-        Comparator.comparingInt((Candidate candidate) -> -candidate.crashes.size())
-            .thenComparing(candidate -> candidate.suspect.fingerprint()));
+    PriorityQueue<Candidate> candidates =
+        new PriorityQueue<>(
+            Comparator.comparingInt((Candidate candidate) -> -candidate.crashes.size())
+                .thenComparing(candidate -> candidate.suspect.fingerprint()));
+    entries.forEach((suspect, entry) -> addCandidate(candidates, suspect, countedCrashes(entry)));
     Set<String> explained = new HashSet<>();
     Map<Suspect, Long> refused = new HashMap<>();
-    for (Candidate candidate : candidates) {
-      candidate.crashes.removeAll(explained);
-      int excess = candidate.crashes.size() - policy.threshold(candidate.suspect);
-      if (excess >= 0) {
-        explained.addAll(candidate.crashes);
-        refused.put(candidate.suspect, refusalEndMillis(candidate, excess));
+    while (!candidates.isEmpty()) {
+      Candidate next = candidates.poll();
+      Set<String> unexplained = new HashSet<>(next.crashes);
+      unexplained.removeAll(explained);
+      if (unexplained.size() < next.crashes.size()) {
+        addCandidate(candidates, next.suspect, unexplained);
+        continue;
       }
+      explained.addAll(unexplained);
+      refused.put(next.suspect, refusalEndMillis(next));
     }
     refusedUntilMillis = refused;
   }
 
-  private long refusalEndMillis(Candidate candidate, int excess) {
+  private void addCandidate(Queue<Candidate> candidates, Suspect suspect, Set<String> crashes) {
+    if (crashes.size() >= policy.threshold(suspect)) {
+      candidates.add(new Candidate(suspect, crashes));
+    }
+  }
+
+  private long refusalEndMillis(Candidate candidate) {
     Entry entry = entries.get(candidate.suspect);
     long newest = NEVER;
     for (String crash : candidate.crashes) {
       newest = Math.max(newest, entry.crashMillis.get(crash));
     }
+    int excess = candidate.crashes.size() - policy.threshold(candidate.suspect);
     long refusal = policy.initialRefusal().toMillis() << excess;
     return newest + Math.min(refusal, policy.retention().toMillis());
   }
--- a/core/src/test/java/org/heatherspread/core/poison/CrashLedgerTest.java
+++ b/core/src/test/java/org/heatherspread/core/poison/CrashLedgerTest.java
@@ -170,6 +170,17 @@
     assertThat(ledger.evidence(10)).isEmpty();
   }
 
+  /** Equal sound requests ran on all endpoints before these crashed at once. */
+  @Test
+  void doesNotRefuseRequestThatSucceededBeforeTheCrashes() {
+    ledger.recordSuccess(SOUND);
+    recordCrashes(ledger, SOUND, 0, 10);
+    assertThat(ledger.refusal(SOUND)).isEmpty();
+    clock.advance(Duration.ofMinutes(2));
+    recordCrashes(ledger, SOUND, 10, 13);
+    assertThat(ledger.refusal(SOUND)).isPresent();
+  }
+
   @Test
   void successOfPromptSegmentAtAnotherDaemonIsSentToTheDaemonThatCountsCrashes() {
     CrashLedger other = CrashLedger.create(POLICY, clock);
@@ -191,6 +202,18 @@
     assertThat(ledger.refusal(CULPRIT)).isEmpty();
   }
 
+  /** A sound request that ran beside both culprits has more crashes than the second one. */
+  @Test
+  void refusesSecondCulpritInsteadOfSoundRequestThatRanBesideBoth() {
+    recordCrashes(ledger, CULPRIT, 0, 7);
+    recordCrashes(ledger, SEGMENT, 7, 11);
+    recordCrashes(ledger, SOUND, 0, 3);
+    recordCrashes(ledger, SOUND, 7, 10);
+    assertThat(ledger.refusal(CULPRIT)).isPresent();
+    assertThat(ledger.refusal(SEGMENT)).isPresent();
+    assertThat(ledger.refusal(SOUND)).isEmpty();
+  }
+
   @Test
   void keepsLimitedNumberOfSuccesses() {
     ledger.recordSuccess(SEGMENT);
--- a/node/src/test/java/org/heatherspread/node/soak/CrashFleet.java
+++ b/node/src/test/java/org/heatherspread/node/soak/CrashFleet.java
@@ -1,10 +1,12 @@
 package org.heatherspread.node.soak;
 
 import java.io.IOException;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -33,7 +35,7 @@
   static final int PERMITTED_EXECUTIONS = 3;
 
   private static final int MIN_CRASHES = 3;
-  private static final long CRASHING_TIMEOUT_MILLIS = 10_000;
+  private static final long MAX_QUIET_MILLIS = 3_000;
   private static final long GRACE_MILLIS = 2_000;
   private static final long READY_TIMEOUT_MILLIS = 40_000;
   private static final String SHARED_SEGMENT = "a1:50";
@@ -167,6 +169,32 @@
     }
   }
 
+  /** Sends a request to a daemon and closes the connection without waiting for the answer. */
+  void sendAndLeave(int daemon, String id) throws IOException {
+    String request =
+        "POST /draft/x HTTP/1.1\r\nHost: localhost\r\nAuthorization: Bearer %s\r\n"
+            + "Attempt-Id: %s\r\nDeadline-Remaining: 3500\r\nContent-Length: 0\r\n\r\n";
+    try (Socket socket = new Socket("127.0.0.1", daemons.get(daemon).callers())) {
+      String text = request.formatted(KEY, id);
+      socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+    }
+  }
+
+  /** Suspends a daemon while an action runs. */
+  void pause(int daemon, PausedAction whilePaused) throws Exception {
+    daemons.get(daemon).signal("STOP");
+    try {
+      whilePaused.run();
+    } finally {
+      daemons.get(daemon).signal("CONT");
+    }
+  }
+
+  /** Is carried out while a daemon is suspended. */
+  interface PausedAction {
+    void run() throws Exception;
+  }
+
   /** Sends a crashing request to a daemon. */
   interface CrashSender {
     int send(int daemon) throws InterruptedException;
@@ -174,19 +202,24 @@
 
   /**
    * Sends crashing requests to the daemons in turn until as many have reached endpoints, or until
-   * fewer have done so for a while, as they are refused, but not less than {@link #MIN_CRASHES}.
-   * Then waits until all daemons can know of the crashes.
+   * none has done so for longer than endpoints are away, as they are refused, but not less than
+   * {@link #MIN_CRASHES}. Then waits until all daemons can know of the crashes.
    */
   void crashEndpoints(int crashes, CrashSender sender) throws InterruptedException {
-    long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(CRASHING_TIMEOUT_MILLIS);
+    long quietSinceNanos = System.nanoTime();
     long executions = 0;
     for (int i = 0; executions < crashes; i++) {
-      if (executions >= MIN_CRASHES && System.nanoTime() >= deadlineNanos) {
-        break;
-      }
       sender.send(i % daemons.size());
       TimeUnit.MILLISECONDS.sleep(200);
+      long known = executions;
       executions = crashingExecutions();
+      if (executions > known) {
+        quietSinceNanos = System.nanoTime();
+      }
+      long quietMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - quietSinceNanos);
+      if (executions >= MIN_CRASHES && quietMillis >= MAX_QUIET_MILLIS) {
+        break;
+      }
     }
     TimeUnit.MILLISECONDS.sleep(PROPAGATION_MILLIS);
     awaitEndpoints();
@@ -234,7 +267,12 @@
 
   /** Returns how often crashing requests have reached endpoints. */
   long crashingExecutions() {
-    return history.executionCount("crash-");
+    return executions("crash-");
+  }
+
+  /** Returns how often requests whose ids start with a prefix have reached endpoints. */
+  long executions(String idPrefix) {
+    return history.executionCount(idPrefix);
   }
 
   @Override
