Find silent daemons by the exchange of loads and name them no more

In a large fleet callers were sent to daemons that had been off for seconds.

Cause: the directory names the daemons whose reports are valid. Reports are valid for three intervals, and the interval grows with the fleet, as the store bears so many writes: 3.8 s at 8 daemons, 8.9 s at 77, 102 s at 880. Every daemon exchanges loads four times a second with the reader of its domain, and the readers with each other. They now also find who takes no part for 2.5 s, and tell each other and their domains; the directory leaves these out. Owners of limits and other duties still go by the reports, as a silent daemon may admit. A process that stood still takes nobody for silent.

Before, nothing but a report told that a daemon was off. LoadExchangeTest has a daemon, a reader, and a reader that stood still. Fleets whose failure domains have fewer than four daemons exchange no loads, and there the directory still goes by the reports.

--- /dev/null
+++ b/core/src/main/java/org/heatherspread/core/fleet/SilenceDetector.java
@@ -0,0 +1,65 @@
+package org.heatherspread.core.fleet;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+
+/**
+ * Finds the daemons that are expected to be heard regularly and have not been for some time.
+ *
+ * <p>Invariant: a daemon counts as heard when it is first expected, and all of them do after this
+ * process stood still, as what they sent meanwhile was not read. Confined to one thread.
+ */
+public final class SilenceDetector {
+  private final long silenceMillis;
+  private final long maxGapMillis;
+  private final Map<String, Long> heardMillis = new HashMap<>();
+  private long lastExpectedMillis;
+
+  private SilenceDetector(long silenceMillis, long maxGapMillis) {
+    this.silenceMillis = silenceMillis;
+    this.maxGapMillis = maxGapMillis;
+  }
+
+  /**
+   * Creates a detector that expects no daemons.
+   *
+   * @param silenceMillis time after which a daemon counts as silent
+   * @param maxGapMillis time between two calls of {@link #expect} above which this process is taken
+   *     to have stood still
+   */
+  public static SilenceDetector create(long silenceMillis, long maxGapMillis) {
+    return new SilenceDetector(silenceMillis, maxGapMillis);
+  }
+
+  /** Replaces the daemons that are expected; must be called regularly. */
+  public void expect(Collection<String> daemons, long nowMillis) {
+    if (nowMillis - lastExpectedMillis > maxGapMillis) {
+      heardMillis.clear();
+    }
+    lastExpectedMillis = nowMillis;
+    heardMillis.keySet().retainAll(daemons);
+    for (String daemon : daemons) {
+      heardMillis.putIfAbsent(daemon, nowMillis);
+    }
+  }
+
+  /** Records that a daemon was heard; has no effect if it is not expected. */
+  public void recordHeard(String daemon, long nowMillis) {
+    heardMillis.replace(daemon, nowMillis);
+  }
+
+  /** Returns the expected daemons that are silent. */
+  public Set<String> silent(long nowMillis) {
+    Set<String> silent = new TreeSet<>();
+    heardMillis.forEach(
+        (daemon, heard) -> {
+          if (nowMillis - heard > silenceMillis) {
+            silent.add(daemon);
+          }
+        });
+    return silent;
+  }
+}
--- a/node/src/main/java/org/heatherspread/node/Node.java
+++ b/node/src/main/java/org/heatherspread/node/Node.java
@@ -12,6 +12,7 @@
 import java.time.InstantSource;
 import java.util.Collection;
 import java.util.List;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeSet;
 import java.util.concurrent.CountDownLatch;
@@ -216,9 +217,10 @@
 
   private Collection<String> directoryAddresses() {
     Collection<String> addresses = new TreeSet<>();
+    Set<String> silent = control.silentDaemons();
     for (DaemonReport report : control.fleet().liveReports()) {
       boolean isOther = !report.daemon().equals(settings.name());
-      if (isOther && report.state() == DaemonState.READY) {
+      if (isOther && report.state() == DaemonState.READY && !silent.contains(report.daemon())) {
         addresses.add(report.address());
       }
     }
--- a/node/src/main/java/org/heatherspread/node/control/ControlPlane.java
+++ b/node/src/main/java/org/heatherspread/node/control/ControlPlane.java
@@ -188,6 +188,13 @@
     return fleet;
   }
 
+  /**
+   * Returns the daemons that have not been heard for some time although their reports are valid.
+   */
+  public Set<String> silentDaemons() {
+    return loadExchange.silentDaemons();
+  }
+
   /** Returns whether the endpoints and the daemon reports have been read at least once. */
   public boolean isFleetInitialized() {
     return endpointListener.isInitialized() && fleetListener.isInitialized();
--- a/node/src/main/java/org/heatherspread/node/control/FleetListener.java
+++ b/node/src/main/java/org/heatherspread/node/control/FleetListener.java
@@ -44,6 +44,7 @@
   private final Duration minLifetime;
   private Set<String> liveNames = Set.of();
   private Map<String, String> readersByDomain = Map.of();
+  private Set<String> domainMembers = Set.of();
   private boolean initialized;
   private boolean ownerCandidate;
 
@@ -182,13 +183,18 @@
    */
   private void updatePeers(List<DaemonReport> reports, long ageMillis) {
     Map<String, HostPort> addresses = new HashMap<>();
-    Set<String> possibleOwners = new TreeSet<>();
+    Set<String> members = new TreeSet<>();
     for (DaemonReport report : reports) {
       if (report.peerAddress().isEmpty()) {
         continue;
       }
       addresses.put(report.daemon(), HostPort.parse(report.peerAddress()));
+      if (report.domain().equals(domain)) {
+        members.add(report.daemon());
+      }
     }
+    domainMembers = members;
+    Set<String> possibleOwners = new TreeSet<>();
     Set<String> admitting = new TreeSet<>();
     for (DaemonReport report : fleet.reportedWithin(maxAdmissionMillis())) {
       admitting.add(report.daemon());
@@ -229,7 +235,7 @@
             others.add(daemon);
           }
         });
-    return new LoadExchange.DomainReaders(readersByDomain.get(domain), others);
+    return new LoadExchange.DomainReaders(readersByDomain.get(domain), others, domainMembers);
   }
 
   @Override
--- a/node/src/main/java/org/heatherspread/node/peer/LoadExchange.java
+++ b/node/src/main/java/org/heatherspread/node/peer/LoadExchange.java
@@ -1,12 +1,17 @@
 package org.heatherspread.node.peer;
 
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.heatherspread.core.fleet.EndpointLoad;
 import org.heatherspread.core.fleet.LoadAggregator;
+import org.heatherspread.core.fleet.SilenceDetector;
 import org.heatherspread.relay.call.RelayState;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -14,7 +19,11 @@
 /**
  * Exchanges endpoint loads between daemons more often than daemon reports do. Each daemon sends its
  * own loads to the reader of its failure domain and receives the sum of all other daemons' loads;
- * readers request each other's domain sums. Confined to the event loop.
+ * readers request each other's domain sums.
+ *
+ * <p>Since every daemon takes part, the exchange also tells which daemons have fallen silent, long
+ * before their reports expire in a large fleet: readers find it of the daemons of their domains and
+ * of each other, the others of their readers. Confined to the event loop.
  */
 public final class LoadExchange {
   private static final Logger log = LoggerFactory.getLogger(LoadExchange.class);
@@ -28,34 +37,44 @@
    */
   private static final long EXPIRY_MILLIS = 1_200;
 
+  /** Time after which a daemon that takes no part in exchanges is silent; many exchanges. */
+  private static final long SILENCE_MILLIS = 2_500;
+
   private final RelayState state;
   private final String self;
   private final LoadClient client;
   private final Supplier<DomainReaders> readers;
   private final LoadAggregator memberLoads = LoadAggregator.create(EXPIRY_MILLIS);
   private final LoadAggregator otherDomainLoads = LoadAggregator.create(EXPIRY_MILLIS);
+  private final SilenceDetector silence = SilenceDetector.create(SILENCE_MILLIS, EXPIRY_MILLIS);
+  private final Map<String, ReceivedSilence> receivedSilence = new HashMap<>();
   private long lastExchangeMillis = Long.MIN_VALUE;
+  private Set<String> loggedSilence = Set.of();
   private boolean failing;
 
   /** Client for the exchange with other daemons. */
   interface LoadClient {
-    /** Sends this daemon's loads to a reader; returns the summed loads of all other daemons. */
-    CompletableFuture<Map<String, EndpointLoad>> exchangeLoads(
+    /** Sends this daemon's loads to a reader; returns those of all other daemons. */
+    CompletableFuture<ExchangedLoads> exchangeLoads(
         String reader, String self, Map<String, EndpointLoad> loads);
 
-    /** Returns the summed loads of the failure domain of another reader. */
-    CompletableFuture<Map<String, EndpointLoad>> fetchDomainLoads(String reader);
+    /** Returns the loads of the failure domain of another reader. */
+    CompletableFuture<ExchangedLoads> fetchDomainLoads(String reader);
   }
 
+  /** Silent daemons according to a reader. */
+  private record ReceivedSilence(Set<String> daemons, long receivedMillis) {}
+
   /**
    * The daemons that read the store for each failure domain.
    *
    * @param own reader of this daemon's domain, empty if every daemon reads for itself
    * @param others readers of the other domains
+   * @param members daemons of this daemon's domain
    */
-  public record DomainReaders(String own, List<String> others) {
+  public record DomainReaders(String own, List<String> others, Set<String> members) {
     /** No daemon reads for others. */
-    public static final DomainReaders NONE = new DomainReaders("", List.of());
+    public static final DomainReaders NONE = new DomainReaders("", List.of(), Set.of());
   }
 
   LoadExchange(RelayState state, String self, LoadClient client, Supplier<DomainReaders> readers) {
@@ -84,25 +103,41 @@
     return lastExchangeMillis != Long.MIN_VALUE && now() - lastExchangeMillis <= EXPIRY_MILLIS;
   }
 
-  /** Records the loads of a daemon of this domain; returns the sum of all other daemons' loads. */
-  Map<String, EndpointLoad> recordMemberLoads(String daemon, Map<String, EndpointLoad> loads) {
+  /**
+   * Returns the daemons that have taken no part in exchanges for some time, as far as this daemon
+   * knows.
+   */
+  public Set<String> silentDaemons() {
+    receivedSilence.values().removeIf(received -> now() - received.receivedMillis > EXPIRY_MILLIS);
+    Set<String> silent = new TreeSet<>(silence.silent(now()));
+    receivedSilence.values().forEach(received -> silent.addAll(received.daemons));
+    silent.remove(self);
+    return silent;
+  }
+
+  /** Records the loads of a daemon of this domain; returns those of all other daemons. */
+  ExchangedLoads recordMemberLoads(String daemon, Map<String, EndpointLoad> loads) {
+    silence.recordHeard(daemon, now());
     memberLoads.update(daemon, loads, now());
     Map<String, EndpointLoad> others = memberLoads.sumExcluding(daemon, now());
     LoadAggregator.addAll(others, state.endpoints().ownLoads());
     LoadAggregator.addAll(others, otherDomainLoads.sum(now()));
-    return others;
+    return new ExchangedLoads(others, silentDaemons());
   }
 
-  /** Returns the sum of the loads of this daemon and of the daemons that sent it theirs. */
-  Map<String, EndpointLoad> domainLoads() {
+  /** Returns the loads of this daemon and of the daemons of its domain that sent it theirs. */
+  ExchangedLoads domainLoads() {
     Map<String, EndpointLoad> sum = memberLoads.sum(now());
     LoadAggregator.addAll(sum, state.endpoints().ownLoads());
-    return sum;
+    Set<String> silent = silence.silent(now());
+    silent.retainAll(readers.get().members());
+    return new ExchangedLoads(sum, silent);
   }
 
   private void runScheduled() {
     try {
       exchange();
+      logSilence();
     } catch (RuntimeException e) {
       // An exception would cancel the scheduled task; the next exchange is independent of this one.
       log.atWarn().setCause(e).log("loads not exchanged");
@@ -111,39 +146,70 @@
 
   void exchange() {
     DomainReaders current = readers.get();
+    silence.expect(partners(current), now());
     if (current.own().isEmpty()) {
       return;
     }
     if (!current.own().equals(self)) {
       client
           .exchangeLoads(current.own(), self, state.endpoints().ownLoads())
-          .whenComplete(this::onLoads);
+          .whenComplete(
+              (received, failure) -> {
+                onReceived(current.own(), received, failure);
+                if (failure == null) {
+                  applyLoads(received.loads());
+                }
+              });
       return;
     }
     for (String reader : current.others()) {
       client
           .fetchDomainLoads(reader)
           .whenComplete(
-              (loads, failure) -> {
+              (received, failure) -> {
+                onReceived(reader, received, failure);
                 if (failure == null) {
-                  otherDomainLoads.update(reader, loads, now());
+                  otherDomainLoads.update(reader, received.loads(), now());
                 }
-                updateFailing(failure);
               });
     }
     Map<String, EndpointLoad> others = memberLoads.sum(now());
     LoadAggregator.addAll(others, otherDomainLoads.sum(now()));
-    onLoads(others, null);
+    applyLoads(others);
   }
 
-  private void onLoads(Map<String, EndpointLoad> others, Throwable failure) {
+  private void logSilence() {
+    Set<String> silent = silentDaemons();
+    if (!silent.equals(loggedSilence)) {
+      loggedSilence = silent;
+      log.atInfo().addKeyValue("daemons", String.join(" ", silent)).log("silent daemons changed");
+    }
+  }
+
+  /** Returns the daemons with which this daemon exchanges loads. */
+  private Set<String> partners(DomainReaders current) {
+    if (!current.own().equals(self)) {
+      return current.own().isEmpty() ? Set.of() : Set.of(current.own());
+    }
+    Set<String> partners = new HashSet<>(current.members());
+    partners.addAll(current.others());
+    partners.remove(self);
+    return partners;
+  }
+
+  private void onReceived(String reader, ExchangedLoads received, Throwable failure) {
     updateFailing(failure);
     if (failure == null) {
-      lastExchangeMillis = now();
-      state.endpoints().updatePeerLoads(others);
+      silence.recordHeard(reader, now());
+      receivedSilence.put(reader, new ReceivedSilence(received.silentDaemons(), now()));
     }
   }
 
+  private void applyLoads(Map<String, EndpointLoad> others) {
+    lastExchangeMillis = now();
+    state.endpoints().updatePeerLoads(others);
+  }
+
   private void updateFailing(Throwable failure) {
     if (failing == (failure != null)) {
       return;
--- a/node/src/main/java/org/heatherspread/node/peer/PeerClient.java
+++ b/node/src/main/java/org/heatherspread/node/peer/PeerClient.java
@@ -104,7 +104,7 @@
   }
 
   @Override
-  public CompletableFuture<Map<String, EndpointLoad>> exchangeLoads(
+  public CompletableFuture<ExchangedLoads> exchangeLoads(
       String reader, String self, Map<String, EndpointLoad> loads) {
     byte[] body = PeerFormat.writeMemberLoads(new PeerFormat.MemberLoads(self, loads));
     return call(reader, HttpMethod.POST, PeerFormat.LOADS_PATH, body, LOADS_TIMEOUT)
@@ -112,7 +112,7 @@
   }
 
   @Override
-  public CompletableFuture<Map<String, EndpointLoad>> fetchDomainLoads(String reader) {
+  public CompletableFuture<ExchangedLoads> fetchDomainLoads(String reader) {
     return call(reader, HttpMethod.GET, PeerFormat.DOMAIN_LOADS_PATH, EMPTY, LOADS_TIMEOUT)
         .thenApply(response -> PeerFormat.readLoads(requireSuccess(reader, response).body()));
   }
--- a/node/src/main/java/org/heatherspread/node/peer/PeerFormat.java
+++ b/node/src/main/java/org/heatherspread/node/peer/PeerFormat.java
@@ -13,10 +13,12 @@
 import java.util.ArrayList;
 import java.util.Base64;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.Set;
 import org.heatherspread.core.fleet.EndpointLoad;
 import org.heatherspread.core.limit.LimitOwnerClient;
 import org.heatherspread.core.poison.CrashEvidence;
@@ -193,12 +195,18 @@
     return new MemberLoads(node.path("daemon").asText(), parseLoads(node.path("loads")));
   }
 
-  static byte[] writeLoads(Map<String, EndpointLoad> loads) {
-    return serialize(toJson(loads));
+  static byte[] writeLoads(ExchangedLoads exchanged) {
+    ObjectNode node = MAPPER.createObjectNode();
+    node.set("loads", toJson(exchanged.loads()));
+    exchanged.silentDaemons().forEach(node.putArray("silent")::add);
+    return serialize(node);
   }
 
-  static Map<String, EndpointLoad> readLoads(byte[] body) {
-    return parseLoads(parse(body));
+  static ExchangedLoads readLoads(byte[] body) {
+    JsonNode node = parse(body);
+    Set<String> silent = new HashSet<>();
+    node.path("silent").forEach(daemon -> silent.add(daemon.asText()));
+    return new ExchangedLoads(parseLoads(node.path("loads")), silent);
   }
 
   private static ObjectNode toJson(Map<String, EndpointLoad> loads) {
--- a/node/src/test/java/org/heatherspread/node/peer/LoadExchangeTest.java
+++ b/node/src/test/java/org/heatherspread/node/peer/LoadExchangeTest.java
@@ -2,11 +2,14 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.io.IOException;
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.heatherspread.core.fleet.EndpointLoad;
 import org.heatherspread.core.freshness.StoreFreshness;
@@ -27,27 +30,34 @@
   private final ManualClock clock = ManualClock.create();
   private final Map<String, LoadExchange> exchanges = new HashMap<>();
   private final Map<String, RelayState> states = new HashMap<>();
+  private final Set<String> stopped = new HashSet<>();
 
   private final LoadExchange.LoadClient client =
       new LoadExchange.LoadClient() {
         @Override
-        public CompletableFuture<Map<String, EndpointLoad>> exchangeLoads(
+        public CompletableFuture<ExchangedLoads> exchangeLoads(
             String reader, String self, Map<String, EndpointLoad> loads) {
+          if (stopped.contains(reader)) {
+            return CompletableFuture.failedFuture(new IOException("connection refused"));
+          }
           return CompletableFuture.completedFuture(
               exchanges.get(reader).recordMemberLoads(self, loads));
         }
 
         @Override
-        public CompletableFuture<Map<String, EndpointLoad>> fetchDomainLoads(String reader) {
+        public CompletableFuture<ExchangedLoads> fetchDomainLoads(String reader) {
+          if (stopped.contains(reader)) {
+            return CompletableFuture.failedFuture(new IOException("connection refused"));
+          }
           return CompletableFuture.completedFuture(exchanges.get(reader).domainLoads());
         }
       };
 
   LoadExchangeTest() {
-    addDaemon("a1", new LoadExchange.DomainReaders("a1", List.of("b1")));
-    addDaemon("a2", new LoadExchange.DomainReaders("a1", List.of("b1")));
-    addDaemon("b1", new LoadExchange.DomainReaders("b1", List.of("a1")));
-    addDaemon("b2", new LoadExchange.DomainReaders("b1", List.of("a1")));
+    addDaemon("a1", new LoadExchange.DomainReaders("a1", List.of("b1"), Set.of("a1", "a2")));
+    addDaemon("a2", new LoadExchange.DomainReaders("a1", List.of("b1"), Set.of("a1", "a2")));
+    addDaemon("b1", new LoadExchange.DomainReaders("b1", List.of("a1"), Set.of("b1", "b2")));
+    addDaemon("b2", new LoadExchange.DomainReaders("b1", List.of("a1"), Set.of("b1", "b2")));
   }
 
   private void addDaemon(String name, LoadExchange.DomainReaders readers) {
@@ -68,10 +78,18 @@
   private void runRounds(int rounds) {
     for (int i = 0; i < rounds; i++) {
       clock.advance(Duration.ofMillis(250));
-      exchanges.values().forEach(LoadExchange::exchange);
+      for (Map.Entry<String, LoadExchange> daemon : exchanges.entrySet()) {
+        if (!stopped.contains(daemon.getKey())) {
+          daemon.getValue().exchange();
+        }
+      }
     }
   }
 
+  private Set<String> silentAt(String daemon) {
+    return exchanges.get(daemon).silentDaemons();
+  }
+
   @Test
   void everyDaemonKnowsTheTotalLoadAfterThreeRounds() {
     List<String> names = List.of("a1", "a2", "b1", "b2");
@@ -94,4 +112,44 @@
     clock.advance(Duration.ofMillis(1_300));
     assertThat(exchanges.get("a2").isFresh()).isFalse();
   }
+
+  /** In a large fleet, the report of a daemon that is off stays valid for many seconds. */
+  @Test
+  void everyDaemonKnowsWithinThreeSecondsThatAnotherIsOff() {
+    runRounds(5);
+    stopped.add("b2");
+    runRounds(12);
+    for (String daemon : List.of("a1", "a2", "b1")) {
+      assertThat(silentAt(daemon)).containsExactly("b2");
+    }
+    stopped.clear();
+    runRounds(2);
+    for (String daemon : exchanges.keySet()) {
+      assertThat(silentAt(daemon)).isEmpty();
+    }
+  }
+
+  @Test
+  void everyDaemonKnowsWithinThreeSecondsThatReaderIsOff() {
+    runRounds(5);
+    stopped.add("b1");
+    runRounds(12);
+    for (String daemon : List.of("a1", "a2", "b2")) {
+      assertThat(silentAt(daemon)).containsExactly("b1");
+    }
+  }
+
+  @Test
+  void readerThatStoodStillTakesNobodyForSilent() {
+    runRounds(5);
+    stopped.add("a1");
+    runRounds(20);
+    stopped.clear();
+    runRounds(1);
+    assertThat(silentAt("a1")).isEmpty();
+    runRounds(12);
+    for (String daemon : exchanges.keySet()) {
+      assertThat(silentAt(daemon)).isEmpty();
+    }
+  }
 }
