Name all known daemons if all of them seem silent

A daemon that reaches no other one takes them all for silent, though it is itself cut off; its directory would then name nobody but itself, or answer 503, where it named the last known daemons before. Found by reading the change that finds silent daemons.

--- a/core/src/main/java/org/heatherspread/core/fleet/SilenceDetector.java
+++ b/core/src/main/java/org/heatherspread/core/fleet/SilenceDetector.java
@@ -62,4 +62,14 @@
         });
     return silent;
   }
+
+  /**
+   * Returns the entries of daemons that are not silent, or all entries if all of them are silent,
+   * as this daemon is then cut off from the others.
+   */
+  public static <V> Map<String, V> retainHeard(Map<String, V> byDaemon, Set<String> silent) {
+    Map<String, V> heard = new HashMap<>(byDaemon);
+    heard.keySet().removeAll(silent);
+    return heard.isEmpty() ? byDaemon : heard;
+  }
 }
--- a/core/src/test/java/org/heatherspread/core/fleet/SilenceDetectorTest.java
+++ b/core/src/test/java/org/heatherspread/core/fleet/SilenceDetectorTest.java
@@ -3,6 +3,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 class SilenceDetectorTest {
@@ -41,4 +43,11 @@
     detector.expect(List.of("b"), 13_250);
     assertThat(detector.silent(20_000)).containsExactly("b");
   }
+
+  @Test
+  void retainsAllDaemonsIfAllAreSilent() {
+    Map<String, Integer> byDaemon = Map.of("a", 1, "b", 2);
+    assertThat(SilenceDetector.retainHeard(byDaemon, Set.of("a"))).isEqualTo(Map.of("b", 2));
+    assertThat(SilenceDetector.retainHeard(byDaemon, Set.of("a", "b"))).isEqualTo(byDaemon);
+  }
 }
--- a/node/src/main/java/org/heatherspread/node/Node.java
+++ b/node/src/main/java/org/heatherspread/node/Node.java
@@ -11,14 +11,16 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.List;
-import java.util.Set;
+import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.TreeSet;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.heatherspread.core.fleet.DaemonReport;
 import org.heatherspread.core.fleet.DaemonState;
+import org.heatherspread.core.fleet.SilenceDetector;
 import org.heatherspread.core.freshness.StoreFreshness;
 import org.heatherspread.core.freshness.UnixTimeEstimator;
 import org.heatherspread.core.limit.OvershootAllowance;
@@ -216,14 +218,15 @@
   }
 
   private Collection<String> directoryAddresses() {
-    Collection<String> addresses = new TreeSet<>();
-    Set<String> silent = control.silentDaemons();
+    Map<String, String> others = new HashMap<>();
     for (DaemonReport report : control.fleet().liveReports()) {
       boolean isOther = !report.daemon().equals(settings.name());
-      if (isOther && report.state() == DaemonState.READY && !silent.contains(report.daemon())) {
-        addresses.add(report.address());
+      if (isOther && report.state() == DaemonState.READY) {
+        others.put(report.daemon(), report.address());
       }
     }
+    Map<String, String> heard = SilenceDetector.retainHeard(others, control.silentDaemons());
+    Collection<String> addresses = new TreeSet<>(heard.values());
     // Without recent store reads, the last known other daemons are still returned: callers query
     // only a few daemons, all of which may have lost contact with the store.
     if (updateReadiness()
