Use the result of the set difference in the ledger's decision

Each candidate's crashes were copied to see whether some of them had been explained meanwhile. The set is the candidate's own and the candidate has left the queue, so the difference can be taken in place. Behaviour is the same; CrashLedgerTest: 16 passed.

--- a/core/src/main/java/org/heatherspread/core/poison/CrashLedger.java
+++ b/core/src/main/java/org/heatherspread/core/poison/CrashLedger.java
@@ -256,13 +256,11 @@
     Map<Suspect, Long> refused = new HashMap<>();
     while (!candidates.isEmpty()) {
       Candidate next = candidates.poll();
-      Set<String> unexplained = new HashSet<>(next.crashes);
-      unexplained.removeAll(explained);
-      if (unexplained.size() < next.crashes.size()) {
-        addCandidate(candidates, next.suspect, unexplained);
+      if (next.crashes.removeAll(explained)) {
+        addCandidate(candidates, next.suspect, next.crashes);
         continue;
       }
-      explained.addAll(unexplained);
+      explained.addAll(next.crashes);
       refused.put(next.suspect, refusalEndMillis(next));
     }
     refusedUntilMillis = refused;
