--- a/relay/src/test/java/org/heatherspread/relay/call/CrashingRequestPathsTest.java
+++ b/relay/src/test/java/org/heatherspread/relay/call/CrashingRequestPathsTest.java
@@ -43,6 +43,14 @@
         public void discardCopy(HostPort from, String copy) {}
       };
 
+  private FakeEndpoint startWithSoundEndpoint() throws Exception {
+    harness = RelayHarness.start();
+    FakeEndpoint endpoint =
+        FakeEndpoint.start((request, connection) -> connection.respond(200, "id-1", "hello"));
+    harness.register(endpoint);
+    return endpoint;
+  }
+
   /** Returns evidence of three crashes of a request without a body. */
   private static CrashEvidence evidence(String method, String target) {
     byte[] body = "".getBytes(StandardCharsets.UTF_8);
@@ -69,10 +77,7 @@
 
   @Test
   void requestRefusedWhileItsConnectionOpensIsNotSent() throws Exception {
-    harness = RelayHarness.start();
-    FakeEndpoint endpoint =
-        FakeEndpoint.start((request, connection) -> connection.respond(200, "id-1", "hello"));
-    harness.register(endpoint);
+    FakeEndpoint endpoint = startWithSoundEndpoint();
     harness.onLoop(state -> reportDuringAttempt(state, evidence("GET", "/read/a")));
     assertThat(harness.call("GET", "/read/a", "id-1")).startsWith("HTTP/1.1 503");
     assertThat(endpoint.requests()).isEmpty();
@@ -80,10 +85,7 @@
 
   @Test
   void refusedRequestIsToldWhenTheRefusalEnds() throws Exception {
-    harness = RelayHarness.start();
-    FakeEndpoint endpoint =
-        FakeEndpoint.start((request, connection) -> connection.respond(200, "id-1", "hello"));
-    harness.register(endpoint);
+    FakeEndpoint endpoint = startWithSoundEndpoint();
     reportCrashes("GET", "/read/a");
     String response = harness.call("GET", "/read/a", "id-1");
     assertThat(response).startsWith("HTTP/1.1 503").containsPattern("(?i)retry-after: 1[12]\\d\\.");
