Let the fleet tests of crashes share the senders of sound requests

Both had their own loop that sends until stopped and their own count of served requests; CrashFleet has one of each. Numbers of threads and requests, pauses and assertions are unchanged.

--- a/node/src/test/java/org/heatherspread/node/soak/CrashFleet.java
+++ b/node/src/test/java/org/heatherspread/node/soak/CrashFleet.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.heatherspread.platform.FakePlatform;
 import org.heatherspread.relay.FakeEndpoint;
@@ -195,17 +196,44 @@
     void run() throws Exception;
   }
 
-  /** Sends a crashing request to a daemon. */
-  interface CrashSender {
+  /** Sends a request to a daemon and returns its status. */
+  interface Sender {
     int send(int daemon) throws InterruptedException;
   }
 
+  /** Sends requests to each daemon with several threads until stopped. */
+  void startSenders(int threadsPerDaemon, AtomicBoolean stopped, Sender sender) {
+    for (int i = 0; i < threadsPerDaemon * daemons.size(); i++) {
+      int daemon = i % daemons.size();
+      DaemonThreads.start("sound-" + i, () -> sendUntilStopped(daemon, stopped, sender));
+    }
+  }
+
+  private static void sendUntilStopped(int daemon, AtomicBoolean stopped, Sender sender) {
+    try {
+      while (!stopped.get()) {
+        sender.send(daemon);
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /** Sends requests to the daemons in turn; returns how many were answered with status 200. */
+  int countServed(int requests, Sender sender) throws InterruptedException {
+    int served = 0;
+    for (int i = 0; i < requests; i++) {
+      served += sender.send(i % daemons.size()) == 200 ? 1 : 0;
+    }
+    return served;
+  }
+
   /**
    * Sends crashing requests to the daemons in turn until as many have reached endpoints, or until
    * none has done so for longer than endpoints are away, as they are refused, but not less than
    * {@link #MIN_CRASHES}. Then waits until all daemons can know of the crashes.
    */
-  void crashEndpoints(int crashes, CrashSender sender) throws InterruptedException {
+  void crashEndpoints(int crashes, Sender sender) throws InterruptedException {
     long quietSinceNanos = System.nanoTime();
     long executions = 0;
     for (int i = 0; executions < crashes; i++) {
@@ -226,7 +254,7 @@
   }
 
   /** Sends crashing requests to every daemon twice; returns how many endpoints began to answer. */
-  long repeatCrashing(CrashSender sender) throws InterruptedException {
+  long repeatCrashing(Sender sender) throws InterruptedException {
     long before = crashingExecutions();
     for (int i = 0; i < 2 * daemons.size(); i++) {
       sender.send(i % daemons.size());
@@ -236,6 +264,11 @@
     return crashingExecutions() - before;
   }
 
+  /** Sends the same sound request to a daemon. */
+  int sendSound(int daemon) throws InterruptedException {
+    return send(daemon, "sound", "sound-" + sentCount.incrementAndGet(), "");
+  }
+
   /** Sends the same crashing request to a daemon. */
   int sendCrashing(int daemon) throws InterruptedException {
     return send(daemon, CRASH_MARKER, "crash-" + sentCount.incrementAndGet(), "");
--- a/node/src/test/java/org/heatherspread/node/soak/CrashingPromptSegmentTest.java
+++ b/node/src/test/java/org/heatherspread/node/soak/CrashingPromptSegmentTest.java
@@ -28,29 +28,19 @@
   private final AtomicInteger soundFailures = new AtomicInteger();
 
   private void sendSoundRequests(CrashFleet fleet) {
-    for (int i = 0; i < 2 * DAEMONS; i++) {
-      int daemon = i % DAEMONS;
-      DaemonThreads.start("sound-" + i, () -> sendSoundRequests(fleet, daemon));
-    }
-  }
-
-  private void sendSoundRequests(CrashFleet fleet, int daemon) {
-    try {
-      while (!stopped.get()) {
-        soundFailures.addAndGet(fleet.sendSoundPrompt(daemon) == 200 ? 0 : 1);
-        TimeUnit.MILLISECONDS.sleep(20);
-      }
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
+    fleet.startSenders(
+        2,
+        stopped,
+        daemon -> {
+          int status = fleet.sendSoundPrompt(daemon);
+          soundFailures.addAndGet(status == 200 ? 0 : 1);
+          TimeUnit.MILLISECONDS.sleep(20);
+          return status;
+        });
   }
 
-  private static int countServed(CrashFleet fleet) throws Exception {
-    int served = 0;
-    for (int i = 0; i < MEASURED_REQUESTS; i++) {
-      served += fleet.sendSoundPrompt(i % DAEMONS) == 200 ? 1 : 0;
-    }
-    return served;
+  private static int countServed(CrashFleet fleet) throws InterruptedException {
+    return fleet.countServed(MEASURED_REQUESTS, fleet::sendSoundPrompt);
   }
 
   @Test
--- a/node/src/test/java/org/heatherspread/node/soak/CrashingRequestTest.java
+++ b/node/src/test/java/org/heatherspread/node/soak/CrashingRequestTest.java
@@ -5,7 +5,6 @@
 import java.nio.file.Path;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.concurrent.atomic.AtomicInteger;
 import org.heatherspread.platform.FakePlatform;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -23,6 +22,7 @@
   private static final int CRASHES = 3;
 
   private static final int MEASURED_REQUESTS = 20;
+  private static final int SENDERS_PER_DAEMON = 3;
 
   @TempDir private Path folder;
 
@@ -125,7 +125,8 @@
   @Test
   void crashingRequestIsRefusedAndIdenticalSoundRequestsBesideItAreServed() throws Exception {
     try (CrashFleet fleet = CrashFleet.start(DAEMONS, ENDPOINTS, folder)) {
-      AtomicBoolean stopped = startIdenticalSoundRequests(fleet);
+      AtomicBoolean stopped = new AtomicBoolean();
+      fleet.startSenders(SENDERS_PER_DAEMON, stopped, fleet::sendSound);
       fleet.crashEndpoints(CRASHES, fleet::sendCrashing);
       final long executions = fleet.repeatCrashing(fleet::sendCrashing);
       stopped.set(true);
@@ -140,7 +141,8 @@
   @Test
   void identicalSoundRequestsAreServedAfterAllEndpointsCrashAtOnce() throws Exception {
     try (CrashFleet fleet = CrashFleet.start(DAEMONS, ENDPOINTS, folder)) {
-      final AtomicBoolean stopped = startIdenticalSoundRequests(fleet);
+      AtomicBoolean stopped = new AtomicBoolean();
+      fleet.startSenders(SENDERS_PER_DAEMON, stopped, fleet::sendSound);
       TimeUnit.SECONDS.sleep(1);
       for (SoakEndpoint endpoint : fleet.endpoints()) {
         endpoint.crash();
@@ -153,33 +155,13 @@
     }
   }
 
-  /** Sends the same sound request to all daemons, three at a time each, until stopped. */
-  private static AtomicBoolean startIdenticalSoundRequests(CrashFleet fleet) {
-    AtomicBoolean stopped = new AtomicBoolean();
-    AtomicInteger sent = new AtomicInteger();
-    for (int i = 0; i < 3 * DAEMONS; i++) {
-      int daemon = i % DAEMONS;
-      DaemonThreads.start(
-          "sound-" + i,
-          () -> {
-            try {
-              while (!stopped.get()) {
-                fleet.send(daemon, "sound", "sound-" + sent.incrementAndGet(), "");
-              }
-            } catch (InterruptedException e) {
-              Thread.currentThread().interrupt();
-            }
-          });
-    }
-    return stopped;
-  }
-
-  private static int countServed(CrashFleet fleet) throws Exception {
-    int served = 0;
-    for (int i = 0; i < MEASURED_REQUESTS; i++) {
-      served += fleet.send(i % DAEMONS, "sound", "last-" + i, "") == 200 ? 1 : 0;
-      TimeUnit.MILLISECONDS.sleep(50);
-    }
-    return served;
+  private static int countServed(CrashFleet fleet) throws InterruptedException {
+    return fleet.countServed(
+        MEASURED_REQUESTS,
+        daemon -> {
+          int status = fleet.sendSound(daemon);
+          TimeUnit.MILLISECONDS.sleep(50);
+          return status;
+        });
   }
 }
