--- a/node/src/test/java/org/heatherspread/node/soak/CrashingPromptSegmentTest.java
+++ b/node/src/test/java/org/heatherspread/node/soak/CrashingPromptSegmentTest.java
@@ -27,7 +27,7 @@
   private final AtomicBoolean stopped = new AtomicBoolean();
   private final AtomicInteger soundFailures = new AtomicInteger();
 
-  private void sendSoundRequests(CrashFleet fleet) {
+  private void sendSoundRequests(ProcessFleet fleet) {
     fleet.startSenders(
         2,
         stopped,
@@ -39,18 +39,18 @@
         });
   }
 
-  private static int countServed(CrashFleet fleet) throws InterruptedException {
+  private static int countServed(ProcessFleet fleet) throws InterruptedException {
     return fleet.countServed(MEASURED_REQUESTS, fleet::sendSoundPrompt);
   }
 
   @Test
   void requestsWithCrashingPromptSegmentAreRefusedAndSoundOnesServed() throws Exception {
-    try (CrashFleet fleet = CrashFleet.start(DAEMONS, ENDPOINTS, folder)) {
+    try (ProcessFleet fleet = ProcessFleet.start(DAEMONS, ENDPOINTS, folder)) {
       sendSoundRequests(fleet);
       fleet.crashEndpoints(CRASHES, fleet::sendCrashingPrompt);
       assertThat(fleet.repeatCrashing(fleet::sendCrashingPrompt))
-          .isLessThanOrEqualTo(CrashFleet.PERMITTED_EXECUTIONS);
-      TimeUnit.MILLISECONDS.sleep(CrashFleet.PROPAGATION_MILLIS);
+          .isLessThanOrEqualTo(ProcessFleet.PERMITTED_EXECUTIONS);
+      TimeUnit.MILLISECONDS.sleep(ProcessFleet.PROPAGATION_MILLIS);
       soundFailures.set(0);
       fleet.sendCrashingPrompt(0);
       assertThat(countServed(fleet)).isEqualTo(MEASURED_REQUESTS);
@@ -61,7 +61,7 @@
 
   @Test
   void requestsWithCrashingPromptSegmentAreRefusedAfterAllDaemonsRestart() throws Exception {
-    try (CrashFleet fleet = CrashFleet.start(DAEMONS, ENDPOINTS, folder)) {
+    try (ProcessFleet fleet = ProcessFleet.start(DAEMONS, ENDPOINTS, folder)) {
       sendSoundRequests(fleet);
       fleet.crashEndpoints(CRASHES, fleet::sendCrashingPrompt);
       fleet.restartAll();
@@ -69,7 +69,7 @@
         fleet.restart(daemon);
       }
       assertThat(fleet.repeatCrashing(fleet::sendCrashingPrompt))
-          .isLessThanOrEqualTo(CrashFleet.PERMITTED_EXECUTIONS);
+          .isLessThanOrEqualTo(ProcessFleet.PERMITTED_EXECUTIONS);
       stopped.set(true);
     }
   }
@@ -77,7 +77,7 @@
   /** Endpoints that end for another reason must not cause a refusal of what ran on them. */
   @Test
   void soundRequestsAreServedAfterManyEndpointsCrashed() throws Exception {
-    try (CrashFleet fleet = CrashFleet.start(DAEMONS, ENDPOINTS, folder)) {
+    try (ProcessFleet fleet = ProcessFleet.start(DAEMONS, ENDPOINTS, folder)) {
       sendSoundRequests(fleet);
       for (int round = 0; round < 3; round++) {
         for (SoakEndpoint endpoint : fleet.endpoints()) {
@@ -87,7 +87,7 @@
         fleet.awaitEndpoints();
         TimeUnit.MILLISECONDS.sleep(300);
       }
-      TimeUnit.MILLISECONDS.sleep(CrashFleet.PROPAGATION_MILLIS);
+      TimeUnit.MILLISECONDS.sleep(ProcessFleet.PROPAGATION_MILLIS);
       assertThat(countServed(fleet)).isEqualTo(MEASURED_REQUESTS);
       stopped.set(true);
     }
--- a/node/src/test/java/org/heatherspread/node/soak/CrashingRequestTest.java
+++ b/node/src/test/java/org/heatherspread/node/soak/CrashingRequestTest.java
@@ -28,10 +28,10 @@
 
   @Test
   void crashingRequestIsRefusedByAllDaemons() throws Exception {
-    try (CrashFleet fleet = CrashFleet.start(DAEMONS, ENDPOINTS, folder)) {
+    try (ProcessFleet fleet = ProcessFleet.start(DAEMONS, ENDPOINTS, folder)) {
       fleet.crashEndpoints(CRASHES, fleet::sendCrashing);
       assertThat(fleet.repeatCrashing(fleet::sendCrashing))
-          .isLessThanOrEqualTo(CrashFleet.PERMITTED_EXECUTIONS);
+          .isLessThanOrEqualTo(ProcessFleet.PERMITTED_EXECUTIONS);
       assertThat(fleet.sendCrashing(0)).isEqualTo(503);
       assertThat(fleet.send(0, "sound", "sound", "")).isEqualTo(200);
     }
@@ -39,46 +39,46 @@
 
   @Test
   void crashingRequestIsRefusedAfterAllDaemonsRestartInTurn() throws Exception {
-    try (CrashFleet fleet = CrashFleet.start(DAEMONS, ENDPOINTS, folder)) {
+    try (ProcessFleet fleet = ProcessFleet.start(DAEMONS, ENDPOINTS, folder)) {
       fleet.crashEndpoints(CRASHES, fleet::sendCrashing);
       for (int daemon = 0; daemon < DAEMONS; daemon++) {
         fleet.restart(daemon);
       }
       assertThat(fleet.repeatCrashing(fleet::sendCrashing))
-          .isLessThanOrEqualTo(CrashFleet.PERMITTED_EXECUTIONS);
+          .isLessThanOrEqualTo(ProcessFleet.PERMITTED_EXECUTIONS);
     }
   }
 
   @Test
   void crashingRequestIsRefusedAfterRepeatedRestartsOfAllDaemons() throws Exception {
-    try (CrashFleet fleet = CrashFleet.start(DAEMONS, ENDPOINTS, folder)) {
+    try (ProcessFleet fleet = ProcessFleet.start(DAEMONS, ENDPOINTS, folder)) {
       fleet.crashEndpoints(CRASHES, fleet::sendCrashing);
       fleet.restartAll();
       fleet.restartAll();
       assertThat(fleet.repeatCrashing(fleet::sendCrashing))
-          .isLessThanOrEqualTo(CrashFleet.PERMITTED_EXECUTIONS);
+          .isLessThanOrEqualTo(ProcessFleet.PERMITTED_EXECUTIONS);
     }
   }
 
   @Test
   void crashingRequestIsRefusedAfterTheStoreLostItsReports() throws Exception {
-    try (CrashFleet fleet = CrashFleet.start(DAEMONS, ENDPOINTS, folder)) {
+    try (ProcessFleet fleet = ProcessFleet.start(DAEMONS, ENDPOINTS, folder)) {
       final FakePlatform.Backup backup = fleet.platform().backUp();
       fleet.crashEndpoints(CRASHES, fleet::sendCrashing);
       fleet.restart(0);
       fleet.platform().restore(backup, FakePlatform.OPERATORS, FakePlatform.ENDPOINTS);
-      TimeUnit.MILLISECONDS.sleep(CrashFleet.PROPAGATION_MILLIS);
+      TimeUnit.MILLISECONDS.sleep(ProcessFleet.PROPAGATION_MILLIS);
       fleet.restart(1);
       fleet.restart(2);
       fleet.restart(3);
       assertThat(fleet.repeatCrashing(fleet::sendCrashing))
-          .isLessThanOrEqualTo(CrashFleet.PERMITTED_EXECUTIONS);
+          .isLessThanOrEqualTo(ProcessFleet.PERMITTED_EXECUTIONS);
     }
   }
 
   @Test
   void crashingRequestIsRefusedByAllDaemonsWhileTheStoreIsDown() throws Exception {
-    try (CrashFleet fleet = CrashFleet.start(DAEMONS, ENDPOINTS, folder)) {
+    try (ProcessFleet fleet = ProcessFleet.start(DAEMONS, ENDPOINTS, folder)) {
       checkRefusalWithoutStore(fleet);
     }
   }
@@ -86,12 +86,12 @@
   /** Without the store, daemons do not learn that an endpoint has started again under its id. */
   @Test
   void crashingRequestIsRefusedIfTheSameEndpointsEndAgainWhileTheStoreIsDown() throws Exception {
-    try (CrashFleet fleet = CrashFleet.start(DAEMONS, 2, folder)) {
+    try (ProcessFleet fleet = ProcessFleet.start(DAEMONS, 2, folder)) {
       checkRefusalWithoutStore(fleet);
     }
   }
 
-  private static void checkRefusalWithoutStore(CrashFleet fleet) throws Exception {
+  private static void checkRefusalWithoutStore(ProcessFleet fleet) throws Exception {
     for (SoakEndpoint endpoint : fleet.endpoints()) {
       endpoint.setRestart(500, true);
     }
@@ -111,20 +111,20 @@
   /** A restarted endpoint accepts connections that were meant for its predecessor. */
   @Test
   void crashingRequestIsRefusedIfEndpointsRestartAtOnceAtTheirAddresses() throws Exception {
-    try (CrashFleet fleet = CrashFleet.start(DAEMONS, ENDPOINTS, folder)) {
+    try (ProcessFleet fleet = ProcessFleet.start(DAEMONS, ENDPOINTS, folder)) {
       for (SoakEndpoint endpoint : fleet.endpoints()) {
         endpoint.setRestart(250, false);
       }
       fleet.crashEndpoints(CRASHES, fleet::sendCrashing);
       assertThat(fleet.repeatCrashing(fleet::sendCrashing))
-          .isLessThanOrEqualTo(CrashFleet.PERMITTED_EXECUTIONS);
+          .isLessThanOrEqualTo(ProcessFleet.PERMITTED_EXECUTIONS);
     }
   }
 
   /** Identical requests of one account run on every endpoint that crashes. */
   @Test
   void crashingRequestIsRefusedAndIdenticalSoundRequestsBesideItAreServed() throws Exception {
-    try (CrashFleet fleet = CrashFleet.start(DAEMONS, ENDPOINTS, folder)) {
+    try (ProcessFleet fleet = ProcessFleet.start(DAEMONS, ENDPOINTS, folder)) {
       AtomicBoolean stopped = new AtomicBoolean();
       fleet.startSenders(SENDERS_PER_DAEMON, stopped, fleet::sendSound);
       fleet.crashEndpoints(CRASHES, fleet::sendCrashing);
@@ -132,7 +132,7 @@
       stopped.set(true);
       fleet.awaitEndpoints();
       final int served = countServed(fleet);
-      assertThat(executions).isLessThanOrEqualTo(CrashFleet.PERMITTED_EXECUTIONS);
+      assertThat(executions).isLessThanOrEqualTo(ProcessFleet.PERMITTED_EXECUTIONS);
       assertThat(served).isGreaterThan(17);
     }
   }
@@ -140,7 +140,7 @@
   /** Each of the endpoints has such a request in progress. */
   @Test
   void identicalSoundRequestsAreServedAfterAllEndpointsCrashAtOnce() throws Exception {
-    try (CrashFleet fleet = CrashFleet.start(DAEMONS, ENDPOINTS, folder)) {
+    try (ProcessFleet fleet = ProcessFleet.start(DAEMONS, ENDPOINTS, folder)) {
       AtomicBoolean stopped = new AtomicBoolean();
       fleet.startSenders(SENDERS_PER_DAEMON, stopped, fleet::sendSound);
       TimeUnit.SECONDS.sleep(1);
@@ -148,14 +148,14 @@
         endpoint.crash();
       }
       fleet.awaitEndpoints();
-      TimeUnit.MILLISECONDS.sleep(CrashFleet.PROPAGATION_MILLIS);
+      TimeUnit.MILLISECONDS.sleep(ProcessFleet.PROPAGATION_MILLIS);
       int served = countServed(fleet);
       stopped.set(true);
       assertThat(served).isEqualTo(MEASURED_REQUESTS);
     }
   }
 
-  private static int countServed(CrashFleet fleet) throws InterruptedException {
+  private static int countServed(ProcessFleet fleet) throws InterruptedException {
     return fleet.countServed(
         MEASURED_REQUESTS,
         daemon -> {
--- a/node/src/test/java/org/heatherspread/node/soak/DepartedCallerTest.java
+++ b/node/src/test/java/org/heatherspread/node/soak/DepartedCallerTest.java
@@ -15,7 +15,7 @@
 
   @Test
   void requestsOfCallersThatLeftWhileTheDaemonWasSuspendedAreNotSentOn() throws Exception {
-    try (CrashFleet fleet = CrashFleet.start(1, 1, folder)) {
+    try (ProcessFleet fleet = ProcessFleet.start(1, 1, folder)) {
       fleet.pause(
           0,
           () -> {
--- a/node/src/test/java/org/heatherspread/node/soak/CrashFleet.java
+++ b/node/src/test/java/org/heatherspread/node/soak/ProcessFleet.java
@@ -19,10 +19,10 @@
 import org.heatherspread.relay.FakeEndpoint;
 
 /**
- * Daemon processes and model endpoints that requests with a crash marker end. Each request names
- * the daemon that it is sent to. Confined to one thread.
+ * Daemon processes and model endpoints, which requests with a crash marker end. Each request names
+ * the daemon that it is sent to. Confined to one thread, but for the senders of requests.
  */
-final class CrashFleet implements AutoCloseable {
+final class ProcessFleet implements AutoCloseable {
   /** Text in the body of a request that ends each endpoint that begins its answer. */
   private static final String CRASH_MARKER = "crash-marker";
 
@@ -63,19 +63,19 @@
           .connectTimeout(Duration.ofMillis(500))
           .build();
 
-  private CrashFleet(FakePlatform platform) {
+  private ProcessFleet(FakePlatform platform) {
     this.platform = platform;
   }
 
   /** Starts the processes and waits until every daemon accepts requests. */
-  static CrashFleet start(int daemonCount, int endpointCount, Path folder) throws Exception {
-    CrashFleet fleet = new CrashFleet(FakePlatform.start());
+  static ProcessFleet start(int daemonCount, int endpointCount, Path folder) throws Exception {
+    ProcessFleet fleet = new ProcessFleet(FakePlatform.start());
     fleet.platform.write(FakePlatform.OPERATORS, FakePlatform.CONFIGURATION_KEY, CONFIGURATION);
     SplittableRandom random = new SplittableRandom(1);
     for (int i = 0; i < endpointCount; i++) {
       SoakEndpoint endpoint =
           SoakEndpoint.start("model-" + i, "model", fleet.history, random.split(), fleet.platform);
-      endpoint.setCrashTrigger(CrashFleet::crashesEndpoints);
+      endpoint.setCrashTrigger(ProcessFleet::crashesEndpoints);
       fleet.endpoints.add(endpoint);
     }
     for (int i = 0; i < daemonCount; i++) {
--- a/node/src/test/java/org/heatherspread/node/soak/SoakEndpoint.java
+++ b/node/src/test/java/org/heatherspread/node/soak/SoakEndpoint.java
@@ -12,7 +12,8 @@
  * it refuses them, resets connections before or within the response, sends bytes without end, or
  * sends a further response that belongs to another request. Some of its responses end with their
  * connections. A request that matches the crash trigger ends the endpoint as soon as its answer
- * begins; a new incarnation starts at the same address later. Thread-safe.
+ * begins; a new incarnation starts at the same address later. It may name a limit of requests per
+ * second in its responses, and records the requests that reach it meanwhile. Thread-safe.
  */
 final class SoakEndpoint implements AutoCloseable {
   /** Number of events in a complete stream. */
@@ -44,6 +45,7 @@
   private volatile Predicate<FakeEndpoint.Request> crashTrigger = request -> false;
   private volatile long restartMillis = 1_000;
   private volatile boolean keepsId;
+  private volatile NamedLimit namedLimit = NamedLimit.NONE;
   private int incarnation;
 
   private SoakEndpoint(
@@ -104,6 +106,17 @@
     keepsId = sameId;
   }
 
+  /** Names a limit of requests per second in all responses from now on. */
+  NamedLimit nameLimit(double requestsPerSecond) {
+    namedLimit = NamedLimit.of(requestsPerSecond);
+    return namedLimit;
+  }
+
+  /** Names no limit any longer. */
+  void dropLimit() {
+    namedLimit = NamedLimit.NONE;
+  }
+
   /** Ends all connections and refuses new ones until the next incarnation starts. */
   void crash() throws IOException {
     synchronized (this) {
@@ -177,6 +190,8 @@
 
   private void handle(FakeEndpoint.Request request, FakeEndpoint.Connection connection)
       throws Exception {
+    NamedLimit limit = namedLimit;
+    limit.recordArrival();
     String attemptId = request.header("attempt-id");
     if (attemptId == null) {
       history.recordViolation("an endpoint received a request without an id: " + request);
@@ -191,7 +206,10 @@
     boolean faulty = nextDouble() < faultShare;
     double faultKind = nextDouble();
     if (faulty && faultKind < 0.25) {
-      connection.send("HTTP/1.1 503 X\r\nRequest-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+      connection.send(
+          "HTTP/1.1 503 X\r\nRequest-Not-Executed: 1\r\nContent-Length: 0\r\n"
+              + FakeEndpoint.Connection.lines(limit.headers())
+              + "\r\n");
       return;
     }
     history.recordExecution(
@@ -225,25 +243,28 @@
       return;
     }
     if (delimitedByClose) {
-      connection.send(head(attemptId) + "\r\nok-" + attemptId);
+      connection.send(head(attemptId, limit) + "\r\nok-" + attemptId);
       connection.socket().close();
       return;
     }
-    connection.respond(200, attemptId, "ok-" + attemptId);
+    connection.respond(200, attemptId, "ok-" + attemptId, limit.headers());
     if (faulty) {
       connection.respond(200, "other", "of-another-request");
     }
   }
 
-  private static String head(String attemptId) {
-    return "HTTP/1.1 200 X\r\nAttempt-Id: " + attemptId + "\r\nServer-Signature: sig\r\n";
+  private static String head(String attemptId, NamedLimit limit) {
+    return "HTTP/1.1 200 X\r\nAttempt-Id: "
+        + attemptId
+        + "\r\nServer-Signature: sig\r\n"
+        + FakeEndpoint.Connection.lines(limit.headers());
   }
 
   /** Sends a head or a body without end until the peer closes the connection. */
   private void sendWithoutEnd(String attemptId, FakeEndpoint.Connection connection)
       throws IOException {
     boolean endlessHead = nextDouble() < 0.5;
-    connection.send(head(attemptId) + (endlessHead ? "" : "\r\n"));
+    connection.send(head(attemptId, namedLimit) + (endlessHead ? "" : "\r\n"));
     while (true) {
       connection.send(endlessHead ? "X-Filler: " + ENDLESS_BLOCK + "\r\n" : ENDLESS_BLOCK);
     }
@@ -254,7 +275,7 @@
       throws IOException {
     double progress = nextDouble();
     if (progress > 0.3) {
-      connection.startStream(request.header("attempt-id"));
+      connection.startStream(request.header("attempt-id"), namedLimit.headers());
     }
     if (progress > 0.6) {
       connection.sendChunk("id: 1\nda");
@@ -272,9 +293,9 @@
     int first = lastEventId == null ? 1 : Integer.parseInt(lastEventId) + 1;
     TextSender sender = delimitedByClose ? connection::send : connection::sendChunk;
     if (delimitedByClose) {
-      connection.send(head(request.header("attempt-id")) + "\r\n");
+      connection.send(head(request.header("attempt-id"), namedLimit) + "\r\n");
     } else {
-      connection.startStream(request.header("attempt-id"));
+      connection.startStream(request.header("attempt-id"), namedLimit.headers());
     }
     boolean interrupted = false;
     for (int event = first; event <= EVENT_COUNT && !interrupted; event++) {
--- a/relay/src/test/java/org/heatherspread/relay/FakeEndpoint.java
+++ b/relay/src/test/java/org/heatherspread/relay/FakeEndpoint.java
@@ -49,16 +49,26 @@
       out.flush();
     }
 
-    /** Sends a complete response with a signature. */
-    public void respond(int status, String id, String body) throws IOException {
+    /** Sends a complete response with a signature and further headers. */
+    public void respond(int status, String id, String body, String... headers) throws IOException {
       send("HTTP/1.1 " + status + " X\r\nAttempt-Id: " + id + "\r\nServer-Signature: sig-" + id);
-      send("\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+      send("\r\nContent-Length: " + body.length() + "\r\n" + lines(headers) + "\r\n" + body);
     }
 
-    /** Sends the head of a streamed response. */
-    public void startStream(String id) throws IOException {
+    /** Sends the head of a streamed response with further headers. */
+    public void startStream(String id, String... headers) throws IOException {
       send("HTTP/1.1 200 OK\r\nAttempt-Id: " + id + "\r\nServer-Signature: sig\r\n");
-      send("Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+      send("Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n");
+      send(lines(headers) + "\r\n");
+    }
+
+    /** Returns headers as lines of a message. */
+    public static String lines(String... headers) {
+      StringBuilder lines = new StringBuilder();
+      for (String header : headers) {
+        lines.append(header).append("\r\n");
+      }
+      return lines.toString();
     }
 
     /** Sends a chunk of a stream. */
