--- a/core/src/main/java/org/heatherspread/core/fleet/DaemonReport.java
+++ b/core/src/main/java/org/heatherspread/core/fleet/DaemonReport.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import org.heatherspread.core.limit.LimitObservation;
 import org.heatherspread.core.poison.CrashEvidence;
 
 /**
@@ -23,6 +24,7 @@
  * @param crashes always empty; daemons of earlier versions require it
  * @param suspects evidence on what crashes endpoints, found or confirmed by this daemon
  * @param work work of each model service since the process started, in endpoint milliseconds
+ * @param endpointLimits limits of endpoints that this daemon observed recently
  */
 public record DaemonReport(
     String daemon,
@@ -39,10 +41,12 @@
     Map<String, EndpointLoad> loads,
     List<Object> crashes,
     List<CrashEvidence> suspects,
-    Map<String, Double> work) {
+    Map<String, Double> work,
+    List<LimitObservation> endpointLimits) {
   /** Replaces components that daemons of earlier versions do not report. */
   public DaemonReport {
     peerAddress = peerAddress == null ? "" : peerAddress;
     suspects = suspects == null ? List.of() : List.copyOf(suspects);
+    endpointLimits = endpointLimits == null ? List.of() : List.copyOf(endpointLimits);
   }
 }
--- a/core/src/main/java/org/heatherspread/core/limit/AccountLimiter.java
+++ b/core/src/main/java/org/heatherspread/core/limit/AccountLimiter.java
@@ -53,6 +53,19 @@
     return limiter;
   }
 
+  /**
+   * Returns a limiter with other capacities, whose buckets hold what those of this one hold, as far
+   * as they can.
+   */
+  public synchronized AccountLimiter resize(
+      double newBurstSeconds, ResourceAmounts newShare, long nowNanos) {
+    refill(nowNanos);
+    AccountLimiter resized = new AccountLimiter(newBurstSeconds, newShare, nowNanos);
+    resized.availableRequests = Math.min(resized.availableRequests, availableRequests);
+    resized.availableTokens = Math.min(resized.availableTokens, availableTokens);
+    return resized;
+  }
+
   /** Replaces the share; the contents of the buckets are kept up to the new capacity. */
   public synchronized void updateShare(ResourceAmounts next, long nowNanos) {
     refill(nowNanos);
@@ -106,6 +119,12 @@
     availableTokens -= tokens;
   }
 
+  /** Charges requests that were admitted elsewhere; the request bucket may go negative. */
+  public synchronized void chargeRequests(double requests, long nowNanos) {
+    refill(nowNanos);
+    availableRequests -= requests;
+  }
+
   /** Returns the number of admitted requests that have not been released. */
   public synchronized int inProgress() {
     return inProgress;
--- a/core/src/main/java/org/heatherspread/core/limit/LimitOwnerClient.java
+++ b/core/src/main/java/org/heatherspread/core/limit/LimitOwnerClient.java
@@ -5,24 +5,24 @@
 import java.util.concurrent.CompletableFuture;
 
 /**
- * Requests admission from the daemons that own account limits, and their release. Confined to one
- * thread, on which the returned futures complete.
+ * Requests admission from the daemons that own limits, and the release of these limits. Confined to
+ * one thread, on which the returned futures complete.
  */
 public interface LimitOwnerClient {
   /**
-   * Requests admission under an account's limit; the owner charges the amount if it admits.
+   * Requests admission under a limit; the owner charges the amount if it admits.
    *
    * @param daemon name of the limit owner
-   * @param amount requests or tokens, in the unit of the account's limit
+   * @param amount requests or tokens, in the unit of the limit
    * @param unreported amount that this daemon admitted without the owner, which the owner charges
    *     in addition
    * @return fails if no reply arrives in time; the amounts may have been charged nevertheless
    */
   CompletableFuture<Decision> requestAdmission(
-      String daemon, String account, double amount, double unreported);
+      String daemon, RateLimit limit, double amount, double unreported);
 
   /**
-   * Asks a daemon to release an account's limit.
+   * Asks a daemon to release a limit.
    *
    * @param daemon the previous owner
    * @param newOwner the daemon that decides from now on
@@ -30,15 +30,14 @@
    *     knows of no other holder. Fails if no reply arrives in time; the limit may have been
    *     released nevertheless
    */
-  CompletableFuture<Optional<String>> requestRelease(
-      String daemon, String account, String newOwner);
+  CompletableFuture<Optional<String>> requestRelease(String daemon, String limit, String newOwner);
 
   /**
    * The reply of a daemon to a request for admission.
    *
    * @param decidedByOwner whether the daemon is the limit owner by its own view; if not, it decided
    *     nothing
-   * @param waitSeconds empty if admitted, else the time until the account is below its limit again
+   * @param waitSeconds empty if admitted, else the time until the limit admits again
    * @param owner the owner by the view of a daemon that did not decide; empty if it knows none
    */
   record Decision(boolean decidedByOwner, OptionalDouble waitSeconds, Optional<String> owner) {
--- a/core/src/main/java/org/heatherspread/core/limit/PartitionedLimiter.java
+++ b/core/src/main/java/org/heatherspread/core/limit/PartitionedLimiter.java
@@ -1,6 +1,8 @@
 package org.heatherspread.core.limit;
 
+import java.util.ArrayDeque;
 import java.util.Collection;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -9,17 +11,16 @@
 import java.util.OptionalDouble;
 import java.util.Set;
 import org.heatherspread.core.routing.RendezvousHash;
-import org.heatherspread.core.serving.AccountConfig;
 import org.heatherspread.core.time.MonotonicClock;
 
 /**
- * Rate-limits client accounts, where each account's limit is owned by one daemon that decides for
+ * Enforces rate limits over all daemons, where each limit is owned by one daemon that decides for
  * all others.
  *
- * <p>An account may send few large requests that reach many daemons. If its limit were split
+ * <p>What a limit allows may be few or large requests that reach many daemons. If it were split
  * evenly, each daemon's share would be smaller than one request, and most requests would be refused
- * although the account is far below its limit. The owner of a limit is selected by rendezvous
- * hashing over the daemons that serve callers, so that they agree on it without communication.
+ * although they are far below the limit. The owner of a limit is selected by rendezvous hashing
+ * over the daemons that serve callers, so that they agree on it without communication.
  *
  * <p>A daemon that cannot reach the owner admits requests within its part of the overshoot
  * allowance, and reports their amounts to the owner later, which charges them to the limit.
@@ -31,8 +32,8 @@
  *
  * <p>Invariants: what a daemon admits within a window without the owner, and has not reported,
  * never exceeds its part of the reserve, however often and for however long calls to the owner
- * fail; the bucket of a new owner starts empty, so that a change of owner grants no account its
- * burst twice. Confined to one thread.
+ * fail; the bucket of a new owner starts empty, so that a change of owner grants no burst twice.
+ * Confined to one thread.
  */
 public final class PartitionedLimiter {
   /** Amount per second that stands for no limit. */
@@ -77,7 +78,11 @@
   private final Map<String, String> redirects = new HashMap<>();
 
   private List<String> daemons = List.of();
-  private int admittingDaemons = ASSUMED_DAEMONS;
+  private Set<String> admittingDaemons = Set.of();
+
+  /** Earlier views whose owners may still hold leases, the newest first. */
+  private final Deque<FormerView> formerViews = new ArrayDeque<>();
+
   private long viewLeaseEndMillis = Long.MIN_VALUE;
 
   private PartitionedLimiter(String self, MonotonicClock clock, OvershootAllowance allowance) {
@@ -109,19 +114,20 @@
    *     continues to do for a while
    * @param admitting all daemons that may admit requests, empty if unknown
    * @param leaseMillis time from this view for which its owners decide
-   * @param accounts all accounts; the buckets of newly owned limits start to fill now
+   * @param limits all limits; the buckets of newly owned ones start to fill now
    */
   public void updateDaemons(
       Collection<String> daemonNames,
       Collection<String> admitting,
       long leaseMillis,
-      Collection<AccountConfig> accounts) {
+      Collection<? extends RateLimit> limits) {
     Map<String, String> previousOwners = new HashMap<>();
-    for (AccountConfig account : accounts) {
-      previousOwners.put(account.name(), selectedOwner(account.name()));
+    for (RateLimit limit : limits) {
+      previousOwners.put(limit.name(), selectedOwner(limit.name()));
     }
+    recordFormerView();
     daemons = List.copyOf(daemonNames);
-    admittingDaemons = admitting.isEmpty() ? ASSUMED_DAEMONS : admitting.size();
+    admittingDaemons = Set.copyOf(admitting);
     viewLeaseEndMillis = clock.millis() + leaseMillis;
     owners.clear();
     redirects.clear();
@@ -129,17 +135,61 @@
     leaseEndMillis.keySet().retainAll(previousOwners.keySet());
     takeovers.keySet().retainAll(previousOwners.keySet());
     released.keySet().retainAll(previousOwners.keySet());
-    for (AccountConfig account : accounts) {
-      if (account.ratePerSecond() > 0) {
-        updateOwnership(account, previousOwners.get(account.name()), admitting);
+    for (RateLimit limit : limits) {
+      if (limit.ratePerSecond() > 0) {
+        updateOwnership(limit, previousOwners.get(limit.name()), admitting);
       }
     }
-    ownedBuckets.keySet().removeIf(account -> !isOwner(account));
+    ownedBuckets.keySet().removeIf(name -> !isOwner(name));
+    stoppedOwnerBuckets.keySet().retainAll(previousOwners.keySet());
+    unreportedAmounts.keySet().retainAll(previousOwners.keySet());
+  }
+
+  private void recordFormerView() {
+    long now = clock.millis();
+    formerViews.removeIf(view -> now >= view.leaseEndMillis);
+    if (!daemons.isEmpty() && now < viewLeaseEndMillis) {
+      formerViews.addFirst(new FormerView(daemons, viewLeaseEndMillis));
+    }
+  }
+
+  /**
+   * Adds a limit that became known after the last view of the daemons, so that this daemon decides
+   * on it without waiting for the next view if it is the owner.
+   */
+  public void track(RateLimit limit) {
+    String name = limit.name();
+    boolean known = isOwner(name) || takeovers.containsKey(name) || released.containsKey(name);
+    boolean selected = clock.millis() < viewLeaseEndMillis && self.equals(selectedOwner(name));
+    if (known || !selected || limit.ratePerSecond() <= 0) {
+      return;
+    }
+    String holder = lastOtherOwner(name);
+    if (holder == null || !admittingDaemons.contains(holder)) {
+      startLease(limit);
+    } else {
+      takeovers.put(name, new Takeover(holder, viewLeaseEndMillis));
+    }
+  }
+
+  /**
+   * Returns the last other daemon that may hold a lease on a limit which this daemon owns, null if
+   * there is none.
+   */
+  private String lastOtherOwner(String limit) {
+    for (FormerView view : formerViews) {
+      String owner = selectOwner(limit, null, view.daemons);
+      if (!self.equals(owner)) {
+        return owner;
+      }
+    }
+    // Without an earlier view this daemon may have restarted, and another one replaced it.
+    return formerViews.isEmpty() ? selectOwner(limit, self, daemons) : null;
   }
 
   private void updateOwnership(
-      AccountConfig account, String previousOwner, Collection<String> admitting) {
-    String name = account.name();
+      RateLimit limit, String previousOwner, Collection<String> admitting) {
+    String name = limit.name();
     if (!self.equals(selectedOwner(name))) {
       takeovers.remove(name);
       released.remove(name);
@@ -156,7 +206,7 @@
     if (takeover == null
         || !admitting.contains(takeover.holder)
         || clock.millis() >= takeover.holderLeaseEndMillis) {
-      startLease(account);
+      startLease(limit);
     }
   }
 
@@ -164,47 +214,47 @@
    * Returns the daemon that may hold a limit instead of this one. If a lease of this daemon has
    * ended, that is the one that replaced it.
    */
-  private String selectPossibleHolder(String account, String previousOwner) {
-    String newOwner = released.get(account);
+  private String selectPossibleHolder(String limit, String previousOwner) {
+    String newOwner = released.get(limit);
     if (newOwner != null) {
       return newOwner;
     }
     boolean hasPrevious = previousOwner != null && !previousOwner.equals(self);
-    return hasPrevious ? previousOwner : selectOwner(account, self);
+    return hasPrevious ? previousOwner : selectOwner(limit, self, daemons);
   }
 
-  private void startLease(AccountConfig account) {
-    takeovers.remove(account.name());
-    released.remove(account.name());
-    leaseEndMillis.put(account.name(), viewLeaseEndMillis);
-    bucket(ownedBuckets, account, account.ratePerSecond());
+  private void startLease(RateLimit limit) {
+    takeovers.remove(limit.name());
+    released.remove(limit.name());
+    leaseEndMillis.put(limit.name(), viewLeaseEndMillis);
+    bucket(ownedBuckets, limit, limit.ratePerSecond());
   }
 
   /**
-   * Returns the daemon that decides on an account's limit by the view of this daemon; null while no
-   * daemon is known.
+   * Returns the daemon that decides on a limit by the view of this daemon; null while no daemon is
+   * known.
    */
-  public String owner(String account) {
-    if (isOwner(account)) {
+  public String owner(String limit) {
+    if (isOwner(limit)) {
       return self;
     }
-    Takeover takeover = takeovers.get(account);
+    Takeover takeover = takeovers.get(limit);
     if (takeover != null) {
       return takeover.holder;
     }
-    String newOwner = released.getOrDefault(account, redirects.get(account));
-    return newOwner == null ? selectedOwner(account) : newOwner;
+    String newOwner = released.getOrDefault(limit, redirects.get(limit));
+    return newOwner == null ? selectedOwner(limit) : newOwner;
   }
 
-  private String selectedOwner(String account) {
-    return owners.computeIfAbsent(account, name -> selectOwner(name, null));
+  private String selectedOwner(String limit) {
+    return owners.computeIfAbsent(limit, name -> selectOwner(name, null, daemons));
   }
 
-  private String selectOwner(String account, String excluded) {
-    long key = RendezvousHash.seed(account);
+  private static String selectOwner(String limit, String excluded, List<String> candidates) {
+    long key = RendezvousHash.seed(limit);
     String selected = null;
     long best = -1;
-    for (String daemon : daemons) {
+    for (String daemon : candidates) {
       long score = RendezvousHash.score(RendezvousHash.seed(daemon), key);
       if (score > best && !daemon.equals(excluded)) {
         best = score;
@@ -220,8 +270,8 @@
    * @return the daemon to ask to release the limit; empty if there is none, or if it was asked a
    *     moment ago
    */
-  public Optional<String> startTakeover(String account) {
-    Takeover takeover = takeovers.get(account);
+  public Optional<String> startTakeover(String limit) {
+    Takeover takeover = takeovers.get(limit);
     long now = clock.millis();
     if (takeover == null || now < takeover.askAgainMillis) {
       return Optional.empty();
@@ -235,18 +285,18 @@
    *
    * @param holder the daemon that released it or has stopped
    */
-  public void endTakeover(AccountConfig account, String holder) {
-    Takeover takeover = takeovers.get(account.name());
+  public void endTakeover(RateLimit limit, String holder) {
+    Takeover takeover = takeovers.get(limit.name());
     if (takeover != null && takeover.holder.equals(holder)) {
-      startLease(account);
+      startLease(limit);
     }
   }
 
   /** Continues the takeover of a limit with another daemon, which holds it. */
-  public void redirectTakeover(String account, String holder) {
-    Takeover takeover = takeovers.get(account);
+  public void redirectTakeover(String limit, String holder) {
+    Takeover takeover = takeovers.get(limit);
     if (takeover != null) {
-      takeovers.put(account, new Takeover(holder, takeover.holderLeaseEndMillis));
+      takeovers.put(limit, new Takeover(holder, takeover.holderLeaseEndMillis));
     }
   }
 
@@ -256,20 +306,20 @@
    * @return the daemon that holds the limit instead of this one; empty if this daemon has released
    *     it or knows of no other holder
    */
-  public Optional<String> release(String account, String newOwner) {
-    if (isOwner(account)) {
-      leaseEndMillis.remove(account);
-      ownedBuckets.remove(account);
-      released.put(account, newOwner);
+  public Optional<String> release(String limit, String newOwner) {
+    if (isOwner(limit)) {
+      leaseEndMillis.remove(limit);
+      ownedBuckets.remove(limit);
+      released.put(limit, newOwner);
       return Optional.empty();
     }
-    return Optional.ofNullable(owner(account))
+    return Optional.ofNullable(owner(limit))
         .filter(holder -> !holder.equals(newOwner) && !holder.equals(self));
   }
 
   /** Returns the owner to ask about a request; empty if this daemon has to decide. */
-  public Optional<String> remoteOwner(String account) {
-    String owner = owner(account);
+  public Optional<String> remoteOwner(String limit) {
+    String owner = owner(limit);
     if (owner == null || owner.equals(self)) {
       return Optional.empty();
     }
@@ -292,11 +342,11 @@
    * @param other the owner by the view of that daemon, null if it knows none
    * @return whether to ask the other daemon
    */
-  public boolean ownerDeclined(String account, String owner, String other) {
-    boolean redirected = owner.equals(released.getOrDefault(account, redirects.get(account)));
-    redirects.remove(account);
+  public boolean ownerDeclined(String limit, String owner, String other) {
+    boolean redirected = owner.equals(released.getOrDefault(limit, redirects.get(limit)));
+    redirects.remove(limit);
     if (!redirected && other != null && !other.equals(self) && !other.equals(owner)) {
-      redirects.put(account, other);
+      redirects.put(limit, other);
       return true;
     }
     long askAgainMillis = clock.millis() + SHORT_BACKOFF_MILLIS;
@@ -327,49 +377,72 @@
     failures.put(owner, new OwnerFailure(stopped, backoffMillis, now + backoffMillis));
   }
 
-  /** Returns the names of the accounts on whose limits this daemon decides. */
-  public Set<String> ownedAccounts() {
+  /** Returns the names of the limits on which this daemon decides. */
+  public Set<String> ownedLimits() {
     Set<String> owned = new HashSet<>(leaseEndMillis.keySet());
-    owned.removeIf(account -> !isOwner(account));
+    owned.removeIf(name -> !isOwner(name));
     return owned;
   }
 
-  /** Returns whether this daemon decides on an account's limit for all daemons. */
-  public boolean isOwner(String account) {
-    return clock.millis() < leaseEndMillis.getOrDefault(account, Long.MIN_VALUE);
+  /** Returns whether this daemon decides on a limit for all daemons. */
+  public boolean isOwner(String limit) {
+    return clock.millis() < leaseEndMillis.getOrDefault(limit, Long.MIN_VALUE);
   }
 
   /**
    * Decides on a request as the limit owner, or without it if the owner is another daemon.
    *
-   * @param amount requests or tokens, in the unit of the account's limit
+   * @param amount requests or tokens, in the unit of the limit
    * @return empty if admitted, else seconds after which to retry
    */
-  public OptionalDouble admit(AccountConfig account, double amount) {
-    if (account.ratePerSecond() <= 0) {
+  public OptionalDouble admit(RateLimit limit, double amount) {
+    if (limit.ratePerSecond() <= 0) {
       return OptionalDouble.empty();
     }
-    if (isOwner(account.name())) {
-      return bucket(ownedBuckets, account, account.ratePerSecond()).admit(amount);
+    if (isOwner(limit.name())) {
+      return bucket(ownedBuckets, limit, limit.ratePerSecond()).admit(amount);
     }
-    OwnerFailure failure = failures.get(owner(account.name()));
-    if (failure != null && failure.stopped) {
+    OwnerFailure failure = failures.get(owner(limit.name()));
+    if (failure != null && failure.stopped && limit.mayOverdraw()) {
       // Nobody else admits, so all daemons together may admit the whole limit.
-      double share = account.ratePerSecond() / admittingDaemons;
-      return bucket(stoppedOwnerBuckets, account, share).admit(amount);
+      double share = limit.ratePerSecond() / Math.max(1, admittingDaemons.size());
+      return bucket(stoppedOwnerBuckets, limit, share).admit(amount);
+    }
+    stoppedOwnerBuckets.remove(limit.name());
+    return admitUnreported(limit, amount, failure);
+  }
+
+  /** Returns what this daemon may admit in a window without the owner. */
+  private double reservePart(RateLimit limit) {
+    double reserve = allowance.fallbackReserve(limit.ratePerSecond(), limit.burst());
+    int daemonCount = admittingDaemons.isEmpty() ? ASSUMED_DAEMONS : admittingDaemons.size();
+    if (limit.mayOverdraw()) {
+      return reserve / daemonCount;
+    }
+    int wholeRequests = (int) reserve;
+    int extraRequest = rank(limit.name()) < wholeRequests % daemonCount ? 1 : 0;
+    return wholeRequests / daemonCount + extraRequest;
+  }
+
+  /** Returns the number of daemons that come before this one in the order of a limit's owners. */
+  private int rank(String limit) {
+    long key = RendezvousHash.seed(limit);
+    long ownScore = RendezvousHash.score(RendezvousHash.seed(self), key);
+    int rank = admittingDaemons.contains(self) ? 0 : admittingDaemons.size();
+    for (String daemon : admittingDaemons) {
+      rank += RendezvousHash.score(RendezvousHash.seed(daemon), key) > ownScore ? 1 : 0;
     }
-    stoppedOwnerBuckets.remove(account.name());
-    return admitUnreported(account, amount, failure);
+    return rank;
   }
 
-  private OptionalDouble admitUnreported(
-      AccountConfig account, double amount, OwnerFailure failure) {
+  private OptionalDouble admitUnreported(RateLimit limit, double amount, OwnerFailure failure) {
     long now = clock.millis();
     UnreportedAmounts unreported =
         unreportedAmounts.computeIfAbsent(
-            account.name(), name -> new UnreportedAmounts(allowance.windowMillis()));
-    double reserve = allowance.fallbackReserve(account.ratePerSecond(), account.burst());
-    if (unreported.total(now) + amount > reserve / admittingDaemons) {
+            limit.name(), name -> new UnreportedAmounts(allowance.windowMillis()));
+    // Whole requests leave no room for what one report after the other would allow again.
+    double used = limit.mayOverdraw() ? unreported.total(now) : unreported.totalWithReported(now);
+    if (used + amount > reservePart(limit)) {
       long untilAskedMillis = failure == null ? 0 : failure.askAgainMillis - now;
       return OptionalDouble.of(Math.max(MIN_RETRY_SECONDS, untilAskedMillis / MILLIS_PER_SECOND));
     }
@@ -382,8 +455,8 @@
    *
    * @return the amount to report, 0 if there is none or a report is in progress
    */
-  public double startReport(String account) {
-    UnreportedAmounts unreported = unreportedAmounts.get(account);
+  public double startReport(String limit) {
+    UnreportedAmounts unreported = unreportedAmounts.get(limit);
     return unreported == null ? 0 : unreported.startReport(clock.millis());
   }
 
@@ -392,23 +465,23 @@
    *
    * @param charged whether the owner has charged the amount
    */
-  public void endReport(String account, boolean charged) {
-    UnreportedAmounts unreported = unreportedAmounts.get(account);
+  public void endReport(String limit, boolean charged) {
+    UnreportedAmounts unreported = unreportedAmounts.get(limit);
     if (unreported != null) {
-      unreported.endReport(charged);
+      unreported.endReport(charged, clock.millis());
     }
   }
 
   /** Charges an amount to an owned limit that another daemon has already admitted. */
-  public void chargeReported(AccountConfig account, double amount) {
-    if (amount > 0 && account.ratePerSecond() > 0 && isOwner(account.name())) {
-      bucket(ownedBuckets, account, account.ratePerSecond()).charge(amount);
+  public void chargeReported(RateLimit limit, double amount) {
+    if (amount > 0 && limit.ratePerSecond() > 0 && isOwner(limit.name())) {
+      bucket(ownedBuckets, limit, limit.ratePerSecond()).charge(amount);
     }
   }
 
-  private Bucket bucket(Map<String, Bucket> buckets, AccountConfig account, double rate) {
-    Bucket bucket = buckets.computeIfAbsent(account.name(), name -> new Bucket(account, rate));
-    bucket.apply(account, rate);
+  private Bucket bucket(Map<String, Bucket> buckets, RateLimit limit, double rate) {
+    Bucket bucket = buckets.computeIfAbsent(limit.name(), name -> new Bucket(limit, rate));
+    bucket.apply(limit, rate);
     return bucket;
   }
 
@@ -421,6 +494,13 @@
    */
   private record OwnerFailure(boolean stopped, long backoffMillis, long askAgainMillis) {}
 
+  /**
+   * Daemons of an earlier view.
+   *
+   * @param leaseEndMillis end of the leases that began with the view
+   */
+  private record FormerView(List<String> daemons, long leaseEndMillis) {}
+
   /** The takeover of a limit from another daemon. */
   private static final class Takeover {
     private final String holder;
@@ -436,31 +516,35 @@
     }
   }
 
-  /** Token bucket of one account. */
+  /** Token bucket of one limit. */
   private final class Bucket {
-    private AccountConfig rule;
+    private RateLimit rule;
     private double rate;
     private AccountLimiter limiter;
 
-    private Bucket(AccountConfig account, double rate) {
-      reset(account, rate);
+    private Bucket(RateLimit limit, double rate) {
+      this.rule = limit;
+      this.rate = rate;
+      this.limiter = AccountLimiter.createEmpty(burstSeconds(limit), amounts(rate), clock.nanos());
     }
 
-    private void reset(AccountConfig account, double newRate) {
-      rule = account;
-      rate = newRate;
-      double limitRate = account.ratePerSecond();
-      double burst = allowance.effectiveBurst(limitRate, account.burst());
-      limiter = AccountLimiter.createEmpty(burst / limitRate, amounts(newRate), clock.nanos());
+    private double burstSeconds(RateLimit limit) {
+      double limitRate = limit.ratePerSecond();
+      return allowance.effectiveBurst(limitRate, limit.burst()) / limitRate;
     }
 
-    private void apply(AccountConfig account, double newRate) {
-      if (rule.ratePerSecond() != account.ratePerSecond() || rule.burst() != account.burst()) {
-        reset(account, newRate);
+    private void apply(RateLimit limit, double newRate) {
+      boolean changed =
+          rule.ratePerSecond() != limit.ratePerSecond() || rule.burst() != limit.burst();
+      rule = limit;
+      if (changed && limit.mayOverdraw()) {
+        limiter = AccountLimiter.createEmpty(burstSeconds(limit), amounts(newRate), clock.nanos());
+      } else if (changed) {
+        limiter = limiter.resize(burstSeconds(limit), amounts(newRate), clock.nanos());
       } else if (rate != newRate) {
-        rate = newRate;
         limiter.updateShare(amounts(newRate), clock.nanos());
       }
+      rate = newRate;
     }
 
     private OptionalDouble admit(double amount) {
@@ -474,11 +558,17 @@
     }
 
     private void charge(double amount) {
-      limiter.charge((long) amount, clock.nanos());
+      if (rule.mayOverdraw()) {
+        limiter.charge((long) amount, clock.nanos());
+      } else {
+        limiter.chargeRequests(amount, clock.nanos());
+      }
     }
 
-    private static ResourceAmounts amounts(double tokens) {
-      return new ResourceAmounts(UNLIMITED, tokens, UNLIMITED);
+    private ResourceAmounts amounts(double perSecond) {
+      return rule.mayOverdraw()
+          ? new ResourceAmounts(UNLIMITED, perSecond, UNLIMITED)
+          : new ResourceAmounts(perSecond, UNLIMITED, UNLIMITED);
     }
   }
 }
--- a/core/src/main/java/org/heatherspread/core/limit/UnreportedAmounts.java
+++ b/core/src/main/java/org/heatherspread/core/limit/UnreportedAmounts.java
@@ -4,8 +4,8 @@
 import java.util.Deque;
 
 /**
- * Amounts of one account that this daemon admitted without the limit owner within a sliding window
- * and has not reported to the owner. Confined to one thread.
+ * Amounts under one limit that this daemon admitted without the limit owner within a sliding
+ * window, and whether it has reported them to the owner. Confined to one thread.
  */
 final class UnreportedAmounts {
   /** Amounts admitted within this time are kept as one, which bounds the number of entries. */
@@ -14,17 +14,24 @@
   private final long windowMillis;
   private final Deque<Entry> reporting = new ArrayDeque<>();
   private final Deque<Entry> unreported = new ArrayDeque<>();
+  private final Deque<Entry> reported = new ArrayDeque<>();
 
   UnreportedAmounts(long windowMillis) {
     this.windowMillis = windowMillis;
   }
 
-  /** Returns the sum of the amounts in the window, those of a report in progress included. */
+  /** Returns the sum of the unreported amounts, those of a report in progress included. */
   double total(long nowMillis) {
-    removeExpired(nowMillis);
+    removeExpired(unreported, nowMillis);
     return sum(reporting) + sum(unreported);
   }
 
+  /** Returns the sum of all amounts in the window, whether reported or not. */
+  double totalWithReported(long nowMillis) {
+    removeExpired(reported, nowMillis);
+    return total(nowMillis) + sum(reported);
+  }
+
   void add(double amount, long nowMillis) {
     Entry last = unreported.peekLast();
     if (last == null || nowMillis - last.firstMillis > MERGE_MILLIS) {
@@ -40,25 +47,27 @@
     if (!reporting.isEmpty()) {
       return 0;
     }
-    removeExpired(nowMillis);
+    removeExpired(unreported, nowMillis);
     reporting.addAll(unreported);
     unreported.clear();
     return sum(reporting);
   }
 
-  /** Removes the amounts of the report in progress if they were charged, else keeps them. */
-  void endReport(boolean charged) {
+  /** Ends the report in progress; its amounts stay unreported unless they were charged. */
+  void endReport(boolean charged, long nowMillis) {
+    removeExpired(reported, nowMillis);
+    if (charged) {
+      reported.addAll(reporting);
+      reporting.clear();
+    }
     while (!reporting.isEmpty()) {
-      Entry entry = reporting.removeLast();
-      if (!charged) {
-        unreported.addFirst(entry);
-      }
+      unreported.addFirst(reporting.removeLast());
     }
   }
 
-  private void removeExpired(long nowMillis) {
-    while (!unreported.isEmpty() && nowMillis - unreported.peekFirst().lastMillis > windowMillis) {
-      unreported.removeFirst();
+  private void removeExpired(Deque<Entry> entries, long nowMillis) {
+    while (!entries.isEmpty() && nowMillis - entries.peekFirst().lastMillis > windowMillis) {
+      entries.removeFirst();
     }
   }
 
--- a/core/src/main/java/org/heatherspread/core/placement/EndpointTable.java
+++ b/core/src/main/java/org/heatherspread/core/placement/EndpointTable.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.ToLongFunction;
 import org.heatherspread.core.fleet.EndpointLoad;
 import org.heatherspread.core.routing.HealthPolicy;
@@ -117,6 +118,11 @@
     return loads;
   }
 
+  /** Returns the ids of all endpoints. */
+  public Set<String> ids() {
+    return Set.copyOf(byId.keySet());
+  }
+
   /** Returns the endpoint with an id. */
   public Optional<TrackedEndpoint> get(String id) {
     return Optional.ofNullable(byId.get(id));
--- a/core/src/main/java/org/heatherspread/core/serving/AccountConfig.java
+++ b/core/src/main/java/org/heatherspread/core/serving/AccountConfig.java
@@ -1,6 +1,7 @@
 package org.heatherspread.core.serving;
 
 import java.util.Set;
+import org.heatherspread.core.limit.RateLimit;
 
 /**
  * A client account with its keys and its limit across all daemons. Immutable.
@@ -20,7 +21,8 @@
     boolean countsTokens,
     int defaultTokens,
     double ratePerSecond,
-    double burst) {
+    double burst)
+    implements RateLimit {
   /** Copies the keys, so that the record is immutable. */
   public AccountConfig {
     keys = Set.copyOf(keys);
--- a/core/src/test/java/org/heatherspread/core/fleet/DomainReaderSelectorTest.java
+++ b/core/src/test/java/org/heatherspread/core/fleet/DomainReaderSelectorTest.java
@@ -26,7 +26,8 @@
         Map.of(),
         List.of(),
         List.of(),
-        Map.of());
+        Map.of(),
+        List.of());
   }
 
   private static List<DaemonReport> fleet() {
--- a/core/src/test/java/org/heatherspread/core/fleet/FleetViewTest.java
+++ b/core/src/test/java/org/heatherspread/core/fleet/FleetViewTest.java
@@ -25,7 +25,8 @@
         Map.of(),
         List.of(),
         List.of(),
-        Map.of());
+        Map.of(),
+        List.of());
   }
 
   @Test
--- a/core/src/test/java/org/heatherspread/core/limit/PartitionedLimiterTest.java
+++ b/core/src/test/java/org/heatherspread/core/limit/PartitionedLimiterTest.java
@@ -24,11 +24,15 @@
   private static final int WINDOW_SECONDS = 8;
   private static final OvershootAllowance ALLOWANCE =
       new OvershootAllowance(WINDOW_SECONDS, 0.1, 140_000);
+  private static final OvershootAllowance ENDPOINT_ALLOWANCE = new OvershootAllowance(4, 0.5, 5);
   private static final long STEP_MILLIS = 10;
 
   /** Longer than any test, except where views of the fleet expire. */
   private static final long VIEW_MILLIS = 600_000;
 
+  /** Time for which owners decide after a view, in tests in which views are renewed. */
+  private static final long LEASE_MILLIS = 5_500;
+
   private long nowNanos = 1_000_000_000L;
   private final MonotonicClock clock = () -> nowNanos;
 
@@ -47,7 +51,7 @@
   /** All daemons of a deployment, some of which cannot reach the limit owner. */
   private final class Fleet {
     private final Map<String, PartitionedLimiter> limits = new HashMap<>();
-    private final AccountConfig account;
+    private final RateLimit limit;
     private Set<String> partitioned = Set.of();
 
     /** Fraction of the calls to owners that get no response. */
@@ -56,11 +60,15 @@
     private final SplittableRandom lossRandom = new SplittableRandom(1);
 
     private Fleet(int daemons, AccountConfig account) {
-      this.account = account;
+      this(daemons, account, ALLOWANCE, VIEW_MILLIS);
+    }
+
+    private Fleet(int daemons, RateLimit limit, OvershootAllowance allowance, long lifetimeMillis) {
+      this.limit = limit;
       for (String name : names(daemons)) {
-        limits.put(name, PartitionedLimiter.create(name, clock, ALLOWANCE));
+        limits.put(name, PartitionedLimiter.create(name, clock, allowance));
       }
-      updateDaemons(names(daemons));
+      limits.keySet().forEach(name -> updateDaemon(name, names(daemons), lifetimeMillis));
     }
 
     private void updateDaemons(List<String> names) {
@@ -68,51 +76,56 @@
     }
 
     private void updateDaemon(String daemon, List<String> names, long lifetimeMillis) {
-      limits.get(daemon).updateDaemons(names, names, lifetimeMillis, List.of(account));
+      updateDaemon(daemon, names, names, lifetimeMillis);
+    }
+
+    private void updateDaemon(
+        String daemon, List<String> names, List<String> admitting, long lifetimeMillis) {
+      limits.get(daemon).updateDaemons(names, admitting, lifetimeMillis, List.of(limit));
       takeOver(daemon);
     }
 
     private void takeOver(String daemon) {
       PartitionedLimiter local = limits.get(daemon);
-      Optional<String> holder = local.startTakeover(account.name());
+      Optional<String> holder = local.startTakeover(limit.name());
       if (holder.isEmpty() || partitioned.contains(daemon)) {
         return;
       }
       limits
           .get(holder.get())
-          .release(account.name(), daemon)
+          .release(limit.name(), daemon)
           .ifPresentOrElse(
-              other -> local.redirectTakeover(account.name(), other),
-              () -> local.endTakeover(account, holder.get()));
+              other -> local.redirectTakeover(limit.name(), other),
+              () -> local.endTakeover(limit, holder.get()));
     }
 
     private OptionalDouble send(String daemon, double tokens) {
       PartitionedLimiter local = limits.get(daemon);
       takeOver(daemon);
-      Optional<String> owner = local.remoteOwner(account.name());
+      Optional<String> owner = local.remoteOwner(limit.name());
       while (owner.isPresent()) {
         String asked = owner.get();
         if (partitioned.contains(daemon) || lossRandom.nextDouble() < lossRate) {
-          local.startReport(account.name());
-          local.endReport(account.name(), false);
+          local.startReport(limit.name());
+          local.endReport(limit.name(), false);
           local.ownerFailed(asked, false);
           break;
         }
         takeOver(asked);
         PartitionedLimiter remote = limits.get(asked);
-        if (remote.isOwner(account.name())) {
-          remote.chargeReported(account, local.startReport(account.name()));
-          local.endReport(account.name(), true);
+        if (remote.isOwner(limit.name())) {
+          remote.chargeReported(limit, local.startReport(limit.name()));
+          local.endReport(limit.name(), true);
           local.ownerAnswered(asked);
-          return remote.admit(account, tokens);
+          return remote.admit(limit, tokens);
         }
-        String other = remote.owner(account.name());
+        String other = remote.owner(limit.name());
         owner = Optional.ofNullable(other);
-        if (!local.ownerDeclined(account.name(), asked, other)) {
+        if (!local.ownerDeclined(limit.name(), asked, other)) {
           break;
         }
       }
-      return local.admit(account, tokens);
+      return local.admit(limit, tokens);
     }
 
     /**
@@ -128,7 +141,7 @@
         nowNanos += STEP_MILLIS * 1_000_000;
         step.accept(millis);
         List<String> daemons = List.copyOf(new TreeSet<>(limits.keySet()));
-        while (offered < 4 * account.ratePerSecond() * millis / 1_000) {
+        while (offered < 4 * limit.ratePerSecond() * millis / 1_000) {
           double tokens = Math.min(54_000, 1_600 / Math.sqrt(1 - random.nextDouble()));
           offered += tokens;
           String daemon = daemons.get(random.nextInt(daemons.size()));
@@ -140,8 +153,8 @@
   }
 
   /**
-   * Large requests of one account, far below its limit, reach random daemons of 77. If the limit
-   * were split evenly, each daemon's share would admit only about one in five of them.
+   * Large requests of one limit, far below its limit, reach random daemons of 77. If the limit were
+   * split evenly, each daemon's share would admit only about one in five of them.
    */
   @Test
   void admitsLoadBelowTheLimitThatReachesManyDaemons() {
@@ -304,7 +317,7 @@
     List<String> others = new ArrayList<>(names(8));
     others.remove(previous);
     PartitionedLimiter probe = PartitionedLimiter.create("probe", clock, ALLOWANCE);
-    probe.updateDaemons(others, others, VIEW_MILLIS, List.of(fleet.account));
+    probe.updateDaemons(others, others, VIEW_MILLIS, List.of(fleet.limit));
     String successor = probe.owner("acme");
     for (String daemon : names(8)) {
       if (!daemon.equals(successor)) {
@@ -429,7 +442,7 @@
         PartitionedLimiter local = fleet.limits.get(daemon);
         if (!daemon.equals(owner)) {
           local.ownerFailed(owner, true);
-          admitted += local.admit(fleet.account, 1_000).isEmpty() ? 1_000 : 0;
+          admitted += local.admit(fleet.limit, 1_000).isEmpty() ? 1_000 : 0;
         }
       }
     }
@@ -447,4 +460,126 @@
     nowNanos += 1_100_000_000L;
     assertThat(limits.remoteOwner("acme")).contains("daemon-1");
   }
+
+  /** What an endpoint may get in any four seconds. */
+  private static int permittedRequests(EndpointLimit limit) {
+    return (int) (6 * limit.ratePerSecond()) + 5;
+  }
+
+  /**
+   * Offers requests to a limited endpoint for 40 s at random daemons and returns the times at which
+   * they were admitted, in milliseconds.
+   *
+   * @param step called with the time before the requests of each step
+   */
+  private static List<Long> admittedRequests(
+      Fleet fleet, double offeredPerSecond, SplittableRandom random, LongConsumer step) {
+    List<Long> admitted = new ArrayList<>();
+    List<String> daemons = List.copyOf(new TreeSet<>(fleet.limits.keySet()));
+    for (long millis = 0; millis < 40_000; millis += STEP_MILLIS) {
+      step.accept(millis);
+      if (random.nextDouble() < offeredPerSecond * STEP_MILLIS / 1_000) {
+        String daemon = daemons.get(random.nextInt(daemons.size()));
+        if (fleet.send(daemon, 1).isEmpty()) {
+          admitted.add(millis);
+        }
+      }
+    }
+    return admitted;
+  }
+
+  private static int maxInWindow(List<Long> times) {
+    int max = 0;
+    int first = 0;
+    for (int last = 0; last < times.size(); last++) {
+      while (times.get(last) - times.get(first) > 4_000) {
+        first++;
+      }
+      max = Math.max(max, last - first + 1);
+    }
+    return max;
+  }
+
+  /** A limit far below a request per second and daemon is used, also by one of many daemons. */
+  @Property(tries = 60)
+  void endpointLimitIsUsedAndKept(
+      @ForAll @IntRange(min = 1, max = 90) int daemons,
+      @ForAll @IntRange(min = 25, max = 3_000) int hundredthsPerSecond,
+      @ForAll long seed) {
+    EndpointLimit limit = new EndpointLimit("e", 1, hundredthsPerSecond / 100.0);
+    Fleet fleet = new Fleet(daemons, limit, ENDPOINT_ALLOWANCE, VIEW_MILLIS);
+    List<Long> admitted =
+        admittedRequests(
+            fleet,
+            Math.min(90, 3 * limit.ratePerSecond() + 1),
+            new SplittableRandom(seed),
+            millis -> nowNanos += STEP_MILLIS * 1_000_000);
+    assertThat(maxInWindow(admitted)).isLessThanOrEqualTo(permittedRequests(limit));
+    assertThat(admitted.size()).isGreaterThanOrEqualTo((int) (0.9 * 40 * limit.ratePerSecond()));
+  }
+
+  /** Owners restart, are cut off or taken out, calls are lost, and views differ for some time. */
+  @Property(tries = 300)
+  void endpointLimitIsKeptWhileDaemonsJoinAndEnd(
+      @ForAll @IntRange(min = 2, max = 40) int daemons,
+      @ForAll @IntRange(min = 25, max = 2_000) int hundredthsPerSecond,
+      @ForAll long seed) {
+    EndpointLimit limit = new EndpointLimit("e", 1, hundredthsPerSecond / 100.0);
+    Fleet fleet = new Fleet(daemons, limit, ENDPOINT_ALLOWANCE, LEASE_MILLIS);
+    SplittableRandom random = new SplittableRandom(seed);
+    SplittableRandom faults = random.split();
+    List<String> all = names(daemons);
+    List<String> present = new ArrayList<>(all);
+    Map<String, Long> nextRead = new HashMap<>();
+    fleet.lossRate = faults.nextDouble(0.3);
+    List<Long> admitted =
+        admittedRequests(
+            fleet,
+            Math.min(90, 3 * limit.ratePerSecond() + 1),
+            random,
+            millis -> {
+              nowNanos += STEP_MILLIS * 1_000_000;
+              if (millis % 6_000 == 0) {
+                String changed = all.get(faults.nextInt(daemons));
+                if (!present.remove(changed) || present.isEmpty()) {
+                  present.add(changed);
+                }
+                fleet.partitioned = Set.of(all.get(faults.nextInt(daemons)));
+              }
+              for (String daemon : all) {
+                if (millis >= nextRead.getOrDefault(daemon, 0L)) {
+                  nextRead.put(daemon, millis + 500 + faults.nextInt(1_500));
+                  fleet.updateDaemon(daemon, List.copyOf(present), all, LEASE_MILLIS);
+                }
+              }
+            });
+    assertThat(maxInWindow(admitted)).isLessThanOrEqualTo(permittedRequests(limit));
+  }
+
+  /** A daemon that learns of a limit between two views decides on it at once. */
+  @Test
+  void newLimitIsOwnedBeforeTheNextView() {
+    PartitionedLimiter limiter = PartitionedLimiter.create("daemon-0", clock, ENDPOINT_ALLOWANCE);
+    EndpointLimit limit = new EndpointLimit("e", 1, 5);
+    limiter.updateDaemons(List.of("daemon-0"), List.of("daemon-0"), VIEW_MILLIS, List.of());
+    limiter.track(limit);
+    nowNanos += 1_000_000_000L;
+    assertThat(limiter.isOwner(limit.name())).isTrue();
+    assertThat(limiter.admit(limit, 1)).isEmpty();
+  }
+
+  /** Endpoints may name another limit with each response. */
+  @Test
+  void limitThatChangesAllTheTimeIsStillUsed() {
+    PartitionedLimiter limiter = PartitionedLimiter.create("daemon-0", clock, ENDPOINT_ALLOWANCE);
+    limiter.updateDaemons(List.of("daemon-0"), List.of("daemon-0"), VIEW_MILLIS, List.of());
+    int admitted = 0;
+    for (int i = 0; i < 100; i++) {
+      nowNanos += 100_000_000L;
+      EndpointLimit limit = new EndpointLimit("e", 1, i % 2 == 0 ? 2 : 2.1);
+      limiter.track(limit);
+      admitted += limiter.admit(limit, 1).isEmpty() ? 1 : 0;
+    }
+    assertThat(admitted).isBetween(18, 23);
+  }
 }
--- a/node/src/main/java/org/heatherspread/node/Node.java
+++ b/node/src/main/java/org/heatherspread/node/Node.java
@@ -23,6 +23,7 @@
 import org.heatherspread.core.fleet.SilenceDetector;
 import org.heatherspread.core.freshness.StoreFreshness;
 import org.heatherspread.core.freshness.UnixTimeEstimator;
+import org.heatherspread.core.limit.EndpointLimitTable;
 import org.heatherspread.core.limit.OvershootAllowance;
 import org.heatherspread.core.limit.PartitionedLimiter;
 import org.heatherspread.core.routing.HealthPolicy;
@@ -40,8 +41,9 @@
 import org.heatherspread.platform.PlatformHeaders;
 import org.heatherspread.platform.PlatformStore;
 import org.heatherspread.platform.PlatformStreamMigrator;
-import org.heatherspread.relay.call.AccountAdmission;
 import org.heatherspread.relay.call.CallMetrics;
+import org.heatherspread.relay.call.EndpointLimits;
+import org.heatherspread.relay.call.LimitAdmission;
 import org.heatherspread.relay.call.RelayHandler;
 import org.heatherspread.relay.call.RelaySettings;
 import org.heatherspread.relay.call.RelayState;
@@ -90,6 +92,16 @@
    */
   private static final long MAX_READ_AGE_FOR_OWN_ADDRESS_MILLIS = 3_200;
 
+  /**
+   * Window over which limits of endpoints are measured, and the excess that the platform permits:
+   * half of the limit and five requests.
+   */
+  private static final OvershootAllowance ENDPOINT_LIMIT_ALLOWANCE =
+      new OvershootAllowance(4, 0.5, 5);
+
+  /** Maximum number of endpoint limits in a report, a few kilobytes. */
+  private static final int MAX_REPORTED_LIMITS = 64;
+
   private static final Duration IDLE_POLL_INTERVAL = Duration.ofMillis(50);
   private static final int RETAINED_USAGE_WINDOWS = 6;
   private static final double MILLIS_PER_SECOND = 1_000;
@@ -119,7 +131,9 @@
     StoreFreshness storeFreshness = StoreFreshness.create(clock, wallClock);
     PoolSettings poolSettings =
         new PoolSettings(CONNECT_TIMEOUT_MILLIS, MAX_IDLE_CONNECTION_MILLIS);
-    this.peers = PeerClient.create(address -> RpcClient.create(loop, clock, address, rpcMetrics));
+    this.peers =
+        PeerClient.create(
+            settings.name(), address -> RpcClient.create(loop, clock, address, rpcMetrics));
     this.state =
         new RelayState(
             loop,
@@ -135,9 +149,14 @@
             healthPolicy(),
             PlatformStreamMigrator.create(
                 address -> RpcClient.create(loop, clock, address, rpcMetrics), MIGRATION_TIMEOUT),
-            AccountAdmission.create(
+            LimitAdmission.create(
                 PartitionedLimiter.create(settings.name(), clock, overshootAllowance(bounds)),
-                peers));
+                peers.accountLimits()),
+            EndpointLimits.create(
+                EndpointLimitTable.create(clock, MAX_REPORTED_LIMITS),
+                LimitAdmission.create(
+                    PartitionedLimiter.create(settings.name(), clock, ENDPOINT_LIMIT_ALLOWANCE),
+                    peers.endpointLimits())));
     PlatformStore store =
         PlatformStore.create(
             RpcClient.create(loop, clock, settings.store(), rpcMetrics), STORE_TIMEOUT);
@@ -254,7 +273,8 @@
         state.endpoints().ownLoads(),
         List.of(),
         state.poisonFilter().evidence(),
-        state.workMillisByService());
+        state.workMillisByService(),
+        state.endpointLimits().ownObservations());
   }
 
   /** Starts the control plane and listens on all addresses. */
--- a/node/src/main/java/org/heatherspread/node/control/ControlPlane.java
+++ b/node/src/main/java/org/heatherspread/node/control/ControlPlane.java
@@ -26,10 +26,10 @@
 import org.heatherspread.core.limit.ReportSchedule;
 import org.heatherspread.core.store.SharedStore;
 import org.heatherspread.core.store.TableStore;
-import org.heatherspread.node.peer.CrashEvidenceExchange;
 import org.heatherspread.node.peer.DomainReaderStore;
 import org.heatherspread.node.peer.LoadExchange;
 import org.heatherspread.node.peer.MirroredTable;
+import org.heatherspread.node.peer.PeerBroadcast;
 import org.heatherspread.node.peer.PeerClient;
 import org.heatherspread.node.peer.PeerRequestHandler;
 import org.heatherspread.node.settings.NodeSettings;
@@ -269,18 +269,29 @@
                     settings.name() + '/' + incarnation, report, store, this::reportInterval)),
             "reporter");
     loadExchange.start();
-    CrashEvidenceExchange.start(
-        settings.name(),
-        state.loop(),
-        state.poisonFilter(),
-        peers,
-        () -> reportWriter.tell(ReportWriter.Command.REPORT));
+    state
+        .poisonFilter()
+        .onNewEvidence(broadcast(state.poisonFilter()::evidence, peers::sendEvidence));
+    state
+        .endpointLimits()
+        .onChange(broadcast(state.endpointLimits()::ownObservations, peers::sendLimitObservations));
     if (dutyClient != null) {
       dutyRunner = context.spawn(restarting(createDutyRunner()), "duties");
     }
     return Behaviors.empty();
   }
 
+  private <T> Runnable broadcast(Supplier<List<T>> observations, PeerBroadcast.Sender<T> sender) {
+    return PeerBroadcast.create(
+            settings.name(),
+            state.loop(),
+            observations,
+            peers::daemons,
+            sender,
+            () -> reportWriter.tell(ReportWriter.Command.REPORT))
+        ::schedule;
+  }
+
   private StoreFreshness createFreshness() {
     return StoreFreshness.create(state.clock(), Clock.systemUTC());
   }
--- a/node/src/main/java/org/heatherspread/node/control/FleetListener.java
+++ b/node/src/main/java/org/heatherspread/node/control/FleetListener.java
@@ -123,13 +123,14 @@
   }
 
   /**
-   * Merges the evidence of a report, also of a process that has ended: after a restart of all
-   * daemons, only such reports have it.
+   * Merges the evidence and the limits of a report, also of a process that has ended: after a
+   * restart of all daemons, only such reports have it.
    */
   private void mergeEvidence(DaemonReport report, SharedReadResult result) {
     long storeMillis = result.storeMillis() + result.ageMillis();
     long ageMillis = Math.max(0, storeMillis - report.atStoreMillis());
     state.poisonFilter().mergeEvidence(report.suspects(), ageMillis);
+    state.endpointLimits().merge(report.daemon(), report.endpointLimits(), ageMillis);
   }
 
   private void applyReports(long ageMillis) {
@@ -208,6 +209,10 @@
     state
         .accountAdmission()
         .updateDaemons(possibleOwners, admitting, leaseMillis() - ageMillis, accounts);
+    state
+        .endpointLimits()
+        .updateDaemons(
+            possibleOwners, admitting, leaseMillis() - ageMillis, state.endpoints().ids());
     Map<String, String> newReaders = new HashMap<>();
     for (DaemonReport report : reports) {
       if (!newReaders.containsKey(report.domain())) {
--- a/node/src/main/java/org/heatherspread/node/peer/PeerClient.java
+++ b/node/src/main/java/org/heatherspread/node/peer/PeerClient.java
@@ -12,7 +12,9 @@
 import org.heatherspread.core.error.ErrorKind;
 import org.heatherspread.core.error.ServingException;
 import org.heatherspread.core.fleet.EndpointLoad;
+import org.heatherspread.core.limit.LimitObservation;
 import org.heatherspread.core.limit.LimitOwnerClient;
+import org.heatherspread.core.limit.RateLimit;
 import org.heatherspread.core.poison.CrashEvidence;
 import org.heatherspread.core.serving.HostPort;
 import org.heatherspread.core.store.SharedReadResult;
@@ -27,8 +29,7 @@
  * <p>A call fails with a {@link ServingException} if the daemon is unknown, does not respond in
  * time or responds with an error.
  */
-public final class PeerClient
-    implements LimitOwnerClient, LoadExchange.LoadClient, CrashEvidenceExchange.EvidenceClient {
+public final class PeerClient implements LoadExchange.LoadClient {
   /**
    * Timeout of requests to limit owners: well above a round trip to a busy instance, and small
    * compared with the latency targets of requests.
@@ -38,25 +39,31 @@
   /** Time for a response to a long poll beyond the requested wait. */
   private static final Duration CHANGES_TIMEOUT = Duration.ofMillis(300);
 
-  /** Timeout of messages with crash evidence, which reports repeat. */
-  private static final Duration EVIDENCE_TIMEOUT = Duration.ofMillis(500);
+  /** Timeout of messages that reports repeat. */
+  private static final Duration BROADCAST_TIMEOUT = Duration.ofMillis(500);
 
   /** Timeout of load exchanges, below the time between two of them. */
   private static final Duration LOADS_TIMEOUT = Duration.ofMillis(200);
 
   private static final byte[] EMPTY = new byte[0];
 
+  private final String self;
   private final Function<HostPort, RpcClient> clientFactory;
   private final Map<String, HostPort> addresses = new HashMap<>();
   private final Map<HostPort, RpcClient> rpcClients = new HashMap<>();
 
-  private PeerClient(Function<HostPort, RpcClient> clientFactory) {
+  private PeerClient(String self, Function<HostPort, RpcClient> clientFactory) {
+    this.self = self;
     this.clientFactory = clientFactory;
   }
 
-  /** Creates a client that opens an RPC client for each address. */
-  public static PeerClient create(Function<HostPort, RpcClient> clientFactory) {
-    return new PeerClient(clientFactory);
+  /**
+   * Creates a client that opens an RPC client for each address.
+   *
+   * @param self name of this daemon
+   */
+  public static PeerClient create(String self, Function<HostPort, RpcClient> clientFactory) {
+    return new PeerClient(self, clientFactory);
   }
 
   /** Replaces the addresses of all daemons and drops the RPC clients of other addresses. */
@@ -66,22 +73,43 @@
     rpcClients.keySet().retainAll(addresses.values());
   }
 
-  @Override
-  public CompletableFuture<Decision> requestAdmission(
-      String daemon, String account, double amount, double unreported) {
-    byte[] body =
-        PeerFormat.writeAdmissionRequest(
-            new PeerFormat.AdmissionRequest(account, amount, unreported));
-    return call(daemon, HttpMethod.POST, PeerFormat.LIMIT_PATH, body, ADMISSION_TIMEOUT)
-        .thenApply(response -> PeerFormat.readDecision(requireSuccess(daemon, response).body()));
+  /** Returns a client for the owners of limits of client accounts. */
+  public LimitOwnerClient accountLimits() {
+    return new LimitClient(PeerFormat.LIMIT_PATH, PeerFormat.LIMIT_RELEASE_PATH);
   }
 
-  @Override
-  public CompletableFuture<Optional<String>> requestRelease(
-      String daemon, String account, String newOwner) {
-    byte[] body = PeerFormat.writeReleaseRequest(new PeerFormat.ReleaseRequest(account, newOwner));
-    return call(daemon, HttpMethod.POST, PeerFormat.LIMIT_RELEASE_PATH, body, ADMISSION_TIMEOUT)
-        .thenApply(response -> PeerFormat.readHolder(requireSuccess(daemon, response).body()));
+  /** Returns a client for the owners of limits of endpoints. */
+  public LimitOwnerClient endpointLimits() {
+    return new LimitClient(PeerFormat.ENDPOINT_LIMIT_PATH, PeerFormat.ENDPOINT_LIMIT_RELEASE_PATH);
+  }
+
+  /** Client for the owners of one kind of limits. */
+  private final class LimitClient implements LimitOwnerClient {
+    private final String admissionPath;
+    private final String releasePath;
+
+    private LimitClient(String admissionPath, String releasePath) {
+      this.admissionPath = admissionPath;
+      this.releasePath = releasePath;
+    }
+
+    @Override
+    public CompletableFuture<Decision> requestAdmission(
+        String daemon, RateLimit limit, double amount, double unreported) {
+      byte[] body =
+          PeerFormat.writeAdmissionRequest(
+              PeerFormat.AdmissionRequest.of(limit, amount, unreported));
+      return call(daemon, HttpMethod.POST, admissionPath, body, ADMISSION_TIMEOUT)
+          .thenApply(response -> PeerFormat.readDecision(requireSuccess(daemon, response).body()));
+    }
+
+    @Override
+    public CompletableFuture<Optional<String>> requestRelease(
+        String daemon, String limit, String newOwner) {
+      byte[] body = PeerFormat.writeReleaseRequest(new PeerFormat.ReleaseRequest(limit, newOwner));
+      return call(daemon, HttpMethod.POST, releasePath, body, ADMISSION_TIMEOUT)
+          .thenApply(response -> PeerFormat.readHolder(requireSuccess(daemon, response).body()));
+    }
   }
 
   /**
@@ -117,15 +145,28 @@
         .thenApply(response -> PeerFormat.readLoads(requireSuccess(reader, response).body()));
   }
 
-  @Override
+  /** Returns the names of the daemons that can be reached, which may include this one. */
   public Collection<String> daemons() {
     return List.copyOf(addresses.keySet());
   }
 
-  @Override
+  /** Sends evidence on what crashes endpoints to a daemon. */
   public CompletableFuture<Void> sendEvidence(String daemon, List<CrashEvidence> evidence) {
-    byte[] body = PeerFormat.writeCrashEvidence(evidence);
-    return call(daemon, HttpMethod.POST, PeerFormat.CRASH_EVIDENCE_PATH, body, EVIDENCE_TIMEOUT)
+    return sendBroadcast(
+        daemon, PeerFormat.CRASH_EVIDENCE_PATH, PeerFormat.writeCrashEvidence(evidence));
+  }
+
+  /** Sends observed limits of endpoints to a daemon. */
+  public CompletableFuture<Void> sendLimitObservations(
+      String daemon, List<LimitObservation> observations) {
+    return sendBroadcast(
+        daemon,
+        PeerFormat.LIMIT_OBSERVATIONS_PATH,
+        PeerFormat.writeObservations(new PeerFormat.LimitObservations(self, observations)));
+  }
+
+  private CompletableFuture<Void> sendBroadcast(String daemon, String path, byte[] body) {
+    return call(daemon, HttpMethod.POST, path, body, BROADCAST_TIMEOUT)
         .thenAccept(response -> requireSuccess(daemon, response));
   }
 
--- a/node/src/main/java/org/heatherspread/node/peer/PeerFormat.java
+++ b/node/src/main/java/org/heatherspread/node/peer/PeerFormat.java
@@ -20,7 +20,10 @@
 import java.util.OptionalDouble;
 import java.util.Set;
 import org.heatherspread.core.fleet.EndpointLoad;
+import org.heatherspread.core.limit.EndpointLimit;
+import org.heatherspread.core.limit.LimitObservation;
 import org.heatherspread.core.limit.LimitOwnerClient;
+import org.heatherspread.core.limit.RateLimit;
 import org.heatherspread.core.poison.CrashEvidence;
 import org.heatherspread.core.store.SharedReadResult;
 import org.heatherspread.core.store.SharedRow;
@@ -37,6 +40,15 @@
   /** Path on which a new limit owner asks the previous one to release a limit. */
   static final String LIMIT_RELEASE_PATH = "/v1/limit-release";
 
+  /** Path of admission requests to the owner of an endpoint's limit. */
+  static final String ENDPOINT_LIMIT_PATH = "/v1/endpoint-limit";
+
+  /** Path on which a new owner asks the previous one to release an endpoint's limit. */
+  static final String ENDPOINT_LIMIT_RELEASE_PATH = "/v1/endpoint-limit-release";
+
+  /** Path on which a daemon sends newly observed limits of endpoints. */
+  static final String LIMIT_OBSERVATIONS_PATH = "/v1/endpoint-limit-observations";
+
   /** Path of long polls for changes of a table. */
   static final String CHANGES_PATH = "/v1/changes";
 
@@ -61,39 +73,61 @@
   private static final ObjectMapper MAPPER =
       new ObjectMapper().disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
   private static final TypeReference<List<CrashEvidence>> CRASH_EVIDENCE = new TypeReference<>() {};
+  private static final TypeReference<LimitObservations> LIMIT_OBSERVATIONS =
+      new TypeReference<>() {};
 
   private PeerFormat() {}
 
   /**
-   * A request for admission under the limit of an account.
+   * A request for admission under a limit.
    *
+   * @param limit name of the account, empty if the limit is that of an endpoint
+   * @param endpointLimit limit of the endpoint as the sender knows it, empty for an account
    * @param unreported amount that the sender has admitted without the owner
    */
-  record AdmissionRequest(String account, double amount, double unreported) {}
+  record AdmissionRequest(
+      String limit, Optional<EndpointLimit> endpointLimit, double amount, double unreported) {
+    static AdmissionRequest of(RateLimit limit, double amount, double unreported) {
+      return limit instanceof EndpointLimit endpointLimit
+          ? new AdmissionRequest("", Optional.of(endpointLimit), amount, unreported)
+          : new AdmissionRequest(limit.name(), Optional.empty(), amount, unreported);
+    }
+  }
 
   static byte[] writeAdmissionRequest(AdmissionRequest request) {
-    return serialize(
+    ObjectNode node =
         MAPPER
             .createObjectNode()
-            .put("account", request.account)
             .put("amount", request.amount)
-            .put("unreported", request.unreported));
+            .put("unreported", request.unreported);
+    if (request.endpointLimit.isPresent()) {
+      node.set("endpoint", MAPPER.valueToTree(request.endpointLimit.get()));
+    } else {
+      node.put("account", request.limit);
+    }
+    return serialize(node);
   }
 
   static AdmissionRequest readAdmissionRequest(byte[] body) {
     JsonNode node = parse(body);
+    JsonNode endpoint = node.path("endpoint");
+    Optional<EndpointLimit> endpointLimit =
+        endpoint.isObject()
+            ? Optional.of(MAPPER.convertValue(endpoint, EndpointLimit.class))
+            : Optional.empty();
     return new AdmissionRequest(
         node.path("account").asText(),
+        endpointLimit,
         node.path("amount").asDouble(),
         node.path("unreported").asDouble());
   }
 
-  /** A request to release the limit of an account to its new owner. */
-  record ReleaseRequest(String account, String owner) {}
+  /** A request to release a limit to its new owner. */
+  record ReleaseRequest(String limit, String owner) {}
 
   static byte[] writeReleaseRequest(ReleaseRequest request) {
     return serialize(
-        MAPPER.createObjectNode().put("account", request.account).put("owner", request.owner));
+        MAPPER.createObjectNode().put("account", request.limit).put("owner", request.owner));
   }
 
   static ReleaseRequest readReleaseRequest(byte[] body) {
@@ -233,8 +267,27 @@
   }
 
   static List<CrashEvidence> readCrashEvidence(byte[] body) {
+    return read(body, CRASH_EVIDENCE);
+  }
+
+  /**
+   * Newly observed limits.
+   *
+   * @param daemon name of the observer
+   */
+  record LimitObservations(String daemon, List<LimitObservation> observations) {}
+
+  static byte[] writeObservations(LimitObservations observations) {
+    return serialize(MAPPER.valueToTree(observations));
+  }
+
+  static LimitObservations readObservations(byte[] body) {
+    return read(body, LIMIT_OBSERVATIONS);
+  }
+
+  private static <T> T read(byte[] body, TypeReference<T> type) {
     try {
-      return MAPPER.readValue(body, CRASH_EVIDENCE);
+      return MAPPER.readValue(body, type);
     } catch (IOException e) {
       throw new UncheckedIOException(e);
     }
--- a/node/src/main/java/org/heatherspread/node/peer/PeerRequestHandler.java
+++ b/node/src/main/java/org/heatherspread/node/peer/PeerRequestHandler.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.BiFunction;
 import java.util.function.BooleanSupplier;
 import org.heatherspread.core.limit.LimitOwnerClient;
 import org.heatherspread.core.serving.AccountConfig;
@@ -72,7 +73,12 @@
     try {
       switch (target.path()) {
         case PeerFormat.LIMIT_PATH -> handleAdmission(request, responseWriter);
-        case PeerFormat.LIMIT_RELEASE_PATH -> handleRelease(request, responseWriter);
+        case PeerFormat.LIMIT_RELEASE_PATH ->
+            handleRelease(request, responseWriter, state.accountAdmission()::release);
+        case PeerFormat.ENDPOINT_LIMIT_PATH -> handleEndpointAdmission(request, responseWriter);
+        case PeerFormat.ENDPOINT_LIMIT_RELEASE_PATH ->
+            handleRelease(request, responseWriter, state.endpointLimits()::release);
+        case PeerFormat.LIMIT_OBSERVATIONS_PATH -> handleObservations(request, responseWriter);
         case PeerFormat.CHANGES_PATH -> handleChanges(target.parameters(), responseWriter);
         case PeerFormat.LOADS_PATH -> handleLoads(request, responseWriter);
         case PeerFormat.CRASH_EVIDENCE_PATH -> handleCrashEvidence(request, responseWriter);
@@ -100,16 +106,38 @@
     respond(responseWriter, OK, PeerFormat.writeDecision(decision));
   }
 
-  private void handleRelease(CallerRequest request, ResponseWriter responseWriter) {
+  private void handleEndpointAdmission(CallerRequest request, ResponseWriter responseWriter) {
+    PeerFormat.AdmissionRequest admission = PeerFormat.readAdmissionRequest(request.body());
+    LimitOwnerClient.Decision decision =
+        state
+            .endpointLimits()
+            .decideAsOwner(
+                admission.endpointLimit().orElseThrow(),
+                admission.amount(),
+                admission.unreported());
+    respond(responseWriter, OK, PeerFormat.writeDecision(decision));
+  }
+
+  private void handleObservations(CallerRequest request, ResponseWriter responseWriter) {
+    PeerFormat.LimitObservations received = PeerFormat.readObservations(request.body());
+    state.endpointLimits().merge(received.daemon(), received.observations(), 0);
+    respond(responseWriter, OK, EMPTY);
+  }
+
+  /** Releases a limit by its name and the name of its new owner. */
+  private static void handleRelease(
+      CallerRequest request,
+      ResponseWriter responseWriter,
+      BiFunction<String, String, Optional<String>> releaser) {
     PeerFormat.ReleaseRequest release = PeerFormat.readReleaseRequest(request.body());
-    Optional<String> holder = state.accountAdmission().release(release.account(), release.owner());
+    Optional<String> holder = releaser.apply(release.limit(), release.owner());
     respond(responseWriter, OK, PeerFormat.writeHolder(holder));
   }
 
   private static Optional<AccountConfig> findAccount(
       ServingConfig config, PeerFormat.AdmissionRequest admission) {
     return config.accounts().stream()
-        .filter(account -> account.name().equals(admission.account()))
+        .filter(account -> account.name().equals(admission.limit()))
         .findFirst();
   }
 
--- a/node/src/test/java/org/heatherspread/node/RelayStateFixtures.java
+++ b/node/src/test/java/org/heatherspread/node/RelayStateFixtures.java
@@ -4,11 +4,15 @@
 import java.util.SplittableRandom;
 import org.heatherspread.core.freshness.StoreFreshness;
 import org.heatherspread.core.freshness.UnixTimeEstimator;
+import org.heatherspread.core.limit.EndpointLimitTable;
+import org.heatherspread.core.limit.OvershootAllowance;
+import org.heatherspread.core.limit.PartitionedLimiter;
 import org.heatherspread.core.routing.HealthPolicy;
 import org.heatherspread.core.time.ManualClock;
 import org.heatherspread.core.usage.UsageWindows;
-import org.heatherspread.relay.call.AccountAdmission;
 import org.heatherspread.relay.call.CallMetrics;
+import org.heatherspread.relay.call.EndpointLimits;
+import org.heatherspread.relay.call.LimitAdmission;
 import org.heatherspread.relay.call.RelaySettings;
 import org.heatherspread.relay.call.RelayState;
 import org.heatherspread.relay.endpoint.ConnectionPool;
@@ -33,7 +37,7 @@
    * @param accountAdmission null if the test admits no requests
    */
   public static RelayState create(
-      ManualClock clock, StoreFreshness storeFreshness, AccountAdmission accountAdmission) {
+      ManualClock clock, StoreFreshness storeFreshness, LimitAdmission accountAdmission) {
     return new RelayState(
         null,
         clock,
@@ -46,6 +50,11 @@
         UsageWindows.create(USAGE_WINDOW_MILLIS, 6),
         HealthPolicy.defaults(),
         null,
-        accountAdmission);
+        accountAdmission,
+        EndpointLimits.create(
+            EndpointLimitTable.create(clock, 10),
+            LimitAdmission.create(
+                PartitionedLimiter.create("self", clock, new OvershootAllowance(4, 0.5, 5)),
+                null)));
   }
 }
--- a/node/src/test/java/org/heatherspread/node/control/CleanupDutyTest.java
+++ b/node/src/test/java/org/heatherspread/node/control/CleanupDutyTest.java
@@ -69,7 +69,8 @@
         Map.of(),
         List.of(),
         List.of(),
-        Map.of());
+        Map.of(),
+        List.of());
   }
 
   @Test
--- a/node/src/test/java/org/heatherspread/node/control/FleetListenerTest.java
+++ b/node/src/test/java/org/heatherspread/node/control/FleetListenerTest.java
@@ -23,7 +23,7 @@
 import org.heatherspread.core.time.ManualClock;
 import org.heatherspread.node.RelayStateFixtures;
 import org.heatherspread.node.peer.PeerClient;
-import org.heatherspread.relay.call.AccountAdmission;
+import org.heatherspread.relay.call.LimitAdmission;
 import org.heatherspread.relay.call.RelayState;
 import org.junit.jupiter.api.Test;
 
@@ -36,9 +36,10 @@
   private final StoreFreshness freshness = StoreFreshness.create(clock, InstantSource.system());
   private final PartitionedLimiter limits =
       PartitionedLimiter.create(SELF, clock, new OvershootAllowance(8, 0, 0));
-  private final PeerClient peers = PeerClient.create(address -> null);
+  private final PeerClient peers = PeerClient.create(SELF, address -> null);
   private final RelayState state =
-      RelayStateFixtures.create(clock, freshness, AccountAdmission.create(limits, peers));
+      RelayStateFixtures.create(
+          clock, freshness, LimitAdmission.create(limits, peers.accountLimits()));
   private final FleetListener listener =
       new FleetListener(
           state,
@@ -72,7 +73,8 @@
         Map.of(),
         List.of(),
         suspects,
-        Map.of());
+        Map.of(),
+        List.of());
   }
 
   /**
--- a/node/src/test/java/org/heatherspread/node/control/UsageReportingDutyTest.java
+++ b/node/src/test/java/org/heatherspread/node/control/UsageReportingDutyTest.java
@@ -90,7 +90,8 @@
             Map.of(),
             List.of(),
             List.of(),
-            Map.of());
+            Map.of(),
+            List.of());
     fleet.put("d1/1", report, clock.millis());
   }
 
--- a/node/src/test/java/org/heatherspread/node/peer/PeerFormatTest.java
+++ b/node/src/test/java/org/heatherspread/node/peer/PeerFormatTest.java
@@ -5,6 +5,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
+import org.heatherspread.core.limit.EndpointLimit;
+import org.heatherspread.core.limit.LimitObservation;
 import org.junit.jupiter.api.Test;
 
 class PeerFormatTest {
@@ -14,9 +16,18 @@
 
   @Test
   void readsWhatItWrites() {
-    var admission = new PeerFormat.AdmissionRequest("acme", 750, 90);
-    assertThat(PeerFormat.readAdmissionRequest(PeerFormat.writeAdmissionRequest(admission)))
-        .isEqualTo(admission);
+    var account = new PeerFormat.AdmissionRequest("acme", Optional.empty(), 750, 90);
+    var endpoint =
+        PeerFormat.AdmissionRequest.of(new EndpointLimit("e-1", 1_700_000_000_000L, 1.5), 1, 0);
+    for (PeerFormat.AdmissionRequest admission : List.of(account, endpoint)) {
+      assertThat(PeerFormat.readAdmissionRequest(PeerFormat.writeAdmissionRequest(admission)))
+          .isEqualTo(admission);
+    }
+    var observations =
+        new PeerFormat.LimitObservations(
+            "d-1", List.of(new LimitObservation("e-1", 7, LimitObservation.NONE, 20)));
+    assertThat(PeerFormat.readObservations(PeerFormat.writeObservations(observations)))
+        .isEqualTo(observations);
     var release = new PeerFormat.ReleaseRequest("acme", "d-2");
     assertThat(PeerFormat.readReleaseRequest(PeerFormat.writeReleaseRequest(release)))
         .isEqualTo(release);
@@ -29,6 +40,6 @@
   @Test
   void readsAdmissionRequestsOfEarlierVersions() {
     assertThat(PeerFormat.readAdmissionRequest(bytes("{\"account\":\"acme\",\"amount\":750}")))
-        .isEqualTo(new PeerFormat.AdmissionRequest("acme", 750, 0));
+        .isEqualTo(new PeerFormat.AdmissionRequest("acme", Optional.empty(), 750, 0));
   }
 }
--- a/relay/src/main/java/org/heatherspread/relay/call/Attempt.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/Attempt.java
@@ -85,25 +85,74 @@
   private int eventCount;
   private boolean closed;
   private boolean migrating;
+  private boolean admitted;
   private String failureDuringMigration;
 
-  /**
-   * Creates an attempt without a connection.
-   *
-   * @param cacheCopy reference to the KV cache from which a migrated run resumes, null for none
-   */
-  Attempt(RelayCall call, Choice choice, String cacheCopy) {
+  private Attempt(RelayCall call, Choice choice, String cacheCopy, boolean admitted) {
     this.call = call;
     this.state = call.state();
     this.context = call.context();
     this.progress = call.progress();
     this.responseWriter = call.responseWriter();
     this.cacheCopy = cacheCopy;
+    this.admitted = admitted;
     this.endpoint = choice.endpoint();
     this.baseLatencyMillis = choice.baseMillis();
     this.trackedRequest = endpoint.startRequest(context.work());
   }
 
+  /** Creates an attempt that is not started. */
+  static Attempt create(RelayCall call, Choice choice) {
+    return new Attempt(call, choice, null, false);
+  }
+
+  /**
+   * Creates an attempt, not started, that continues a run at an endpoint whose limit has admitted
+   * it.
+   *
+   * @param cacheCopy reference to the KV cache from which the run resumes
+   */
+  static Attempt createMigrated(RelayCall call, Choice choice, String cacheCopy) {
+    return new Attempt(call, choice, cacheCopy, true);
+  }
+
+  /** Sends the request once the limit of the endpoint, if it has one, admits it. */
+  void start() {
+    if (isAwaitingAdmission()) {
+      requestAdmission();
+    } else {
+      acquireConnection();
+    }
+  }
+
+  private boolean isAwaitingAdmission() {
+    return !admitted && state.endpointLimits().isLimited(endpoint);
+  }
+
+  private void requestAdmission() {
+    state.endpointLimits().admit(endpoint).thenAccept(this::onAdmissionDecided);
+  }
+
+  private void onAdmissionDecided(boolean admits) {
+    if (!isActive()) {
+      close();
+      return;
+    }
+    if (admits) {
+      admitted = true;
+      acquireConnection();
+      return;
+    }
+    close();
+    logOutcome("not-admitted", "limit of the endpoint");
+    call.onEndpointLimited(endpoint);
+  }
+
+  private void acquireConnection() {
+    int maxConnections = state.connectionLimit(context.service());
+    state.connectionPool().acquire(endpoint.registration().address(), maxConnections, this);
+  }
+
   String endpointId() {
     return endpoint.id();
   }
@@ -141,6 +190,12 @@
       acquired.releaseUnused();
       return;
     }
+    if (isAwaitingAdmission()) {
+      // The limit was named while the connection was being opened.
+      acquired.releaseUnused();
+      requestAdmission();
+      return;
+    }
     connection = acquired;
     progress.sendCount++;
     progress.possibleExecutions += cacheCopy == null ? 1 : 0;
@@ -220,6 +275,10 @@
     headers = response.headers();
     notExecuted =
         headers.contains(call.headerNames().notExecuted()) || status == MISDIRECTED_REQUEST;
+    if (status != MISDIRECTED_REQUEST) {
+      String limit = headers.get(call.headerNames().endpointLimit());
+      state.endpointLimits().recordResponse(endpoint, limit, sentMillis);
+    }
     delimitedByClose = !EndpointConnection.isSelfDelimiting(response);
     boolean signed = headers.contains(call.headerNames().signature());
     if (status >= 200 && status < 300 && !signed) {
@@ -422,21 +481,33 @@
       return;
     }
     migrating = true;
+    state
+        .endpointLimits()
+        .admit(target.get().endpoint())
+        .thenAccept(admits -> onMigrationAdmitted(migrator.get(), target.get(), admits));
+  }
+
+  private void onMigrationAdmitted(StreamMigrator migrator, Choice target, boolean admits) {
+    if (!admits || !isActive()) {
+      onMigrated(migrator, target, Optional.empty(), null);
+      return;
+    }
     HostPort source = endpoint.registration().address();
-    HostPort targetAddress = target.get().endpoint().registration().address();
+    HostPort targetAddress = target.endpoint().registration().address();
     migrator
-        .get()
         .migrate(source, context.id(), targetAddress)
-        .whenComplete((copy, failure) -> onMigrated(migrator.get(), target.get(), copy, failure));
+        .whenComplete((copy, failure) -> onMigrated(migrator, target, copy, failure));
   }
 
   private Optional<Choice> chooseMigrationTarget() {
+    Set<String> excluded = state.endpointLimits().closedEndpoints();
+    excluded.add(endpoint.id());
     return state
         .chooser(context.service())
         .choose(
             state.endpoints().forService(context.service()),
             context.work(),
-            Set.of(endpoint.id()),
+            excluded,
             state.clock().millis(),
             state.random());
   }
@@ -458,7 +529,7 @@
     }
     abort();
     state.metrics().recordRetry(RetryReason.ENDPOINT_LEAVING.code());
-    call.send(target, copy.get());
+    call.sendMigrated(target, copy.get());
   }
 
   private void onRefused() {
--- a/relay/src/main/java/org/heatherspread/relay/call/CallProgress.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/CallProgress.java
@@ -11,6 +11,9 @@
   /** Number of endpoints that declared the request not executed. */
   int refusalCount;
 
+  /** Number of endpoints whose limits did not admit the request. */
+  int limitedCount;
+
   /** Number of endpoints that may have executed the request. */
   int possibleExecutions;
 
--- a/relay/src/main/java/org/heatherspread/relay/call/AccountAdmission.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/LimitAdmission.java
@@ -7,23 +7,28 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
+import java.util.stream.Collectors;
 import org.heatherspread.core.limit.LimitOwnerClient;
 import org.heatherspread.core.limit.PartitionedLimiter;
-import org.heatherspread.core.serving.AccountConfig;
+import org.heatherspread.core.limit.RateLimit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
- * Admits requests of client accounts. The daemon that owns an account's limit decides; if it fails
- * to, this daemon decides locally. Confined to one event loop.
+ * Admits requests under limits that all daemons share, either those of client accounts or those of
+ * endpoints. The daemon that owns a limit decides; if it fails to, this daemon decides locally.
+ * Confined to one event loop.
  */
-public final class AccountAdmission {
-  private static final Logger log = LoggerFactory.getLogger(AccountAdmission.class);
+public final class LimitAdmission {
+  private static final Logger log = LoggerFactory.getLogger(LimitAdmission.class);
+
+  /** Maximum number of limits that a log line names. */
+  private static final int MAX_LOGGED_LIMITS = 30;
 
   private final PartitionedLimiter limits;
   private final LimitOwnerClient ownerClient;
 
-  private AccountAdmission(PartitionedLimiter limits, LimitOwnerClient ownerClient) {
+  private LimitAdmission(PartitionedLimiter limits, LimitOwnerClient ownerClient) {
     this.limits = limits;
     this.ownerClient = ownerClient;
   }
@@ -34,14 +39,14 @@
    * @param limits limits of this daemon, which also decide locally
    * @param ownerClient client for the decisions of other daemons
    */
-  public static AccountAdmission create(PartitionedLimiter limits, LimitOwnerClient ownerClient) {
-    return new AccountAdmission(limits, ownerClient);
+  public static LimitAdmission create(PartitionedLimiter limits, LimitOwnerClient ownerClient) {
+    return new LimitAdmission(limits, ownerClient);
   }
 
   /**
    * The decision on a request.
    *
-   * @param waitSeconds empty if admitted, otherwise the time until the account has capacity
+   * @param waitSeconds empty if admitted, otherwise the time until the limit admits again
    * @param decidedBy name of the daemon that decided, {@code self} for this one
    */
   record Decision(OptionalDouble waitSeconds, String decidedBy) {}
@@ -49,19 +54,20 @@
   /**
    * Decides on a request.
    *
-   * @param amount number of requests or tokens, depending on what the account limits
+   * @param amount number of requests or tokens, in the unit of the limit
    * @return completes immediately unless another daemon decides; never fails
    */
-  CompletableFuture<Decision> admit(AccountConfig account, double amount) {
-    if (account.ratePerSecond() <= 0) {
-      return CompletableFuture.completedFuture(decideLocally(account, amount));
+  CompletableFuture<Decision> admit(RateLimit limit, double amount) {
+    if (limit.ratePerSecond() <= 0) {
+      return CompletableFuture.completedFuture(decideLocally(limit, amount));
     }
-    takeOver(account);
-    Optional<String> owner = limits.remoteOwner(account.name());
+    limits.track(limit);
+    takeOver(limit);
+    Optional<String> owner = limits.remoteOwner(limit.name());
     if (owner.isEmpty()) {
-      return CompletableFuture.completedFuture(decideLocally(account, amount));
+      return CompletableFuture.completedFuture(decideLocally(limit, amount));
     }
-    return requestAdmission(owner.get(), account, amount, true);
+    return requestAdmission(owner.get(), limit, amount, true);
   }
 
   /**
@@ -71,15 +77,15 @@
    *     admit the request
    */
   private CompletableFuture<Decision> requestAdmission(
-      String owner, AccountConfig account, double amount, boolean mayRetry) {
-    double unreported = limits.startReport(account.name());
+      String owner, RateLimit limit, double amount, boolean mayRetry) {
+    double unreported = limits.startReport(limit.name());
     return ownerClient
-        .requestAdmission(owner, account.name(), amount, unreported)
+        .requestAdmission(owner, limit, amount, unreported)
         .handle(
             (ownerDecision, failure) -> {
               boolean decided = failure == null && ownerDecision.decidedByOwner();
               if (unreported > 0) {
-                limits.endReport(account.name(), decided);
+                limits.endReport(limit.name(), decided);
               }
               if (decided) {
                 limits.ownerAnswered(owner);
@@ -87,68 +93,68 @@
                     new Decision(ownerDecision.waitSeconds(), owner));
               }
               return failure == null
-                  ? onDeclined(owner, account, amount, ownerDecision, mayRetry)
-                  : onFailed(owner, account, amount, failure, mayRetry);
+                  ? onDeclined(owner, limit, amount, ownerDecision, mayRetry)
+                  : onFailed(owner, limit, amount, failure, mayRetry);
             })
         .thenCompose(decision -> decision);
   }
 
   private CompletableFuture<Decision> onDeclined(
       String owner,
-      AccountConfig account,
+      RateLimit limit,
       double amount,
       LimitOwnerClient.Decision declined,
       boolean mayRetry) {
     String other = declined.owner().orElse(null);
-    if (limits.ownerDeclined(account.name(), owner, other)) {
-      return requestAdmission(other, account, amount, mayRetry);
+    if (limits.ownerDeclined(limit.name(), owner, other)) {
+      return requestAdmission(other, limit, amount, mayRetry);
     }
-    logUndecided(account, owner, "daemon is not the owner of the limit");
-    return CompletableFuture.completedFuture(decideLocally(account, amount));
+    logUndecided(limit, owner, "daemon is not the owner of the limit");
+    return CompletableFuture.completedFuture(decideLocally(limit, amount));
   }
 
   private CompletableFuture<Decision> onFailed(
-      String owner, AccountConfig account, double amount, Throwable failure, boolean mayRetry) {
+      String owner, RateLimit limit, double amount, Throwable failure, boolean mayRetry) {
     boolean stopped = isConnectionRefused(failure);
     limits.ownerFailed(owner, stopped);
-    logUndecided(account, owner, failure.getMessage());
-    Decision local = decideLocally(account, amount);
+    logUndecided(limit, owner, failure.getMessage());
+    Decision local = decideLocally(limit, amount);
     if (local.waitSeconds().isPresent() && mayRetry && !stopped) {
-      return requestAdmission(owner, account, amount, false);
+      return requestAdmission(owner, limit, amount, false);
     }
     return CompletableFuture.completedFuture(local);
   }
 
-  private static void logUndecided(AccountConfig account, String owner, String reason) {
+  private static void logUndecided(RateLimit limit, String owner, String reason) {
     log.atInfo()
-        .addKeyValue("account", account.name())
+        .addKeyValue("account", limit.name())
         .addKeyValue("keeper", owner)
         .addKeyValue("reason", reason)
         .log("limit is decided without its keeper");
   }
 
   /** Asks the previous owner to release a newly owned limit, unless it was asked a moment ago. */
-  private void takeOver(AccountConfig account) {
-    Optional<String> previous = limits.startTakeover(account.name());
+  private void takeOver(RateLimit limit) {
+    Optional<String> previous = limits.startTakeover(limit.name());
     if (previous.isEmpty()) {
       return;
     }
     ownerClient
-        .requestRelease(previous.get(), account.name(), limits.self())
-        .whenComplete((holder, failure) -> onReleased(account, previous.get(), holder, failure));
+        .requestRelease(previous.get(), limit.name(), limits.self())
+        .whenComplete((holder, failure) -> onReleased(limit, previous.get(), holder, failure));
   }
 
   private void onReleased(
-      AccountConfig account, String previous, Optional<String> holder, Throwable failure) {
+      RateLimit limit, String previous, Optional<String> holder, Throwable failure) {
     String outcome = "released";
     if (failure == null && holder.isPresent() && !holder.get().equals(limits.self())) {
-      limits.redirectTakeover(account.name(), holder.get());
+      limits.redirectTakeover(limit.name(), holder.get());
       outcome = "held by " + holder.get();
     } else if (failure == null || isConnectionRefused(failure)) {
-      limits.endTakeover(account, previous);
+      limits.endTakeover(limit, previous);
     }
     log.atInfo()
-        .addKeyValue("account", account.name())
+        .addKeyValue("account", limit.name())
         .addKeyValue("from", previous)
         .addKeyValue("outcome", failure == null ? outcome : String.valueOf(failure.getMessage()))
         .log("account limit taken over");
@@ -164,23 +170,30 @@
     return false;
   }
 
-  private Decision decideLocally(AccountConfig account, double amount) {
-    return new Decision(limits.admit(account, amount), "self");
+  private Decision decideLocally(RateLimit limit, double amount) {
+    return new Decision(limits.admit(limit, amount), "self");
+  }
+
+  /** Returns the first names of a set of limits, which may have thousands of endpoints. */
+  private static String summarize(Set<String> limitNames) {
+    return new TreeSet<>(limitNames)
+        .stream().limit(MAX_LOGGED_LIMITS).collect(Collectors.joining(" "));
   }
 
   /**
-   * Decides on a request of another daemon, as the owner of the account's limit.
+   * Decides on a request of another daemon, as the owner of the limit.
    *
    * @param unreported amount that the other daemon has admitted without this one
    */
   public LimitOwnerClient.Decision decideAsOwner(
-      AccountConfig account, double amount, double unreported) {
-    takeOver(account);
-    if (!limits.isOwner(account.name())) {
-      return LimitOwnerClient.Decision.declined(Optional.ofNullable(limits.owner(account.name())));
+      RateLimit limit, double amount, double unreported) {
+    limits.track(limit);
+    takeOver(limit);
+    if (!limits.isOwner(limit.name())) {
+      return LimitOwnerClient.Decision.declined(Optional.ofNullable(limits.owner(limit.name())));
     }
-    limits.chargeReported(account, unreported);
-    return LimitOwnerClient.Decision.decided(limits.admit(account, amount));
+    limits.chargeReported(limit, unreported);
+    return LimitOwnerClient.Decision.decided(limits.admit(limit, amount));
   }
 
   /**
@@ -189,8 +202,8 @@
    * @return the daemon that holds the limit instead of this one; empty if this daemon has released
    *     it or knows of no other holder
    */
-  public Optional<String> release(String account, String newOwner) {
-    return limits.release(account, newOwner);
+  public Optional<String> release(String limit, String newOwner) {
+    return limits.release(limit, newOwner);
   }
 
   /**
@@ -204,14 +217,14 @@
       Collection<String> names,
       Collection<String> admitting,
       long leaseMillis,
-      Collection<AccountConfig> accounts) {
-    Set<String> ownedBefore = limits.ownedAccounts();
-    limits.updateDaemons(names, admitting, leaseMillis, accounts);
-    accounts.forEach(this::takeOver);
-    Set<String> owned = limits.ownedAccounts();
+      Collection<? extends RateLimit> all) {
+    Set<String> ownedBefore = limits.ownedLimits();
+    limits.updateDaemons(names, admitting, leaseMillis, all);
+    all.forEach(this::takeOver);
+    Set<String> owned = limits.ownedLimits();
     if (!owned.equals(ownedBefore)) {
       log.atInfo()
-          .addKeyValue("accounts", String.join(" ", new TreeSet<>(owned)))
+          .addKeyValue("accounts", summarize(owned))
           .addKeyValue("daemons", String.join(" ", new TreeSet<>(names)))
           .log("owned account limits changed");
     }
--- a/relay/src/main/java/org/heatherspread/relay/call/Refusal.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/Refusal.java
@@ -20,6 +20,8 @@
   NO_ENDPOINT(503),
   /** All endpoints that were tried refused the request before execution. */
   REFUSED_BY_ENDPOINTS(503),
+  /** All endpoints that accept requests have reached the limits that they name. */
+  ENDPOINT_LIMITS(503),
   /** No connection to an endpoint could be opened. */
   UNREACHABLE(503),
   /** The expected latency is too far above the target of the route. */
--- a/relay/src/main/java/org/heatherspread/relay/call/RelayCall.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/RelayCall.java
@@ -40,6 +40,15 @@
   /** Number of refusals by endpoints above which a request is no longer retried. */
   private static final int MAX_REFUSALS = 3;
 
+  /** Maximum {@code Retry-After} of requests that limited endpoints did not admit. */
+  private static final double MAX_LIMIT_RETRY_AFTER_SECONDS = 2;
+
+  /**
+   * Number of endpoints that may refuse admission by their limits before a request is refused, as
+   * each may cost a call to another daemon.
+   */
+  private static final int MAX_LIMITED_ENDPOINTS = 8;
+
   private static final double MILLIS_PER_SECOND = 1_000;
 
   private static final EnginePerformance PERFORMANCE = EnginePerformance.defaults();
@@ -109,19 +118,10 @@
     if (failIfCrashing()) {
       return;
     }
-    long now = state.clock().millis();
-    Optional<Choice> choice =
-        state
-            .chooser(context.service())
-            .choose(
-                state.endpoints().forService(context.service()),
-                context.work(),
-                triedEndpoints,
-                now,
-                state.random());
+    Optional<Choice> choice = choose(excludedEndpoints());
     recordDemand(choice);
     if (choice.isEmpty()) {
-      fail(progress.refusalCount > 0 ? Refusal.REFUSED_BY_ENDPOINTS : Refusal.NO_ENDPOINT);
+      failWithoutEndpoint();
       return;
     }
     double expectedLatencyMillis = choice.get().expectedMillis();
@@ -133,7 +133,53 @@
     if (expectedMillis < 0) {
       expectedMillis = (long) expectedLatencyMillis;
     }
-    send(choice.get(), null);
+    send(choice.get());
+  }
+
+  private Optional<Choice> choose(Set<String> excluded) {
+    return state
+        .chooser(context.service())
+        .choose(
+            state.endpoints().forService(context.service()),
+            context.work(),
+            excluded,
+            state.clock().millis(),
+            state.random());
+  }
+
+  /** Returns the endpoints that were tried and those whose limits admit nothing now. */
+  private Set<String> excludedEndpoints() {
+    Set<String> excluded = state.endpointLimits().closedEndpoints();
+    excluded.addAll(triedEndpoints);
+    return excluded;
+  }
+
+  private void failWithoutEndpoint() {
+    Optional<Choice> limited = choose(triedEndpoints);
+    if (limited.isPresent()) {
+      double seconds = state.endpointLimits().closedSeconds(limited.get().endpoint());
+      fail(Refusal.ENDPOINT_LIMITS, limitRetryAfterSeconds(seconds));
+      return;
+    }
+    fail(progress.refusalCount > 0 ? Refusal.REFUSED_BY_ENDPOINTS : Refusal.NO_ENDPOINT);
+  }
+
+  /** Returns a time to retry that spreads callers over the wait for a limited endpoint. */
+  private double limitRetryAfterSeconds(double seconds) {
+    double spread = seconds * (1 + state.random().nextDouble());
+    return Math.min(MAX_LIMIT_RETRY_AFTER_SECONDS, Math.max(retryAfterSeconds(), spread));
+  }
+
+  /** Selects another endpoint, as the limit of one did not admit the request. */
+  void onEndpointLimited(TrackedEndpoint endpoint) {
+    triedEndpoints.remove(endpoint.id());
+    progress.limitedCount++;
+    if (progress.limitedCount >= MAX_LIMITED_ENDPOINTS) {
+      double seconds = state.endpointLimits().closedSeconds(endpoint);
+      fail(Refusal.ENDPOINT_LIMITS, limitRetryAfterSeconds(seconds));
+      return;
+    }
+    selectAndSend();
   }
 
   /**
@@ -165,19 +211,21 @@
     state.addWork(context.service(), millis);
   }
 
+  private void send(Choice choice) {
+    triedEndpoints.add(choice.endpoint().id());
+    currentAttempt = Attempt.create(this, choice);
+    currentAttempt.start();
+  }
+
   /**
-   * Sends the request to an endpoint.
+   * Continues a migrated stream at an endpoint whose limit, if it has one, has admitted it.
    *
-   * @param cacheCopy reference to the KV cache from which a migrated run resumes, null for none
+   * @param cacheCopy reference to the KV cache from which the run resumes
    */
-  void send(Choice choice, String cacheCopy) {
-    currentAttempt = new Attempt(this, choice, cacheCopy);
-    TrackedEndpoint endpoint = choice.endpoint();
-    triedEndpoints.add(endpoint.id());
-    int maxConnections = state.connectionLimit(context.service());
-    state
-        .connectionPool()
-        .acquire(endpoint.registration().address(), maxConnections, currentAttempt);
+  void sendMigrated(Choice choice, String cacheCopy) {
+    triedEndpoints.add(choice.endpoint().id());
+    currentAttempt = Attempt.createMigrated(this, choice, cacheCopy);
+    currentAttempt.start();
   }
 
   private boolean isEngineRequest() {
--- a/relay/src/main/java/org/heatherspread/relay/call/RelayHandler.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/RelayHandler.java
@@ -83,7 +83,7 @@
   }
 
   private void onDecision(
-      AccountAdmission.Decision decision,
+      LimitAdmission.Decision decision,
       CallContext context,
       ResponseWriter responseWriter,
       RefusalResponder refusalResponder) {
--- a/relay/src/main/java/org/heatherspread/relay/call/RelayHeaderNames.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/RelayHeaderNames.java
@@ -17,6 +17,7 @@
  * @param urgency priority of the request at the endpoint, 0 is the most urgent
  * @param lastEventId id of the last event received of a stream
  * @param cacheCopy reference to the KV cache from which a migrated run resumes
+ * @param endpointLimit requests per second that the endpoint takes from all daemons together
  * @param reserved headers that are removed from requests of callers, as only the system sets them
  */
 public record RelayHeaderNames(
@@ -31,6 +32,7 @@
     String urgency,
     String lastEventId,
     String cacheCopy,
+    String endpointLimit,
     Set<String> reserved) {
   /** Copies the set of reserved names. */
   public RelayHeaderNames {
--- a/relay/src/main/java/org/heatherspread/relay/call/RelayState.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/RelayState.java
@@ -74,7 +74,8 @@
   private final EndpointTable endpoints;
   private final EngineChooser engineChooser = EngineChooser.create(EnginePerformance.defaults());
   private final PlainServiceChooser plainChooser = PlainServiceChooser.create();
-  private final AccountAdmission accountAdmission;
+  private final LimitAdmission accountAdmission;
+  private final EndpointLimits endpointLimits;
   private final UsageWindows usage;
   private final Map<String, WindowedRetryBudget> retryBudgets = new HashMap<>();
   private final Map<String, Double> workMillisByService = new HashMap<>();
@@ -91,6 +92,7 @@
    *
    * @param migrator null if streams cannot be migrated
    * @param accountAdmission admission control of client accounts
+   * @param endpointLimits limits that endpoints name
    */
   public RelayState(
       EventLoop loop,
@@ -104,7 +106,8 @@
       UsageWindows usage,
       HealthPolicy health,
       StreamMigrator migrator,
-      AccountAdmission accountAdmission) {
+      LimitAdmission accountAdmission,
+      EndpointLimits endpointLimits) {
     this.loop = loop;
     this.clock = clock;
     this.random = random;
@@ -117,6 +120,7 @@
     this.migrator = migrator;
     this.poisonFilter = PoisonRequestFilter.create(CRASH_POLICY, clock, this::probe);
     this.accountAdmission = accountAdmission;
+    this.endpointLimits = endpointLimits;
     this.endpoints = EndpointTable.create(health, this::cacheTokens);
   }
 
@@ -330,10 +334,15 @@
   }
 
   /** Returns the admission control of client accounts. */
-  public AccountAdmission accountAdmission() {
+  public LimitAdmission accountAdmission() {
     return accountAdmission;
   }
 
+  /** Returns the limits that endpoints name. */
+  public EndpointLimits endpointLimits() {
+    return endpointLimits;
+  }
+
   /** Returns the counts of started requests by account and window. */
   public UsageWindows usage() {
     return usage;
--- a/relay/src/test/java/org/heatherspread/relay/FixedOwnerClient.java
+++ b/relay/src/test/java/org/heatherspread/relay/FixedOwnerClient.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
 import org.heatherspread.core.limit.LimitOwnerClient;
+import org.heatherspread.core.limit.RateLimit;
 
 /**
  * A client whose requests for admission are answered by a function, and those for release granted.
@@ -14,17 +15,17 @@
     Function<AdmissionRequest, CompletableFuture<LimitOwnerClient.Decision>> decisions)
     implements LimitOwnerClient {
   /** A request for admission. */
-  public record AdmissionRequest(String daemon, String account, double amount, double unreported) {}
+  public record AdmissionRequest(String daemon, String limit, double amount, double unreported) {}
 
   @Override
   public CompletableFuture<Decision> requestAdmission(
-      String daemon, String account, double amount, double unreported) {
-    return decisions.apply(new AdmissionRequest(daemon, account, amount, unreported));
+      String daemon, RateLimit limit, double amount, double unreported) {
+    return decisions.apply(new AdmissionRequest(daemon, limit.name(), amount, unreported));
   }
 
   @Override
   public CompletableFuture<Optional<String>> requestRelease(
-      String daemon, String account, String newOwner) {
+      String daemon, String limit, String newOwner) {
     return CompletableFuture.completedFuture(Optional.empty());
   }
 }
--- a/relay/src/test/java/org/heatherspread/relay/RelayHarness.java
+++ b/relay/src/test/java/org/heatherspread/relay/RelayHarness.java
@@ -18,6 +18,7 @@
 import org.heatherspread.core.engine.StreamMigrator;
 import org.heatherspread.core.freshness.StoreFreshness;
 import org.heatherspread.core.freshness.UnixTimeEstimator;
+import org.heatherspread.core.limit.EndpointLimitTable;
 import org.heatherspread.core.limit.LimitOwnerClient;
 import org.heatherspread.core.limit.OvershootAllowance;
 import org.heatherspread.core.limit.PartitionedLimiter;
@@ -35,8 +36,9 @@
 import org.heatherspread.core.store.SharedReadResult;
 import org.heatherspread.core.time.MonotonicClock;
 import org.heatherspread.core.usage.UsageWindows;
-import org.heatherspread.relay.call.AccountAdmission;
 import org.heatherspread.relay.call.CallMetrics;
+import org.heatherspread.relay.call.EndpointLimits;
+import org.heatherspread.relay.call.LimitAdmission;
 import org.heatherspread.relay.call.RelayHandler;
 import org.heatherspread.relay.call.RelayHeaderNames;
 import org.heatherspread.relay.call.RelaySettings;
@@ -69,6 +71,7 @@
           "Request-Priority",
           "Last-Event-Id",
           "Kv-From",
+          "Server-Limit",
           Set.of("Expected-Instance", "Tenant-Name", "Kv-From"));
 
   private final NioEventLoopGroup group = new NioEventLoopGroup(1);
@@ -95,7 +98,12 @@
             UsageWindows.create(5_000, 6),
             HealthPolicy.defaults(),
             migrator,
-            AccountAdmission.create(limits, ownerClient));
+            LimitAdmission.create(limits, ownerClient),
+            EndpointLimits.create(
+                EndpointLimitTable.create(clock, 10),
+                LimitAdmission.create(
+                    PartitionedLimiter.create(SELF, clock, new OvershootAllowance(4, 0.5, 5)),
+                    ownerClient)));
     server =
         CallerServer.create(
             loop, clock, state::clientLimits, RelayHandler.create(state, HEADER_NAMES));
@@ -128,6 +136,11 @@
             state
                 .accountAdmission()
                 .updateDaemons(List.of(owner), List.of(owner), 600_000, config.accounts()));
+    rig.onLoop(
+        state ->
+            state
+                .endpointLimits()
+                .updateDaemons(List.of(owner), List.of(owner), 600_000, Set.of("e0", "e1", "e2")));
     rig.recordStoreRead();
     return rig;
   }
--- a/relay/src/test/java/org/heatherspread/relay/call/AccountAdmissionTest.java
+++ b/relay/src/test/java/org/heatherspread/relay/call/LimitAdmissionTest.java
@@ -21,7 +21,7 @@
 import org.junit.jupiter.api.Test;
 
 /** Admission of an account whose limit is owned by another daemon. */
-class AccountAdmissionTest {
+class LimitAdmissionTest {
   private final List<AutoCloseable> resources = new ArrayList<>();
   private final List<String> ownerRequests = new CopyOnWriteArrayList<>();
   private volatile CompletableFuture<Decision> ownerDecision;
@@ -33,7 +33,7 @@
         new FixedOwnerClient(
             request -> {
               String amounts = (long) request.amount() + " " + (long) request.unreported();
-              ownerRequests.add(request.daemon() + ' ' + request.account() + ' ' + amounts);
+              ownerRequests.add(request.daemon() + ' ' + request.limit() + ' ' + amounts);
               CompletableFuture<Decision> next = nextDecisions.poll();
               return next == null ? ownerDecision : next;
             });
