--- /dev/null
+++ b/node/src/test/java/org/heatherspread/node/soak/MixedVersionTest.java
@@ -0,0 +1,98 @@
+package org.heatherspread.node.soak;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * Endpoints of two versions of their software in one service, whose streams break and are retried
+ * by daemons and resumed by callers.
+ */
+class MixedVersionTest {
+  private static final int DAEMONS = 4;
+  private static final int ENDPOINTS = 4;
+  private static final int STREAMS = 40;
+
+  /** Number of events after which a caller breaks a stream. */
+  private static final int EVENTS_BEFORE_BREAK = 2;
+
+  private static final long REGISTRATION_MILLIS = 1_000;
+
+  @TempDir private Path folder;
+
+  private int mixedStreams;
+  private int resumedStreams;
+
+  /** Starts a fleet of which every second endpoint runs another version. */
+  private ProcessFleet startFleet() throws Exception {
+    ProcessFleet fleet = ProcessFleet.start(DAEMONS, ENDPOINTS, folder);
+    for (int i = 0; i < ENDPOINTS; i += 2) {
+      fleet.endpoints().get(i).setVersion("v2");
+    }
+    TimeUnit.MILLISECONDS.sleep(REGISTRATION_MILLIS);
+    return fleet;
+  }
+
+  private void count(List<String> versions) {
+    mixedStreams += new HashSet<>(versions).size() > 1 ? 1 : 0;
+  }
+
+  /** Begins a stream at one daemon, breaks it and resumes it at another one. */
+  private ProcessFleet.ReceivedStream breakAndResume(
+      ProcessFleet fleet, int number, int first, int second) throws InterruptedException {
+    String id = "stream-" + number;
+    ProcessFleet.ReceivedStream begun = fleet.receive(first, id, EVENTS_BEFORE_BREAK);
+    return resume(fleet, begun, id, second);
+  }
+
+  private ProcessFleet.ReceivedStream resume(
+      ProcessFleet fleet, ProcessFleet.ReceivedStream begun, String id, int daemon)
+      throws InterruptedException {
+    String lastEvent = Integer.toString(begun.versions().size());
+    ProcessFleet.ReceivedStream resumed =
+        fleet.receive(
+            daemon,
+            id + "-resumed",
+            SoakEndpoint.EVENT_COUNT,
+            "Resumes",
+            id,
+            "Last-Event-Id",
+            lastEvent);
+    List<String> versions = new ArrayList<>(begun.versions());
+    versions.addAll(resumed.versions());
+    count(versions);
+    resumedStreams += versions.size() == SoakEndpoint.EVENT_COUNT ? 1 : 0;
+    return resumed;
+  }
+
+  @Test
+  @Tag("known-red")
+  void resumedStreamsContinueAtTheVersionThatBeganThem() throws Exception {
+    try (ProcessFleet fleet = startFleet()) {
+      for (int i = 0; i < STREAMS; i++) {
+        breakAndResume(fleet, i, i % DAEMONS, (i + 1) % DAEMONS);
+      }
+      assertThat(mixedStreams).isZero();
+      assertThat(resumedStreams).isEqualTo(STREAMS);
+    }
+  }
+
+  @Test
+  @Tag("known-red")
+  void streamsThatEndpointsBreakContinueAtTheirVersion() throws Exception {
+    try (ProcessFleet fleet = startFleet()) {
+      fleet.endpoints().forEach(endpoint -> endpoint.setFaultShare(0.5));
+      for (int i = 0; i < 3 * STREAMS; i++) {
+        count(fleet.receive(i % DAEMONS, "stream-" + i, SoakEndpoint.EVENT_COUNT).versions());
+      }
+      assertThat(mixedStreams).isZero();
+    }
+  }
+}
--- a/node/src/test/java/org/heatherspread/node/soak/ProcessFleet.java
+++ b/node/src/test/java/org/heatherspread/node/soak/ProcessFleet.java
@@ -1,6 +1,9 @@
 package org.heatherspread.node.soak;
 
+import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.InputStream;
+import java.io.InputStreamReader;
 import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -100,6 +103,11 @@
     return platform;
   }
 
+  /** Returns a daemon process. */
+  SoakDaemon daemon(int index) {
+    return daemons.get(index);
+  }
+
   List<SoakEndpoint> endpoints() {
     return endpoints;
   }
@@ -145,20 +153,23 @@
     }
   }
 
+  private HttpRequest.Builder request(int daemon, String id, String body) {
+    URI uri = URI.create("http://localhost:" + daemons.get(daemon).callers() + "/draft/x");
+    return HttpRequest.newBuilder(uri)
+        .header("Authorization", "Bearer " + KEY)
+        .header("Attempt-Id", id)
+        .header("Deadline-Remaining", "3500")
+        .timeout(Duration.ofSeconds(5))
+        .POST(HttpRequest.BodyPublishers.ofString(body));
+  }
+
   /**
    * Sends a request and returns the status of its answer, 0 if there was none.
    *
    * @param prompt value of the header that lists the parts of the prompt, empty for none
    */
   int send(int daemon, String body, String id, String prompt) throws InterruptedException {
-    URI uri = URI.create("http://localhost:" + daemons.get(daemon).callers() + "/draft/x");
-    HttpRequest.Builder request =
-        HttpRequest.newBuilder(uri)
-            .header("Authorization", "Bearer " + KEY)
-            .header("Attempt-Id", id)
-            .header("Deadline-Remaining", "3500")
-            .timeout(Duration.ofSeconds(5))
-            .POST(HttpRequest.BodyPublishers.ofString(body));
+    HttpRequest.Builder request = request(daemon, id, body);
     if (!prompt.isEmpty()) {
       request.header("Token-Counts", "100,20").header("Prompt-Prefix", prompt);
     }
@@ -170,6 +181,48 @@
     }
   }
 
+  /**
+   * What a caller got of a stream.
+   *
+   * @param status status of the answer, 0 if there was none
+   * @param versions software version of the endpoint that wrote each event
+   */
+  record ReceivedStream(int status, List<String> versions) {}
+
+  /**
+   * Sends a request for a stream and closes the connection after some of its events.
+   *
+   * @param headers names and values of further headers
+   */
+  ReceivedStream receive(int daemon, String id, int maxEvents, String... headers)
+      throws InterruptedException {
+    HttpRequest.Builder request = request(daemon, id, "stream");
+    if (headers.length > 0) {
+      request.headers(headers);
+    }
+    List<String> versions = new ArrayList<>();
+    int status = 0;
+    try {
+      HttpResponse<InputStream> response =
+          client.send(request.build(), HttpResponse.BodyHandlers.ofInputStream());
+      status = response.statusCode();
+      try (BufferedReader lines =
+          new BufferedReader(new InputStreamReader(response.body(), StandardCharsets.UTF_8))) {
+        String line = lines.readLine();
+        while (line != null && versions.size() < maxEvents) {
+          if (line.startsWith(": ")) {
+            versions.add(line.substring(2));
+          }
+          line = versions.size() < maxEvents ? lines.readLine() : null;
+        }
+      }
+    } catch (IOException e) {
+      // The daemon is down, or the stream was cut; what was received counts.
+      return new ReceivedStream(status, versions);
+    }
+    return new ReceivedStream(status, versions);
+  }
+
   /** Sends a request to a daemon and closes the connection without waiting for the answer. */
   void sendAndLeave(int daemon, String id) throws IOException {
     String request =
--- a/node/src/test/java/org/heatherspread/node/soak/SoakCaller.java
+++ b/node/src/test/java/org/heatherspread/node/soak/SoakCaller.java
@@ -15,6 +15,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Supplier;
+import java.util.regex.MatchResult;
+import java.util.regex.Pattern;
 import org.heatherspread.relay.FakeEndpoint;
 
 /**
@@ -29,6 +31,10 @@
   private static final int CRASHING_PAUSE_MILLIS = 300;
   private static final double DISCONNECT_PROBABILITY = 0.02;
   private static final String CRASHING_PATH = "/draft/crash";
+
+  /** Comment in each event that names the version of the endpoint. */
+  private static final Pattern VERSION_LINE = Pattern.compile("(?m)^: [^\n]*\n");
+
   private static final String CRASHING_SEGMENT = "dead:20,";
 
   /** What the requests of a caller have in common. */
@@ -205,12 +211,17 @@
     for (int event = 1; event <= SoakEndpoint.EVENT_COUNT; event++) {
       expected.append("id: ").append(event).append("\ndata: piece-").append(event).append("\n\n");
     }
+    long versions = VERSION_LINE.matcher(body).results().map(MatchResult::group).distinct().count();
+    if (versions > 1) {
+      return "received a stream of several versions: " + body;
+    }
+    String events = body.replaceAll(VERSION_LINE.pattern() + "?", "");
     if (complete) {
-      return body.contentEquals(expected)
+      return events.contentEquals(expected)
           ? ""
           : "received a complete stream with unexpected events: " + body;
     }
-    return expected.toString().startsWith(body) ? "" : "received unexpected events: " + body;
+    return expected.toString().startsWith(events) ? "" : "received unexpected events: " + body;
   }
 
   private static boolean readBody(
--- a/node/src/test/java/org/heatherspread/node/soak/SoakEndpoint.java
+++ b/node/src/test/java/org/heatherspread/node/soak/SoakEndpoint.java
@@ -41,6 +41,7 @@
   private volatile boolean closed;
   private volatile boolean crashed;
   private volatile String id;
+  private volatile String version = "v1";
   private volatile long startedAtMillis = 1;
   private volatile Predicate<FakeEndpoint.Request> crashTrigger = request -> false;
   private volatile long restartMillis = 1_000;
@@ -85,6 +86,12 @@
     return proxy;
   }
 
+  /** Sets the version of the software, which the events of all streams name from now on. */
+  void setVersion(String next) {
+    version = next;
+    register();
+  }
+
   /** Sets the fraction of requests that fail. */
   void setFaultShare(double share) {
     faultShare = share;
@@ -180,7 +187,7 @@
 
   private synchronized void register() {
     if (!closed && !crashed) {
-      platform.registerEndpoint(id, service, proxy.port(), draining, startedAtMillis);
+      platform.registerEndpoint(id, service, proxy.port(), draining, startedAtMillis, version);
     }
   }
 
@@ -300,7 +307,8 @@
     boolean interrupted = false;
     for (int event = first; event <= EVENT_COUNT && !interrupted; event++) {
       interrupted = faulty && event > first + EVENT_COUNT / 2;
-      sender.send("id: " + event + "\nda" + (interrupted ? "" : "ta: piece-" + event + "\n\n"));
+      String piece = "ta: piece-" + event + "\n: " + version + "\n\n";
+      sender.send("id: " + event + "\nda" + (interrupted ? "" : piece));
       TimeUnit.MILLISECONDS.sleep(interrupted ? 0 : EVENT_INTERVAL_MILLIS);
     }
     if (delimitedByClose) {
