Let the soak limit endpoints, mix their versions and resume broken streams

An endpoint of a service may name a limit, change it or name none any longer; successive endpoints have other versions; callers resume streams that break on the resumable route at any daemon. Checked: the requests at a limited endpoint after the faults, and one version in each stream, over its resumption too.

--- a/node/src/test/java/org/heatherspread/node/soak/FaultKind.java
+++ b/node/src/test/java/org/heatherspread/node/soak/FaultKind.java
@@ -30,8 +30,13 @@
   ENDPOINT_LINK_RESET,
   /** An endpoint fails a fraction of its requests. */
   ENDPOINT_FAULTY,
-  /** An endpoint registers as draining, is closed later, and is replaced by a new one. */
+  /**
+   * An endpoint registers as draining, is closed later, and is replaced by a new one, which may
+   * have another version of the software.
+   */
   ENDPOINT_REPLACED,
+  /** An endpoint names a limit in its responses, another one than before, or none any longer. */
+  ENDPOINT_LIMITED,
   /** An endpoint is closed without notice and replaced by a new one. */
   ENDPOINT_LOST,
   /** A new configuration version is written. */
--- a/node/src/test/java/org/heatherspread/node/soak/NamedLimit.java
+++ b/node/src/test/java/org/heatherspread/node/soak/NamedLimit.java
@@ -50,14 +50,26 @@
 
   /** Returns the number of requests that may arrive in any window. */
   int permittedArrivals() {
+    if (requestsPerSecond < 0) {
+      return Integer.MAX_VALUE;
+    }
     double seconds = WINDOW_MILLIS / MILLIS_PER_SECOND;
     return (int) (PERMITTED_RATIO * seconds * requestsPerSecond) + PERMITTED_EXCESS;
   }
 
   /** Returns the largest number of requests in a window after all daemons must know the limit. */
   int maxArrivals() {
+    return maxArrivalsSince(namedNanos);
+  }
+
+  /**
+   * Returns the largest number of requests in a window after all daemons must know the limit and a
+   * given time.
+   */
+  int maxArrivalsSince(long earliestNanos) {
     List<Long> arrivals = new ArrayList<>(arrivalsNanos);
-    long fromNanos = namedNanos + TimeUnit.MILLISECONDS.toNanos(PROPAGATION_MILLIS);
+    long knownNanos = namedNanos + TimeUnit.MILLISECONDS.toNanos(PROPAGATION_MILLIS);
+    long fromNanos = Math.max(earliestNanos, knownNanos);
     long windowNanos = TimeUnit.MILLISECONDS.toNanos(WINDOW_MILLIS);
     arrivals.removeIf(arrival -> arrival < fromNanos);
     arrivals.sort(null);
--- a/node/src/test/java/org/heatherspread/node/soak/SoakCaller.java
+++ b/node/src/test/java/org/heatherspread/node/soak/SoakCaller.java
@@ -7,6 +7,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -57,6 +58,14 @@
   private Socket socket;
   private int sentCount;
 
+  /** Stream to resume with the next request, null if there is none. */
+  private BrokenStream broken;
+
+  /** Stream that the current request resumes, null if there is none. */
+  private BrokenStream resumed;
+
+  private boolean resumableRoute;
+
   SoakCaller(
       String name,
       Kind kind,
@@ -88,7 +97,13 @@
   }
 
   private void sendRequest() throws InterruptedException {
+    resumed = broken;
+    broken = null;
     String route = kind == Kind.SOUND ? ROUTES.get(random.nextInt(ROUTES.size())) : "draft";
+    if (resumed != null) {
+      route = "draft";
+    }
+    resumableRoute = route.equals("draft");
     String id = name + "-" + sentCount++;
     AccountKeys.Key key = keys.get();
     boolean disconnects = random.nextDouble() < DISCONNECT_PROBABILITY;
@@ -120,6 +135,7 @@
               + DEADLINE_MILLIS
               + "\r\nToken-Counts: 100,20\r\nPrompt-Prefix: "
               + prompt()
+              + resumptionHeaders()
               + "\r\nAuthorization: Bearer "
               + key.value()
               + "\r\nContent-Length: 0\r\n\r\n";
@@ -139,6 +155,12 @@
     }
   }
 
+  private String resumptionHeaders() {
+    return resumed == null
+        ? ""
+        : "\r\nResumes: " + resumed.attemptId + "\r\nLast-Event-Id: " + resumed.lastEvent;
+  }
+
   /** Returns the segments of a prompt of which only the last differs from those of its kind. */
   private String prompt() {
     String own = Integer.toHexString(System.identityHashCode(this)) + sentCount + ":30";
@@ -195,11 +217,32 @@
       closeConnection();
     }
     String text = body.toString(StandardCharsets.UTF_8);
+    if (!complete && status == 200) {
+      recordBreak(id, headers, text);
+    }
     return new RequestHistory.Response(
         status, complete, status == 200 ? findViolation(id, headers, text, complete) : "");
   }
 
-  private static String findViolation(
+  /** A stream that broke after some events. */
+  private record BrokenStream(String attemptId, int lastEvent, String version) {}
+
+  /** Keeps a stream that broke on a resumable route, so that the next request resumes it. */
+  private void recordBreak(String id, Map<String, String> headers, String body) {
+    List<String> versions = versions(body);
+    int lastEvent = (resumed == null ? 0 : resumed.lastEvent) + versions.size();
+    boolean isStream = headers.containsKey("transfer-encoding");
+    if (isStream && resumableRoute && !versions.isEmpty() && lastEvent < SoakEndpoint.EVENT_COUNT) {
+      String first = resumed == null ? id : resumed.attemptId;
+      broken = new BrokenStream(first, lastEvent, versions.get(0).strip());
+    }
+  }
+
+  private static List<String> versions(String body) {
+    return VERSION_LINE.matcher(body).results().map(MatchResult::group).toList();
+  }
+
+  private String findViolation(
       String id, Map<String, String> headers, String body, boolean complete) {
     if (!id.equals(headers.get("attempt-id")) || !headers.containsKey("server-signature")) {
       return "received a response without the headers of its request: " + headers;
@@ -208,11 +251,15 @@
       return !complete || body.equals("ok-" + id) ? "" : "received an unexpected body: " + body;
     }
     StringBuilder expected = new StringBuilder();
-    for (int event = 1; event <= SoakEndpoint.EVENT_COUNT; event++) {
+    int firstEvent = resumed == null ? 1 : resumed.lastEvent + 1;
+    for (int event = firstEvent; event <= SoakEndpoint.EVENT_COUNT; event++) {
       expected.append("id: ").append(event).append("\ndata: piece-").append(event).append("\n\n");
     }
-    long versions = VERSION_LINE.matcher(body).results().map(MatchResult::group).distinct().count();
-    if (versions > 1) {
+    Set<String> versions = new HashSet<>(versions(body));
+    if (resumed != null && !versions.isEmpty()) {
+      versions.add(resumed.version + "\n");
+    }
+    if (versions.size() > 1) {
       return "received a stream of several versions: " + body;
     }
     String events = body.replaceAll(VERSION_LINE.pattern() + "?", "");
--- a/node/src/test/java/org/heatherspread/node/soak/SoakEndpoint.java
+++ b/node/src/test/java/org/heatherspread/node/soak/SoakEndpoint.java
@@ -119,6 +119,11 @@
     return namedLimit;
   }
 
+  /** Returns the limit that the endpoint names. */
+  NamedLimit namedLimit() {
+    return namedLimit;
+  }
+
   /** Names no limit any longer. */
   void dropLimit() {
     namedLimit = NamedLimit.NONE;
--- a/node/src/test/java/org/heatherspread/node/soak/SoakRun.java
+++ b/node/src/test/java/org/heatherspread/node/soak/SoakRun.java
@@ -64,6 +64,12 @@
   /** Number of times that it may still reach endpoints. */
   private static final int PERMITTED_CRASHES = 3;
 
+  /** Software versions of successive endpoints of a service. */
+  private static final List<String> VERSIONS = List.of("v1", "v1", "v2", "v2", "v1.1");
+
+  private static final double MAX_LIMIT_PER_SECOND = 8;
+  private static final double LIMIT_END_PROBABILITY = 0.25;
+
   private static final Pattern WINDOW_NUMBER = Pattern.compile("\"window-number\":(\\d+)");
 
   private static final String ROUTE =
@@ -184,6 +190,7 @@
     }
     checkDuties(violations);
     checkCrashingRequests(violations, measuredFromNanos);
+    checkLimits(violations, measuredFromNanos);
     return new Result(seed, history.statusCounts(), injected, successRate, violations);
   }
 
@@ -205,6 +212,7 @@
     String id = service + '-' + createdEndpoints++;
     SoakEndpoint endpoint = SoakEndpoint.start(id, service, history, random.split(), platform);
     endpoint.setCrashTrigger(SoakCaller::endsEndpoint);
+    endpoint.setVersion(VERSIONS.get(createdEndpoints / 2 % VERSIONS.size()));
     endpoints.add(endpoint);
   }
 
@@ -365,6 +373,7 @@
           case STORE, STORE_HISTORY, STORE_RESTORED -> injectStoreFault(kind);
           case CRASHING_REQUESTS -> startCrashingCallers();
           case ENDPOINT_LINK, ENDPOINT_LINK_RESET, ENDPOINT_FAULTY -> injectEndpointFault(kind);
+          case ENDPOINT_LIMITED -> changeLimit();
           case ENDPOINT_REPLACED, ENDPOINT_LOST -> replaceEndpoint(kind);
           case CONFIGURATION, KEY_REVOKED -> changeConfiguration(kind);
         };
@@ -495,6 +504,36 @@
     return true;
   }
 
+  /**
+   * Changes the limit of one endpoint, which it may keep until the end of the run. The others of
+   * its service name none, so that they can serve all requests.
+   */
+  private boolean changeLimit() {
+    SoakEndpoint endpoint = endpoints.get(random.nextInt(endpoints.size()));
+    for (SoakEndpoint other : endpoints) {
+      if (other != endpoint && other.service().equals(endpoint.service())) {
+        other.dropLimit();
+      }
+    }
+    if (random.nextDouble() < LIMIT_END_PROBABILITY) {
+      endpoint.dropLimit();
+    } else {
+      endpoint.nameLimit(random.nextDouble() * MAX_LIMIT_PER_SECOND);
+    }
+    return true;
+  }
+
+  private void checkLimits(List<String> violations, long measuredFromNanos) {
+    for (SoakEndpoint endpoint : endpoints) {
+      NamedLimit limit = endpoint.namedLimit();
+      int arrivals = limit.maxArrivalsSince(measuredFromNanos);
+      if (arrivals > limit.permittedArrivals()) {
+        violations.add(
+            "an endpoint got " + arrivals + " requests, allowed " + limit.permittedArrivals());
+      }
+    }
+  }
+
   private boolean replaceEndpoint(FaultKind kind) throws IOException {
     SoakEndpoint endpoint = acquireIdle(endpoints);
     if (endpoint == null) {
