--- a/relay/src/test/java/org/heatherspread/relay/call/CrashingRequestPathsTest.java
+++ b/relay/src/test/java/org/heatherspread/relay/call/CrashingRequestPathsTest.java
@@ -7,14 +7,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.atomic.AtomicInteger;
-import org.heatherspread.core.engine.StreamMigrator;
 import org.heatherspread.core.poison.CrashEvidence;
 import org.heatherspread.core.poison.Fingerprints;
 import org.heatherspread.core.poison.Suspect;
-import org.heatherspread.core.serving.HostPort;
+import org.heatherspread.relay.CountingMigrator;
 import org.heatherspread.relay.FakeEndpoint;
 import org.heatherspread.relay.RelayHarness;
 import org.junit.jupiter.api.AfterEach;
@@ -22,7 +18,6 @@
 
 /** Requests that are found to crash endpoints while they are in progress. */
 class CrashingRequestPathsTest {
-  private final AtomicInteger migrations = new AtomicInteger();
   private RelayHarness harness;
 
   @AfterEach
@@ -30,18 +25,7 @@
     harness.close();
   }
 
-  private final StreamMigrator migrator =
-      new StreamMigrator() {
-        @Override
-        public CompletableFuture<Optional<String>> migrate(
-            HostPort from, String requestId, HostPort to) {
-          migrations.incrementAndGet();
-          return CompletableFuture.completedFuture(Optional.empty());
-        }
-
-        @Override
-        public void discardCopy(HostPort from, String copy) {}
-      };
+  private final CountingMigrator migrator = new CountingMigrator();
 
   private FakeEndpoint startWithSoundEndpoint() throws Exception {
     harness = RelayHarness.start();
@@ -157,6 +141,6 @@
       harness.registerLeaving(source, target);
       assertThat(caller.readAll()).contains("piece-2").endsWith("0\r\n\r\n");
     }
-    assertThat(migrations).hasValue(0);
+    assertThat(migrator.migrations()).isZero();
   }
 }
--- a/relay/src/test/java/org/heatherspread/relay/call/EndpointLimitPathsTest.java
+++ b/relay/src/test/java/org/heatherspread/relay/call/EndpointLimitPathsTest.java
@@ -3,14 +3,12 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
-import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.heatherspread.core.engine.StreamMigrator;
 import org.heatherspread.core.limit.LimitObservation;
 import org.heatherspread.core.limit.LimitOwnerClient;
-import org.heatherspread.core.serving.HostPort;
+import org.heatherspread.relay.CountingMigrator;
 import org.heatherspread.relay.FakeEndpoint;
 import org.heatherspread.relay.FixedOwnerClient;
 import org.heatherspread.relay.RelayHarness;
@@ -21,7 +19,6 @@
 class EndpointLimitPathsTest {
   private static final double REFUSED_SECONDS = 30;
 
-  private final AtomicInteger migrations = new AtomicInteger();
   private final AtomicInteger decisions = new AtomicInteger();
   private RelayHarness harness;
 
@@ -30,18 +27,7 @@
     harness.close();
   }
 
-  private final StreamMigrator migrator =
-      new StreamMigrator() {
-        @Override
-        public CompletableFuture<Optional<String>> migrate(
-            HostPort from, String requestId, HostPort to) {
-          migrations.incrementAndGet();
-          return CompletableFuture.completedFuture(Optional.empty());
-        }
-
-        @Override
-        public void discardCopy(HostPort from, String copy) {}
-      };
+  private final CountingMigrator migrator = new CountingMigrator();
 
   /** Starts a relay whose endpoint limits belong to another daemon, which admits nothing. */
   private void startWithExhaustedLimits() throws Exception {
@@ -160,7 +146,7 @@
       harness.registerLeaving(source, target);
       assertThat(caller.readAll()).contains("piece-2").endsWith("0\r\n\r\n");
     }
-    assertThat(migrations).hasValue(0);
+    assertThat(migrator.migrations()).isZero();
     assertThat(target.requests()).isEmpty();
   }
 
--- a/relay/src/test/java/org/heatherspread/relay/call/StreamVersionPathsTest.java
+++ b/relay/src/test/java/org/heatherspread/relay/call/StreamVersionPathsTest.java
@@ -2,13 +2,10 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.atomic.AtomicInteger;
-import org.heatherspread.core.engine.StreamMigrator;
 import org.heatherspread.core.serving.HostPort;
 import org.heatherspread.core.serving.RegisteredEndpoint;
 import org.heatherspread.core.stream.StreamOrigin;
+import org.heatherspread.relay.CountingMigrator;
 import org.heatherspread.relay.FakeEndpoint;
 import org.heatherspread.relay.RelayHarness;
 import org.junit.jupiter.api.AfterEach;
@@ -17,21 +14,9 @@
 
 /** The ways on which a stream may continue at an endpoint of another version. */
 class StreamVersionPathsTest {
-  private final AtomicInteger migrations = new AtomicInteger();
   private RelayHarness harness;
 
-  private final StreamMigrator migrator =
-      new StreamMigrator() {
-        @Override
-        public CompletableFuture<Optional<String>> migrate(
-            HostPort from, String requestId, HostPort to) {
-          migrations.incrementAndGet();
-          return CompletableFuture.completedFuture(Optional.empty());
-        }
-
-        @Override
-        public void discardCopy(HostPort from, String copy) {}
-      };
+  private final CountingMigrator migrator = new CountingMigrator();
 
   @BeforeEach
   void start() throws Exception {
@@ -120,7 +105,7 @@
       harness.onLoop(state -> state.scheduleMigration("e0"));
       assertThat(caller.readAll()).contains("piece-2").endsWith("0\r\n\r\n");
     }
-    assertThat(migrations).hasValue(0);
+    assertThat(migrator.migrations()).isZero();
   }
 
   @Test
