Select daemons by rendezvous hashing in one place

The highest scores for a key were selected three times: for the owner of a limit, for the daemons that admit one more request without it, and for the copies of stream origins. The last one sorted with a comparator that hashed the names of both daemons at each comparison, once for each stream; RendezvousHash.select hashes each name once. A daemon without others no longer schedules empty messages.

--- a/core/src/main/java/org/heatherspread/core/limit/PartitionedLimiter.java
+++ b/core/src/main/java/org/heatherspread/core/limit/PartitionedLimiter.java
@@ -251,17 +251,12 @@
   }
 
   private static String selectOwner(String limit, String excluded, List<String> candidates) {
-    long key = RendezvousHash.seed(limit);
-    String selected = null;
-    long best = -1;
-    for (String daemon : candidates) {
-      long score = RendezvousHash.score(RendezvousHash.seed(daemon), key);
-      if (score > best && !daemon.equals(excluded)) {
-        best = score;
-        selected = daemon;
+    for (String daemon : RendezvousHash.select(candidates, limit, 2)) {
+      if (!daemon.equals(excluded)) {
+        return daemon;
       }
     }
-    return selected;
+    return null;
   }
 
   /**
@@ -420,19 +415,9 @@
       return reserve / daemonCount;
     }
     int wholeRequests = (int) reserve;
-    int extraRequest = rank(limit.name()) < wholeRequests % daemonCount ? 1 : 0;
-    return wholeRequests / daemonCount + extraRequest;
-  }
-
-  /** Returns the number of daemons that come before this one in the order of a limit's owners. */
-  private int rank(String limit) {
-    long key = RendezvousHash.seed(limit);
-    long ownScore = RendezvousHash.score(RendezvousHash.seed(self), key);
-    int rank = admittingDaemons.contains(self) ? 0 : admittingDaemons.size();
-    for (String daemon : admittingDaemons) {
-      rank += RendezvousHash.score(RendezvousHash.seed(daemon), key) > ownScore ? 1 : 0;
-    }
-    return rank;
+    List<String> withExtraRequest =
+        RendezvousHash.select(admittingDaemons, limit.name(), wholeRequests % daemonCount);
+    return wholeRequests / daemonCount + (withExtraRequest.contains(self) ? 1 : 0);
   }
 
   private OptionalDouble admitUnreported(RateLimit limit, double amount, OwnerFailure failure) {
--- a/node/src/main/java/org/heatherspread/node/peer/SharedStreamOrigins.java
+++ b/node/src/main/java/org/heatherspread/node/peer/SharedStreamOrigins.java
@@ -2,7 +2,6 @@
 
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -74,10 +73,11 @@
     table.add(attemptId, origin, retentionMillis);
     AttemptOrigin entry =
         new AttemptOrigin(attemptId, origin.service(), origin.version(), retentionMillis);
-    if (pending.isEmpty()) {
+    List<String> daemons = selectDaemons(attemptId, COPIES);
+    if (pending.isEmpty() && !daemons.isEmpty()) {
       loop.schedule(this::send, COLLECT_MILLIS, TimeUnit.MILLISECONDS);
     }
-    for (String daemon : selectDaemons(attemptId, COPIES)) {
+    for (String daemon : daemons) {
       pending.computeIfAbsent(daemon, name -> new ArrayList<>()).add(entry);
     }
   }
@@ -144,13 +144,8 @@
   }
 
   private List<String> selectDaemons(String attemptId, int count) {
-    long key = RendezvousHash.seed(attemptId);
-    List<String> daemons = new ArrayList<>(peers.daemons());
-    daemons.remove(self);
-    daemons.sort(
-        Comparator.comparingLong(
-                (String daemon) -> RendezvousHash.score(RendezvousHash.seed(daemon), key))
-            .reversed());
-    return daemons.subList(0, Math.min(count, daemons.size()));
+    List<String> others = new ArrayList<>(peers.daemons());
+    others.remove(self);
+    return RendezvousHash.select(others, attemptId, count);
   }
 }
