Send and refuse requests of limited endpoints in one way each

RelayCall had two methods and Attempt two factories that differed by a flag which the KV cache copy already tells; the refusal by limits was computed in two places; the origin of a stream was written to JSON by hand beside records that Jackson writes. FleetListener.mergeEvidence also merged limits and is named mergeObservations. Behaviour is unchanged: the tests of the relay's paths, RelayHandlerTest, PeerFormatTest (with origins of streams) and FleetListenerTest pass.

--- a/node/src/main/java/org/heatherspread/node/control/FleetListener.java
+++ b/node/src/main/java/org/heatherspread/node/control/FleetListener.java
@@ -115,7 +115,7 @@
       }
       if (!fleet.hasReport(row.key(), report.get().sequence())) {
         fleet.put(row.key(), report.get(), now);
-        mergeEvidence(report.get(), result);
+        mergeObservations(report.get(), result);
       }
     }
     fleet.markRead(now);
@@ -126,7 +126,7 @@
    * Merges the evidence and the limits of a report, also of a process that has ended: after a
    * restart of all daemons, only such reports have it.
    */
-  private void mergeEvidence(DaemonReport report, SharedReadResult result) {
+  private void mergeObservations(DaemonReport report, SharedReadResult result) {
     long storeMillis = result.storeMillis() + result.ageMillis();
     long ageMillis = Math.max(0, storeMillis - report.atStoreMillis());
     state.poisonFilter().mergeEvidence(report.suspects(), ageMillis);
--- a/node/src/main/java/org/heatherspread/node/peer/PeerFormat.java
+++ b/node/src/main/java/org/heatherspread/node/peer/PeerFormat.java
@@ -312,17 +312,14 @@
 
   /** Writes the origin of a stream, an empty object if it is not known. */
   static byte[] writeStreamOrigin(Optional<StreamOrigin> origin) {
-    ObjectNode node = MAPPER.createObjectNode();
-    origin.ifPresent(known -> node.put("service", known.service()).put("version", known.version()));
-    return serialize(node);
+    return serialize(origin.<JsonNode>map(MAPPER::valueToTree).orElseGet(MAPPER::createObjectNode));
   }
 
   static Optional<StreamOrigin> readStreamOrigin(byte[] body) {
     JsonNode node = parse(body);
-    return node.has("service")
-        ? Optional.of(
-            new StreamOrigin(node.path("service").asText(), node.path("version").asText()))
-        : Optional.empty();
+    return node.isEmpty()
+        ? Optional.empty()
+        : Optional.of(MAPPER.convertValue(node, StreamOrigin.class));
   }
 
   private static <T> T read(byte[] body, TypeReference<T> type) {
--- a/node/src/test/java/org/heatherspread/node/peer/PeerFormatTest.java
+++ b/node/src/test/java/org/heatherspread/node/peer/PeerFormatTest.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import org.heatherspread.core.limit.EndpointLimit;
 import org.heatherspread.core.limit.LimitObservation;
+import org.heatherspread.core.stream.StreamOrigin;
 import org.junit.jupiter.api.Test;
 
 class PeerFormatTest {
@@ -28,6 +29,11 @@
             "d-1", List.of(new LimitObservation("e-1", 7, LimitObservation.NONE, 20)));
     assertThat(PeerFormat.readObservations(PeerFormat.writeObservations(observations)))
         .isEqualTo(observations);
+    for (Optional<StreamOrigin> origin :
+        List.of(Optional.of(new StreamOrigin("s", "v1")), Optional.<StreamOrigin>empty())) {
+      assertThat(PeerFormat.readStreamOrigin(PeerFormat.writeStreamOrigin(origin)))
+          .isEqualTo(origin);
+    }
     var release = new PeerFormat.ReleaseRequest("acme", "d-2");
     assertThat(PeerFormat.readReleaseRequest(PeerFormat.writeReleaseRequest(release)))
         .isEqualTo(release);
--- a/relay/src/main/java/org/heatherspread/relay/call/Attempt.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/Attempt.java
@@ -95,34 +95,25 @@
   private boolean admitted;
   private String failureDuringMigration;
 
-  private Attempt(RelayCall call, Choice choice, String cacheCopy, boolean admitted) {
+  /**
+   * Creates an attempt that is not started.
+   *
+   * @param cacheCopy reference to the KV cache from which a migrated run resumes, null for none;
+   *     the limit of the endpoint, if it has one, admitted the migration before the run was stopped
+   */
+  Attempt(RelayCall call, Choice choice, String cacheCopy) {
     this.call = call;
     this.state = call.state();
     this.context = call.context();
     this.progress = call.progress();
     this.responseWriter = call.responseWriter();
     this.cacheCopy = cacheCopy;
-    this.admitted = admitted;
+    this.admitted = cacheCopy != null;
     this.endpoint = choice.endpoint();
     this.baseLatencyMillis = choice.baseMillis();
     this.trackedRequest = endpoint.startRequest(context.work());
   }
 
-  /** Creates an attempt that is not started. */
-  static Attempt create(RelayCall call, Choice choice) {
-    return new Attempt(call, choice, null, false);
-  }
-
-  /**
-   * Creates an attempt, not started, that continues a run at an endpoint whose limit has admitted
-   * it.
-   *
-   * @param cacheCopy reference to the KV cache from which the run resumes
-   */
-  static Attempt createMigrated(RelayCall call, Choice choice, String cacheCopy) {
-    return new Attempt(call, choice, cacheCopy, true);
-  }
-
   /** Sends the request once the limit of the endpoint, if it has one, admits it. */
   void start() {
     if (isAwaitingAdmission()) {
@@ -541,7 +532,7 @@
     }
     abort();
     state.metrics().recordRetry(RetryReason.ENDPOINT_LEAVING.code());
-    call.sendMigrated(target, copy.get());
+    call.send(target, copy.get());
   }
 
   private void onRefused() {
--- a/relay/src/main/java/org/heatherspread/relay/call/RelayCall.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/RelayCall.java
@@ -148,7 +148,7 @@
     if (expectedMillis < 0) {
       expectedMillis = (long) expectedLatencyMillis;
     }
-    send(choice.get());
+    send(choice.get(), null);
   }
 
   /** Chooses among the endpoints at which the request may begin or its stream may continue. */
@@ -179,11 +179,8 @@
   private void failWithoutEndpoint() {
     Optional<Choice> limited = choose(triedEndpoints);
     if (limited.isPresent()) {
-      double seconds = state.endpointLimits().closedSeconds(limited.get().endpoint());
-      fail(Refusal.ENDPOINT_LIMITS, limitRetryAfterSeconds(seconds));
-      return;
-    }
-    if (progress.refusalCount > 0) {
+      failLimited(limited.get().endpoint());
+    } else if (progress.refusalCount > 0) {
       fail(Refusal.REFUSED_BY_ENDPOINTS);
     } else if (progress.origin != null) {
       fail(Refusal.STREAM_VERSION_GONE, RESUMPTION_RETRY_AFTER_SECONDS);
@@ -192,10 +189,12 @@
     }
   }
 
-  /** Returns a time to retry that spreads callers over the wait for a limited endpoint. */
-  private double limitRetryAfterSeconds(double seconds) {
-    double spread = seconds * (1 + state.random().nextDouble());
-    return Math.min(MAX_LIMIT_RETRY_AFTER_SECONDS, Math.max(retryAfterSeconds(), spread));
+  /** Ends the request with a time to retry that spreads callers over the wait for an endpoint. */
+  private void failLimited(TrackedEndpoint endpoint) {
+    double waitSeconds = state.endpointLimits().closedSeconds(endpoint);
+    double spread = waitSeconds * (1 + state.random().nextDouble());
+    double seconds = Math.min(MAX_LIMIT_RETRY_AFTER_SECONDS, Math.max(retryAfterSeconds(), spread));
+    fail(Refusal.ENDPOINT_LIMITS, seconds);
   }
 
   /** Selects another endpoint, as the limit of one did not admit the request. */
@@ -203,8 +202,7 @@
     triedEndpoints.remove(endpoint.id());
     progress.limitedCount++;
     if (progress.limitedCount >= MAX_LIMITED_ENDPOINTS) {
-      double seconds = state.endpointLimits().closedSeconds(endpoint);
-      fail(Refusal.ENDPOINT_LIMITS, limitRetryAfterSeconds(seconds));
+      failLimited(endpoint);
       return;
     }
     selectAndSend();
@@ -239,20 +237,14 @@
     state.addWork(context.service(), millis);
   }
 
-  private void send(Choice choice) {
-    triedEndpoints.add(choice.endpoint().id());
-    currentAttempt = Attempt.create(this, choice);
-    currentAttempt.start();
-  }
-
   /**
-   * Continues a migrated stream at an endpoint whose limit, if it has one, has admitted it.
+   * Sends the request to an endpoint.
    *
-   * @param cacheCopy reference to the KV cache from which the run resumes
+   * @param cacheCopy reference to the KV cache from which a migrated run resumes, null for none
    */
-  void sendMigrated(Choice choice, String cacheCopy) {
+  void send(Choice choice, String cacheCopy) {
     triedEndpoints.add(choice.endpoint().id());
-    currentAttempt = Attempt.createMigrated(this, choice, cacheCopy);
+    currentAttempt = new Attempt(this, choice, cacheCopy);
     currentAttempt.start();
   }
 
