Start soak endpoints at their version and derive the state of resuming callers

An endpoint of the soak registered as v1 first and as its own version a moment later, so a stream that began in between would have been reported as mixed although the daemons kept its version. It now has its version from its start. The callers keep no flag for the route of a request, the lines of versions are compared without their line ends, and the endpoint with slow streams of three tests is in FakeEndpoint. No check, bound or assertion changed.

--- a/node/src/test/java/org/heatherspread/node/soak/ProcessFleet.java
+++ b/node/src/test/java/org/heatherspread/node/soak/ProcessFleet.java
@@ -77,7 +77,8 @@
     SplittableRandom random = new SplittableRandom(1);
     for (int i = 0; i < endpointCount; i++) {
       SoakEndpoint endpoint =
-          SoakEndpoint.start("model-" + i, "model", fleet.history, random.split(), fleet.platform);
+          SoakEndpoint.start(
+              "model-" + i, "model", "v1", fleet.history, random.split(), fleet.platform);
       endpoint.setCrashTrigger(ProcessFleet::crashesEndpoints);
       fleet.endpoints.add(endpoint);
     }
@@ -209,16 +210,18 @@
       try (BufferedReader lines =
           new BufferedReader(new InputStreamReader(response.body(), StandardCharsets.UTF_8))) {
         String line = lines.readLine();
-        while (line != null && versions.size() < maxEvents) {
+        while (line != null) {
           if (line.startsWith(": ")) {
             versions.add(line.substring(2));
           }
-          line = versions.size() < maxEvents ? lines.readLine() : null;
+          if (versions.size() >= maxEvents) {
+            break;
+          }
+          line = lines.readLine();
         }
       }
     } catch (IOException e) {
       // The daemon is down, or the stream was cut; what was received counts.
-      return new ReceivedStream(status, versions);
     }
     return new ReceivedStream(status, versions);
   }
--- a/node/src/test/java/org/heatherspread/node/soak/SoakCaller.java
+++ b/node/src/test/java/org/heatherspread/node/soak/SoakCaller.java
@@ -16,7 +16,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Supplier;
-import java.util.regex.MatchResult;
 import java.util.regex.Pattern;
 import org.heatherspread.relay.FakeEndpoint;
 
@@ -27,6 +26,7 @@
 final class SoakCaller implements Runnable {
   private static final Set<String> RETRYABLE_ROUTES = Set.of("read", "draft");
   private static final List<String> ROUTES = List.of("read", "write", "draft", "reply");
+  private static final String RESUMABLE_ROUTE = "draft";
   private static final int DEADLINE_MILLIS = 2_500;
   private static final int MAX_PAUSE_MILLIS = 40;
   private static final int CRASHING_PAUSE_MILLIS = 300;
@@ -34,7 +34,7 @@
   private static final String CRASHING_PATH = "/draft/crash";
 
   /** Comment in each event that names the version of the endpoint. */
-  private static final Pattern VERSION_LINE = Pattern.compile("(?m)^: [^\n]*\n");
+  private static final Pattern VERSION_LINE = Pattern.compile("(?m)^: ([^\n]*)\n");
 
   private static final String CRASHING_SEGMENT = "dead:20,";
 
@@ -64,8 +64,6 @@
   /** Stream that the current request resumes, null if there is none. */
   private BrokenStream resumed;
 
-  private boolean resumableRoute;
-
   SoakCaller(
       String name,
       Kind kind,
@@ -101,9 +99,8 @@
     broken = null;
     String route = kind == Kind.SOUND ? ROUTES.get(random.nextInt(ROUTES.size())) : "draft";
     if (resumed != null) {
-      route = "draft";
+      route = RESUMABLE_ROUTE;
     }
-    resumableRoute = route.equals("draft");
     String id = name + "-" + sentCount++;
     AccountKeys.Key key = keys.get();
     boolean disconnects = random.nextDouble() < DISCONNECT_PROBABILITY;
@@ -145,7 +142,7 @@
         closeConnection();
         return;
       }
-      history.recordResponse(id, readResponse(id, connection.getInputStream()));
+      history.recordResponse(id, readResponse(id, route, connection.getInputStream()));
     } catch (IOException e) {
       // Without a response the request may or may not have been executed; the next request opens a
       // connection to a random daemon.
@@ -200,7 +197,8 @@
     socket = null;
   }
 
-  private RequestHistory.Response readResponse(String id, InputStream in) throws IOException {
+  private RequestHistory.Response readResponse(String id, String route, InputStream in)
+      throws IOException {
     String statusLine = readLine(in);
     int status = Integer.parseInt(statusLine.split(" ")[1]);
     Map<String, String> headers = new HashMap<>();
@@ -217,8 +215,9 @@
       closeConnection();
     }
     String text = body.toString(StandardCharsets.UTF_8);
-    if (!complete && status == 200) {
-      recordBreak(id, headers, text);
+    boolean isStream = headers.containsKey("transfer-encoding");
+    if (!complete && status == 200 && isStream && route.equals(RESUMABLE_ROUTE)) {
+      recordBreak(id, text);
     }
     return new RequestHistory.Response(
         status, complete, status == 200 ? findViolation(id, headers, text, complete) : "");
@@ -227,19 +226,18 @@
   /** A stream that broke after some events. */
   private record BrokenStream(String attemptId, int lastEvent, String version) {}
 
-  /** Keeps a stream that broke on a resumable route, so that the next request resumes it. */
-  private void recordBreak(String id, Map<String, String> headers, String body) {
+  /** Keeps a stream that broke after its first event, so that the next request resumes it. */
+  private void recordBreak(String id, String body) {
     List<String> versions = versions(body);
     int lastEvent = (resumed == null ? 0 : resumed.lastEvent) + versions.size();
-    boolean isStream = headers.containsKey("transfer-encoding");
-    if (isStream && resumableRoute && !versions.isEmpty() && lastEvent < SoakEndpoint.EVENT_COUNT) {
+    if (!versions.isEmpty() && lastEvent < SoakEndpoint.EVENT_COUNT) {
       String first = resumed == null ? id : resumed.attemptId;
-      broken = new BrokenStream(first, lastEvent, versions.get(0).strip());
+      broken = new BrokenStream(first, lastEvent, versions.get(0));
     }
   }
 
   private static List<String> versions(String body) {
-    return VERSION_LINE.matcher(body).results().map(MatchResult::group).toList();
+    return VERSION_LINE.matcher(body).results().map(match -> match.group(1)).toList();
   }
 
   private String findViolation(
@@ -257,7 +255,7 @@
     }
     Set<String> versions = new HashSet<>(versions(body));
     if (resumed != null && !versions.isEmpty()) {
-      versions.add(resumed.version + "\n");
+      versions.add(resumed.version);
     }
     if (versions.size() > 1) {
       return "received a stream of several versions: " + body;
--- a/node/src/test/java/org/heatherspread/node/soak/SoakEndpoint.java
+++ b/node/src/test/java/org/heatherspread/node/soak/SoakEndpoint.java
@@ -41,7 +41,7 @@
   private volatile boolean closed;
   private volatile boolean crashed;
   private volatile String id;
-  private volatile String version = "v1";
+  private volatile String version;
   private volatile long startedAtMillis = 1;
   private volatile Predicate<FakeEndpoint.Request> crashTrigger = request -> false;
   private volatile long restartMillis = 1_000;
@@ -52,6 +52,7 @@
   private SoakEndpoint(
       String name,
       String service,
+      String version,
       RequestHistory history,
       SplittableRandom random,
       FakePlatform platform)
@@ -59,6 +60,7 @@
     this.name = name;
     this.id = name;
     this.service = service;
+    this.version = version;
     this.history = history;
     this.random = random;
     this.platform = platform;
@@ -66,14 +68,20 @@
     this.proxy = FaultProxy.start(endpoint.port(), 100);
   }
 
+  /**
+   * Starts an endpoint.
+   *
+   * @param version version of its software, which each event names
+   */
   static SoakEndpoint start(
       String id,
       String service,
+      String version,
       RequestHistory history,
       SplittableRandom random,
       FakePlatform platform)
       throws IOException {
-    SoakEndpoint endpoint = new SoakEndpoint(id, service, history, random, platform);
+    SoakEndpoint endpoint = new SoakEndpoint(id, service, version, history, random, platform);
     DaemonThreads.start("heartbeat-" + id, endpoint::sendHeartbeats);
     return endpoint;
   }
--- a/node/src/test/java/org/heatherspread/node/soak/SoakRun.java
+++ b/node/src/test/java/org/heatherspread/node/soak/SoakRun.java
@@ -210,9 +210,10 @@
 
   private void addEndpoint(String service) throws IOException {
     String id = service + '-' + createdEndpoints++;
-    SoakEndpoint endpoint = SoakEndpoint.start(id, service, history, random.split(), platform);
+    String version = VERSIONS.get(createdEndpoints / 2 % VERSIONS.size());
+    SoakEndpoint endpoint =
+        SoakEndpoint.start(id, service, version, history, random.split(), platform);
     endpoint.setCrashTrigger(SoakCaller::endsEndpoint);
-    endpoint.setVersion(VERSIONS.get(createdEndpoints / 2 % VERSIONS.size()));
     endpoints.add(endpoint);
   }
 
--- a/relay/src/test/java/org/heatherspread/relay/FakeEndpoint.java
+++ b/relay/src/test/java/org/heatherspread/relay/FakeEndpoint.java
@@ -101,6 +101,21 @@
     return endpoint;
   }
 
+  /**
+   * Starts an endpoint whose streams have two events, of which the second one comes after the
+   * streams of a leaving endpoint are migrated.
+   */
+  public static FakeEndpoint startSlowStreams() throws IOException {
+    return start(
+        (request, connection) -> {
+          connection.startStream(request.header("attempt-id"));
+          connection.sendEvent(1);
+          Thread.sleep(1_500);
+          connection.sendEvent(2);
+          connection.endStream();
+        });
+  }
+
   /** Returns the bound port. */
   public int port() {
     return listener.getLocalPort();
--- a/relay/src/test/java/org/heatherspread/relay/call/CrashingRequestPathsTest.java
+++ b/relay/src/test/java/org/heatherspread/relay/call/CrashingRequestPathsTest.java
@@ -123,15 +123,7 @@
   @Test
   void refusedStreamIsNotMigrated() throws Exception {
     harness = RelayHarness.start(migrator);
-    FakeEndpoint source =
-        FakeEndpoint.start(
-            (request, connection) -> {
-              connection.startStream(request.header("attempt-id"));
-              connection.sendEvent(1);
-              Thread.sleep(1_500);
-              connection.sendEvent(2);
-              connection.endStream();
-            });
+    FakeEndpoint source = FakeEndpoint.startSlowStreams();
     FakeEndpoint target = FakeEndpoint.start((request, connection) -> connection.reset());
     harness.register(source);
     try (RelayHarness.Caller caller = harness.caller()) {
--- a/relay/src/test/java/org/heatherspread/relay/call/EndpointLimitPathsTest.java
+++ b/relay/src/test/java/org/heatherspread/relay/call/EndpointLimitPathsTest.java
@@ -128,15 +128,7 @@
   @Test
   void streamIsNotMigratedToLimitedEndpoint() throws Exception {
     startWithExhaustedLimits();
-    FakeEndpoint source =
-        FakeEndpoint.start(
-            (request, connection) -> {
-              connection.startStream(request.header("attempt-id"));
-              connection.sendEvent(1);
-              Thread.sleep(1_500);
-              connection.sendEvent(2);
-              connection.endStream();
-            });
+    FakeEndpoint source = FakeEndpoint.startSlowStreams();
     FakeEndpoint target = FakeEndpoint.start((request, connection) -> connection.reset());
     harness.register(source);
     nameLimit("e1");
--- a/relay/src/test/java/org/heatherspread/relay/call/StreamVersionPathsTest.java
+++ b/relay/src/test/java/org/heatherspread/relay/call/StreamVersionPathsTest.java
@@ -87,15 +87,7 @@
 
   @Test
   void streamIsNotMigratedToAnotherVersion() throws Exception {
-    FakeEndpoint source =
-        FakeEndpoint.start(
-            (request, connection) -> {
-              connection.startStream(request.header("attempt-id"));
-              connection.sendEvent(1);
-              Thread.sleep(1_500);
-              connection.sendEvent(2);
-              connection.endStream();
-            });
+    FakeEndpoint source = FakeEndpoint.startSlowStreams();
     register("e0", source, "v1", false);
     try (RelayHarness.Caller caller = harness.caller()) {
       caller.request("POST", "/reply/a", "id-1", "Connection: close");
