--- a/review/src/Case.java
+++ b/review/src/Case.java
@@ -22,7 +22,12 @@
   abstract boolean play() throws Exception;
 
   Daemon daemon(String name) throws Exception {
-    Daemon daemon = new Daemon(name, root, folder, platform.port());
+    return daemon(name, platform.port());
+  }
+
+  /** Starts a daemon that reaches the store and the cloud at a port. */
+  Daemon daemon(String name, int platformPort) throws Exception {
+    Daemon daemon = new Daemon(name, root, folder, platformPort);
     daemons.add(daemon);
     daemon.start();
     return daemon;
--- a/review/src/Daemon.java
+++ b/review/src/Daemon.java
@@ -58,6 +58,10 @@
   private int starts;
 
   Daemon(String name, Path root, Path folder, int storePort) throws IOException {
+    this(name, root, folder, storePort, storePort);
+  }
+
+  Daemon(String name, Path root, Path folder, int storePort, int cloudPort) throws IOException {
     this.name = name;
     this.root = root;
     this.folder = folder;
@@ -65,7 +69,7 @@
     Files.writeString(
         settings,
         SETTINGS.formatted(
-            name, callers, readiness, directory, freePort(), freePort(), storePort, storePort));
+            name, callers, readiness, directory, freePort(), freePort(), storePort, cloudPort));
   }
 
   static int freePort() throws IOException {
--- a/review/src/Platform.java
+++ b/review/src/Platform.java
@@ -29,6 +29,7 @@
   private final Map<String, TreeMap<String, Row>> tables = new HashMap<>();
   private final long startNanos = System.nanoTime();
   final List<DutyCall> dutyCalls = new CopyOnWriteArrayList<>();
+  volatile java.util.function.Consumer<DutyCall> dutyListener = call -> {};
   private long version = 100;
   private long era = 1;
   private volatile boolean away;
@@ -121,6 +122,7 @@
                 exchange.getRequestHeaders().getFirst("Duty-Holder"),
                 exchange.getRequestHeaders().getFirst("Fencing-Token"),
                 body));
+        dutyListener.accept(dutyCalls.get(dutyCalls.size() - 1));
         send(exchange, 200, "{}");
         return;
       }
--- a/review/src/RestoredStore.java
+++ b/review/src/RestoredStore.java
@@ -38,7 +38,7 @@
         late.incrementAndGet();
       }
     }
-    Thread.sleep(150);
+    Thread.sleep(300);
     boolean says = leaving.get() && self.id.equals("w-0");
     Worker.respond(
         out,
@@ -113,10 +113,10 @@
     } else {
       Thread.sleep(400);
     }
-    Thread.sleep(300);
+    Thread.sleep(600);
     leaver.stop(false);
     record.line("w-0 has ended");
-    Thread.sleep(700);
+    Thread.sleep(400);
     if (trouble) {
       platform.delete("servers", "w-0");
       record.line("the removal of the entry of w-0 is written again");
