--- a/review/src/LargeBodies.java
+++ b/review/src/LargeBodies.java
@@ -7,10 +7,10 @@
 /** Many clients that send bodies within {@code max-body-bytes} at the same time. */
 final class LargeBodies extends Case {
   private static final int BODY_BYTES = 4_000_000;
-  private static final int USUAL_UPLOADS = 16;
-  private static final int BURST_UPLOADS = 40;
+  private static final int USUAL_UPLOADS = 18;
+  private static final int BURST_UPLOADS = 45;
   private static final int SMALL_CLIENTS = 30;
-  private static final long BYTES_PER_SECOND = 1_000_000;
+  private static final long BYTES_PER_SECOND = 800_000;
 
   private final Set<String> run = ConcurrentHashMap.newKeySet();
   private final AtomicInteger smallSent = new AtomicInteger();
