--- a/review/src/Daemon.java
+++ b/review/src/Daemon.java
@@ -9,7 +9,9 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 
 /** One daemon process, started with the {@code run} line of the deploy file. */
@@ -46,6 +48,9 @@
 
   private static final long MAX_LOG_BYTES = 4_000_000;
 
+  private static final AtomicInteger NEXT_PORT =
+      new AtomicInteger(ThreadLocalRandom.current().nextInt(12_000, 30_000));
+
   final String name;
   private final AtomicLong logBytes = new AtomicLong();
   final int callers = freePort();
@@ -72,10 +77,17 @@
             name, callers, readiness, directory, freePort(), freePort(), storePort, cloudPort));
   }
 
+  /** Returns a port below the range from which the system takes the ports of clients. */
   static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-      return socket.getLocalPort();
+    for (int i = 0; i < 1_000; i++) {
+      int port = NEXT_PORT.getAndIncrement();
+      try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+        return socket.getLocalPort();
+      } catch (IOException e) {
+        // In use; the next one is tried.
+      }
     }
+    throw new IOException("no free port");
   }
 
   /** Returns the words of the run line in the deploy file. */
--- a/review/src/LargeBodies.java
+++ b/review/src/LargeBodies.java
@@ -116,14 +116,13 @@
           client = new Client(daemon.callers, 0);
         }
         smallSent.incrementAndGet();
+        record.line("client sends %s", attempt);
         client.send(Client.head("POST", "/doc/2", attempt, 2_000, 5, "") + "hello");
         Client.Answer answer = client.read(5_000, 0);
         if (answer.status() > 0) {
           smallAnswered.incrementAndGet();
         }
-        if (answer.status() != 200) {
-          record.line("client got %s: status %d %s", attempt, answer.status(), answer.error());
-        }
+        record.line("client got %s: status %d %s", attempt, answer.status(), answer.error());
         if (answer.status() == 0) {
           if (run.contains(attempt)) {
             smallLost.incrementAndGet();
--- a/review/src/Pipelined.java
+++ b/review/src/Pipelined.java
@@ -39,6 +39,7 @@
               "p",
               "v1",
               (self, request, out) -> {
+                record.line("%s runs %s", self.id, request.id());
                 Thread.sleep(WORK_MILLIS);
                 Worker.respond(
                     out,
@@ -83,6 +84,7 @@
         String attempt = "a-" + number + "-" + i;
         expected.add(attempt);
         sent.incrementAndGet();
+        record.line("channel %d sends %s", number, attempt);
         client.send(Client.head("GET", "/p/x", attempt, 5_000, -1, ""));
         Thread.sleep(interval);
       }
@@ -110,7 +112,9 @@
       String text = answer.text();
       if (answer.status() != 200) {
         record.line("channel %d got %d for %s", number, answer.status(), attempt);
-      } else if (!text.equals("answer to " + attempt)) {
+      } else if (text.equals("answer to " + attempt)) {
+        record.line("channel %d got 200 for %s", number, attempt);
+      } else {
         swapped.incrementAndGet();
         record.line(
             "channel %d: for %s came, as the next answer, the %s with Attempt-Id %s",
--- a/review/src/RestoredStore.java
+++ b/review/src/RestoredStore.java
@@ -38,6 +38,9 @@
         late.incrementAndGet();
       }
     }
+    if (!leaves) {
+      record.line("worker %s runs %s", self.id, request.id());
+    }
     Thread.sleep(300);
     boolean says = leaving.get() && self.id.equals("w-0");
     Worker.respond(
@@ -54,6 +57,7 @@
       String attempt = "a-" + number + "-" + i;
       machineOf.put(attempt, daemon.name);
       sentMillis.put(attempt, System.currentTimeMillis());
+      record.line("client sends %s to %s", attempt, daemon.name);
       Client.Answer answer =
           Client.call(daemon.callers, Client.head("POST", "/pay/1", attempt, 1_500, 2, "") + "hi", 3_000);
       if (!answer.header("Server-Leaving").isEmpty()) {
@@ -61,8 +65,8 @@
           record.line("%s passes on the first answer with Server-Leaving, of %s", daemon.name, attempt);
         }
       }
+      record.line("client got %s: status %d %s", attempt, answer.status(), answer.error());
       if (answer.status() != 200) {
-        record.line("client got %s: status %d %s", attempt, answer.status(), answer.error());
         lost.incrementAndGet();
       }
     }
--- a/review/src/UsageTwice.java
+++ b/review/src/UsageTwice.java
@@ -63,6 +63,7 @@
               "v1",
               (self, request, out) -> {
                 run.incrementAndGet();
+                record.line("%s runs %s", self.id, request.id());
                 Worker.respond(out, 200, request.id(), "Server-Signature: s\r\n", new byte[800]);
                 return true;
               })
@@ -111,14 +112,15 @@
     return different.get() == 0;
   }
 
-  private static void send(Daemon daemon, AtomicBoolean done) {
+  private void send(Daemon daemon, AtomicBoolean done) {
     try {
       for (int i = 0; !done.get(); i++) {
         String attempt = "a-" + daemon.name + "-" + System.nanoTime();
-        Client.call(
-            daemon.callers,
-            Client.head("GET", "/p/x", attempt, 1_500, -1, "Authorization: Bearer key1\r\n"),
-            3_000);
+        String request =
+            Client.head("GET", "/p/x", attempt, 1_500, -1, "Authorization: Bearer key1\r\n");
+        record.line("client sends %s", attempt);
+        Client.Answer answer = Client.call(daemon.callers, request, 3_000);
+        record.line("client got %d for %s", answer.status(), attempt);
         Thread.sleep(50);
       }
     } catch (InterruptedException e) {
