Review: the stand-ins move to review/stand-ins

Change: the folder's name; in case 3 the worker takes 600 ms for a request and ends 0.7 s after the store's return, so that requests are lost as it ends.

--- a/review/build.sh
+++ b/review/build.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")"
 rm -rf target
 mkdir -p target
-javac -Xlint:all -Xlint:-serial -d target src/*.java
+javac -Xlint:all -Xlint:-serial -d target stand-ins/*.java
--- a/review/src/RestoredStore.java
+++ b/review/stand-ins/RestoredStore.java
@@ -41,7 +41,7 @@
     if (!leaves) {
       record.line("worker %s runs %s", self.id, request.id());
     }
-    Thread.sleep(300);
+    Thread.sleep(600);
     boolean says = leaving.get() && self.id.equals("w-0");
     Worker.respond(
         out,
@@ -117,10 +117,10 @@
     } else {
       Thread.sleep(400);
     }
-    Thread.sleep(600);
+    Thread.sleep(700);
     leaver.stop(false);
     record.line("w-0 has ended");
-    Thread.sleep(400);
+    Thread.sleep(300);
     if (trouble) {
       platform.delete("servers", "w-0");
       record.line("the removal of the entry of w-0 is written again");
