--- a/review/stand-ins/RestoredStore.java
+++ b/review/stand-ins/RestoredStore.java
@@ -6,7 +6,7 @@
 /** A worker leaves; later the store returns from a copy in which the worker is still ready. */
 final class RestoredStore extends Case {
   private static final long DRAIN_MILLIS = 2_000;
-  private static final int CLIENTS = 6;
+  private static final int CLIENTS = 12;
 
   private final Map<String, String> machineOf = new ConcurrentHashMap<>();
   private final Map<String, Long> sentMillis = new ConcurrentHashMap<>();
@@ -41,7 +41,7 @@
     if (!leaves) {
       record.line("worker %s runs %s", self.id, request.id());
     }
-    Thread.sleep(600);
+    Thread.sleep(1_000);
     boolean says = leaving.get() && self.id.equals("w-0");
     Worker.respond(
         out,
@@ -106,7 +106,7 @@
     leaving.set(true);
     leaver.removeEntry();
     record.line("w-0 leaves: its entry is removed, its answers say Server-Leaving");
-    Thread.sleep(2_600);
+    Thread.sleep(3_000);
     if (trouble) {
       platform.setAway(true);
       record.line("store is away");
@@ -117,10 +117,10 @@
     } else {
       Thread.sleep(400);
     }
-    Thread.sleep(700);
+    Thread.sleep(1_200);
     leaver.stop(false);
     record.line("w-0 has ended");
-    Thread.sleep(300);
+    Thread.sleep(400);
     if (trouble) {
       platform.delete("servers", "w-0");
       record.line("the removal of the entry of w-0 is written again");
