Report a usage window after a restore only if the era is known since its end

Cause: whether a restore may have lost counts that were sent was told by a change of the era between two reads of one process. A daemon that starts after the restore reads the new era first, sees no change, finds no stored counts and writes a sum of the older reports. A restore between this check and the write of the counts had the same effect.

Daemons now report the earliest read in the present era that any of them knows of. Counts are written only if that read is not later than the end of the window, and sent only if the era is still the same once they are stored; else the window is left to the daemon that has sent it. A restored store holds no observation of its new era, so no observation can be wrong.

--- a/core/src/main/java/org/heatherspread/core/fleet/DaemonReport.java
+++ b/core/src/main/java/org/heatherspread/core/fleet/DaemonReport.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import org.heatherspread.core.freshness.EraObservation;
 import org.heatherspread.core.limit.LimitObservation;
 import org.heatherspread.core.placement.EnginePerformanceEstimator;
 import org.heatherspread.core.poison.CrashEvidence;
@@ -29,6 +30,8 @@
  * @param endpointLimits limits of endpoints that this daemon observed recently
  * @param engines estimated performance of each model service's engines
  * @param streams streams that this daemon began; null in reports of earlier versions
+ * @param storeEra earliest known observation of the store's era; null in reports of earlier
+ *     versions
  */
 public record DaemonReport(
     String daemon,
@@ -48,7 +51,8 @@
     Map<String, Double> work,
     List<LimitObservation> endpointLimits,
     Map<String, EnginePerformanceEstimator.Estimate> engines,
-    StreamReport streams) {
+    StreamReport streams,
+    EraObservation storeEra) {
   /** Replaces components that daemons of earlier versions do not report. */
   public DaemonReport {
     peerAddress = peerAddress == null ? "" : peerAddress;
--- a/core/src/main/java/org/heatherspread/core/fleet/FleetView.java
+++ b/core/src/main/java/org/heatherspread/core/fleet/FleetView.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.heatherspread.core.freshness.EraObservation;
 
 /**
  * The reports of all daemons as last read from the store.
@@ -104,6 +105,19 @@
     return all.stream().filter(report -> newest - report.atStoreMillis() <= millis).toList();
   }
 
+  /**
+   * Returns the earliest observation of the store's era in any report, including those of stopped
+   * daemons, or the given one if none is earlier.
+   */
+  public EraObservation earliest(EraObservation own) {
+    EraObservation earliest = own;
+    for (ReceivedReport received : rows.values()) {
+      EraObservation other = received.report.storeEra();
+      earliest = other == null ? earliest : earliest.earliest(other);
+    }
+    return earliest;
+  }
+
   /** Returns the latest report of each live daemon. */
   public List<DaemonReport> liveReports() {
     return reportedWithin(livenessTimeoutMillis);
--- a/core/src/main/java/org/heatherspread/core/freshness/StoreFreshness.java
+++ b/core/src/main/java/org/heatherspread/core/freshness/StoreFreshness.java
@@ -1,7 +1,6 @@
 package org.heatherspread.core.freshness;
 
 import java.time.InstantSource;
-import java.util.OptionalLong;
 import org.heatherspread.core.store.SharedReadResult;
 import org.heatherspread.core.time.MonotonicClock;
 
@@ -30,7 +29,7 @@
   private long readStartWallMillis;
   private long lastStoreMillis;
   private long storeReadAtMonotonicMillis;
-  private OptionalLong restoreSeenMillis = OptionalLong.empty();
+  private long eraSinceStoreMillis = Long.MAX_VALUE;
 
   private StoreFreshness(MonotonicClock clock, InstantSource wallClock) {
     this.clock = clock;
@@ -63,8 +62,8 @@
       readStartMonotonicMillis = covered.monotonicMillis;
       readStartWallMillis = covered.wallMillis;
     }
-    if (restored) {
-      restoreSeenMillis = OptionalLong.of(clock.millis());
+    if (!initialized || restored) {
+      eraSinceStoreMillis = reading.storeMillis();
     }
     initialized = true;
     era = reading.position().era();
@@ -96,6 +95,11 @@
     return era;
   }
 
+  /** Returns the era of the store at the last valid read, with the first valid read in it. */
+  public EraObservation eraObservation() {
+    return new EraObservation(era, eraSinceStoreMillis);
+  }
+
   /** Returns whether the store was restored from an earlier copy since the latest valid read. */
   public boolean showsRestore(SharedReadResult reading) {
     return initialized && reading.position().era() != era;
@@ -123,16 +127,6 @@
     return wallClock.millis() - storeMillis();
   }
 
-  /**
-   * Returns the time since a read first showed that the store was restored from an earlier copy,
-   * {@code Long.MAX_VALUE} if none did.
-   */
-  public long sinceRestoreMillis() {
-    return restoreSeenMillis.isPresent()
-        ? clock.millis() - restoreSeenMillis.getAsLong()
-        : Long.MAX_VALUE;
-  }
-
   /** A moment on both clocks. */
   public record ClockReading(long monotonicMillis, long wallMillis) {
     /** Returns a later moment, or an earlier one if {@code millis} is negative. */
--- a/core/src/test/java/org/heatherspread/core/fleet/DaemonReportBuilder.java
+++ b/core/src/test/java/org/heatherspread/core/fleet/DaemonReportBuilder.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import org.heatherspread.core.freshness.EraObservation;
 import org.heatherspread.core.poison.CrashEvidence;
 import org.heatherspread.core.stream.StreamReport;
 
@@ -17,6 +18,7 @@
   private Map<Long, Map<String, Integer>> usage = Map.of();
   private List<CrashEvidence> suspects = List.of();
   private StreamReport streams;
+  private EraObservation storeEra;
 
   private DaemonReportBuilder(String daemon) {
     this.daemon = daemon;
@@ -81,6 +83,12 @@
     return this;
   }
 
+  /** Sets the observation of the store's era. */
+  public DaemonReportBuilder storeEra(EraObservation value) {
+    storeEra = value;
+    return this;
+  }
+
   /** Returns the report. */
   public DaemonReport build() {
     return new DaemonReport(
@@ -101,6 +109,7 @@
         Map.of(),
         List.of(),
         Map.of(),
-        streams);
+        streams,
+        storeEra);
   }
 }
--- a/node/src/main/java/org/heatherspread/node/Node.java
+++ b/node/src/main/java/org/heatherspread/node/Node.java
@@ -325,7 +325,8 @@
         state.workMillisByService(),
         state.endpointLimits().ownObservations(),
         state.engineEstimates(),
-        streamReport());
+        streamReport(),
+        control.fleet().earliest(state.storeFreshness().eraObservation()));
   }
 
   private StreamReport streamReport() {
--- a/node/src/main/java/org/heatherspread/node/control/UsageReportingDuty.java
+++ b/node/src/main/java/org/heatherspread/node/control/UsageReportingDuty.java
@@ -16,6 +16,7 @@
 import org.heatherspread.core.duty.DutyClient;
 import org.heatherspread.core.fleet.DaemonReport;
 import org.heatherspread.core.fleet.FleetView;
+import org.heatherspread.core.freshness.EraObservation;
 import org.heatherspread.core.lease.LeaseClient;
 import org.heatherspread.core.store.Condition;
 import org.heatherspread.core.store.Row;
@@ -29,11 +30,12 @@
 /**
  * Reports the usage counts of each window once all daemons have reported theirs.
  *
- * <p>Invariant: only counts that are in the store are sent. The first lease holder to report a
- * window writes its counts, and every holder sends what is stored, so that two holders never send
- * different counts. A window that ended before a restore of the store, which may have lost its
- * counts after they were sent, is reported only with counts that are stored or that this daemon has
- * sent. Confined to the event loop.
+ * <p>Invariant: two holders never send different counts. The first lease holder to report a window
+ * writes its counts to the store, and every holder sends what is stored. A restore of the store may
+ * lose counts after they were sent. A window is therefore left to the daemon that has sent it
+ * already, unless the store is known to be in the same era since the window ended: no counts can
+ * have been lost then. This holds for a daemon that starts after the restore too. Confined to the
+ * event loop.
  */
 final class UsageReportingDuty implements DutyRunner.Duty {
   private static final Logger log = LoggerFactory.getLogger(UsageReportingDuty.class);
@@ -68,6 +70,7 @@
   private final Supplier<String> writeIds;
   private final Set<Long> reported = new HashSet<>();
   private final Set<Long> inProgress = new HashSet<>();
+  private final Set<Long> leftOut = new HashSet<>();
   private final Map<Long, String> sentCounts = new HashMap<>();
 
   /**
@@ -101,6 +104,7 @@
     long now = state.unixTime().unixMillis();
     long current = state.usage().windowAt(now);
     reported.removeIf(window -> window < current - 2 * OPEN_WINDOWS);
+    leftOut.removeIf(window -> window < current - 2 * OPEN_WINDOWS);
     sentCounts.keySet().removeIf(window -> window < current - 2 * OPEN_WINDOWS);
     for (long window = current - OPEN_WINDOWS; window < current; window++) {
       long sinceEndMillis = now - state.usage().endMillis(window);
@@ -110,9 +114,8 @@
       if (ready
           && sinceEndMillis < dueMillis
           && !reported.contains(window)
-          && inProgress.add(window)) {
-        boolean countsMayBeLost = state.storeFreshness().sinceRestoreMillis() <= sinceEndMillis;
-        reportWindow(window, countsMayBeLost);
+          && !inProgress.contains(window)) {
+        reportWindow(window, sinceEndMillis);
       }
     }
   }
@@ -120,11 +123,12 @@
   @Override
   public void onLeaseLost() {
     reported.clear();
+    leftOut.clear();
   }
 
   /** Returns whether every daemon that may have counts has reported since the end of the window. */
   private boolean allReported(long sinceEndMillis) {
-    long endStoreMillis = state.storeFreshness().storeMillis() - sinceEndMillis;
+    long endStoreMillis = endStoreMillis(sinceEndMillis);
     for (DaemonReport report : fleet.reportedWithin(MAX_SILENCE_MILLIS)) {
       if (report.atStoreMillis() < endStoreMillis + SETTLING_MILLIS) {
         return false;
@@ -133,9 +137,19 @@
     return true;
   }
 
-  private void reportWindow(long window, boolean countsMayBeLost) {
-    findOrWriteCounts(window, countsMayBeLost)
-        .thenCompose(stored -> sendStored(window, stored))
+  private void reportWindow(long window, long sinceEndMillis) {
+    String sent = sentCounts.get(window);
+    if (sent == null && !isInSameEraSince(sinceEndMillis)) {
+      logLeftOut(window, sinceEndMillis);
+      return;
+    }
+    inProgress.add(window);
+    CompletableFuture<Optional<String>> counts =
+        sent == null
+            ? findOrWriteCounts(window)
+            : CompletableFuture.completedFuture(Optional.of(sent));
+    counts
+        .thenCompose(found -> sendCounts(window, found))
         .whenComplete(
             (outcome, failure) -> {
               inProgress.remove(window);
@@ -152,34 +166,59 @@
             });
   }
 
-  /** Returns the stored counts of a window, after writing them if there are none. */
-  private CompletableFuture<Optional<Row>> findOrWriteCounts(long window, boolean countsMayBeLost) {
-    RowKey key = new RowKey(TABLE, Long.toString(window));
-    String sent = sentCounts.get(window);
-    if (countsMayBeLost && sent == null) {
-      return store.get(key);
+  /** Returns whether the store has certainly not been restored since the window ended. */
+  private boolean isInSameEraSince(long sinceEndMillis) {
+    EraObservation era = fleet.earliest(state.storeFreshness().eraObservation());
+    return era.era() == store.era() && era.sinceStoreMillis() <= endStoreMillis(sinceEndMillis);
+  }
+
+  /** Returns the time on the store's clock at which the window ended. */
+  private long endStoreMillis(long sinceEndMillis) {
+    return state.storeFreshness().storeMillis() - sinceEndMillis;
+  }
+
+  private void logLeftOut(long window, long sinceEndMillis) {
+    if (!leftOut.add(window)) {
+      return;
     }
-    String counts = sent == null ? formatCounts(sumCounts(window)) : sent;
-    Row row = new Row(key, 1, writeIds.get(), counts);
+    EraObservation era = fleet.earliest(state.storeFreshness().eraObservation());
+    log.atInfo()
+        .addKeyValue("window", window)
+        .addKeyValue("era", store.era())
+        .addKeyValue("observed_era", era.era())
+        .addKeyValue("since_store_millis", era.sinceStoreMillis())
+        .addKeyValue("window_end_store_millis", endStoreMillis(sinceEndMillis))
+        .log("usage report left out; the store may have lost counts that were sent");
+  }
+
+  /**
+   * Returns the stored counts of a window, after writing them if there are none; empty if the store
+   * was restored meanwhile.
+   */
+  private CompletableFuture<Optional<String>> findOrWriteCounts(long window) {
+    long era = store.era();
+    RowKey key = new RowKey(TABLE, Long.toString(window));
+    Row row = new Row(key, 1, writeIds.get(), formatCounts(sumCounts(window)));
     return store
         .put(row, Condition.absent())
         .thenCompose(
             result ->
                 result == WriteResult.APPLIED
                     ? CompletableFuture.completedFuture(Optional.of(row))
-                    : store.get(key));
+                    : store.get(key))
+        .thenApply(found -> found.filter(same -> store.era() == era).map(Row::body));
   }
 
-  private CompletableFuture<DutyClient.Outcome> sendStored(long window, Optional<Row> row) {
+  private CompletableFuture<DutyClient.Outcome> sendCounts(long window, Optional<String> body) {
     OptionalLong fencing = lease.fencingToken();
-    if (row.isEmpty() || fencing.isEmpty()) {
+    if (body.isEmpty() || fencing.isEmpty()) {
       return CompletableFuture.completedFuture(DutyClient.Outcome.REFUSED);
     }
-    Map<String, Integer> counts = parseCounts(row.get().body());
-    sentCounts.putIfAbsent(window, row.get().body());
+    Map<String, Integer> counts = parseCounts(body.get());
+    sentCounts.putIfAbsent(window, body.get());
     log.atInfo()
         .addKeyValue("window", window)
-        .addKeyValue("counts", row.get().body())
+        .addKeyValue("counts", body.get())
         .addKeyValue("fencing", fencing.getAsLong())
         .log("usage report sent");
     return dutyClient.reportUsage(self, fencing.getAsLong(), window, counts);
