Trust no stream reports of an earlier era of the store

If all daemons start just after a restore of the store, the reports that they read are those of the copy, all of one earlier era. They were taken for the last ones, so a resumed stream could go on at a version that a lost report excludes. Found by reading.

Reports prove the origin of a stream now only if they are of the present era.

--- a/core/src/main/java/org/heatherspread/core/stream/StreamReport.java
+++ b/core/src/main/java/org/heatherspread/core/stream/StreamReport.java
@@ -66,11 +66,12 @@
    * Returns the version at which a stream began that no report names.
    *
    * @param reports reports of all daemons that may have begun it, also of those that ended
+   * @param era present era of the store
    * @return empty if there may be several
    */
   public static Optional<String> findAssigned(
-      Collection<StreamReport> reports, String attemptId, String service) {
-    if (!areComplete(reports)) {
+      Collection<StreamReport> reports, long era, String attemptId, String service) {
+    if (!areComplete(reports, era)) {
       return Optional.empty();
     }
     Set<String> versions = new TreeSet<>();
@@ -86,12 +87,13 @@
    * Returns the only version at which recent streams of a service may have begun.
    *
    * @param reports reports of all daemons that may have begun them, also of those that ended
+   * @param era present era of the store
    * @param registered versions of the registered endpoints of the service
    * @return empty if there are several, or if the reports may be incomplete
    */
   public static Optional<String> findSingleVersion(
-      Collection<StreamReport> reports, String service, Set<String> registered) {
-    if (!areOfOneEra(reports)) {
+      Collection<StreamReport> reports, long era, String service, Set<String> registered) {
+    if (!areOfEra(reports, era)) {
       return Optional.empty();
     }
     Set<String> versions = new TreeSet<>(registered);
@@ -104,12 +106,17 @@
     return versions.size() == 1 ? Optional.of(versions.iterator().next()) : Optional.empty();
   }
 
-  private static boolean areComplete(Collection<StreamReport> reports) {
-    return areOfOneEra(reports) && reports.stream().allMatch(StreamReport::complete);
+  private static boolean areComplete(Collection<StreamReport> reports, long era) {
+    return areOfEra(reports, era) && reports.stream().allMatch(StreamReport::complete);
   }
 
-  private static boolean areOfOneEra(Collection<StreamReport> reports) {
-    return !reports.contains(UNKNOWN)
-        && reports.stream().mapToLong(StreamReport::era).distinct().count() == 1;
+  /**
+   * Returns whether there are reports and all were written in the present era. If all are of an
+   * earlier one, a daemon that started after a restore reads them from the copy, which may lack the
+   * last ones.
+   */
+  private static boolean areOfEra(Collection<StreamReport> reports, long era) {
+    return !reports.isEmpty()
+        && reports.stream().allMatch(report -> report != UNKNOWN && report.era == era);
   }
 }
--- a/core/src/test/java/org/heatherspread/core/stream/StreamReportTest.java
+++ b/core/src/test/java/org/heatherspread/core/stream/StreamReportTest.java
@@ -36,7 +36,7 @@
   }
 
   private Optional<String> singleVersion(StreamReport report, String... registered) {
-    return StreamReport.findSingleVersion(List.of(report), "s", Set.of(registered));
+    return StreamReport.findSingleVersion(List.of(report), 1, "s", Set.of(registered));
   }
 
   @Test
@@ -82,8 +82,8 @@
   void reportsOfAllDaemonsCount() {
     StreamReport one = streams.report(1, STORE_MILLIS, registered("v1"));
     StreamReport other = reportOf(1, "v2");
-    assertThat(StreamReport.findSingleVersion(List.of(one, other), "s", Set.of("v1"))).isEmpty();
-    assertThat(StreamReport.findSingleVersion(List.of(), "s", Set.of("v1"))).isEmpty();
+    assertThat(StreamReport.findSingleVersion(List.of(one, other), 1, "s", Set.of("v1"))).isEmpty();
+    assertThat(StreamReport.findSingleVersion(List.of(), 1, "s", Set.of("v1"))).isEmpty();
   }
 
   /** A report from an earlier copy of the store may lack a version that the daemon used later. */
@@ -91,7 +91,21 @@
   void reportsOfAnEarlierEraProveNoSingleVersion() {
     StreamReport before = reportOf(1, "v1");
     StreamReport after = reportOf(2, "v1");
-    assertThat(StreamReport.findSingleVersion(List.of(before, after), "s", Set.of("v1"))).isEmpty();
+    assertThat(StreamReport.findSingleVersion(List.of(before, after), 2, "s", Set.of("v1")))
+        .isEmpty();
+  }
+
+  /** All daemons were killed and started after a restore, before any of them has reported. */
+  @Test
+  void reportsOfTheCopyAloneProveNothing() {
+    streams.report(1, STORE_MILLIS, registered("v1"));
+    streams.onReportWritten();
+    StreamReport copied = streams.report(1, STORE_MILLIS, registered("v1"));
+    assertThat(StreamReport.findSingleVersion(List.of(copied), 1, "s", Set.of("v1")))
+        .contains("v1");
+    assertThat(StreamReport.findAssigned(List.of(copied), 1, "a", "s")).contains("v1");
+    assertThat(StreamReport.findSingleVersion(List.of(copied), 2, "s", Set.of("v1"))).isEmpty();
+    assertThat(StreamReport.findAssigned(List.of(copied), 2, "a", "s")).isEmpty();
   }
 
   @Test
@@ -126,7 +140,7 @@
       String attempt = "attempt-" + i;
       Optional<String> assigned = streams.assignedVersion("s", attempt);
       assertThat(assigned).isPresent();
-      assertThat(StreamReport.findAssigned(List.of(last), attempt, "s")).isEqualTo(assigned);
+      assertThat(StreamReport.findAssigned(List.of(last), 1, attempt, "s")).isEqualTo(assigned);
       found.add(assigned.get());
     }
     assertThat(found).containsExactlyInAnyOrder("v1", "v2");
@@ -140,12 +154,12 @@
     streams.onReportWritten();
     StreamReport pending = streams.report(1, STORE_MILLIS, registered("v2"));
     assertThat(streams.assignedVersion("s", "a")).contains("v1");
-    assertThat(StreamReport.findAssigned(List.of(pending), "a", "s")).isEmpty();
+    assertThat(StreamReport.findAssigned(List.of(pending), 1, "a", "s")).isEmpty();
     assertThat(streams.onReportWritten()).isTrue();
     assertThat(streams.assignedVersion("s", "a")).contains("v2");
     StreamReport next = streams.report(1, STORE_MILLIS, registered("v2"));
     assertThat(streams.onReportWritten()).isFalse();
-    assertThat(StreamReport.findAssigned(List.of(next), "a", "s")).contains("v2");
+    assertThat(StreamReport.findAssigned(List.of(next), 1, "a", "s")).contains("v2");
   }
 
   /** Without the dropped streams, a missing name proves nothing. */
@@ -155,8 +169,8 @@
     streams.onReportWritten();
     List.of("a", "b", "c", "d").forEach(id -> streams.open(id, OLD, 10_000));
     StreamReport report = streams.report(1, STORE_MILLIS, registered("v1", "v2"));
-    assertThat(StreamReport.findAssigned(List.of(report), "x", "s")).isEmpty();
-    assertThat(StreamReport.findAssigned(List.of(StreamReport.UNKNOWN), "x", "s")).isEmpty();
+    assertThat(StreamReport.findAssigned(List.of(report), 1, "x", "s")).isEmpty();
+    assertThat(StreamReport.findAssigned(List.of(StreamReport.UNKNOWN), 1, "x", "s")).isEmpty();
   }
 
   /** Each version gets streams in proportion to its slots. */
--- a/node/src/main/java/org/heatherspread/node/control/StreamReportView.java
+++ b/node/src/main/java/org/heatherspread/node/control/StreamReportView.java
@@ -60,6 +60,11 @@
     return StreamReportSelector.select(recentReports(), storeMillis, callerWaitMillis);
   }
 
+  @Override
+  public long storeEra() {
+    return state.get().storeFreshness().era();
+  }
+
   @Override
   public Set<String> registeredVersions(String service) {
     return state.get().endpoints().versions(service);
--- a/node/src/main/java/org/heatherspread/node/peer/SharedStreamOrigins.java
+++ b/node/src/main/java/org/heatherspread/node/peer/SharedStreamOrigins.java
@@ -80,6 +80,9 @@
      */
     Collection<StreamReport> streamReports(long callerWaitMillis);
 
+    /** Returns the present era of the store. */
+    long storeEra();
+
     /** Returns the versions of the registered endpoints of a service. */
     Set<String> registeredVersions(String service);
   }
@@ -163,7 +166,8 @@
   public Optional<StreamOrigin> findSingle(String service) {
     Set<String> ownVersions = new HashSet<>(reports.registeredVersions(service));
     openStreams.addVersions(service, ownVersions);
-    return StreamReport.findSingleVersion(reports.streamReports(), service, ownVersions)
+    return StreamReport.findSingleVersion(
+            reports.streamReports(), reports.storeEra(), service, ownVersions)
         .map(version -> new StreamOrigin(service, version));
   }
 
@@ -229,7 +233,10 @@
   private Optional<StreamOrigin> findAssigned(
       String attemptId, String service, long callerWaitMillis) {
     return StreamReport.findAssigned(
-            reports.streamReports(Math.min(callerWaitMillis, MAX_WAIT_MILLIS)), attemptId, service)
+            reports.streamReports(Math.min(callerWaitMillis, MAX_WAIT_MILLIS)),
+            reports.storeEra(),
+            attemptId,
+            service)
         .map(version -> new StreamOrigin(service, version));
   }
 
