Let the test of usage reports state that the era is known

NodeTest.reportsUsageOncePerWindowAndStopsGracefully expected a daemon of a new fleet to report the two windows that ended before it started. Nothing shows then that the store was not restored since, so they are left out now. The test writes the report of another daemon that knows the era since before these windows; the windows, the waiting time and the checks are the same.

--- a/node/src/test/java/org/heatherspread/node/NodeTest.java
+++ b/node/src/test/java/org/heatherspread/node/NodeTest.java
@@ -41,6 +41,14 @@
        "loads": {}, "crashes": [], "work": {}}
       """;
 
+  /** Reports that the store has been in its era for long, and all counts up to a later time. */
+  private static final String DAEMON_OF_THE_ERA =
+      OTHER_DAEMON
+          .replace("\"atStoreMillis\": 1", "\"atStoreMillis\": 9000000000000")
+          .replace(
+              "\"work\": {}",
+              "\"work\": {}, \"storeEra\": {\"era\": 1, \"sinceStoreMillis\": -9000000000000}");
+
   private final int callers = LoopbackSupport.freePort();
   private final int readiness = LoopbackSupport.freePort();
   private final int directory = LoopbackSupport.freePort();
@@ -173,6 +181,7 @@
   /** The two latest windows are due when the daemon starts, and are reported one by one. */
   @Test
   void reportsUsageOncePerWindowAndStopsGracefully() throws Exception {
+    platform.write("daemons", "other/1", DAEMON_OF_THE_ERA);
     await(() -> reportedWindows().size() >= 2);
     TimeUnit.SECONDS.sleep(1);
     assertThat(reportedWindows()).doesNotHaveDuplicates();
