Refuse requests late in a stop, and answer those that remain at its end

Callers whose request was complete late in the grace period of a stop, or still running at its end, lost the connection without a response, after an endpoint had begun to run it.

Cause: once a request had begun to arrive it counted as in progress and was passed on whenever it was complete, and nothing related its time to the time left; at the end the process ended with it.

Requests that are read after the first quarter of the grace period are passed on only if their deadline is earlier than the end, else refused unsent with 503. At the end each remaining request gets a response: 502 if it may have run, 503 if not.

--- a/node/src/main/java/org/heatherspread/node/Node.java
+++ b/node/src/main/java/org/heatherspread/node/Node.java
@@ -89,10 +89,13 @@
   /** Time after SIGTERM during which new connections are still accepted. */
   private static final Duration LISTEN_AFTER_STOP = Duration.ofMillis(1_200);
 
-  /**
-   * Time before the end of the grace period at which a stop completes even with requests in
-   * progress.
-   */
+  /** Share of the grace period in which requests are passed on whatever time they may take. */
+  private static final double ACCEPTANCE_RATIO = 0.25;
+
+  /** Time for the responses that end the last requests of a stop to be written. */
+  private static final Duration LAST_RESPONSES = Duration.ofMillis(200);
+
+  /** Time before the end of the grace period at which a stop ends the requests in progress. */
   private static final Duration SHUTDOWN_MARGIN = Duration.ofMillis(1_200);
 
   /**
@@ -357,8 +360,8 @@
 
   /**
    * Stops accepting connections and waits, within the grace period, for the requests in progress.
-   * Remaining connections stay open until the process exits. Returns in time even if the event loop
-   * does not respond.
+   * Those that remain at its end get a response. Returns in time even if the event loop does not
+   * respond.
    */
   public void stop() {
     long deadlineNanos =
@@ -384,6 +387,9 @@
 
   private void beginShutdown(long deadlineNanos, CountDownLatch finished) {
     daemonState = DaemonState.LEAVING;
+    long graceMillis = TimeUnit.NANOSECONDS.toMillis(deadlineNanos - System.nanoTime());
+    long acceptMillis = (long) (ACCEPTANCE_RATIO * settings.bounds().grace().toMillis());
+    state.shutdown().begin(Math.max(acceptMillis, LISTEN_AFTER_STOP.toMillis()), graceMillis);
     control.leave();
     callers.closeConnectionsAfterResponse();
     loop.schedule(
@@ -396,10 +402,18 @@
   }
 
   private void awaitIdle(long deadlineNanos, CountDownLatch finished) {
-    if (callers.requestsInProgress() == 0 || System.nanoTime() >= deadlineNanos) {
+    if (callers.requestsInProgress() == 0) {
       finished.countDown();
       return;
     }
+    if (System.nanoTime() >= deadlineNanos) {
+      log.atWarn()
+          .addKeyValue("open_requests", callers.requestsInProgress())
+          .log("grace period ends; requests in progress are ended");
+      state.shutdown().endCalls();
+      loop.schedule(finished::countDown, LAST_RESPONSES.toMillis(), TimeUnit.MILLISECONDS);
+      return;
+    }
     loop.schedule(
         () -> awaitIdle(deadlineNanos, finished),
         IDLE_POLL_INTERVAL.toMillis(),
--- a/relay/src/main/java/org/heatherspread/relay/call/Refusal.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/Refusal.java
@@ -6,6 +6,8 @@
 public enum Refusal {
   /** No configuration has been received yet. */
   NOT_READY(503),
+  /** This daemon stops, and the request may not end before it does. */
+  STOPPING(503),
   /** No route matches the host and path. */
   NO_ROUTE(404),
   /** The key is missing or belongs to no client account. */
--- a/relay/src/main/java/org/heatherspread/relay/call/RelayCall.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/RelayCall.java
@@ -124,6 +124,7 @@
             responseWriter,
             refusalResponder);
     call.progress.origin = origin.orElse(null);
+    state.shutdown().add(call);
     responseWriter.onDisconnect(call::onDisconnect);
     state.retryBudget(context.service()).onRequest();
     call.selectAndSend();
@@ -333,6 +334,16 @@
   }
 
   void onDeadline() {
+    end(Refusal.EXPIRED, Refusal.EXPIRED_UNSENT);
+  }
+
+  /** Ends the request as the daemon stops. */
+  void onShutdown() {
+    end(Refusal.ANSWER_LOST, Refusal.STOPPING);
+  }
+
+  /** Ends the request with the refusal that says whether an endpoint may have executed it. */
+  private void end(Refusal possiblyExecuted, Refusal notExecuted) {
     if (finished) {
       return;
     }
@@ -341,7 +352,7 @@
     if (attempt != null) {
       attempt.abort();
     }
-    fail(progress.possibleExecutions > 0 ? Refusal.EXPIRED : Refusal.EXPIRED_UNSENT);
+    fail(progress.possibleExecutions > 0 ? possiblyExecuted : notExecuted);
   }
 
   private void onDisconnect() {
@@ -384,6 +395,7 @@
   void finish(String outcome, int status, String endpointId) {
     finished = true;
     deadlineTimer.cancel(false);
+    state.shutdown().remove(this);
     log.atInfo()
         .addKeyValue("id", context.id())
         .addKeyValue("outcome", outcome)
--- a/relay/src/main/java/org/heatherspread/relay/call/RelayHandler.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/RelayHandler.java
@@ -28,6 +28,9 @@
   /** {@code Retry-After} while the configuration is missing or too old. */
   private static final double NOT_READY_RETRY_AFTER_SECONDS = 0.3;
 
+  /** {@code Retry-After} of a daemon that stops; another one can serve the request at once. */
+  private static final double STOPPING_RETRY_AFTER_SECONDS = 0.05;
+
   /** Share of the target latency within which callers of new requests return. */
   private static final double NEW_RETRY_SHARE = 0.5;
 
@@ -82,6 +85,10 @@
       return;
     }
     CallContext context = createContext(id, request, config, route, account);
+    if (!state.shutdown().accepts(context.deadlineMillis())) {
+      refusalResponder.refuse(Refusal.STOPPING, STOPPING_RETRY_AFTER_SECONDS);
+      return;
+    }
     if (!resumesStream(context)) {
       admit(context, Optional.empty(), account, responseWriter, refusalResponder);
       return;
--- a/relay/src/main/java/org/heatherspread/relay/call/RelayState.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/RelayState.java
@@ -96,6 +96,7 @@
   private final PoisonRequestFilter poisonFilter;
   private final BufferBudget responseBuffers = BufferBudget.create(MAX_BUFFERED_BYTES);
   private final AnswerLengthEstimator answerLengths = AnswerLengthEstimator.create();
+  private final Shutdown shutdown;
   private ServingConfig config;
   private int daemonCount = 1;
 
@@ -140,6 +141,7 @@
     this.endpointLimits = endpointLimits;
     this.endpointNotices = endpointNotices;
     this.streamOrigins = streamOrigins;
+    this.shutdown = Shutdown.create(clock);
     this.endpoints = EndpointTable.create(health, this::cacheTokens);
   }
 
@@ -358,6 +360,11 @@
     return poisonFilter;
   }
 
+  /** Returns what a stop of this daemon lets pass. */
+  public Shutdown shutdown() {
+    return shutdown;
+  }
+
   /** Returns the budget for buffered response bodies. */
   BufferBudget responseBuffers() {
     return responseBuffers;
