Keep endless responses from costing other callers theirs

Callers of sound endpoints got 502 (123 of 2,986 requests in 15 s, a trial with 40 callers of endpoints that send a body without end), or waited seconds while the event loop was busy with responses that it skips or with chunks of one byte.

Cause: whoever asked for the next bytes of the shared response buffers was rejected, also if others held nearly all of it; responses of other requests were skipped without a bound until the deadline; a body's limit counted only bytes.

The buffers now evict the holder of the most bytes, a request fails after 16 skipped responses or 8 MB of them, and a buffered body comes in 65,536 reads at most.

--- a/relay/src/main/java/org/heatherspread/relay/call/Attempt.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/Attempt.java
@@ -34,13 +34,19 @@
  * Confined to its event loop.
  */
 final class Attempt
-    implements ConnectionPool.ConnectionListener, ResponseListener, RelayState.MigratableStream {
+    implements ConnectionPool.ConnectionListener,
+        ResponseListener,
+        RelayState.MigratableStream,
+        BufferBudget.Holder {
   private static final Logger log = LoggerFactory.getLogger(Attempt.class);
 
   private static final int MAX_EVENT_BYTES = 1 << 18;
 
   private static final int MAX_BODY_BYTES = 8 << 20;
 
+  /** Maximum number of reads of a body, which cost time however few bytes they bring. */
+  private static final int MAX_BODY_READS = 1 << 16;
+
   private static final int MISDIRECTED_REQUEST = 421;
 
   /**
@@ -82,6 +88,7 @@
   private boolean streaming;
   private EventSplitter splitter;
   private ByteArrayOutputStream body;
+  private int bodyReads;
   private final EndpointLoad loadBefore;
   private final int cachedTokens;
   private long sentMillis;
@@ -316,13 +323,22 @@
       rejectResponse("response exceeds " + MAX_BODY_BYTES + " bytes");
       return;
     }
-    if (!state.responseBuffers().reserve(chunk.length)) {
-      rejectResponse("responses in progress exceed their buffers");
+    if (++bodyReads > MAX_BODY_READS) {
+      rejectResponse("response exceeds " + MAX_BODY_READS + " chunks");
+      return;
+    }
+    if (!state.responseBuffers().reserve(this, chunk.length)) {
+      evict();
       return;
     }
     body.writeBytes(chunk);
   }
 
+  @Override
+  public void evict() {
+    rejectResponse("responses in progress exceed their buffers");
+  }
+
   private void onEvent(byte[] bytes, long id) {
     if (!isActive()) {
       return;
@@ -623,10 +639,8 @@
   }
 
   private void close() {
-    if (!closed && body != null) {
-      state.responseBuffers().release(body.size());
-    }
     closed = true;
+    state.responseBuffers().release(this);
     trackedRequest.end();
     state.unregisterStream(endpoint.id(), this);
     if (silenceTimer != null) {
--- a/relay/src/main/java/org/heatherspread/relay/endpoint/EndpointConnection.java
+++ b/relay/src/main/java/org/heatherspread/relay/endpoint/EndpointConnection.java
@@ -24,8 +24,9 @@
  * that does not certainly belong to the request in progress is skipped and prevents further reuse,
  * since an endpoint may repeat an earlier response at any time: one with another request's id, a
  * success without an id, and any response without an id on a connection that carried a request
- * before; a response delimited by the end of the connection is complete only if the connection was
- * not reset. Confined to its event loop.
+ * before; only so many responses and bytes are skipped before the request fails, since an endpoint
+ * may send them without end; a response delimited by the end of the connection is complete only if
+ * the connection was not reset. Confined to its event loop.
  */
 public final class EndpointConnection extends ChannelInboundHandlerAdapter {
   private static final Logger log = LoggerFactory.getLogger(EndpointConnection.class);
@@ -33,6 +34,12 @@
   /** Time before the peer's idle timeout from which the connection is no longer reused. */
   private static final long KEEP_ALIVE_MARGIN_MILLIS = 700;
 
+  /** Maximum number of responses skipped during a request. */
+  private static final int MAX_SKIPPED_RESPONSES = 16;
+
+  /** Maximum number of body bytes skipped during a request, that of a large response. */
+  private static final long MAX_SKIPPED_BYTES = 8 << 20;
+
   private final ConnectionPool pool;
   private final HostPort address;
   private final String idHeader;
@@ -44,6 +51,8 @@
   private boolean reused;
   private boolean headReceived;
   private boolean skippingResponse;
+  private int skippedResponses;
+  private long skippedBytes;
   private boolean reusable = true;
   private boolean connectionReset;
   private long keepAliveMillis = Long.MAX_VALUE;
@@ -87,6 +96,8 @@
     expectedId = requestId;
     headReceived = false;
     skippingResponse = false;
+    skippedResponses = 0;
+    skippedBytes = 0;
     writeFuture = channel.writeAndFlush(request);
   }
 
@@ -135,7 +146,7 @@
       if (message instanceof HttpResponse head) {
         handleHead(head);
       }
-      if (message instanceof HttpContent content) {
+      if (message instanceof HttpContent content && listener != null) {
         handleContent(content);
       }
     } finally {
@@ -146,6 +157,8 @@
   private void handleHead(HttpResponse head) {
     if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL || belongsToOtherRequest(head)) {
       skippingResponse = true;
+      skippedResponses++;
+      failIfSkippedTooMuch();
       return;
     }
     headReceived = true;
@@ -156,6 +169,12 @@
     listener.onHead(head);
   }
 
+  private void failIfSkippedTooMuch() {
+    if (skippedResponses > MAX_SKIPPED_RESPONSES || skippedBytes > MAX_SKIPPED_BYTES) {
+      fail("too many responses of other requests");
+    }
+  }
+
   private boolean belongsToOtherRequest(HttpResponse head) {
     if (expectedId == null) {
       return false;
@@ -187,6 +206,8 @@
     boolean last = content instanceof LastHttpContent;
     if (skippingResponse) {
       skippingResponse = !last;
+      skippedBytes += content.content().readableBytes();
+      failIfSkippedTooMuch();
       return;
     }
     if (!headReceived) {
--- a/relay/src/test/java/org/heatherspread/relay/call/EndlessResponseTest.java
+++ b/relay/src/test/java/org/heatherspread/relay/call/EndlessResponseTest.java
@@ -104,4 +104,56 @@
     assertThat(harness.call("POST", "/reply/a", "id-1")).startsWith("HTTP/1.1 502");
     assertThat(sentBytes.get()).isLessThan(16 << 20);
   }
+
+  /** An endpoint that sends without end fills the buffers that all responses share. */
+  @Test
+  void endlessBodiesCostNoSmallResponse() throws Exception {
+    harness.register(
+        FakeEndpoint.start(
+            (request, connection) -> {
+              if (!request.requestLine().contains("/write/endless")) {
+                connection.respond(200, request.header("attempt-id"), "x".repeat(1_000));
+                return;
+              }
+              connection.send(head(request, "Content-Length: 900000000\r\n"));
+              while (true) {
+                connection.send(BLOCK);
+              }
+            }));
+    CompletableFuture<List<String>> endless =
+        CompletableFuture.supplyAsync(() -> callAll("POST", "/write/endless"));
+    List<String> small = new ArrayList<>();
+    while (!endless.isDone()) {
+      small.add(harness.call("POST", "/write/a", "small-" + small.size()));
+    }
+    assertThat(endless.get()).allMatch(text -> text.startsWith("HTTP/1.1 502"));
+    assertThat(small).isNotEmpty().allMatch(text -> text.startsWith("HTTP/1.1 200"));
+  }
+
+  /** Such responses are skipped, so the request would occupy the event loop until its deadline. */
+  @Test
+  void endlessInformationalResponsesEndTheRequest() throws Exception {
+    harness.register(endless(request -> "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 103 X\r\n\r\n"));
+    assertThat(harness.call("POST", "/write/a", "id-1")).startsWith("HTTP/1.1 502");
+    assertThat(sentBytes.get()).isLessThan(16 << 20);
+  }
+
+  @Test
+  void endlessResponseOfAnotherRequestEndsTheRequest() throws Exception {
+    String headers = "Attempt-Id: other\r\nContent-Length: 900000000\r\n\r\n";
+    harness.register(endless(request -> "HTTP/1.1 200 X\r\n" + headers, BLOCK));
+    assertThat(harness.call("POST", "/write/a", "id-1")).startsWith("HTTP/1.1 502");
+    assertThat(sentBytes.get()).isLessThan(32 << 20);
+  }
+
+  /** Each chunk costs as much time as a large one, which other requests would have to wait for. */
+  @Test
+  void endlessSmallChunksEndTheRequest() throws Exception {
+    harness.register(
+        endless(
+            request -> head(request, "Transfer-Encoding: chunked\r\n"),
+            "1\r\nx\r\n".repeat(1_000)));
+    assertThat(harness.call("POST", "/write/a", "id-1")).startsWith("HTTP/1.1 502");
+    assertThat(sentBytes.get()).isLessThan(16 << 20);
+  }
 }
