Resume a stream of unrecorded origin only if other daemons see the same version

Cause: a daemon without a record of a stream's origin took the only version that it saw for the origin, from registrations and reports that may be old, and asked others only if it saw several. Copies of each origin at three daemons hide this in fleets of four.

What a daemon infers counts now only if half of the daemons that it asks after the request arrived infer the same; else the stream is refused with 503. Requests that name no attempt are decided in the same way.

--- a/node/src/main/java/org/heatherspread/node/peer/PeerClient.java
+++ b/node/src/main/java/org/heatherspread/node/peer/PeerClient.java
@@ -18,7 +18,6 @@
 import org.heatherspread.core.store.SharedReadResult;
 import org.heatherspread.core.store.SharedStore;
 import org.heatherspread.core.store.StorePosition;
-import org.heatherspread.core.stream.StreamOrigin;
 import org.heatherspread.relay.rpc.RpcClient;
 import org.heatherspread.relay.rpc.RpcResponse;
 
@@ -35,6 +34,9 @@
    */
   private static final Duration DECISION_TIMEOUT = Duration.ofMillis(150);
 
+  /** Timeout of lookups of origins, less than the time after which refused callers return. */
+  private static final Duration ORIGIN_TIMEOUT = Duration.ofMillis(400);
+
   /** Time for a response to a long poll beyond the requested wait. */
   private static final Duration CHANGES_TIMEOUT = Duration.ofMillis(300);
 
@@ -155,12 +157,11 @@
     return post(daemon, PeerFormat.STREAM_ORIGINS_PATH, PeerFormat.writeStreamOrigins(origins));
   }
 
-  /** Asks a daemon for the origin of the stream that answers an attempt. */
-  CompletableFuture<Optional<StreamOrigin>> findStreamOrigin(String daemon, String attemptId) {
-    byte[] body = PeerFormat.writeAttemptId(attemptId);
-    return call(daemon, HttpMethod.POST, PeerFormat.STREAM_ORIGIN_PATH, body, DECISION_TIMEOUT)
-        .thenApply(
-            response -> PeerFormat.readStreamOrigin(requireSuccess(daemon, response).body()));
+  /** Asks a daemon for the origin of a stream. */
+  CompletableFuture<OriginReply> findStreamOrigin(String daemon, PeerFormat.OriginQuery query) {
+    byte[] body = PeerFormat.writeOriginQuery(query);
+    return call(daemon, HttpMethod.POST, PeerFormat.STREAM_ORIGIN_PATH, body, ORIGIN_TIMEOUT)
+        .thenApply(response -> PeerFormat.readOriginReply(requireSuccess(daemon, response).body()));
   }
 
   private CompletableFuture<Void> post(String daemon, String path, byte[] body) {
--- a/node/src/main/java/org/heatherspread/node/peer/PeerFormat.java
+++ b/node/src/main/java/org/heatherspread/node/peer/PeerFormat.java
@@ -84,6 +84,9 @@
   private static final TypeReference<List<CrashEvidence>> CRASH_EVIDENCE = new TypeReference<>() {};
   private static final TypeReference<LimitObservations> LIMIT_OBSERVATIONS =
       new TypeReference<>() {};
+  private static final String KNOWN = "known";
+  private static final String INFERRED = "inferred";
+
   private static final TypeReference<List<SharedStreamOrigins.AttemptOrigin>> STREAM_ORIGINS =
       new TypeReference<>() {};
 
@@ -321,21 +324,47 @@
     return read(body, STREAM_ORIGINS);
   }
 
-  static byte[] writeAttemptId(String attemptId) {
-    return serialize(MAPPER.createObjectNode().put("attempt", attemptId));
+  /**
+   * A lookup of the origin of a stream.
+   *
+   * @param attempt id of the attempt that began it, empty if its caller does not name it
+   * @param service service at which it is to be resumed, null in requests of earlier versions
+   * @param waitMillis time for which its caller still waits
+   */
+  record OriginQuery(String attempt, String service, long waitMillis) {}
+
+  static byte[] writeOriginQuery(OriginQuery query) {
+    return serialize(MAPPER.valueToTree(query));
   }
 
-  static String readAttemptId(byte[] body) {
-    return parse(body).path("attempt").asText();
+  static OriginQuery readOriginQuery(byte[] body) {
+    return MAPPER.convertValue(parse(body), OriginQuery.class);
   }
 
-  /** Writes the origin of a stream, an empty object if it is not known. */
-  static byte[] writeStreamOrigin(Optional<StreamOrigin> origin) {
-    return serialize(origin.<JsonNode>map(MAPPER::valueToTree).orElseGet(MAPPER::createObjectNode));
+  /**
+   * Writes the reply to a lookup. Daemons of earlier versions state no service and expect only the
+   * origin, an empty object if it is not known.
+   */
+  static byte[] writeOriginReply(OriginQuery query, OriginReply reply) {
+    if (query.service() == null) {
+      return serialize(
+          reply.known().<JsonNode>map(MAPPER::valueToTree).orElseGet(MAPPER::createObjectNode));
+    }
+    ObjectNode node = MAPPER.createObjectNode();
+    node.set(KNOWN, MAPPER.valueToTree(reply.known().orElse(null)));
+    node.set(INFERRED, MAPPER.valueToTree(reply.inferred().orElse(null)));
+    return serialize(node);
   }
 
-  static Optional<StreamOrigin> readStreamOrigin(byte[] body) {
+  static OriginReply readOriginReply(byte[] body) {
     JsonNode node = parse(body);
+    if (!node.has(INFERRED)) {
+      return new OriginReply(readOrigin(node), Optional.empty());
+    }
+    return new OriginReply(readOrigin(node.path(KNOWN)), readOrigin(node.path(INFERRED)));
+  }
+
+  private static Optional<StreamOrigin> readOrigin(JsonNode node) {
     return node.isEmpty()
         ? Optional.empty()
         : Optional.of(MAPPER.convertValue(node, StreamOrigin.class));
--- a/node/src/main/java/org/heatherspread/node/peer/PeerRequestHandler.java
+++ b/node/src/main/java/org/heatherspread/node/peer/PeerRequestHandler.java
@@ -149,9 +149,9 @@
   }
 
   private void handleOriginLookup(CallerRequest request, ResponseWriter responseWriter) {
-    String attemptId = PeerFormat.readAttemptId(request.body());
-    byte[] body = PeerFormat.writeStreamOrigin(streamOrigins.findHere(attemptId));
-    respond(responseWriter, OK, body);
+    PeerFormat.OriginQuery query = PeerFormat.readOriginQuery(request.body());
+    OriginReply reply = streamOrigins.reply(query);
+    respond(responseWriter, OK, PeerFormat.writeOriginReply(query, reply));
   }
 
   /** Releases a limit by its name and the name of its new owner. */
--- a/node/src/main/java/org/heatherspread/node/peer/SharedStreamOrigins.java
+++ b/node/src/main/java/org/heatherspread/node/peer/SharedStreamOrigins.java
@@ -26,8 +26,10 @@
  * <p>While a service has several versions, the daemon that began a stream keeps its origin and
  * sends copies to a few others, which are selected by rendezvous hashing of the attempt's id. After
  * all daemons were killed, the last reports tell ({@link StreamReport}). A lookup asks more daemons
- * than hold a copy, since the views of the fleet differ for a while after daemons join or end. A
- * stream whose origin is not certain has none. Confined to the event loop.
+ * than hold a copy, since the views of the fleet differ for a while after daemons join or end. What
+ * this daemon infers from the versions that it sees must be confirmed ({@link OriginLookup}), since
+ * it may have been suspended or cut off while a version joined. A stream whose origin is not
+ * certain has none. Confined to the event loop.
  */
 public final class SharedStreamOrigins implements StreamOrigins {
   private static final Logger log = LoggerFactory.getLogger(SharedStreamOrigins.class);
@@ -162,8 +164,8 @@
     return openStreams.services().stream().anyMatch(service -> findSingle(service).isEmpty());
   }
 
-  @Override
-  public Optional<StreamOrigin> findSingle(String service) {
+  /** Returns the origin of every recent stream of a service, if this daemon sees only one. */
+  private Optional<StreamOrigin> findSingle(String service) {
     Set<String> ownVersions = new HashSet<>(reports.registeredVersions(service));
     openStreams.addVersions(service, ownVersions);
     return StreamReport.findSingleVersion(
@@ -201,63 +203,89 @@
     }
   }
 
-  /** Returns the origin of an attempt as far as this daemon knows it. */
-  Optional<StreamOrigin> findHere(String attemptId) {
-    return table.find(attemptId);
+  /** Returns what this daemon knows of the origin of a stream. */
+  OriginReply reply(PeerFormat.OriginQuery query) {
+    Optional<StreamOrigin> known = findRecorded(query.attempt());
+    boolean inferable = known.isEmpty() && query.service() != null;
+    return new OriginReply(known, inferable ? infer(query) : Optional.empty());
+  }
+
+  /** Returns the origin of an attempt as recorded when its stream began. */
+  private Optional<StreamOrigin> findRecorded(String attemptId) {
+    return table
+        .find(attemptId)
+        .or(() -> StreamReport.findOpen(reports.streamReports(), attemptId));
+  }
+
+  /** Returns the only origin that the versions in use allow, as far as this daemon sees them. */
+  private Optional<StreamOrigin> infer(PeerFormat.OriginQuery query) {
+    Optional<StreamOrigin> single = findSingle(query.service());
+    if (single.isPresent() || query.attempt().isEmpty()) {
+      return single;
+    }
+    return StreamReport.findAssigned(
+            reports.streamReports(Math.min(query.waitMillis(), MAX_WAIT_MILLIS)),
+            reports.storeEra(),
+            query.attempt(),
+            query.service())
+        .map(version -> new StreamOrigin(query.service(), version));
   }
 
   @Override
   public CompletableFuture<Optional<StreamOrigin>> find(
       String attemptId, String service, long callerWaitMillis) {
-    Optional<StreamOrigin> known =
-        findHere(attemptId)
-            .or(() -> StreamReport.findOpen(reports.streamReports(), attemptId))
-            .or(() -> findSingle(service));
-    if (known.isPresent()) {
-      return CompletableFuture.completedFuture(keep(attemptId, known));
-    }
-    return askOthers(attemptId)
-        .thenApply(
-            origin ->
-                keep(
-                    attemptId,
-                    origin.or(() -> findAssigned(attemptId, service, callerWaitMillis))));
+    PeerFormat.OriginQuery query = new PeerFormat.OriginQuery(attemptId, service, callerWaitMillis);
+    Optional<StreamOrigin> recorded = findRecorded(attemptId);
+    CompletableFuture<Optional<StreamOrigin>> found =
+        recorded.isPresent() ? CompletableFuture.completedFuture(recorded) : lookUp(query);
+    return found.thenApply(origin -> keep(attemptId, origin));
   }
 
   /** Lets the next report name the stream again, in case all daemons end once more. */
   private Optional<StreamOrigin> keep(String attemptId, Optional<StreamOrigin> origin) {
-    origin.ifPresent(known -> openStreams.open(attemptId, known, RESUMED_RETENTION_MILLIS));
+    if (!attemptId.isEmpty()) {
+      origin.ifPresent(known -> openStreams.open(attemptId, known, RESUMED_RETENTION_MILLIS));
+    }
     return origin;
   }
 
-  private Optional<StreamOrigin> findAssigned(
-      String attemptId, String service, long callerWaitMillis) {
-    return StreamReport.findAssigned(
-            reports.streamReports(Math.min(callerWaitMillis, MAX_WAIT_MILLIS)),
-            reports.storeEra(),
-            attemptId,
-            service)
-        .map(version -> new StreamOrigin(service, version));
+  /** Asks other daemons for the origin of a stream of which this one has no record. */
+  private CompletableFuture<Optional<StreamOrigin>> lookUp(PeerFormat.OriginQuery query) {
+    String key = query.attempt().isEmpty() ? query.service() : query.attempt();
+    List<String> daemons = selectDaemons(key, ASKED_DAEMONS);
+    Optional<StreamOrigin> inferred = infer(query);
+    OriginLookup lookup = OriginLookup.create(inferred, daemons.size());
+    for (String daemon : daemons) {
+      peers
+          .findStreamOrigin(daemon, query)
+          .whenComplete(
+              (reply, failure) -> {
+                if (failure == null) {
+                  lookup.onReply(reply);
+                } else {
+                  lookup.onFailure();
+                }
+              });
+    }
+    return lookup
+        .result()
+        .thenApply(
+            origin -> {
+              if (origin.isEmpty() && inferred.isPresent()) {
+                logUnconfirmed(query, inferred.get(), daemons.size());
+              }
+              return origin;
+            });
   }
 
-  private CompletableFuture<Optional<StreamOrigin>> askOthers(String attemptId) {
-    CompletableFuture<Optional<StreamOrigin>> found = new CompletableFuture<>();
-    List<CompletableFuture<Void>> replies = new ArrayList<>();
-    for (String daemon : selectDaemons(attemptId, ASKED_DAEMONS)) {
-      replies.add(
-          peers
-              .findStreamOrigin(daemon, attemptId)
-              .handle(
-                  (origin, failure) -> {
-                    if (failure == null && origin.isPresent()) {
-                      found.complete(origin);
-                    }
-                    return null;
-                  }));
-    }
-    CompletableFuture.allOf(replies.toArray(CompletableFuture[]::new))
-        .thenRun(() -> found.complete(Optional.empty()));
-    return found;
+  private static void logUnconfirmed(
+      PeerFormat.OriginQuery query, StreamOrigin inferred, int askedDaemons) {
+    log.atInfo()
+        .addKeyValue("resumes", query.attempt())
+        .addKeyValue("service", query.service())
+        .addKeyValue("version", inferred.version())
+        .addKeyValue("asked", askedDaemons)
+        .log("stream origin not confirmed by other daemons");
   }
 
   private List<String> selectDaemons(String attemptId, int count) {
--- a/node/src/test/java/org/heatherspread/node/peer/PeerFormatTest.java
+++ b/node/src/test/java/org/heatherspread/node/peer/PeerFormatTest.java
@@ -45,8 +45,15 @@
         .isEqualTo(update.received());
     for (Optional<StreamOrigin> origin :
         List.of(Optional.of(new StreamOrigin("s", "v1")), Optional.<StreamOrigin>empty())) {
-      assertThat(PeerFormat.readStreamOrigin(PeerFormat.writeStreamOrigin(origin)))
-          .isEqualTo(origin);
+      Optional<StreamOrigin> other = Optional.of(new StreamOrigin("s", "v2"));
+      var reply = new OriginReply(origin, origin.isPresent() ? Optional.empty() : other);
+      var query = new PeerFormat.OriginQuery("a", "s", 1_000);
+      assertThat(PeerFormat.readOriginQuery(PeerFormat.writeOriginQuery(query))).isEqualTo(query);
+      assertThat(PeerFormat.readOriginReply(PeerFormat.writeOriginReply(query, reply)))
+          .isEqualTo(reply);
+      var earlier = new PeerFormat.OriginQuery("a", null, 0);
+      assertThat(PeerFormat.readOriginReply(PeerFormat.writeOriginReply(earlier, reply)))
+          .isEqualTo(new OriginReply(origin, Optional.empty()));
     }
     var release = new PeerFormat.ReleaseRequest("acme", "d-2");
     assertThat(PeerFormat.readReleaseRequest(PeerFormat.writeReleaseRequest(release)))
--- a/node/src/test/java/org/heatherspread/node/soak/MixedVersionTest.java
+++ b/node/src/test/java/org/heatherspread/node/soak/MixedVersionTest.java
@@ -6,7 +6,9 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.heatherspread.core.routing.RendezvousHash;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -16,6 +18,10 @@
  */
 class MixedVersionTest {
   private static final int DAEMONS = 4;
+
+  /** Number of daemons of which only some receive a copy of each stream's origin. */
+  private static final int MANY_DAEMONS = 8;
+
   private static final int ENDPOINTS = 4;
   private static final int STREAMS = 40;
 
@@ -42,7 +48,7 @@
     return fleet;
   }
 
-  private void count(List<String> versions) {
+  private synchronized void count(List<String> versions) {
     mixedStreams += new HashSet<>(versions).size() > 1 ? 1 : 0;
   }
 
@@ -204,6 +210,92 @@
     }
   }
 
+  /** Replaces every second endpoint of a fleet with one version by one of a new version. */
+  private static void beginRelease(ProcessFleet fleet) throws Exception {
+    for (int i = 0; i < ENDPOINTS; i += 2) {
+      SoakEndpoint endpoint = fleet.endpoints().get(i);
+      endpoint.setRestart(100, false);
+      endpoint.setVersion("v2");
+      endpoint.crash();
+    }
+    fleet.awaitEndpoints();
+  }
+
+  /**
+   * Returns the id of a stream whose origin the daemon that begins it does not copy to the first
+   * daemon.
+   */
+  private static String uncopiedId(int number, int daemon) {
+    List<String> others = new ArrayList<>();
+    for (int i = 0; i < MANY_DAEMONS; i++) {
+      others.add("daemon-" + i);
+    }
+    others.remove(daemon);
+    String id = "stream-" + number;
+    while (RendezvousHash.select(others, id, MANY_DAEMONS / 2).contains("daemon-0")) {
+      id += "x";
+    }
+    return id;
+  }
+
+  /**
+   * The daemon knows only the version from before and must not take it for the only one. It still
+   * accepts keys for some seconds.
+   */
+  @Test
+  void daemonWithoutTheStoreDoesNotTakeVersionForTheOnlyOne() throws Exception {
+    try (ProcessFleet fleet = ProcessFleet.start(MANY_DAEMONS, ENDPOINTS, MANY_DAEMONS, folder)) {
+      fleet.daemon(0).storeProxy().setMode(FaultProxy.Mode.STALL);
+      beginRelease(fleet);
+      int ofNewVersion = 0;
+      for (int i = 0; i < STREAMS; i++) {
+        int daemon = 1 + i % (MANY_DAEMONS - 1);
+        String id = uncopiedId(i, daemon);
+        ProcessFleet.ReceivedStream begun = fleet.receive(daemon, id, EVENTS_BEFORE_BREAK);
+        resume(fleet, begun, id, 0);
+        ofNewVersion += begun.versions().contains("v2") ? 1 : 0;
+      }
+      assertThat(ofNewVersion).isPositive();
+      assertThat(mixedStreams).isZero();
+    }
+  }
+
+  /** The requests wait for the daemon, which processes them before it reads what has changed. */
+  @Test
+  void daemonThatStoodStillDoesNotTakeVersionForTheOnlyOne() throws Exception {
+    try (ProcessFleet fleet = ProcessFleet.start(MANY_DAEMONS, ENDPOINTS, MANY_DAEMONS, folder)) {
+      List<CompletableFuture<Void>> resumed = new ArrayList<>();
+      fleet.pause(
+          0,
+          () -> {
+            beginRelease(fleet);
+            for (int i = 0; i < STREAMS; i++) {
+              int daemon = 1 + i % (MANY_DAEMONS - 1);
+              String id = uncopiedId(i, daemon);
+              resumed.add(resumeLater(fleet, fleet.receive(daemon, id, EVENTS_BEFORE_BREAK), id));
+            }
+          });
+      resumed.forEach(CompletableFuture::join);
+      assertThat(mixedStreams).isZero();
+    }
+  }
+
+  private CompletableFuture<Void> resumeLater(
+      ProcessFleet fleet, ProcessFleet.ReceivedStream begun, String id) {
+    CompletableFuture<Void> done = new CompletableFuture<>();
+    DaemonThreads.start(
+        "resume-" + id,
+        () -> {
+          try {
+            resume(fleet, begun, id, 0);
+            done.complete(null);
+          } catch (InterruptedException e) {
+            done.completeExceptionally(e);
+          }
+        });
+    return done;
+  }
+
   @Test
   void streamsOfVersionThatIsGoneAreRefusedAtOnce() throws Exception {
     try (ProcessFleet fleet = startFleet()) {
--- a/node/src/test/java/org/heatherspread/node/soak/ProcessFleet.java
+++ b/node/src/test/java/org/heatherspread/node/soak/ProcessFleet.java
@@ -72,6 +72,16 @@
 
   /** Starts the processes and waits until every daemon accepts requests. */
   static ProcessFleet start(int daemonCount, int endpointCount, Path folder) throws Exception {
+    return start(daemonCount, endpointCount, 1, folder);
+  }
+
+  /**
+   * Starts the processes and waits until every daemon accepts requests.
+   *
+   * @param domainCount number of failure domains, each of which reads the store by itself
+   */
+  static ProcessFleet start(int daemonCount, int endpointCount, int domainCount, Path folder)
+      throws Exception {
     ProcessFleet fleet = new ProcessFleet(FakePlatform.start());
     fleet.platform.write(FakePlatform.OPERATORS, FakePlatform.CONFIGURATION_KEY, CONFIGURATION);
     SplittableRandom random = new SplittableRandom(1);
@@ -84,7 +94,12 @@
     }
     for (int i = 0; i < daemonCount; i++) {
       SoakDaemon daemon =
-          new SoakDaemon("daemon-" + i, "z", folder, fleet.platform.address().port(), GRACE_MILLIS);
+          new SoakDaemon(
+              "daemon-" + i,
+              "z" + i % domainCount,
+              folder,
+              fleet.platform.address().port(),
+              GRACE_MILLIS);
       daemon.start();
       fleet.daemons.add(daemon);
     }
--- a/relay/src/main/java/org/heatherspread/relay/call/RelayHandler.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/RelayHandler.java
@@ -112,17 +112,10 @@
         && (headers.contains(headerNames.resumes()) || headers.contains(headerNames.lastEventId()));
   }
 
-  /**
-   * Finds the origin of a resumed stream. If the caller does not name the attempt that began it,
-   * the origin is known only if all recent streams of the service have the same one.
-   */
   private CompletableFuture<Optional<StreamOrigin>> findOrigin(CallContext context) {
-    String attemptId = context.request().headers().get(headerNames.resumes());
-    if (attemptId == null) {
-      return CompletableFuture.completedFuture(state.streamOrigins().findSingle(context.service()));
-    }
+    String attemptId = context.request().headers().get(headerNames.resumes(), "").trim();
     long waitMillis = context.callerDeadlineMillis() - state.clock().millis();
-    return state.streamOrigins().find(attemptId.trim(), context.service(), Math.max(0, waitMillis));
+    return state.streamOrigins().find(attemptId, context.service(), Math.max(0, waitMillis));
   }
 
   private Optional<Refusal> checkOrigin(CallContext context, Optional<StreamOrigin> origin) {
--- a/relay/src/main/java/org/heatherspread/relay/call/StreamOrigins.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/StreamOrigins.java
@@ -24,6 +24,8 @@
   /**
    * Finds the origin of a stream.
    *
+   * @param attemptId id of the attempt that began it, empty if its caller does not name it; the
+   *     origin is then known only if all recent streams of the service have the same one
    * @param service service that the request to resume it is routed to
    * @param callerWaitMillis time for which the caller still waits, about {@code Long.MAX_VALUE} if
    *     unknown
@@ -39,11 +41,4 @@
    * @return empty if it may begin anywhere
    */
   Optional<String> assignedVersion(String service, String attemptId);
-
-  /**
-   * Returns the origin of every recent stream of a service, if it must be the same.
-   *
-   * @return empty if recent streams may have begun at several versions
-   */
-  Optional<StreamOrigin> findSingle(String service);
 }
--- a/relay/src/test/java/org/heatherspread/relay/LocalStreamOrigins.java
+++ b/relay/src/test/java/org/heatherspread/relay/LocalStreamOrigins.java
@@ -28,7 +28,8 @@
   @Override
   public CompletableFuture<Optional<StreamOrigin>> find(
       String attemptId, String service, long callerWaitMillis) {
-    return CompletableFuture.completedFuture(table.find(attemptId));
+    return CompletableFuture.completedFuture(
+        attemptId.isEmpty() ? findSingle(service) : table.find(attemptId));
   }
 
   @Override
@@ -36,8 +37,7 @@
     return Optional.empty();
   }
 
-  @Override
-  public Optional<StreamOrigin> findSingle(String service) {
+  private Optional<StreamOrigin> findSingle(String service) {
     Set<String> found = versions.apply(service);
     return found.size() == 1
         ? Optional.of(new StreamOrigin(service, found.iterator().next()))
