Process what callers send ahead in the order in which it was read

Cause: after a response the connection was idle until a task processed the messages that had waited; messages read before that task ran were processed at once and so overtook them, and a body's part without its head was dropped.

Messages are processed at once only if none waits.

--- a/relay/src/main/java/org/heatherspread/relay/caller/CallerConnection.java
+++ b/relay/src/main/java/org/heatherspread/relay/caller/CallerConnection.java
@@ -36,10 +36,11 @@
  * One connection of a caller: reads a complete request, passes it to the handler and writes the
  * response before it processes the next request.
  *
- * <p>Invariants: one request is in progress at a time; a request with ambiguous framing is rejected
- * and closes the connection, which prevents request smuggling; a connection that closes after its
- * response is shut down for output first, so that a reset cannot discard the response. Confined to
- * its event loop.
+ * <p>Invariants: one request is in progress at a time; messages are processed in the order in which
+ * they were read, those that were read during a response before any later ones; a request with
+ * ambiguous framing is rejected and closes the connection, which prevents request smuggling; a
+ * connection that closes after its response is shut down for output first, so that a reset cannot
+ * discard the response. Confined to its event loop.
  */
 final class CallerConnection extends ChannelInboundHandlerAdapter {
   private static final Logger log = LoggerFactory.getLogger(CallerConnection.class);
@@ -95,7 +96,7 @@
       ReferenceCountUtil.release(message);
       return;
     }
-    if (state == State.RESPONDING) {
+    if (state == State.RESPONDING || !readAhead.isEmpty()) {
       readAhead.add(message);
       if (readAhead.size() > MAX_READ_AHEAD) {
         context.channel().config().setAutoRead(false);
