Report streams whose version or service is gone

Cause: the versions of recent streams are kept for 40 s and streams for longer; the report looked the versions of a stream's service up and found none. For the same reason a stream was not named whose version had left, if one other version was registered: after a kill of all daemons that one would be taken for its origin.

A stream is named unless its version is the only one reported of its service. StreamReportTest.streamOfRetiredServiceIsNamed and streamOfVersionThatIsReportedNoLongerIsNamed failed before (2 of 15).

--- a/core/src/main/java/org/heatherspread/core/stream/OpenStreams.java
+++ b/core/src/main/java/org/heatherspread/core/stream/OpenStreams.java
@@ -166,13 +166,15 @@
     return possible;
   }
 
+  /** Names the streams that did not certainly begin at the only reported version of a service. */
   private List<OpenStream> openStreams(Map<String, Set<String>> versions) {
     List<OpenStream> open = new ArrayList<>();
     streams.forEach(
         (attemptId, entry) -> {
-          String service = entry.origin.service();
-          if (versions.get(service).size() > 1 && entry.expiryMillis > clock.millis()) {
-            open.add(new OpenStream(attemptId, service, entry.origin.version()));
+          StreamOrigin origin = entry.origin;
+          boolean onlyVersion = Set.of(origin.version()).equals(versions.get(origin.service()));
+          if (!onlyVersion && entry.expiryMillis > clock.millis()) {
+            open.add(new OpenStream(attemptId, origin.service(), origin.version()));
           }
         });
     return open;
--- a/core/src/test/java/org/heatherspread/core/stream/StreamReportTest.java
+++ b/core/src/test/java/org/heatherspread/core/stream/StreamReportTest.java
@@ -120,6 +120,24 @@
         .containsExactly("c");
   }
 
+  /** Its version is reported no longer, and the service has no endpoints any more. */
+  @Test
+  void streamOfRetiredServiceIsNamed() {
+    streams.open("a", OLD, 100_000);
+    clock.advance(Duration.ofMillis(40_001));
+    StreamReport report = streams.report(1, STORE_MILLIS, Map.of());
+    assertThat(StreamReport.findOpen(List.of(report), "a")).contains(OLD);
+  }
+
+  /** Only a new version is left, which must not be taken for that of the stream. */
+  @Test
+  void streamOfVersionThatIsReportedNoLongerIsNamed() {
+    streams.open("a", OLD, 100_000);
+    clock.advance(Duration.ofMillis(40_001));
+    StreamReport report = streams.report(1, STORE_MILLIS, registered("v2"));
+    assertThat(StreamReport.findOpen(List.of(report), "a")).contains(OLD);
+  }
+
   @Test
   void oldestStreamsAreDroppedBeyondTheMaximum() {
     List<String> ids = new ArrayList<>(List.of("a", "b", "c", "d"));
