--- a/node/src/main/java/org/heatherspread/node/control/ControlPlane.java
+++ b/node/src/main/java/org/heatherspread/node/control/ControlPlane.java
@@ -18,7 +18,6 @@
 import org.apache.pekko.actor.typed.ActorRef;
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.apache.pekko.actor.typed.Behavior;
-import org.apache.pekko.actor.typed.SupervisorStrategy;
 import org.apache.pekko.actor.typed.javadsl.ActorContext;
 import org.apache.pekko.actor.typed.javadsl.Behaviors;
 import org.heatherspread.core.duty.DutyClient;
@@ -308,7 +307,7 @@
         fleetListener);
     reportWriter =
         context.spawn(
-            restarting(
+            ActorRestarts.withPauses(
                 ReportWriter.create(
                     settings.name() + '/' + incarnation,
                     report,
@@ -321,7 +320,7 @@
     shareFacts();
     isolationMonitor.start();
     if (dutyClient != null) {
-      dutyRunner = context.spawn(restarting(createDutyRunner()), "duties");
+      dutyRunner = context.spawn(ActorRestarts.withPauses(createDutyRunner()), "duties");
     }
     return Behaviors.empty();
   }
@@ -375,7 +374,8 @@
     peerHandler.addTable(watchSettings.table(), mirror);
     TableListener mirroring = new MirroringListener(listener, mirror, this::reportIfNeeded);
     context.spawn(
-        restarting(TableWatcher.create(watchSettings, domainReaderStore, freshness, mirroring)),
+        ActorRestarts.withPauses(
+            TableWatcher.create(watchSettings, domainReaderStore, freshness, mirroring)),
         "watch-" + watchSettings.table());
   }
 
@@ -414,10 +414,6 @@
     }
   }
 
-  private static <T> Behavior<T> restarting(Behavior<T> behavior) {
-    return Behaviors.supervise(behavior).onFailure(SupervisorStrategy.restart());
-  }
-
   private Behavior<DutyRunner.Command> createDutyRunner() {
     Supplier<String> writeIds = () -> UUID.randomUUID().toString();
     lease =
