Count a response as in progress until its last byte is written

Cause: a connection was idle as soon as its response was handed over. A stop closes idle connections and waits for requests in progress only; the idle timeout counted from the same moment.

The connection stays in progress until the write ends, and is closed earlier only if the caller reads nothing for an idle timeout.

--- a/relay/src/main/java/org/heatherspread/relay/caller/CallerConnection.java
+++ b/relay/src/main/java/org/heatherspread/relay/caller/CallerConnection.java
@@ -3,7 +3,6 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.SocketChannel;
@@ -55,6 +54,8 @@
     IDLE,
     READING,
     RESPONDING,
+    /** The response is complete, but not yet written to the connection. */
+    WRITING,
     CLOSING
   }
 
@@ -67,6 +68,7 @@
   private long headReceivedMillis;
   private long firstByteMillis = -1;
   private long idleSinceMillis;
+  private long pendingWriteBytes;
   private ScheduledFuture<?> timeoutCheck;
   private ConnectionResponseWriter responseWriter;
   private boolean keepAlive;
@@ -96,7 +98,7 @@
       ReferenceCountUtil.release(message);
       return;
     }
-    if (state == State.RESPONDING || !readAhead.isEmpty()) {
+    if (state == State.RESPONDING || state == State.WRITING || !readAhead.isEmpty()) {
       readAhead.add(message);
       if (readAhead.size() > MAX_READ_AHEAD) {
         context.channel().config().setAutoRead(false);
@@ -238,6 +240,9 @@
     if (state == State.READING) {
       return headReceivedMillis + limits.idleTimeoutMillis();
     }
+    if (state == State.WRITING) {
+      return server.nowMillis() + limits.idleTimeoutMillis();
+    }
     if (firstByteMillis >= 0) {
       return firstByteMillis + limits.headerTimeoutMillis();
     }
@@ -248,6 +253,10 @@
 
   private void checkTimeouts() {
     timeoutCheck = null;
+    if (state == State.WRITING) {
+      checkWriteProgress();
+      return;
+    }
     if (state != State.IDLE && state != State.READING) {
       return;
     }
@@ -268,6 +277,17 @@
     scheduleTimeoutCheck();
   }
 
+  /** Closes the connection if the caller has read nothing since the last check. */
+  private void checkWriteProgress() {
+    long pending = context.channel().unsafe().outboundBuffer().totalPendingWriteBytes();
+    if (pending >= pendingWriteBytes) {
+      close();
+      return;
+    }
+    pendingWriteBytes = pending;
+    scheduleTimeoutCheck();
+  }
+
   private void reject(int status, String reason) {
     log.atInfo()
         .addKeyValue("status", status)
@@ -289,8 +309,9 @@
     }
   }
 
+  /** Returns whether a request is being read, or its response has not been written in full. */
   boolean isRequestInProgress() {
-    return state == State.READING || state == State.RESPONDING;
+    return state == State.READING || state == State.RESPONDING || state == State.WRITING;
   }
 
   void close() {
@@ -301,24 +322,33 @@
     }
   }
 
-  private void closeAfterWrite(ChannelFuture writeFuture) {
-    state = State.CLOSING;
-    writeFuture.addListener(
-        completed -> {
-          ((SocketChannel) context.channel()).shutdownOutput();
-          context.executor().schedule(() -> context.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
-        });
+  private void onResponseComplete(ChannelFuture writeFuture) {
+    responseWriter = null;
+    state = State.WRITING;
+    pendingWriteBytes = Long.MAX_VALUE;
+    writeFuture.addListener(written -> onResponseWritten(written.isSuccess()));
+    if (state == State.WRITING) {
+      scheduleTimeoutCheck();
+    }
   }
 
-  private void onResponseWritten(ChannelFuture writeFuture) {
-    responseWriter = null;
+  private void onResponseWritten(boolean success) {
+    if (state != State.WRITING) {
+      return;
+    }
+    cancelTimeoutCheck();
+    if (!success) {
+      close();
+      return;
+    }
     if (!keepAlive || server.isDraining()) {
-      closeAfterWrite(writeFuture);
+      state = State.CLOSING;
+      ((SocketChannel) context.channel()).shutdownOutput();
+      context.executor().schedule(() -> context.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
       return;
     }
     state = State.IDLE;
     idleSinceMillis = server.nowMillis();
-    writeFuture.addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
     if (!readAhead.isEmpty()) {
       context.executor().execute(this::processReadAhead);
       return;
@@ -402,7 +432,7 @@
       response.headers().set(headers);
       response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
       setConnectionHeader(response);
-      onResponseWritten(context.writeAndFlush(response));
+      onResponseComplete(context.writeAndFlush(response));
     }
 
     @Override
@@ -428,7 +458,7 @@
     @Override
     public void complete() {
       if (isCurrent()) {
-        onResponseWritten(context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
+        onResponseComplete(context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
       }
     }
 
--- a/relay/src/test/java/org/heatherspread/relay/caller/CallerServerTest.java
+++ b/relay/src/test/java/org/heatherspread/relay/caller/CallerServerTest.java
@@ -19,6 +19,8 @@
 import org.junit.jupiter.api.Test;
 
 class CallerServerTest {
+  private static final int LARGE_BYTES = 16 << 20;
+
   private final NioEventLoopGroup group = new NioEventLoopGroup(1);
   private final EventLoop loop = group.next();
   private final List<String> handled = new CopyOnWriteArrayList<>();
@@ -29,7 +31,8 @@
           ClientLimits::defaults,
           (request, writer) -> {
             handled.add(request.target());
-            writer.send(200, new DefaultHttpHeaders(), new byte[0]);
+            byte[] body = new byte[request.target().equals("/large") ? LARGE_BYTES : 0];
+            writer.send(200, new DefaultHttpHeaders(), body);
           });
 
   @BeforeEach
@@ -100,4 +103,20 @@
     }
     assertThat(handled).containsExactly("/first", "/next");
   }
+
+  /**
+   * A response that the caller reads slowly is not cut by a stop, nor does the stop overtake it.
+   */
+  @Test
+  void drainLetsResponsesBeWrittenInFull() throws Exception {
+    try (Socket caller = connect()) {
+      exchange(caller, "/large");
+      loop.submit(server::drain).sync();
+      Thread.sleep(300);
+      assertThat(loop.submit(server::requestsInProgress).get()).isEqualTo(1);
+      assertThat(caller.getInputStream().readAllBytes().length).isGreaterThan(LARGE_BYTES);
+    }
+    Thread.sleep(100);
+    assertThat(loop.submit(server::requestsInProgress).get()).isZero();
+  }
 }
