Remember endpoints that left when their registration comes back

Cause: the notice was dropped with the endpoint's state once its registration was gone; the restored registration of the same incarnation began without it.

The table remembers incarnations that left after a notice and marks them as leaving if they appear again.

--- a/core/src/main/java/org/heatherspread/core/placement/EndpointTable.java
+++ b/core/src/main/java/org/heatherspread/core/placement/EndpointTable.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -17,14 +18,21 @@
  * Table of all registered endpoints. An endpoint receives no new requests once its registration
  * says that it is leaving. An endpoint whose registration is missing remains usable until a time
  * set by the caller, since registrations also lapse during a store outage while their endpoints
- * still run. Confined to one thread.
+ * still run. An incarnation that gave notice and left is still leaving if its registration appears
+ * again, as a store that was restored from an earlier copy may have it. Confined to one thread.
  */
 public final class EndpointTable {
+  /** Maximum number of incarnations that are remembered after they left. */
+  private static final int MAX_DEPARTED = 1_000;
+
   private final HealthPolicy health;
   private final ToLongFunction<String> cacheTokens;
   private final Map<String, TrackedEndpoint> byId = new HashMap<>();
   private final Map<String, List<TrackedEndpoint>> byService = new HashMap<>();
 
+  /** The last incarnation of each endpoint that left after a notice, the earliest first. */
+  private final Map<String, RegisteredEndpoint> departed = new LinkedHashMap<>();
+
   private EndpointTable(HealthPolicy health, ToLongFunction<String> cacheTokens) {
     this.health = health;
     this.cacheTokens = cacheTokens;
@@ -54,6 +62,10 @@
     }
     TrackedEndpoint tracked =
         TrackedEndpoint.create(next, health, cacheTokens.applyAsLong(next.service()));
+    RegisteredEndpoint left = departed.get(next.id());
+    if (left != null && sameIncarnation(left, next)) {
+      tracked.markLeaving();
+    }
     byId.put(next.id(), tracked);
     byService.computeIfAbsent(next.service(), service -> new ArrayList<>()).add(tracked);
   }
@@ -98,6 +110,13 @@
   }
 
   private void remove(TrackedEndpoint endpoint) {
+    if (endpoint.gaveNotice() && endpoint.registration().startedAtMillis() > 0) {
+      departed.remove(endpoint.id());
+      departed.put(endpoint.id(), endpoint.registration());
+    }
+    if (departed.size() > MAX_DEPARTED) {
+      departed.remove(departed.keySet().iterator().next());
+    }
     byId.remove(endpoint.id());
     byService.get(endpoint.registration().service()).remove(endpoint);
   }
--- a/core/src/main/java/org/heatherspread/core/placement/TrackedEndpoint.java
+++ b/core/src/main/java/org/heatherspread/core/placement/TrackedEndpoint.java
@@ -118,7 +118,12 @@
 
   /** Returns whether the endpoint takes part in the service. */
   public boolean isUsable(long nowMillis) {
-    return !registration.leaving() && !announcedLeaving && nowMillis < unusableAtMillis;
+    return !gaveNotice() && nowMillis < unusableAtMillis;
+  }
+
+  /** Returns whether this incarnation has said that it leaves. */
+  boolean gaveNotice() {
+    return registration.leaving() || announcedLeaving;
   }
 
   /** Returns whether a request may be sent now. */
@@ -133,7 +138,7 @@
    * @return whether that is new
    */
   public boolean markLeaving() {
-    boolean changed = !announcedLeaving && !registration.leaving();
+    boolean changed = !gaveNotice();
     announcedLeaving = true;
     return changed;
   }
--- a/node/src/test/java/org/heatherspread/node/control/EndpointListenerTest.java
+++ b/node/src/test/java/org/heatherspread/node/control/EndpointListenerTest.java
@@ -62,6 +62,35 @@
     assertThat(isUsable()).isFalse();
   }
 
+  /**
+   * The notice came with a response, and the endpoint's state was dropped with its registration.
+   */
+  @Test
+  void endpointThatLeftBeforeTheRestoreIsNotUsedAgain() {
+    clock.advance(Duration.ofMinutes(1));
+    read(1, 3, registration("ready"));
+    state.endpoints().get("e1").orElseThrow().markLeaving();
+    read(1, 4);
+    assertThat(state.endpoints().get("e1")).isEmpty();
+    read(2, 2, registration("ready"));
+    assertThat(isUsable()).isFalse();
+  }
+
+  @Test
+  void nextIncarnationOfAnEndpointThatLeftIsUsed() {
+    clock.advance(Duration.ofMinutes(1));
+    read(1, 3, registration("draining"));
+    read(1, 4);
+    assertThat(state.endpoints().get("e1")).isEmpty();
+    byte[] value =
+        REGISTRATION
+            .formatted("ready")
+            .replace("\"born\": 7", "\"born\": 8")
+            .getBytes(StandardCharsets.UTF_8);
+    read(1, 5, new SharedRow("e1", value, 5, false));
+    assertThat(isUsable()).isTrue();
+  }
+
   private void recoverFromOutage(SharedRow... rows) {
     clock.advance(Duration.ofMinutes(1));
     read(1, 3, registration("ready"));
