Let test endpoints refuse connections once they are closed

Cause: while another thread accepts, a closed listener takes connections for a moment, so the probe of the daemon that the crash causes was accepted, and the endpoint counted as running. The stand-in said that it had crashed before that was so.

--- a/relay/src/test/java/org/heatherspread/relay/FakeEndpoint.java
+++ b/relay/src/test/java/org/heatherspread/relay/FakeEndpoint.java
@@ -17,6 +17,8 @@
 
 /** An endpoint that handles each request with a script, over real sockets. */
 public final class FakeEndpoint implements AutoCloseable {
+  private static final long MAX_CLOSE_NANOS = 1_000_000_000;
+
   private final ServerSocket listener;
   private final Script script;
   private final List<Request> requests = new CopyOnWriteArrayList<>();
@@ -209,8 +211,25 @@
     thread.start();
   }
 
+  /**
+   * Closes the endpoint and waits until connections are refused. While another thread waits for
+   * connections, the system accepts them for a moment after the listener was closed.
+   */
   @Override
   public void close() throws IOException {
+    int port = listener.getLocalPort();
     listener.close();
+    long deadlineNanos = System.nanoTime() + MAX_CLOSE_NANOS;
+    while (isAccepting(port) && System.nanoTime() < deadlineNanos) {
+      Thread.onSpinWait();
+    }
+  }
+
+  private static boolean isAccepting(int port) {
+    try (Socket probe = new Socket("127.0.0.1", port)) {
+      return probe.isConnected();
+    } catch (IOException e) {
+      return false;
+    }
   }
 }
