Find the own limits soon after a start whatever is read first

Cause, by a trace of reads and reports: if the first read of the daemon reports ended before that of the configuration, the next one came after the regular 1.5 s, as the short pause of a start required a configuration. Besides, the report that the daemon is ready was written only after a full read of a table, not after a change, so a configuration that came as a change waited for the next regular report.

The pause is short in the first 5 s without a configuration, too, and readiness is reported after every read. NodeTest.decidesOnItsOwnLimitsSoonAfterLate- Configuration took 1.3 s before (bound 1 s) and passes now.

--- a/node/src/main/java/org/heatherspread/node/control/ControlPlane.java
+++ b/node/src/main/java/org/heatherspread/node/control/ControlPlane.java
@@ -91,6 +91,9 @@
    */
   private static final Duration START_FLEET_PAUSE = Duration.ofMillis(250);
 
+  /** Time after a start in which the first configuration is expected. */
+  private static final long MAX_START_MILLIS = 5_000;
+
   /** Bounds the reports while they name streams that may have to be found after a restart. */
   private static final ReportSchedule STREAM_REPORT_SCHEDULE =
       new ReportSchedule(Duration.ofMillis(600), 150);
@@ -132,6 +135,7 @@
   private final FleetView fleet = FleetView.create(LIVENESS_TIMEOUT.toMillis());
   private final EndpointListener endpointListener;
   private final FleetListener fleetListener;
+  private final long createdMillis;
   private Map<String, Set<String>> reportedVersions = Map.of();
   private boolean reportedReady;
   private boolean leaving;
@@ -150,6 +154,7 @@
       SharedStreamOrigins streamOrigins,
       Supplier<DaemonReport> report,
       BooleanSupplier reportWritten) {
+    this.createdMillis = state.clock().millis();
     this.reportWritten = reportWritten;
     this.settings = settings;
     this.state = state;
@@ -372,19 +377,14 @@
       TableListener listener) {
     MirroredTable mirror = new MirroredTable(state.loop(), freshness);
     peerHandler.addTable(watchSettings.table(), mirror);
-    TableListener mirroring = new MirroringListener(listener, mirror, this::reportIfNeeded);
+    TableListener mirroring =
+        new MirroringListener(listener, mirror, this::reportOnceReady, this::reportNewVersions);
     context.spawn(
         ActorRestarts.withPauses(
             TableWatcher.create(watchSettings, domainReaderStore, freshness, mirroring)),
         "watch-" + watchSettings.table());
   }
 
-  /** Writes a report at once if other daemons, or this one's successors, must know its content. */
-  private void reportIfNeeded() {
-    reportOnceReady();
-    reportNewVersions();
-  }
-
   /**
    * Writes a report as soon as the versions in use change: streams begin at a new version only once
    * a report names it.
@@ -446,8 +446,14 @@
     return DutyRunner.create(lease, new ReportRank(), duties, pauseDetector);
   }
 
+  /**
+   * Returns the pause after a read of the daemon reports. The first reads of the reports and of the
+   * configuration end in any order, so the pause is short before the configuration, too.
+   */
   private Duration fleetPause() {
-    boolean starting = !leaving && state.config().isPresent() && !fleetListener.isOwnerCandidate();
+    boolean configured =
+        state.config().isPresent() || state.clock().millis() - createdMillis < MAX_START_MILLIS;
+    boolean starting = !leaving && configured && !fleetListener.isOwnerCandidate();
     return starting ? START_FLEET_PAUSE : select(DOMAIN_READER_FLEET_PAUSE, reportInterval());
   }
 
--- a/node/src/main/java/org/heatherspread/node/control/MirroringListener.java
+++ b/node/src/main/java/org/heatherspread/node/control/MirroringListener.java
@@ -7,14 +7,17 @@
  * Passes the contents of a table to a listener and to the mirror that other daemons read. Confined
  * to the event loop.
  *
- * @param afterFullRead runs after each full read has been passed on
+ * @param afterRead runs after each read has been passed on
+ * @param afterFullRead runs after each full read besides
  */
-record MirroringListener(TableListener listener, MirroredTable mirror, Runnable afterFullRead)
+record MirroringListener(
+    TableListener listener, MirroredTable mirror, Runnable afterRead, Runnable afterFullRead)
     implements TableListener {
   @Override
   public void onFullRead(SharedReadResult result, boolean restored) {
     listener.onFullRead(result, restored);
     mirror.replaceAll(result);
+    afterRead.run();
     afterFullRead.run();
   }
 
@@ -22,6 +25,7 @@
   public void onChanges(SharedReadResult result) {
     listener.onChanges(result);
     mirror.applyChanges(result);
+    afterRead.run();
   }
 
   @Override
--- a/node/src/test/java/org/heatherspread/node/NodeTest.java
+++ b/node/src/test/java/org/heatherspread/node/NodeTest.java
@@ -147,6 +147,22 @@
     }
   }
 
+  /** The first read of the daemon reports ends before that of the configuration. */
+  @Test
+  void decidesOnItsOwnLimitsSoonAfterLateConfiguration() throws Exception {
+    try (FakePlatform other = FakePlatform.start()) {
+      int port = LoopbackSupport.freePort();
+      int ready = LoopbackSupport.freePort();
+      startNode(other, port, ready, LoopbackSupport.freePort());
+      TimeUnit.MILLISECONDS.sleep(200);
+      other.write("op", "config", LIMITED_CONFIGURATION);
+      await(() -> LoopbackSupport.requestStatus(ready, "/", "") == 200);
+      long start = System.nanoTime();
+      await(() -> LoopbackSupport.requestStatus(port, "/a/x", "key-1") == 503);
+      assertThat(System.nanoTime() - start).isLessThan(TimeUnit.MILLISECONDS.toNanos(1_000));
+    }
+  }
+
   @Test
   void readsChangesAfterTheStoreDroppedItsHistory() throws Exception {
     platform.write("other", "x", "y");
