Forward only the event that follows what the caller of a stream has

Callers that resumed a stream with Last-Event-Id got whatever event the endpoint began with: numbers that went back, pieces twice, or a gap (ids 1, 4, 5, 7 and 20 after 5: five of five forwarded). Events without an id were forwarded among events with ids, and a broken stream without ids was run again from its beginning, so its pieces came twice.

Cause: an attempt compared an event with the last one of the same call, which is unknown when the caller resumes; an unknown id passed the check. EventSequence now holds the position of the caller from the start of the call: once an id is known, only the next one follows. A stream whose position is unknown is not run again. Comments are no events. A Last-Event-Id that is no number is rejected, since no run can be checked against it.

"request ended" tells the id after which a stream is resumed and the caller's connection, so that requests on one connection can be told from others.

--- a/core/src/main/java/org/heatherspread/core/stream/EventSplitter.java
+++ b/core/src/main/java/org/heatherspread/core/stream/EventSplitter.java
@@ -59,6 +59,18 @@
     return size > 0;
   }
 
+  /** Returns whether a block of a stream holds comments only, which callers ignore. */
+  public static boolean isComment(byte[] block) {
+    boolean lineStarts = true;
+    for (byte next : block) {
+      if (lineStarts && next != ':' && next != '\r' && next != '\n') {
+        return false;
+      }
+      lineStarts = next == '\n';
+    }
+    return true;
+  }
+
   private boolean endsEvent(int at, int start) {
     if (buffer[at] != '\n' || at - 1 < start) {
       return false;
--- a/relay/src/main/java/org/heatherspread/relay/call/Attempt.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/Attempt.java
@@ -206,7 +206,7 @@
     progress.possibleExecutions += cacheCopy == null ? 1 : 0;
     sentMillis = now;
     lastProgressMillis = now;
-    long resumeAfter = progress.streamStarted ? progress.lastEventId : -1;
+    long resumeAfter = progress.streamStarted ? progress.events.lastId() : -1;
     connection.send(
         call.headerRewriter()
             .endpointRequest(
@@ -343,16 +343,16 @@
     if (!isActive()) {
       return;
     }
-    if (id >= 0 && progress.lastEventId >= 0 && id != progress.lastEventId + 1) {
-      rejectResponse("event " + id + " after event " + progress.lastEventId);
+    if (EventSplitter.isComment(bytes)) {
+      forward(bytes);
       return;
     }
-    if (!progress.streamStarted) {
-      progress.streamStarted = true;
-      recordOrigin();
-      responseWriter.start(status, call.headerRewriter().callerHeaders(headers));
-      responseWriter.onWritable(call::onCallerWritable);
+    if (!progress.events.isNext(id)) {
+      String name = id < 0 ? "event without an id" : "event " + id;
+      rejectResponse(name + " after event " + progress.events.lastId());
+      return;
     }
+    progress.events.advance(id);
     long now = state.clock().millis();
     if (progress.firstResponseMillis < 0) {
       progress.firstResponseMillis = now - context.request().receivedAtMillis();
@@ -367,8 +367,16 @@
     if (eventCount == EVENTS_OF_BEGUN_ANSWER) {
       state.poisonFilter().answerBegan(context);
     }
-    if (id >= 0) {
-      progress.lastEventId = id;
+    forward(bytes);
+  }
+
+  /** Writes an event or a comment, after the head if it is the first one. */
+  private void forward(byte[] bytes) {
+    if (!progress.streamStarted) {
+      progress.streamStarted = true;
+      recordOrigin();
+      responseWriter.start(status, call.headerRewriter().callerHeaders(headers));
+      responseWriter.onWritable(call::onCallerWritable);
     }
     responseWriter.write(bytes);
     if (!responseWriter.isWritable()) {
@@ -519,7 +527,7 @@
 
   private void recordAnswerLength() {
     int declaredTokens = context.declaredTokens() - context.work().promptTokens();
-    long tokens = progress.lastEventId * state.tokensPerEvent(context.service());
+    long tokens = progress.events.lastId() * state.tokensPerEvent(context.service());
     if (!context.request().headers().contains(call.headerNames().lastEventId())) {
       state.answerLengths().recordAnswer(context.route().name(), declaredTokens, tokens);
     }
@@ -530,6 +538,7 @@
     Optional<StreamMigrator> migrator = state.migrator(context.service());
     if (!isActive()
         || !progress.streamStarted
+        || !progress.events.canResume()
         || migrating
         || migrator.isEmpty()
         || context.id().isEmpty()
--- a/relay/src/main/java/org/heatherspread/relay/call/CallContext.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/CallContext.java
@@ -2,6 +2,7 @@
 
 import org.heatherspread.core.placement.Workload;
 import org.heatherspread.core.serving.Route;
+import org.heatherspread.core.stream.EventSequence;
 import org.heatherspread.relay.caller.CallerRequest;
 
 /**
@@ -17,6 +18,8 @@
  * @param deadlineMillis end of the time allowed by the caller and the route, on the monotonic clock
  * @param callerDeadlineMillis end of the time for which the caller waits, on the monotonic clock;
  *     {@code Long.MAX_VALUE} if the caller did not tell
+ * @param resumeAfter id of the last event that the caller has of a stream that it resumes, -1 for
+ *     other requests
  * @param configVersion version of the configuration that was applied
  */
 record CallContext(
@@ -31,6 +34,7 @@
     int urgency,
     long deadlineMillis,
     long callerDeadlineMillis,
+    long resumeAfter,
     long configVersion) {
   /** Returns the same request for another service of its route. */
   CallContext withService(String other) {
@@ -46,6 +50,12 @@
         urgency,
         deadlineMillis,
         callerDeadlineMillis,
+        resumeAfter,
         configVersion);
   }
+
+  /** Returns the position of the caller in the stream before the first attempt. */
+  EventSequence events() {
+    return resumeAfter < 0 ? EventSequence.fromBeginning() : EventSequence.after(resumeAfter);
+  }
 }
--- a/relay/src/main/java/org/heatherspread/relay/call/CallProgress.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/CallProgress.java
@@ -1,5 +1,6 @@
 package org.heatherspread.relay.call;
 
+import org.heatherspread.core.stream.EventSequence;
 import org.heatherspread.core.stream.StreamOrigin;
 
 /**
@@ -28,9 +29,13 @@
   /** Whether the request was counted as usage of its account. */
   boolean usageCounted;
 
-  /** Id of the last forwarded event, -1 if none. */
-  long lastEventId = -1;
+  /** Position of the caller in the stream. */
+  final EventSequence events;
 
   /** Time from the receipt of the request to the start of its response, -1 before the response. */
   long firstResponseMillis = -1;
+
+  CallProgress(EventSequence events) {
+    this.events = events;
+  }
 }
--- a/relay/src/main/java/org/heatherspread/relay/call/Refusal.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/Refusal.java
@@ -10,6 +10,8 @@
   STOPPING(503),
   /** No route matches the host and path. */
   NO_ROUTE(404),
+  /** The event after which the caller resumes a stream is not named by a number. */
+  INVALID_EVENT_ID(400),
   /** The key is missing or belongs to no client account. */
   UNKNOWN_KEY(401),
   /** The configuration may be too old to validate keys. */
--- a/relay/src/main/java/org/heatherspread/relay/call/RelayCall.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/RelayCall.java
@@ -74,7 +74,7 @@
   private final Set<String> triedEndpoints = new HashSet<>();
   private final ScheduledFuture<?> deadlineTimer;
   private Attempt currentAttempt;
-  private final CallProgress progress = new CallProgress();
+  private final CallProgress progress;
   private boolean finished;
   private boolean demandRecorded;
   private long expectedMillis = -1;
@@ -91,6 +91,7 @@
     this.headerNames = headerNames;
     this.headerRewriter = headerRewriter;
     this.context = context;
+    this.progress = new CallProgress(context.events());
     this.requiresKey = requiresKey;
     this.responseWriter = responseWriter;
     this.refusalResponder = refusalResponder;
@@ -310,7 +311,7 @@
         progress.possibleExecutions < context.route().maxAttempts()
             && progress.refusalCount <= MAX_REFUSALS;
     boolean repeatable = progress.possibleExecutions == 0 || context.route().isRepeatable();
-    if (!timeRemains || !attemptsRemain || !repeatable) {
+    if (!timeRemains || !attemptsRemain || !repeatable || !progress.events.canResume()) {
       fail(refusal);
       return;
     }
@@ -411,7 +412,9 @@
         .addKeyValue("first_ms", progress.firstResponseMillis)
         .addKeyValue("expected_ms", expectedMillis)
         .addKeyValue("ms", state.clock().millis() - context.request().receivedAtMillis())
-        .addKeyValue("last_event", progress.lastEventId)
+        .addKeyValue("resume_after", context.resumeAfter())
+        .addKeyValue("last_event", progress.events.lastId())
+        .addKeyValue("connection", context.request().connection())
         .addKeyValue("config", context.configVersion())
         .log("request ended");
   }
--- a/relay/src/main/java/org/heatherspread/relay/call/RelayHandler.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/RelayHandler.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.regex.Pattern;
 import org.heatherspread.core.placement.Workload;
 import org.heatherspread.core.serving.AccountConfig;
 import org.heatherspread.core.serving.CallKind;
@@ -39,6 +40,8 @@
 
   private static final double MILLIS_PER_SECOND = 1_000;
 
+  private static final Pattern EVENT_ID = Pattern.compile("\\d{1,18}");
+
   /** Time limit if neither the request nor the route has one. */
   private static final long DEFAULT_TIMEOUT_MILLIS = 15_000;
 
@@ -84,6 +87,10 @@
       refusalResponder.refuse(Refusal.UNKNOWN_KEY, 0);
       return;
     }
+    if (route.kind() == CallKind.STREAM && !hasValidEventId(request)) {
+      refusalResponder.refuse(Refusal.INVALID_EVENT_ID, 0);
+      return;
+    }
     CallContext context = createContext(id, request, config, route, account);
     if (!state.shutdown().accepts(context.deadlineMillis())) {
       refusalResponder.refuse(Refusal.STOPPING, STOPPING_RETRY_AFTER_SECONDS);
@@ -106,6 +113,11 @@
             });
   }
 
+  private boolean hasValidEventId(CallerRequest request) {
+    String eventId = request.headers().get(headerNames.lastEventId());
+    return eventId == null || EVENT_ID.matcher(eventId.trim()).matches();
+  }
+
   private boolean resumesStream(CallContext context) {
     HttpHeaders headers = context.request().headers();
     return context.route().kind() == CallKind.STREAM
@@ -239,9 +251,15 @@
         requestedMillis == Long.MAX_VALUE
             ? Long.MAX_VALUE
             : request.receivedAtMillis() + requestedMillis,
+        resumeAfter(request, route),
         config.version());
   }
 
+  private long resumeAfter(CallerRequest request, Route route) {
+    String eventId = request.headers().get(headerNames.lastEventId());
+    return route.kind() != CallKind.STREAM || eventId == null ? -1 : Long.parseLong(eventId.trim());
+  }
+
   private static long timeoutMillis(long requestedMillis, Route route) {
     long routeMillis = route.timeoutMillis() > 0 ? route.timeoutMillis() : Long.MAX_VALUE;
     long timeoutMillis = Math.min(routeMillis, requestedMillis);
--- a/relay/src/main/java/org/heatherspread/relay/caller/CallerConnection.java
+++ b/relay/src/main/java/org/heatherspread/relay/caller/CallerConnection.java
@@ -214,6 +214,7 @@
             requestHead.uri(),
             requestHead.headers(),
             requestBody.toByteArray(),
+            context.channel().id().asShortText(),
             headReceivedMillis);
     requestBody = null;
     server.handler().handle(request, responseWriter);
--- a/relay/src/main/java/org/heatherspread/relay/caller/CallerRequest.java
+++ b/relay/src/main/java/org/heatherspread/relay/caller/CallerRequest.java
@@ -8,7 +8,13 @@
  *
  * @param target path and query, unchanged
  * @param body body, not copied; must not be modified
+ * @param connection id of the connection in logs
  * @param receivedAtMillis time at which the head was received, on the monotonic clock
  */
 public record CallerRequest(
-    HttpMethod method, String target, HttpHeaders headers, byte[] body, long receivedAtMillis) {}
+    HttpMethod method,
+    String target,
+    HttpHeaders headers,
+    byte[] body,
+    String connection,
+    long receivedAtMillis) {}
