Do not complete a stream by a run without events

After events 1 and 2 and a reset, a run that answered 200 without any event ended the caller's stream as complete. Nothing in the protocol tells whether event 2 was the last one, so the run counts as broken: another endpoint is tried within the budget, else the stream is cut.

--- a/relay/src/main/java/org/heatherspread/relay/call/Attempt.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/Attempt.java
@@ -493,7 +493,8 @@
       rejectResponse("stream ended within an event");
       return;
     }
-    if (!progress.streamStarted) {
+    if (eventCount == 0) {
+      // Nothing tells whether the last event of the run before was the last one of the stream.
       rejectResponse("stream without events");
       return;
     }
--- a/relay/src/test/java/org/heatherspread/relay/call/ResumedStreamTest.java
+++ b/relay/src/test/java/org/heatherspread/relay/call/ResumedStreamTest.java
@@ -174,6 +174,18 @@
         .endsWith(END);
   }
 
+  /** Nothing tells whether the last event of the broken run was the last one of the stream. */
+  @Test
+  void runWithoutEventsDoesNotCompleteTheStream() throws Exception {
+    String response =
+        callBroken(
+            (request, connection) -> {
+              connection.startStream(request.header("attempt-id"));
+              connection.endStream();
+            });
+    assertCutAfterTwoEvents(response);
+  }
+
   @ParameterizedTest
   @ValueSource(strings = {"five", "-1", "5x", "1e3", "99999999999999999999"})
   void eventIdThatIsNoNumberIsRejected(String eventId) throws Exception {
