Let a failed resumption end a stream in one place

A status other than 200 of a run that was to go on with a stream was passed to the writer as if nothing had begun. Callers got a cut stream only because Netty's encoder refuses a second head, and the log said "answered 500".

The attempt now ends as failed: another endpoint is tried within the budget, else the call ends as cut in responses, logs and metrics alike. The writer refuses a second head by itself, closes the connection and logs it.

--- a/relay/src/main/java/org/heatherspread/relay/call/Attempt.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/Attempt.java
@@ -442,6 +442,10 @@
       onRefused();
       return;
     }
+    if (progress.streamStarted) {
+      failResumedRun();
+      return;
+    }
     long now = state.clock().millis();
     recordCompletion();
     boolean serverError = status >= 500 || status == 429 || status == 408;
@@ -461,6 +465,15 @@
     forwardResponse();
   }
 
+  /** Ends a run that was to go on with a stream but was answered by another status. */
+  private void failResumedRun() {
+    recordCompletion();
+    trackedRequest.recordFailure(state.clock().millis());
+    close();
+    logOutcome("error", "status " + status + " within a stream");
+    call.retryOrFail(RetryReason.ENDPOINT_ERROR, Refusal.ANSWER_LOST);
+  }
+
   /** Retries the request if the remaining time and the retry budget allow, else runs the action. */
   private void retryOr(RetryReason reason, Runnable otherwise) {
     boolean timeRemains = call.remainingMillis() > RelayCall.MIN_REMAINING_MILLIS;
--- a/relay/src/main/java/org/heatherspread/relay/caller/CallerConnection.java
+++ b/relay/src/main/java/org/heatherspread/relay/caller/CallerConnection.java
@@ -405,12 +405,30 @@
   private final class ConnectionResponseWriter implements ResponseWriter {
     private Runnable disconnectAction;
     private boolean disconnected;
+    private boolean started;
     private Runnable writableAction;
 
     private boolean isCurrent() {
       return responseWriter == this;
     }
 
+    /** Returns whether the head can be written now; a second one cuts the response off. */
+    private boolean beginHead(int status) {
+      if (!isCurrent()) {
+        return false;
+      }
+      if (started) {
+        log.atError()
+            .addKeyValue("target", requestHead.uri())
+            .addKeyValue("status", status)
+            .log("second head of a response not written");
+        abort();
+        return false;
+      }
+      started = true;
+      return true;
+    }
+
     private void setConnectionHeader(HttpResponse response) {
       boolean requested =
           response.headers().contains(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE, true);
@@ -422,7 +440,7 @@
 
     @Override
     public void send(int status, HttpHeaders headers, byte[] body) {
-      if (!isCurrent()) {
+      if (!beginHead(status)) {
         return;
       }
       FullHttpResponse response =
@@ -438,7 +456,7 @@
 
     @Override
     public void start(int status, HttpHeaders headers) {
-      if (!isCurrent()) {
+      if (!beginHead(status)) {
         return;
       }
       HttpResponse response =
--- a/relay/src/main/java/org/heatherspread/relay/caller/ResponseWriter.java
+++ b/relay/src/main/java/org/heatherspread/relay/caller/ResponseWriter.java
@@ -4,8 +4,8 @@
 
 /**
  * Writes the response to one request, either complete or as a stream of chunks. Writes have no
- * effect after the response is complete or the caller has disconnected. Confined to the
- * connection's event loop.
+ * effect after the response is complete or the caller has disconnected; a second head is not
+ * written and closes the connection. Confined to the connection's event loop.
  */
 public interface ResponseWriter {
   /** Sends a complete response. */
--- a/relay/src/test/java/org/heatherspread/relay/call/ResumedStreamTest.java
+++ b/relay/src/test/java/org/heatherspread/relay/call/ResumedStreamTest.java
@@ -186,6 +186,19 @@
     assertCutAfterTwoEvents(response);
   }
 
+  /** The status, head and body of a failed resumption must not appear within the stream. */
+  @ParameterizedTest
+  @ValueSource(ints = {201, 204, 302, 400, 404, 408, 409, 413, 429, 500, 502, 503, 504})
+  void failedResumptionCutsTheStream(int status) throws Exception {
+    String response =
+        callBroken(
+            (request, connection) ->
+                connection.respond(
+                    status, request.header("attempt-id"), status == 204 ? "" : "error"));
+    assertCutAfterTwoEvents(response);
+    assertThat(response).containsOnlyOnce("HTTP/1.1").doesNotContain("error");
+  }
+
   @ParameterizedTest
   @ValueSource(strings = {"five", "-1", "5x", "1e3", "99999999999999999999"})
   void eventIdThatIsNoNumberIsRejected(String eventId) throws Exception {
--- a/relay/src/test/java/org/heatherspread/relay/caller/CallerServerTest.java
+++ b/relay/src/test/java/org/heatherspread/relay/caller/CallerServerTest.java
@@ -31,6 +31,10 @@
           ClientLimits::defaults,
           (request, writer) -> {
             handled.add(request.target());
+            if (request.target().equals("/started")) {
+              writer.start(200, new DefaultHttpHeaders());
+              writer.write("part".getBytes(StandardCharsets.US_ASCII));
+            }
             byte[] body = new byte[request.target().equals("/large") ? LARGE_BYTES : 0];
             writer.send(200, new DefaultHttpHeaders(), body);
           });
@@ -119,4 +123,16 @@
     Thread.sleep(100);
     assertThat(loop.submit(server::requestsInProgress).get()).isZero();
   }
+
+  /** The first part of a stream and an error must not become one response. */
+  @Test
+  void secondHeadCutsTheResponse() throws Exception {
+    try (Socket caller = connect()) {
+      send(caller, "/started");
+      byte[] response = caller.getInputStream().readAllBytes();
+      assertThat(new String(response, StandardCharsets.US_ASCII))
+          .containsOnlyOnce("HTTP/1.1")
+          .endsWith("part\r\n");
+    }
+  }
 }
