Treat a stream without length that ends in its migration as broken

A run that is moved stops first, and its stream is closed without its end. If its response has neither a length nor chunks, that end looks like the regular one: the caller's stream was completed before its last piece, and the moved run was discarded.

--- a/relay/src/main/java/org/heatherspread/relay/call/Attempt.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/Attempt.java
@@ -434,6 +434,10 @@
       close();
       return;
     }
+    if (migrating && delimitedByClose) {
+      onFailure("response ended while its run was moved");
+      return;
+    }
     if (streaming) {
       completeStream();
       return;
--- a/relay/src/test/java/org/heatherspread/relay/call/ResumedStreamTest.java
+++ b/relay/src/test/java/org/heatherspread/relay/call/ResumedStreamTest.java
@@ -3,7 +3,11 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.heatherspread.core.engine.StreamMigrator;
+import org.heatherspread.core.serving.HostPort;
 import org.heatherspread.relay.FakeEndpoint;
 import org.heatherspread.relay.RelayHarness;
 import org.junit.jupiter.api.AfterEach;
@@ -199,6 +203,49 @@
     assertThat(response).containsOnlyOnce("HTTP/1.1").doesNotContain("error");
   }
 
+  /** The source of a migration stops its run before the stream is complete. */
+  @Test
+  void streamWithoutLengthThatEndsInItsMigrationIsNotComplete() throws Exception {
+    harness.close();
+    FakeEndpoint.Connection[] running = new FakeEndpoint.Connection[1];
+    harness = RelayHarness.start(closingMigrator(running));
+    FakeEndpoint source =
+        FakeEndpoint.start(
+            (request, connection) -> {
+              connection.send("HTTP/1.1 200 OK\r\nAttempt-Id: " + request.header("attempt-id"));
+              connection.send("\r\nServer-Signature: sig\r\n\r\nid: 1\ndata: piece-1\n\n");
+              running[0] = connection;
+              TimeUnit.SECONDS.sleep(2);
+            });
+    harness.register(source);
+    try (RelayHarness.Caller caller = harness.caller()) {
+      caller.request("POST", "/reply/a", "id-1", "Connection: close");
+      caller.readUntil("piece-1");
+      harness.registerLeaving(source, startingAt(2));
+      assertThat(caller.readAll()).contains("piece-2").contains("piece-3").endsWith(END);
+    }
+  }
+
+  private static StreamMigrator closingMigrator(FakeEndpoint.Connection[] running) {
+    return new StreamMigrator() {
+      @Override
+      public CompletableFuture<Optional<String>> migrate(
+          HostPort from, String requestId, HostPort to) {
+        try {
+          running[0].socket().close();
+        } catch (IOException e) {
+          return CompletableFuture.failedFuture(e);
+        }
+        return CompletableFuture.supplyAsync(
+            () -> Optional.of(from + "/h"),
+            CompletableFuture.delayedExecutor(50, TimeUnit.MILLISECONDS));
+      }
+
+      @Override
+      public void discardCopy(HostPort from, String copy) {}
+    };
+  }
+
   @ParameterizedTest
   @ValueSource(strings = {"five", "-1", "5x", "1e3", "99999999999999999999"})
   void eventIdThatIsNoNumberIsRejected(String eventId) throws Exception {
