Test responses whose head stops half way

From a report of another operator: callers got a 200 with an empty or short body after a head that stopped half way. It cannot happen here: the decoder marks such a head as failed, and EndpointConnection fails the request.

--- /dev/null
+++ b/relay/src/test/java/org/heatherspread/relay/call/PartialHeadTest.java
@@ -0,0 +1,68 @@
+package org.heatherspread.relay.call;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import org.heatherspread.relay.FakeEndpoint;
+import org.heatherspread.relay.RelayHarness;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** An endpoint stops within the head of its response; the caller must not get a success. */
+class PartialHeadTest {
+  private RelayHarness harness;
+
+  @BeforeEach
+  void start() throws Exception {
+    harness = RelayHarness.start();
+  }
+
+  @AfterEach
+  void stop() {
+    harness.close();
+  }
+
+  private static String head(String id, String framing) {
+    return "HTTP/1.1 200 OK\r\nAttempt-Id: "
+        + id
+        + "\r\nServer-Signature: sig\r\n"
+        + framing
+        + "\r\n\r\n";
+  }
+
+  /** Starts an endpoint that sends only as many bytes of a head as the id of the request says. */
+  private static FakeEndpoint endpoint(String framing, boolean reset) throws IOException {
+    return FakeEndpoint.start(
+        (request, connection) -> {
+          String id = request.header("attempt-id");
+          connection.send(head(id, framing).substring(0, Integer.parseInt(id)));
+          if (reset) {
+            connection.reset();
+          }
+          throw new IOException("ends within the head");
+        });
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "/write/a,Content-Length: 5,false",
+    "/write/a,Content-Length: 5,true",
+    "/write/a,Transfer-Encoding: chunked,false",
+    "/write/a,Connection: close,false",
+    "/read/a,Content-Length: 5,false",
+    "/draft/a,Transfer-Encoding: chunked,false",
+    "/draft/a,Connection: close,true",
+    "/reply/a,Connection: close,false"
+  })
+  void partialHeadIsNoResponse(String path, String framing, boolean reset) throws Exception {
+    harness.register(endpoint(framing, reset));
+    int length = head("100", framing).length();
+    for (int sent = 0; sent < length; sent++) {
+      // Leading zeros keep the length of the head the same.
+      String response = harness.call("POST", path, String.format("%03d", sent));
+      assertThat(response).as("after %s bytes", sent).startsWith("HTTP/1.1 50");
+    }
+  }
+}
