Fail responses whose body or event holds the head of another one

Callers got a success with a part of its own body and the head of another response as the rest, and found an error's head and text in the middle of a stream, which ended as complete.

Cause: an endpoint stops within a body and then writes another response on the same connection. The bytes of the second one complete the first: up to its length, or up to the end of the connection, where there is none. In a stream, the blank line after the second head ends the event that was broken off.

A body or an event is now rejected if a status line is followed by the header with which endpoints repeat the id of a request. A status line alone is not enough: text may quote one.

--- a/relay/src/main/java/org/heatherspread/relay/call/Attempt.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/Attempt.java
@@ -343,6 +343,10 @@
     if (!isActive()) {
       return;
     }
+    if (call.joinedContent().isJoined(bytes)) {
+      rejectResponse("another response begins within an event");
+      return;
+    }
     if (EventSplitter.isComment(bytes)) {
       forward(bytes);
       return;
@@ -450,6 +454,10 @@
       failResumedRun();
       return;
     }
+    if (call.joinedContent().isJoined(body.toByteArray())) {
+      rejectResponse("another response begins within the body");
+      return;
+    }
     long now = state.clock().millis();
     recordCompletion();
     boolean serverError = status >= 500 || status == 429 || status == 408;
--- a/relay/src/main/java/org/heatherspread/relay/call/RelayCall.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/RelayCall.java
@@ -67,6 +67,7 @@
   private final RelayState state;
   private final RelayHeaderNames headerNames;
   private final HeaderRewriter headerRewriter;
+  private final JoinedContent joinedContent;
   private final CallContext context;
   private final boolean requiresKey;
   private final ResponseWriter responseWriter;
@@ -83,6 +84,7 @@
       RelayState state,
       RelayHeaderNames headerNames,
       HeaderRewriter headerRewriter,
+      JoinedContent joinedContent,
       CallContext context,
       boolean requiresKey,
       ResponseWriter responseWriter,
@@ -90,6 +92,7 @@
     this.state = state;
     this.headerNames = headerNames;
     this.headerRewriter = headerRewriter;
+    this.joinedContent = joinedContent;
     this.context = context;
     this.progress = new CallProgress(context.events());
     this.requiresKey = requiresKey;
@@ -110,6 +113,7 @@
       RelayState state,
       RelayHeaderNames headerNames,
       HeaderRewriter headerRewriter,
+      JoinedContent joinedContent,
       CallContext context,
       Optional<StreamOrigin> origin,
       boolean requiresKey,
@@ -120,6 +124,7 @@
             state,
             headerNames,
             headerRewriter,
+            joinedContent,
             context,
             requiresKey,
             responseWriter,
@@ -460,6 +465,10 @@
     return headerRewriter;
   }
 
+  JoinedContent joinedContent() {
+    return joinedContent;
+  }
+
   boolean requiresKey() {
     return requiresKey;
   }
--- a/relay/src/main/java/org/heatherspread/relay/call/RelayHandler.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/RelayHandler.java
@@ -48,11 +48,13 @@
   private final RelayState state;
   private final RelayHeaderNames headerNames;
   private final HeaderRewriter headerRewriter;
+  private final JoinedContent joinedContent;
 
   private RelayHandler(RelayState state, RelayHeaderNames headerNames) {
     this.state = state;
     this.headerNames = headerNames;
     this.headerRewriter = HeaderRewriter.create(headerNames);
+    this.joinedContent = JoinedContent.create(headerNames.requestId());
   }
 
   /** Creates a handler that uses a state. */
@@ -204,6 +206,7 @@
         state,
         headerNames,
         headerRewriter,
+        joinedContent,
         context,
         origin,
         requiresKey,
