--- a/node/src/main/java/org/heatherspread/node/control/EndpointListener.java
+++ b/node/src/main/java/org/heatherspread/node/control/EndpointListener.java
@@ -1,6 +1,8 @@
 package org.heatherspread.node.control;
 
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.BiFunction;
@@ -40,6 +42,9 @@
   private boolean failing;
   private boolean initialized;
 
+  /** Row versions of the unreadable registrations that have been logged. */
+  private final Map<String, Long> unreadableVersions = new HashMap<>();
+
   /**
    * Creates a listener.
    *
@@ -73,6 +78,7 @@
       }
     }
     state.endpoints().markMissingExcept(present, unusableFromMillis());
+    unreadableVersions.keySet().retainAll(present);
     onChanges(result);
   }
 
@@ -82,6 +88,7 @@
     for (SharedRow row : result.rows()) {
       if (row.deleted()) {
         log.atInfo().addKeyValue("endpoint", row.key()).log("endpoint registration gone");
+        unreadableVersions.remove(row.key());
         recordEnd(row.key());
         state.endpoints().markMissing(row.key(), unusableFromMillis());
         state.scheduleMigration(row.key());
@@ -111,10 +118,11 @@
   private void applyRegistration(SharedRow row) {
     Optional<RegisteredEndpoint> parsed = parser.apply(row.key(), row.value());
     if (parsed.isEmpty()) {
-      log.atWarn().addKeyValue("endpoint", row.key()).log("endpoint registration not readable");
+      logUnreadable(row);
       state.endpoints().markMissing(row.key(), state.clock().millis());
       return;
     }
+    unreadableVersions.remove(row.key());
     RegisteredEndpoint next = parsed.get();
     if (mayHaveLapsed() && isLeavingIncarnation(next)) {
       return;
@@ -144,6 +152,17 @@
     }
   }
 
+  /** Logs each version of a row once, although full reads return it again. */
+  private void logUnreadable(SharedRow row) {
+    Long logged = unreadableVersions.put(row.key(), row.version());
+    if (logged == null || logged != row.version()) {
+      log.atWarn()
+          .addKeyValue("endpoint", row.key())
+          .addKeyValue("row_version", row.version())
+          .log("endpoint registration not readable");
+    }
+  }
+
   /** Returns whether an endpoint has given notice, which a registration does not repeat. */
   private boolean isLeavingIncarnation(RegisteredEndpoint next) {
     return !next.leaving()
--- a/node/src/test/java/org/heatherspread/node/control/EndpointListenerTest.java
+++ b/node/src/test/java/org/heatherspread/node/control/EndpointListenerTest.java
@@ -2,6 +2,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import ch.qos.logback.classic.Logger;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.read.ListAppender;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.InstantSource;
@@ -15,6 +18,7 @@
 import org.heatherspread.platform.RegistrationParser;
 import org.heatherspread.relay.call.RelayState;
 import org.junit.jupiter.api.Test;
+import org.slf4j.LoggerFactory;
 
 /** The store returns after an outage, or from a copy that was made before the latest changes. */
 class EndpointListenerTest {
@@ -126,4 +130,35 @@
     read(1, 5);
     assertThat(state.endpoints().get("e1")).isEmpty();
   }
+
+  @Test
+  void endpointWhoseRegistrationBecomesInvalidIsUsedOnceItIsValidAgain() {
+    clock.advance(Duration.ofMinutes(1));
+    read(1, 3, registration("ready"));
+    byte[] value =
+        REGISTRATION
+            .formatted("ready")
+            .replace(":1\"", ":70000\"")
+            .getBytes(StandardCharsets.UTF_8);
+    read(1, 4, new SharedRow("e1", value, 4, false));
+    assertThat(state.endpoints().get("e1")).isEmpty();
+    read(1, 5, registration("ready"));
+    assertThat(isUsable()).isTrue();
+  }
+
+  @Test
+  void invalidRegistrationIsLoggedOnceForEachVersion() {
+    ListAppender<ILoggingEvent> appender = new ListAppender<>();
+    Logger logger = (Logger) LoggerFactory.getLogger(EndpointListener.class);
+    appender.start();
+    logger.addAppender(appender);
+    try {
+      for (long version : new long[] {3, 3, 3, 4, 4}) {
+        read(1, 4, new SharedRow("odd", new byte[] {'{'}, version, false));
+      }
+      assertThat(appender.list).hasSize(2);
+    } finally {
+      logger.detachAppender(appender);
+    }
+  }
 }
