Skip daemon reports that lack a component or name no peer address

A row of the daemon reports without a name, or whose peer address cannot be parsed, made the listener throw. It had stored the report before, so that each later read threw as well: the daemon followed the reports of all others no longer, with a pause between restarts of its watcher, until the row was gone.

DaemonReport, CrashEvidence, Suspect and LimitObservation check their components when they are created, so that such a row is no report, is logged and the others hold.

reportsWithMissingOrInvalidFieldsAreSkipped failed before (a report without any field, one with a peer address without a port, evidence without a suspect) and passes now.

--- a/core/src/main/java/org/heatherspread/core/fleet/DaemonReport.java
+++ b/core/src/main/java/org/heatherspread/core/fleet/DaemonReport.java
@@ -2,10 +2,12 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import org.heatherspread.core.freshness.EraObservation;
 import org.heatherspread.core.limit.LimitObservation;
 import org.heatherspread.core.placement.EnginePerformanceEstimator;
 import org.heatherspread.core.poison.CrashEvidence;
+import org.heatherspread.core.serving.HostPort;
 import org.heatherspread.core.stream.StreamReport;
 
 /**
@@ -53,9 +55,25 @@
     Map<String, EnginePerformanceEstimator.Estimate> engines,
     StreamReport streams,
     EraObservation storeEra) {
-  /** Replaces components that daemons of earlier versions do not report. */
+  /**
+   * Checks the components and replaces those that daemons of earlier versions do not report.
+   *
+   * @throws NullPointerException if a required component, or an element of one, is absent
+   * @throws IllegalArgumentException if the peer address cannot be parsed
+   */
   public DaemonReport {
+    Objects.requireNonNull(daemon, "daemon");
+    Objects.requireNonNull(life, "life");
+    Objects.requireNonNull(address, "address");
+    Objects.requireNonNull(domain, "domain");
+    Objects.requireNonNull(state, "state");
+    usage.values().forEach(Map::copyOf);
+    loads = Map.copyOf(loads);
+    work = Map.copyOf(work);
     peerAddress = peerAddress == null ? "" : peerAddress;
+    if (!peerAddress.isEmpty()) {
+      HostPort.parse(peerAddress);
+    }
     suspects = suspects == null ? List.of() : List.copyOf(suspects);
     endpointLimits = endpointLimits == null ? List.of() : List.copyOf(endpointLimits);
     engines = engines == null ? Map.of() : Map.copyOf(engines);
--- a/core/src/main/java/org/heatherspread/core/limit/LimitObservation.java
+++ b/core/src/main/java/org/heatherspread/core/limit/LimitObservation.java
@@ -1,5 +1,7 @@
 package org.heatherspread.core.limit;
 
+import java.util.Objects;
+
 /**
  * What a daemon last learned about the limit of an endpoint. Immutable; sent to other daemons as
  * JSON under the names of its components.
@@ -14,4 +16,9 @@
     String endpoint, long startedAtMillis, double ratePerSecond, long ageMillis) {
   /** Rate of an endpoint that names no limit any longer. */
   public static final double NONE = -1;
+
+  /** Checks the endpoint. */
+  public LimitObservation {
+    Objects.requireNonNull(endpoint, "endpoint");
+  }
 }
--- a/core/src/main/java/org/heatherspread/core/poison/CrashEvidence.java
+++ b/core/src/main/java/org/heatherspread/core/poison/CrashEvidence.java
@@ -1,6 +1,7 @@
 package org.heatherspread.core.poison;
 
 import java.util.Map;
+import java.util.Objects;
 
 /**
  * The evidence of one daemon on a suspect, as daemons exchange it. Times are given as ages, as the
@@ -15,8 +16,9 @@
   /** Age of a success that has not happened. */
   public static final long NO_SUCCESS = -1;
 
-  /** Copies the map. */
+  /** Checks the suspect and copies the map. */
   public CrashEvidence {
+    Objects.requireNonNull(suspect, "suspect");
     crashAgesMillis = Map.copyOf(crashAgesMillis);
   }
 }
--- a/core/src/main/java/org/heatherspread/core/poison/Suspect.java
+++ b/core/src/main/java/org/heatherspread/core/poison/Suspect.java
@@ -1,5 +1,7 @@
 package org.heatherspread.core.poison;
 
+import java.util.Objects;
+
 /**
  * Something that may crash the endpoints that process it. Immutable.
  *
@@ -14,6 +16,12 @@
     PROMPT_SEGMENT
   }
 
+  /** Checks the components. */
+  public Suspect {
+    Objects.requireNonNull(kind, "kind");
+    Objects.requireNonNull(fingerprint, "fingerprint");
+  }
+
   /** Creates the suspect for a request. */
   public static Suspect request(String fingerprint) {
     return new Suspect(Kind.REQUEST, fingerprint);
--- a/node/src/test/java/org/heatherspread/node/control/FleetListenerTest.java
+++ b/node/src/test/java/org/heatherspread/node/control/FleetListenerTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.ArrayList;
@@ -178,4 +179,54 @@
         state.poisonFilter().evidence().get(0).crashAgesMillis().values().iterator().next();
     assertThat(ageMillis).isEqualTo(7_000);
   }
+
+  /** The reports of all daemons were no longer followed, as each read of the row failed. */
+  @Test
+  void reportsWithMissingOrInvalidFieldsAreSkipped() {
+    String sound =
+        new String(ReportFormat.write(report("d9", 1, DaemonState.READY)), StandardCharsets.UTF_8);
+    List<String> rows =
+        new ArrayList<>(List.of("", "null", "{}", "[]", "3", "{\"daemon\":\"d9\"}"));
+    for (String address :
+        new String[] {"10.0.0.9", "10.0.0.9:70000", "10.0.0.9:-1", "10.0.0.9:99999999999"}) {
+      rows.add(sound.replaceAll("(\"peerAddress\":)\"[^\"]*\"", "$1\"" + address + '"'));
+    }
+    for (String field :
+        new String[] {"daemon", "life", "address", "domain", "state", "usage", "loads", "work"}) {
+      rows.add(sound.replace('"' + field + '"', "\"other\""));
+    }
+    rows.add(sound.replace("\"loads\":{", "\"loads\":{\"e1\":null"));
+    rows.add(sound.replace("\"work\":{", "\"work\":{\"s\":null"));
+    rows.add(sound.replace("\"usage\":{", "\"usage\":{\"1\":null"));
+    rows.add(sound.replace("\"usage\":{", "\"usage\":{\"1\":{\"acme\":null}"));
+    rows.add(sound.replace("\"suspects\":[", "\"suspects\":[null"));
+    rows.add(sound.replace("\"suspects\":[", "\"suspects\":[{}"));
+    rows.add(sound.replace("\"sequence\":1", "\"sequence\":" + "9".repeat(5_000)));
+    rows.add(sound.replace("\"suspects\":[", "\"suspects\":[{\"crashAgesMillis\":{\"e1\":1}}"));
+    rows.add(
+        sound.replace(
+            "\"suspects\":[",
+            "\"suspects\":[{\"suspect\":{\"kind\":\"REQUEST\"},\"crashAgesMillis\":{\"e1\":1}}"));
+    rows.add(
+        sound.replace(
+            "\"suspects\":[",
+            "\"suspects\":[{\"suspect\":{\"fingerprint\":\"f\"},\"crashAgesMillis\":{\"e1\":1}}"));
+    rows.add(sound.replace("\"endpointLimits\":[", "\"endpointLimits\":[{\"ratePerSecond\":1}"));
+    rows.add(sound.replace("\"sequence\":1", "\"sequence\":1e400"));
+    rows.add(sound.replace("\"linkMbps\":10", "\"linkMbps\":" + "[".repeat(100_000)));
+    List<String> failures = new ArrayList<>();
+    for (String row : rows) {
+      assertThat(row).isNotEqualTo(sound);
+      byte[] value = row.getBytes(StandardCharsets.UTF_8);
+      try {
+        listener.onChanges(
+            new SharedReadResult(List.of(new SharedRow("odd", value, 1, false)), 1, 10_000));
+      } catch (RuntimeException e) {
+        failures.add(row + ": " + e);
+      }
+    }
+    assertThat(failures).isEmpty();
+    runRound(Set.of(), null);
+    assertThat(state.daemonCount()).isEqualTo(DAEMONS);
+  }
 }
