Reset connections whose request was given up

Cause: a call that timed out closed its connection, and TCP delivers after a close what it still holds. Requests to endpoints that were given up had the same cause.

Change: EndpointConnection, which carries all calls and requests, sets SO_LINGER to 0 while a request is in progress and back once its response is complete, so that a timeout, a failure, an abort or the end of the process resets the connection.

Remains: a frozen process resets nothing, and what has reached the peer's machine is processed.

--- a/core/src/main/java/org/heatherspread/core/duty/DutyClient.java
+++ b/core/src/main/java/org/heatherspread/core/duty/DutyClient.java
@@ -16,6 +16,12 @@
   /** Orders the desired number of endpoints of a service in a failure domain. */
   CompletableFuture<Outcome> order(String holder, long fencing, EndpointOrder order);
 
+  /**
+   * Gives up the calls in progress, since another daemon may make calls from now on. Those that
+   * have not arrived yet never do.
+   */
+  void abortCalls();
+
   /** Outcome of a call. */
   enum Outcome {
     /** Carried out. */
--- a/node/src/main/java/org/heatherspread/node/control/ControlPlane.java
+++ b/node/src/main/java/org/heatherspread/node/control/ControlPlane.java
@@ -443,7 +443,7 @@
     }
     duties.add(new CleanupDuty(state, fleet, store));
     PauseDetector pauseDetector = new PauseDetector(state.clock(), Clock.systemUTC());
-    return DutyRunner.create(lease, new ReportRank(), duties, pauseDetector);
+    return DutyRunner.create(lease, dutyClient, new ReportRank(), duties, pauseDetector);
   }
 
   /**
--- a/node/src/main/java/org/heatherspread/node/control/DutyRunner.java
+++ b/node/src/main/java/org/heatherspread/node/control/DutyRunner.java
@@ -8,14 +8,16 @@
 import org.apache.pekko.actor.typed.javadsl.Behaviors;
 import org.apache.pekko.actor.typed.javadsl.Receive;
 import org.apache.pekko.actor.typed.javadsl.TimerScheduler;
+import org.heatherspread.core.duty.DutyClient;
 import org.heatherspread.core.lease.LeaseClient;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
  * Actor that competes for the duty lease and performs the duties while it certainly holds it.
- * Invariant: after a pause of the process, no duty is performed before the lease has been read
- * again.
+ * Invariants: after a pause of the process, no duty is performed before the lease has been read
+ * again; when the lease is lost or released, the calls in progress are given up first, so that none
+ * arrives after those of the next holder.
  */
 final class DutyRunner extends AbstractBehavior<DutyRunner.Command> {
   private static final Logger log = LoggerFactory.getLogger(DutyRunner.class);
@@ -68,6 +70,7 @@
   }
 
   private final LeaseClient lease;
+  private final DutyClient dutyClient;
   private final CandidateRank candidateRank;
   private final Iterable<Duty> duties;
   private final PauseDetector pauseDetector;
@@ -79,11 +82,13 @@
       ActorContext<Command> context,
       TimerScheduler<Command> timers,
       LeaseClient lease,
+      DutyClient dutyClient,
       CandidateRank candidateRank,
       Iterable<Duty> duties,
       PauseDetector pauseDetector) {
     super(context);
     this.lease = lease;
+    this.dutyClient = dutyClient;
     this.candidateRank = candidateRank;
     this.duties = duties;
     this.pauseDetector = pauseDetector;
@@ -92,6 +97,7 @@
 
   static Behavior<Command> create(
       LeaseClient lease,
+      DutyClient dutyClient,
       CandidateRank candidateRank,
       Iterable<Duty> duties,
       PauseDetector pauseDetector) {
@@ -99,7 +105,8 @@
         context ->
             Behaviors.withTimers(
                 timers ->
-                    new DutyRunner(context, timers, lease, candidateRank, duties, pauseDetector)));
+                    new DutyRunner(
+                        context, timers, lease, dutyClient, candidateRank, duties, pauseDetector)));
   }
 
   @Override
@@ -143,7 +150,7 @@
     }
     held = fencing.isPresent();
     if (!held) {
-      duties.forEach(Duty::onLeaseLost);
+      giveUpDuties();
     }
     log.atInfo()
         .addKeyValue("held", held)
@@ -151,10 +158,15 @@
         .log("lease of the duties");
   }
 
+  private void giveUpDuties() {
+    dutyClient.abortCalls();
+    duties.forEach(Duty::onLeaseLost);
+  }
+
   private Behavior<Command> onStop() {
     if (!stopped) {
       stopped = true;
-      duties.forEach(Duty::onLeaseLost);
+      giveUpDuties();
       lease.release();
     }
     return this;
--- a/node/src/test/java/org/heatherspread/node/control/UsageReportingDutyTest.java
+++ b/node/src/test/java/org/heatherspread/node/control/UsageReportingDutyTest.java
@@ -54,6 +54,11 @@
         public CompletableFuture<Outcome> order(String holder, long fencing, EndpointOrder order) {
           throw new UnsupportedOperationException();
         }
+
+        @Override
+        public void abortCalls() {
+          throw new UnsupportedOperationException();
+        }
       };
 
   @BeforeEach
--- a/relay/src/main/java/org/heatherspread/relay/endpoint/EndpointConnection.java
+++ b/relay/src/main/java/org/heatherspread/relay/endpoint/EndpointConnection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.DecoderResultProvider;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
@@ -26,11 +27,19 @@
  * success without an id, and any response without an id on a connection that carried a request
  * before; only so many responses and bytes are skipped before the request fails, since an endpoint
  * may send them without end; a response delimited by the end of the connection is complete only if
- * the connection was not reset. Confined to its event loop.
+ * the connection was not reset; a connection that ends before its response is complete is reset,
+ * even if the process ends, so that bytes of the request that a network partition holds up do not
+ * arrive after it was given up. Confined to its event loop.
  */
 public final class EndpointConnection extends ChannelInboundHandlerAdapter {
   private static final Logger log = LoggerFactory.getLogger(EndpointConnection.class);
 
+  /** Linger time with which a close discards the bytes that were not delivered yet. */
+  private static final int RESET_ON_CLOSE = 0;
+
+  /** Linger time with which a close delivers all bytes in the background. */
+  private static final int DELIVER_ON_CLOSE = -1;
+
   /** Time before the peer's idle timeout from which the connection is no longer reused. */
   private static final long KEEP_ALIVE_MARGIN_MILLIS = 700;
 
@@ -98,9 +107,16 @@
     skippingResponse = false;
     skippedResponses = 0;
     skippedBytes = 0;
+    setLinger(RESET_ON_CLOSE);
     writeFuture = channel.writeAndFlush(request);
   }
 
+  private void setLinger(int linger) {
+    if (channel.isOpen()) {
+      channel.config().setOption(ChannelOption.SO_LINGER, linger);
+    }
+  }
+
   /** Returns whether the connection has not carried a request yet. */
   public boolean isUnused() {
     return unused;
@@ -111,7 +127,10 @@
     channel.config().setAutoRead(enabled);
   }
 
-  /** Closes the connection without notifying the listener. */
+  /**
+   * Closes the connection without notifying the listener. If a request is in progress, its bytes
+   * that have not been delivered yet never are.
+   */
   public void abort() {
     listener = null;
     reusable = false;
@@ -228,7 +247,9 @@
       return;
     }
     channel.config().setAutoRead(true);
-    if (!writeFuture.isDone()) {
+    if (writeFuture.isDone()) {
+      setLinger(DELIVER_ON_CLOSE);
+    } else {
       reusable = false;
     }
     ResponseListener completed = listener;
--- a/relay/src/main/java/org/heatherspread/relay/rpc/RpcClient.java
+++ b/relay/src/main/java/org/heatherspread/relay/rpc/RpcClient.java
@@ -16,8 +16,11 @@
 import java.net.ConnectException;
 import java.time.Duration;
 import java.util.ArrayDeque;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Queue;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.heatherspread.core.error.ErrorKind;
@@ -32,8 +35,9 @@
 /**
  * Makes short HTTP calls to one address over pooled connections, with responses of limited size.
  * Calls beyond the maximum in progress wait in order, within their timeouts. A call that times out
- * closes its connection and the idle ones, which a network partition may have made unresponsive as
- * well. Futures complete on the event loop; confined to it.
+ * resets its connection, so that it is not executed once a partition has ended, and closes the idle
+ * ones, which the partition may have made unresponsive as well. Futures complete on the event loop;
+ * confined to it.
  */
 public final class RpcClient {
   private static final int MAX_CALLS_IN_PROGRESS = 8;
@@ -53,6 +57,7 @@
   private final MonotonicClock clock;
   private final RpcMetrics metrics;
   private final Queue<PendingCall> waitingCalls = new ArrayDeque<>();
+  private final Set<PendingCall> pendingCalls = new LinkedHashSet<>();
   private int callsInProgress;
 
   private RpcClient(
@@ -103,6 +108,14 @@
     return result;
   }
 
+  /**
+   * Gives up all calls and resets their connections. A call whose bytes have not been delivered is
+   * never executed; those that may have been fail with kind {@code STORE_OUTCOME_UNKNOWN}.
+   */
+  public void abortCalls() {
+    List.copyOf(pendingCalls).forEach(call -> call.giveUp("call given up"));
+  }
+
   private void startWaitingCalls() {
     while (callsInProgress < MAX_CALLS_IN_PROGRESS && !waitingCalls.isEmpty()) {
       waitingCalls.poll().acquireConnection();
@@ -128,6 +141,7 @@
 
     private void start(Duration timeout) {
       timeoutTask = loop.schedule(this::onTimeout, timeout.toMillis(), TimeUnit.MILLISECONDS);
+      pendingCalls.add(this);
       waitingCalls.add(this);
       startWaitingCalls();
     }
@@ -139,13 +153,19 @@
     }
 
     private void onTimeout() {
+      if (connection != null) {
+        pool.retire(address);
+      }
+      giveUp("no response within the timeout");
+    }
+
+    private void giveUp(String reason) {
       if (connection == null) {
-        fail(failure(ErrorKind.STORE_UNAVAILABLE, "no connection within the timeout"));
+        fail(failure(ErrorKind.STORE_UNAVAILABLE, reason + ", without a connection"));
         return;
       }
       connection.abort();
-      pool.retire(address);
-      fail(failure(ErrorKind.STORE_OUTCOME_UNKNOWN, "no response within the timeout"));
+      fail(failure(ErrorKind.STORE_OUTCOME_UNKNOWN, reason));
     }
 
     @Override
@@ -204,6 +224,7 @@
 
     private void end(String outcome) {
       timeoutTask.cancel(false);
+      pendingCalls.remove(this);
       metrics.recordCall(request.uri(), outcome, clock.millis() - startMillis);
       if (started) {
         callsInProgress--;
