Continue no stream at an endpoint that has stopped until it is registered anew

Cause: the version of an endpoint is known from its registration only. That the endpoint had refused connections was taken for a crash, but not for the end of the incarnation that the registration describes.

Change: an incarnation that refused a connection, or at whose address another endpoint answers, has stopped. The daemon tells all others. Streams continue there only once it is registered with another start time, or proves that it runs on (a registration written over 3 s later, or data of a response that began 1 s before). Until then they are refused with stream-version-gone. Streams that begin there continue nowhere else.

Of StoppedEndpointPathsTest, streamIsNotResumedAtAnEndpointThatRefusedConnections fails on the code before (200 instead of 503); all 8 tests pass, and 11 of EndpointListenerTest.

--- a/core/src/main/java/org/heatherspread/core/placement/TrackedEndpoint.java
+++ b/core/src/main/java/org/heatherspread/core/placement/TrackedEndpoint.java
@@ -38,6 +38,9 @@
   private long lastFailureMillis = Long.MIN_VALUE;
   private boolean announcedLeaving;
   private long restsUntilMillis = Long.MIN_VALUE;
+  private boolean stopped;
+  private long stoppedMillis;
+  private long runningSinceMillis = Long.MIN_VALUE;
 
   private TrackedEndpoint(
       RegisteredEndpoint registration, EndpointHealth health, PromptCacheEstimate promptCache) {
@@ -143,6 +146,51 @@
     return changed;
   }
 
+  /**
+   * Records that nothing listened at the endpoint's address, so that this incarnation has ended:
+   * what listens there later is another one, whose version is not known before it is registered.
+   *
+   * @param atMillis time at which nothing listened
+   * @return whether that is new
+   */
+  public boolean markStopped(long atMillis) {
+    if (atMillis <= runningSinceMillis) {
+      return false;
+    }
+    boolean changed = !stopped;
+    stopped = true;
+    stoppedMillis = Math.max(stoppedMillis, atMillis);
+    return changed;
+  }
+
+  /** Returns whether another incarnation may be in the place of this one. */
+  public boolean hasStopped() {
+    return stopped;
+  }
+
+  /**
+   * Returns whether data at a time, for a request sent at an earlier one, prove that no other
+   * incarnation came in the place of this one between.
+   *
+   * @param marginMillis time by which both must differ from that at which nothing listened
+   */
+  public boolean wasRunningSince(long sentMillis, long dataMillis, long marginMillis) {
+    return sentMillis + marginMillis <= stoppedMillis && dataMillis - marginMillis >= stoppedMillis;
+  }
+
+  /**
+   * Records that the endpoint certainly was the registered incarnation, or another one of the same
+   * version, at a time.
+   *
+   * @return whether it was taken for stopped
+   */
+  public boolean confirmRunning(long atMillis) {
+    runningSinceMillis = Math.max(runningSinceMillis, atMillis);
+    boolean changed = stopped && stoppedMillis <= atMillis;
+    stopped &= !changed;
+    return changed;
+  }
+
   /** Records that the endpoint wants no requests of this daemon for some time. */
   public void rest(long nowMillis, long millis) {
     restsUntilMillis = Math.max(restsUntilMillis, nowMillis + millis);
--- a/core/src/main/java/org/heatherspread/core/stream/StreamOrigin.java
+++ b/core/src/main/java/org/heatherspread/core/stream/StreamOrigin.java
@@ -8,4 +8,16 @@
  * @param service service of the endpoint
  * @param version version of the endpoint's software
  */
-public record StreamOrigin(String service, String version) {}
+public record StreamOrigin(String service, String version) {
+  private static final String UNKNOWN = "unregistered@";
+
+  /**
+   * Returns the origin of a stream that began at an endpoint whose current incarnation has not been
+   * registered yet. It may be of any version, so the stream continues nowhere else.
+   *
+   * @param endpoint id of the endpoint
+   */
+  public static StreamOrigin ofUnknownVersion(String service, String endpoint) {
+    return new StreamOrigin(service, UNKNOWN + endpoint);
+  }
+}
--- a/node/src/main/java/org/heatherspread/node/control/ControlPlane.java
+++ b/node/src/main/java/org/heatherspread/node/control/ControlPlane.java
@@ -347,6 +347,14 @@
         FactKinds.LEAVING_ENDPOINTS,
         new TypeReference<List<EndpointIncarnation>>() {},
         (daemon, left, ageMillis) -> left.forEach(each -> state.mergeLeaving(each, daemon)));
+    facts.onFact(
+        FactKinds.STOPPED_ENDPOINTS,
+        new TypeReference<List<EndpointIncarnation>>() {},
+        (daemon, stopped, ageMillis) ->
+            stopped.forEach(each -> state.mergeStopped(each, daemon, ageMillis)));
+    state
+        .stoppedEndpoints()
+        .onStopped(each -> facts.publishUrgently(FactKinds.STOPPED_ENDPOINTS, List.of(each)));
     state
         .endpointNotices()
         .onLeaving(left -> facts.publishUrgently(FactKinds.LEAVING_ENDPOINTS, List.of(left)));
--- a/node/src/main/java/org/heatherspread/node/control/EndpointListener.java
+++ b/node/src/main/java/org/heatherspread/node/control/EndpointListener.java
@@ -1,6 +1,8 @@
 package org.heatherspread.node.control;
 
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.BiFunction;
@@ -34,9 +36,17 @@
    */
   private static final long EXPIRY_GRACE_MILLIS = 1_800;
 
+  /**
+   * Time by which a registration may be older than the read before the one that returned it, as the
+   * store may perform a call late.
+   */
+  private static final long MAX_WRITE_DELAY_MILLIS = 3_000;
+
+  private final Map<String, Long> rowVersions = new HashMap<>();
   private final RelayState state;
   private final BiFunction<String, byte[], Optional<RegisteredEndpoint>> parser;
   private long recoveredMillis = -LAPSE_WINDOW_MILLIS;
+  private long lastReadMillis = -MAX_WRITE_DELAY_MILLIS;
   private boolean failing;
   private boolean initialized;
 
@@ -72,6 +82,7 @@
         recordEnd(endpoint.id());
       }
     }
+    rowVersions.keySet().retainAll(present);
     state.endpoints().markMissingExcept(present, unusableFromMillis());
     onChanges(result);
   }
@@ -83,17 +94,35 @@
       if (row.deleted()) {
         log.atInfo().addKeyValue("endpoint", row.key()).log("endpoint registration gone");
         recordEnd(row.key());
+        rowVersions.remove(row.key());
         state.endpoints().markMissing(row.key(), unusableFromMillis());
         state.scheduleMigration(row.key());
       } else {
         applyRegistration(row);
+        confirmRunning(row);
       }
     }
+    lastReadMillis = state.clock().millis() - result.ageMillis();
     for (RegisteredEndpoint removed : state.endpoints().removeDrained(state.clock().millis())) {
       state.connectionPool().retire(removed.address());
     }
   }
 
+  /** A registration that was written since the last read shows that its endpoint runs. */
+  private void confirmRunning(SharedRow row) {
+    Long previous = rowVersions.put(row.key(), row.version());
+    if (previous != null && row.version() > previous) {
+      state
+          .endpoints()
+          .get(row.key())
+          .ifPresent(
+              endpoint ->
+                  state
+                      .stoppedEndpoints()
+                      .confirmRunning(endpoint, lastReadMillis - MAX_WRITE_DELAY_MILLIS));
+    }
+  }
+
   private void recordRecovery() {
     if (failing) {
       failing = false;
--- a/node/src/main/java/org/heatherspread/node/peer/FactKinds.java
+++ b/node/src/main/java/org/heatherspread/node/peer/FactKinds.java
@@ -14,6 +14,9 @@
   /** Endpoints that say in their responses that they are leaving. */
   public static final String LEAVING_ENDPOINTS = "leaving-endpoints";
 
+  /** Incarnations of endpoints that have ended. */
+  public static final String STOPPED_ENDPOINTS = "stopped-endpoints";
+
   /** Whether the daemon has lost the path to all endpoints. */
   public static final String ISOLATED = "isolated";
 
--- a/node/src/test/java/org/heatherspread/node/control/EndpointListenerTest.java
+++ b/node/src/test/java/org/heatherspread/node/control/EndpointListenerTest.java
@@ -7,6 +7,7 @@
 import java.time.InstantSource;
 import java.util.List;
 import org.heatherspread.core.freshness.StoreFreshness;
+import org.heatherspread.core.poison.EndpointIncarnation;
 import org.heatherspread.core.store.SharedReadResult;
 import org.heatherspread.core.store.SharedRow;
 import org.heatherspread.core.store.StorePosition;
@@ -91,6 +92,66 @@
     assertThat(isUsable()).isTrue();
   }
 
+  private boolean hasStopped() {
+    return state.endpoints().get("e1").orElseThrow().hasStopped();
+  }
+
+  private void reportStopped() {
+    state.mergeStopped(new EndpointIncarnation("e1", 7), "d2", 0);
+  }
+
+  private static SharedRow registrationOfVersion(long rowVersion) {
+    byte[] value = REGISTRATION.formatted("ready").getBytes(StandardCharsets.UTF_8);
+    return new SharedRow("e1", value, rowVersion, false);
+  }
+
+  @Test
+  void endpointThatRefusedConnectionsIsNotTrustedForAnOldRegistration() {
+    clock.advance(Duration.ofMinutes(1));
+    read(1, 3, registrationOfVersion(3));
+    reportStopped();
+    clock.advance(Duration.ofMinutes(1));
+    read(1, 3, registrationOfVersion(3));
+    assertThat(hasStopped()).isTrue();
+  }
+
+  /** The store may perform a write of the incarnation that ended seconds later. */
+  @Test
+  void endpointThatRefusedConnectionsIsNotTrustedForRegistrationWrittenJustAfter() {
+    clock.advance(Duration.ofMinutes(1));
+    read(1, 3, registrationOfVersion(3));
+    reportStopped();
+    clock.advance(Duration.ofSeconds(2));
+    read(1, 4, registrationOfVersion(4));
+    assertThat(hasStopped()).isTrue();
+  }
+
+  @Test
+  void endpointThatGoesOnToRegisterHasNotStopped() {
+    clock.advance(Duration.ofMinutes(1));
+    read(1, 3, registrationOfVersion(3));
+    reportStopped();
+    clock.advance(Duration.ofSeconds(4));
+    read(1, 4, registrationOfVersion(4));
+    clock.advance(Duration.ofSeconds(1));
+    read(1, 5, registrationOfVersion(5));
+    assertThat(hasStopped()).isFalse();
+  }
+
+  @Test
+  void nextIncarnationOfAnEndpointThatHasStoppedIsTrusted() {
+    clock.advance(Duration.ofMinutes(1));
+    read(1, 3, registrationOfVersion(3));
+    reportStopped();
+    byte[] value =
+        REGISTRATION
+            .formatted("ready")
+            .replace("\"born\": 7", "\"born\": 8")
+            .getBytes(StandardCharsets.UTF_8);
+    read(1, 4, new SharedRow("e1", value, 4, false));
+    assertThat(hasStopped()).isFalse();
+  }
+
   private void recoverFromOutage(SharedRow... rows) {
     clock.advance(Duration.ofMinutes(1));
     read(1, 3, registration("ready"));
--- a/relay/src/main/java/org/heatherspread/relay/call/Attempt.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/Attempt.java
@@ -187,6 +187,12 @@
       }
       return;
     }
+    if (continuesElsewhere()) {
+      close();
+      acquired.releaseUnused();
+      call.retryOrFail(RetryReason.UNREACHABLE, Refusal.STREAM_VERSION_GONE);
+      return;
+    }
     if (acquired.isUnused()) {
       state.poisonFilter().connectionAccepted(endpoint);
     }
@@ -219,10 +225,15 @@
     }
   }
 
+  /** Returns whether the endpoint may no longer be of the version at which the stream began. */
+  private boolean continuesElsewhere() {
+    return progress.origin != null && endpoint.hasStopped();
+  }
+
   @Override
   public void onConnectFailed(String reason, boolean refused) {
     if (refused) {
-      state.poisonFilter().endpointCrashed(endpoint);
+      state.recordStopped(endpoint);
     }
     boolean wasActive = isActive();
     trackedRequest.recordFailure(state.clock().millis());
@@ -311,6 +322,7 @@
     }
     lastProgressMillis = state.clock().millis();
     endpoint.recordProgress(lastProgressMillis);
+    state.stoppedEndpoints().recordData(endpoint, sentMillis);
     byte[] chunk = ByteBufUtil.getBytes(bytes);
     if (streaming) {
       boolean fits = splitter.add(chunk, this::onEvent);
@@ -343,6 +355,10 @@
     if (!isActive()) {
       return;
     }
+    if (eventCount == 0 && continuesElsewhere()) {
+      rejectResponse("another incarnation may have answered");
+      return;
+    }
     if (EventSplitter.isComment(bytes)) {
       forward(bytes);
       return;
@@ -413,7 +429,10 @@
   /** Binds the stream to the version of its first event, before that event is forwarded. */
   private void recordOrigin() {
     if (progress.origin == null) {
-      progress.origin = new StreamOrigin(context.service(), endpoint.registration().version());
+      progress.origin =
+          endpoint.hasStopped()
+              ? StreamOrigin.ofUnknownVersion(context.service(), endpoint.id())
+              : new StreamOrigin(context.service(), endpoint.registration().version());
     }
     if (context.route().isRepeatable() && !context.id().isEmpty()) {
       long waitMillis = context.callerDeadlineMillis() - state.clock().millis();
@@ -617,7 +636,7 @@
   private void onRefused() {
     if (status == MISDIRECTED_REQUEST) {
       // Another incarnation listens at the address.
-      state.poisonFilter().endpointCrashed(endpoint);
+      state.recordStopped(endpoint);
     }
     trackedRequest.recordRefusal(state.clock().millis());
     state.endpointNotices().recordRejection(endpoint);
--- a/relay/src/main/java/org/heatherspread/relay/call/RelayCall.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/RelayCall.java
@@ -165,11 +165,12 @@
   }
 
   private List<TrackedEndpoint> candidates() {
-    List<TrackedEndpoint> endpoints = state.endpoints().forService(context.service());
+    List<TrackedEndpoint> all = state.endpoints().forService(context.service());
     if (progress.origin != null) {
-      return ofVersion(endpoints, progress.origin.version());
+      return ofVersion(withoutStopped(all), progress.origin.version());
     }
     boolean resumable = context.route().kind() == CallKind.STREAM && context.route().isRepeatable();
+    List<TrackedEndpoint> endpoints = resumable ? preferRunning(all) : all;
     Optional<String> assigned =
         resumable && !context.id().isEmpty()
             ? state.streamOrigins().assignedVersion(context.service(), context.id())
@@ -183,6 +184,22 @@
     return available ? ofAssigned : endpoints;
   }
 
+  /**
+   * Returns the endpoints whose registered incarnations have not ended, or all if there is none.
+   */
+  private List<TrackedEndpoint> preferRunning(List<TrackedEndpoint> endpoints) {
+    long now = state.clock().millis();
+    List<TrackedEndpoint> running = withoutStopped(endpoints);
+    boolean available = running.stream().anyMatch(endpoint -> endpoint.isUsable(now));
+    return available ? running : endpoints;
+  }
+
+  private static List<TrackedEndpoint> withoutStopped(List<TrackedEndpoint> endpoints) {
+    return endpoints.stream().noneMatch(TrackedEndpoint::hasStopped)
+        ? endpoints
+        : endpoints.stream().filter(endpoint -> !endpoint.hasStopped()).toList();
+  }
+
   private static List<TrackedEndpoint> ofVersion(List<TrackedEndpoint> endpoints, String version) {
     return endpoints.stream()
         .filter(endpoint -> endpoint.registration().version().equals(version))
--- a/relay/src/main/java/org/heatherspread/relay/call/RelayState.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/RelayState.java
@@ -96,6 +96,7 @@
   private final PoisonRequestFilter poisonFilter;
   private final BufferBudget responseBuffers = BufferBudget.create(MAX_BUFFERED_BYTES);
   private final AnswerLengthEstimator answerLengths = AnswerLengthEstimator.create();
+  private final StoppedEndpoints stoppedEndpoints;
   private final Shutdown shutdown;
   private ServingConfig config;
   private int daemonCount = 1;
@@ -141,6 +142,7 @@
     this.endpointLimits = endpointLimits;
     this.endpointNotices = endpointNotices;
     this.streamOrigins = streamOrigins;
+    this.stoppedEndpoints = StoppedEndpoints.create(clock);
     this.shutdown = Shutdown.create(clock);
     this.endpoints = EndpointTable.create(health, this::cacheTokens);
   }
@@ -155,7 +157,7 @@
         () -> poisonFilter.connectionAccepted(endpoint),
         refused -> {
           if (refused) {
-            poisonFilter.endpointCrashed(endpoint);
+            recordStopped(endpoint);
           } else {
             loop.schedule(() -> probe(endpoint), PROBE_PAUSE_MILLIS, TimeUnit.MILLISECONDS);
           }
@@ -462,6 +464,24 @@
     }
   }
 
+  /** Records that the incarnation of an endpoint has ended: it refused a connection. */
+  void recordStopped(TrackedEndpoint endpoint) {
+    poisonFilter.endpointCrashed(endpoint);
+    stoppedEndpoints.recordStopped(endpoint);
+  }
+
+  /** Records that another daemon found that an incarnation has ended. */
+  public void mergeStopped(EndpointIncarnation stopped, String daemon, long ageMillis) {
+    endpoints
+        .get(stopped.id())
+        .ifPresent(endpoint -> stoppedEndpoints.merge(endpoint, stopped, daemon, ageMillis));
+  }
+
+  /** Returns which registered incarnations of endpoints have ended. */
+  public StoppedEndpoints stoppedEndpoints() {
+    return stoppedEndpoints;
+  }
+
   /** Returns the origins of the streams of all daemons. */
   StreamOrigins streamOrigins() {
     return streamOrigins;
--- /dev/null
+++ b/relay/src/main/java/org/heatherspread/relay/call/StoppedEndpoints.java
@@ -0,0 +1,103 @@
+package org.heatherspread.relay.call;
+
+import java.util.function.Consumer;
+import org.heatherspread.core.placement.TrackedEndpoint;
+import org.heatherspread.core.poison.EndpointIncarnation;
+import org.heatherspread.core.time.MonotonicClock;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Finds out which registered incarnations of endpoints have ended: nothing listened at their
+ * addresses. What listens there later under the same id may have another version, which its next
+ * registration says. Until then no stream continues there, as what endpoints of different versions
+ * generate does not fit together.
+ *
+ * <p>A network may refuse a connection, too, so an endpoint is trusted again once it proves that it
+ * was running: by data for a request that was sent before the refusal. Confined to one event loop.
+ */
+public final class StoppedEndpoints {
+  private static final Logger log = LoggerFactory.getLogger(StoppedEndpoints.class);
+
+  /**
+   * Time before and after a refusal within which data prove nothing: another daemon may have been
+   * refused before this one knows it, and data of an incarnation that ended may still be on the
+   * way.
+   */
+  private static final long PROOF_MARGIN_MILLIS = 1_000;
+
+  private final MonotonicClock clock;
+  private Consumer<EndpointIncarnation> listener = stopped -> {};
+
+  private StoppedEndpoints(MonotonicClock clock) {
+    this.clock = clock;
+  }
+
+  static StoppedEndpoints create(MonotonicClock clock) {
+    return new StoppedEndpoints(clock);
+  }
+
+  /** Sets a listener to incarnations that have ended according to this daemon. */
+  public void onStopped(Consumer<EndpointIncarnation> stoppedListener) {
+    listener = stoppedListener;
+  }
+
+  /** Records that nothing listens at the address of an endpoint, or another endpoint does. */
+  void recordStopped(TrackedEndpoint endpoint) {
+    if (endpoint.markStopped(clock.millis())) {
+      logStopped(endpoint, "connection");
+      listener.accept(incarnation(endpoint));
+    }
+  }
+
+  /**
+   * Records that another daemon found that an incarnation has ended.
+   *
+   * @param endpoint endpoint with the id of the incarnation
+   * @param ageMillis time since the other daemon found it
+   */
+  void merge(TrackedEndpoint endpoint, EndpointIncarnation stopped, String daemon, long ageMillis) {
+    if (incarnation(endpoint).equals(stopped) && endpoint.markStopped(clock.millis() - ageMillis)) {
+      logStopped(endpoint, daemon);
+    }
+  }
+
+  /**
+   * Records data of a response.
+   *
+   * @param sentMillis time at which the request was sent
+   */
+  void recordData(TrackedEndpoint endpoint, long sentMillis) {
+    long now = clock.millis();
+    if (endpoint.hasStopped() && endpoint.wasRunningSince(sentMillis, now, PROOF_MARGIN_MILLIS)) {
+      confirmRunning(endpoint, now - PROOF_MARGIN_MILLIS);
+    }
+  }
+
+  /**
+   * Records that an endpoint was running, at the registered version.
+   *
+   * @param atMillis time at which it certainly was
+   */
+  public void confirmRunning(TrackedEndpoint endpoint, long atMillis) {
+    if (endpoint.confirmRunning(atMillis)) {
+      log.atInfo()
+          .addKeyValue("endpoint", endpoint.id())
+          .addKeyValue("version", endpoint.registration().version())
+          .log("endpoint runs on");
+    }
+  }
+
+  private static EndpointIncarnation incarnation(TrackedEndpoint endpoint) {
+    return new EndpointIncarnation(endpoint.id(), endpoint.registration().startedAtMillis());
+  }
+
+  private static void logStopped(TrackedEndpoint endpoint, String source) {
+    log.atInfo()
+        .addKeyValue("endpoint", endpoint.id())
+        .addKeyValue("incarnation", endpoint.registration().startedAtMillis())
+        .addKeyValue("version", endpoint.registration().version())
+        .addKeyValue("source", source)
+        .log("endpoint has stopped; its next registration tells its version");
+  }
+}
--- a/relay/src/test/java/org/heatherspread/relay/FakeEndpoint.java
+++ b/relay/src/test/java/org/heatherspread/relay/FakeEndpoint.java
@@ -97,7 +97,12 @@
 
   /** Starts an endpoint. */
   public static FakeEndpoint start(Script script) throws IOException {
-    ServerSocket listener = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+    return start(0, script);
+  }
+
+  /** Starts an endpoint at a port, 0 for any. */
+  public static FakeEndpoint start(int port, Script script) throws IOException {
+    ServerSocket listener = new ServerSocket(port, 50, InetAddress.getByName("127.0.0.1"));
     FakeEndpoint endpoint = new FakeEndpoint(listener, script);
     startDaemonThread(endpoint::accept);
     return endpoint;
--- /dev/null
+++ b/relay/src/test/java/org/heatherspread/relay/call/StoppedEndpointPathsTest.java
@@ -0,0 +1,194 @@
+package org.heatherspread.relay.call;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.heatherspread.core.poison.EndpointIncarnation;
+import org.heatherspread.core.serving.HostPort;
+import org.heatherspread.core.serving.RegisteredEndpoint;
+import org.heatherspread.core.stream.StreamOrigin;
+import org.heatherspread.relay.CountingMigrator;
+import org.heatherspread.relay.FakeEndpoint;
+import org.heatherspread.relay.RelayHarness;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Streams at an endpoint that was replaced in place, possibly by another version, which its
+ * registration does not say yet.
+ */
+class StoppedEndpointPathsTest {
+  private static final long STARTED = 1;
+  private static final String[] RESUMPTION = {"Resumes: id-1", "Last-Event-Id: 1"};
+
+  private RelayHarness harness;
+
+  @BeforeEach
+  void start() throws Exception {
+    harness = RelayHarness.start(new CountingMigrator());
+    harness.onLoop(
+        state -> state.streamOrigins().record("id-1", new StreamOrigin("s", "v1"), 10_000));
+  }
+
+  @AfterEach
+  void stop() {
+    harness.close();
+  }
+
+  private void register(String id, int port, String version, long startedAtMillis)
+      throws Exception {
+    HostPort address = new HostPort("127.0.0.1", port);
+    RegisteredEndpoint registration =
+        new RegisteredEndpoint(
+            id, "s", address, "a", 6, false, false, -1, version, startedAtMillis);
+    harness.onLoop(state -> state.endpoints().put(registration));
+  }
+
+  private static FakeEndpoint soundEndpoint(int lastEvent) throws Exception {
+    return soundEndpoint(0, lastEvent);
+  }
+
+  private static FakeEndpoint soundEndpoint(int port, int lastEvent) throws Exception {
+    return FakeEndpoint.start(
+        port,
+        (request, connection) -> {
+          String lastEventId = request.header("last-event-id");
+          connection.startStream(request.header("attempt-id"));
+          int first = lastEventId == null ? 1 : Integer.parseInt(lastEventId) + 1;
+          for (int event = first; event <= lastEvent; event++) {
+            connection.sendEvent(event);
+          }
+          connection.endStream();
+        });
+  }
+
+  private void reportStopped(String id) throws Exception {
+    harness.onLoop(
+        state -> state.mergeStopped(new EndpointIncarnation(id, STARTED), "other-daemon", 0));
+  }
+
+  @Test
+  void streamIsNotResumedAtAnEndpointThatRefusedConnections() throws Exception {
+    FakeEndpoint first = soundEndpoint(3);
+    register("e0", first.port(), "v1", STARTED);
+    first.close();
+    assertThat(harness.call("POST", "/draft/a", "id-2", RESUMPTION)).startsWith("HTTP/1.1 503");
+    FakeEndpoint replacement = soundEndpoint(first.port(), 3);
+    assertThat(harness.call("POST", "/draft/a", "id-3", RESUMPTION))
+        .startsWith("HTTP/1.1 503")
+        .contains("stream-version-gone")
+        .containsIgnoringCase("retry-after");
+    assertThat(replacement.requests()).isEmpty();
+  }
+
+  @Test
+  void streamIsNotResumedAtAnEndpointThatHasStoppedAccordingToAnotherDaemon() throws Exception {
+    FakeEndpoint replacement = soundEndpoint(3);
+    register("e0", replacement.port(), "v1", STARTED);
+    reportStopped("e0");
+    assertThat(harness.call("POST", "/draft/a", "id-2", RESUMPTION))
+        .startsWith("HTTP/1.1 503")
+        .contains("stream-version-gone");
+    assertThat(replacement.requests()).isEmpty();
+  }
+
+  @Test
+  void streamIsResumedOnceTheNextIncarnationIsRegisteredWithItsVersion() throws Exception {
+    FakeEndpoint endpoint = soundEndpoint(3);
+    register("e0", endpoint.port(), "v1", STARTED);
+    reportStopped("e0");
+    register("e0", endpoint.port(), "v1", STARTED + 1);
+    assertThat(harness.call("POST", "/draft/a", "id-2", RESUMPTION))
+        .startsWith("HTTP/1.1 200")
+        .contains("piece-3");
+  }
+
+  @Test
+  void streamIsResumedAtAnEndpointThatDidNotStop() throws Exception {
+    FakeEndpoint stopped = soundEndpoint(3);
+    register("e0", stopped.port(), "v1", STARTED);
+    FakeEndpoint running = soundEndpoint(3);
+    register("e1", running.port(), "v1", STARTED);
+    reportStopped("e0");
+    assertThat(harness.call("POST", "/draft/a", "id-2", RESUMPTION))
+        .startsWith("HTTP/1.1 200")
+        .contains("piece-3");
+    assertThat(stopped.requests()).isEmpty();
+  }
+
+  /** A report on an earlier incarnation says nothing of the registered one. */
+  @Test
+  void reportOnAnEarlierIncarnationIsIgnored() throws Exception {
+    FakeEndpoint endpoint = soundEndpoint(3);
+    register("e0", endpoint.port(), "v1", STARTED + 1);
+    reportStopped("e0");
+    assertThat(harness.call("POST", "/draft/a", "id-2", RESUMPTION)).startsWith("HTTP/1.1 200");
+  }
+
+  @Test
+  void streamThatBeginsAtAnUnregisteredIncarnationDoesNotContinueAtTheFormerVersion()
+      throws Exception {
+    FakeEndpoint replacement = soundEndpoint(2);
+    register("e0", replacement.port(), "v1", STARTED);
+    reportStopped("e0");
+    assertThat(harness.call("POST", "/draft/a", "id-2")).startsWith("HTTP/1.1 200");
+    FakeEndpoint former = soundEndpoint(4);
+    register("e1", former.port(), "v1", STARTED);
+    assertThat(harness.call("POST", "/draft/a", "id-3", "Resumes: id-2", "Last-Event-Id: 2"))
+        .startsWith("HTTP/1.1 503");
+    assertThat(former.requests()).isEmpty();
+  }
+
+  /** Another daemon's report arrives while the resumed run has not sent its first event yet. */
+  @Test
+  void eventsOfAnIncarnationThatIsReportedMeanwhileAreNotForwarded() throws Exception {
+    CountDownLatch received = new CountDownLatch(1);
+    CountDownLatch reported = new CountDownLatch(1);
+    FakeEndpoint replacement =
+        FakeEndpoint.start(
+            (request, connection) -> {
+              connection.startStream(request.header("attempt-id"));
+              received.countDown();
+              reported.await(10, TimeUnit.SECONDS);
+              connection.sendEvent(2);
+              connection.endStream();
+            });
+    register("e0", replacement.port(), "v1", STARTED);
+    try (RelayHarness.Caller caller = harness.caller()) {
+      caller.request("POST", "/draft/a", "id-2", "Connection: close", RESUMPTION);
+      assertThat(received.await(10, TimeUnit.SECONDS)).isTrue();
+      reportStopped("e0");
+      reported.countDown();
+      assertThat(caller.readAll()).doesNotContain("piece-2");
+    }
+  }
+
+  /** A network may refuse a connection although the endpoint runs. */
+  @Test
+  void endpointThatGoesOnWithAnEarlierStreamHasNotStopped() throws Exception {
+    FakeEndpoint endpoint =
+        FakeEndpoint.start(
+            (request, connection) -> {
+              connection.startStream(request.header("attempt-id"));
+              for (int event = 2; event <= 40; event++) {
+                connection.sendEvent(event);
+                TimeUnit.MILLISECONDS.sleep(100);
+              }
+              connection.endStream();
+            });
+    register("e0", endpoint.port(), "v1", STARTED);
+    try (RelayHarness.Caller caller = harness.caller()) {
+      caller.request("POST", "/draft/a", "id-2", "Connection: close", RESUMPTION);
+      caller.readUntil("piece-14");
+      reportStopped("e0");
+      caller.readUntil("piece-20");
+      harness.onLoop(
+          state -> assertThat(state.endpoints().get("e0").orElseThrow().hasStopped()).isTrue());
+      caller.readUntil("piece-28");
+      harness.onLoop(
+          state -> assertThat(state.endpoints().get("e0").orElseThrow().hasStopped()).isFalse());
+    }
+  }
+}
