Count the bytes of request bodies

Callers saw: while 45 bodies of 4 MB within max-body-bytes were sent, the daemon ran out of its heap of 120 MB and closed connections at random; small requests on other connections were lost after they ran.

Cause: each connection collected its body in a growing array, copied it once more and kept the copy for the length of the call. Nothing limited all bodies together; BufferBudget covered only responses being received.

A body is reserved before it is read; one that does not fit is refused at once (503 buffers-full, Retry-After, Connection: close), and the rest of it is read and discarded so that a reset cannot discard the response. Small bodies have a share of their own. A body is held once, outside the heap, and sent from there without a copy.

The tests of CallerServer and RelayState pass the new argument; no assertion of theirs changed.

--- a/core/src/main/java/org/heatherspread/core/poison/Fingerprints.java
+++ b/core/src/main/java/org/heatherspread/core/poison/Fingerprints.java
@@ -2,6 +2,7 @@
 
 import com.google.common.hash.Hasher;
 import com.google.common.hash.Hashing;
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 
 /**
@@ -21,6 +22,11 @@
    * @param account client account, empty if the request has none
    */
   public static String ofRequest(String method, String target, String account, byte[] body) {
+    return ofRequest(method, target, account, ByteBuffer.wrap(body));
+  }
+
+  /** Returns the same fingerprint for a body in a buffer, which is consumed. */
+  public static String ofRequest(String method, String target, String account, ByteBuffer body) {
     Hasher hasher = Hashing.sha256().newHasher();
     for (String text : new String[] {method, target, account}) {
       byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
--- a/node/src/main/java/org/heatherspread/node/Node.java
+++ b/node/src/main/java/org/heatherspread/node/Node.java
@@ -48,6 +48,7 @@
 import org.heatherspread.platform.PlatformHeaders;
 import org.heatherspread.platform.PlatformStore;
 import org.heatherspread.platform.PlatformStreamMigrator;
+import org.heatherspread.relay.buffer.BufferBudget;
 import org.heatherspread.relay.call.CallMetrics;
 import org.heatherspread.relay.call.EndpointLimits;
 import org.heatherspread.relay.call.EndpointNotices;
@@ -199,7 +200,8 @@
                     PartitionedLimiter.create(settings.name(), clock, ENDPOINT_LIMIT_ALLOWANCE),
                     peers.endpointLimits())),
             EndpointNotices.create(PlatformHeaders.relayHeaderNames(), clock, random),
-            streamOrigins);
+            streamOrigins,
+            BufferBudget.forProcess());
     PlatformStore store =
         PlatformStore.create(
             RpcClient.create(loop, clock, settings.store(), rpcMetrics), STORE_TIMEOUT);
@@ -221,7 +223,7 @@
             this::createReport,
             openStreams::onReportWritten);
     RelayHandler relay = RelayHandler.create(state, PlatformHeaders.relayHeaderNames());
-    this.callers = CallerServer.create(loop, clock, state::clientLimits, relay);
+    this.callers = CallerServer.create(loop, clock, state::clientLimits, relay, state.buffers());
     NodeMetrics.create(registry, state, control, callers);
     this.directory =
         CallerServer.create(
@@ -231,15 +233,25 @@
             DirectoryHandler.create(
                 DirectoryFormat.PATH,
                 this::directoryAddresses,
-                addresses -> DirectoryFormat.write(addresses, directoryTtl(bounds))));
+                addresses -> DirectoryFormat.write(addresses, directoryTtl(bounds))),
+            state.buffers());
     this.peerServer =
-        CallerServer.create(loop, clock, ClientLimits::defaults, control.peerHandler());
+        CallerServer.create(
+            loop, clock, ClientLimits::defaults, control.peerHandler(), state.buffers());
     this.readiness =
         CallerServer.create(
-            loop, clock, ClientLimits::defaults, ProbeHandler.readiness(this::updateReadiness));
+            loop,
+            clock,
+            ClientLimits::defaults,
+            ProbeHandler.readiness(this::updateReadiness),
+            state.buffers());
     this.metrics =
         CallerServer.create(
-            loop, clock, ClientLimits::defaults, ProbeHandler.text(registry::scrape));
+            loop,
+            clock,
+            ClientLimits::defaults,
+            ProbeHandler.text(registry::scrape),
+            state.buffers());
   }
 
   /** Creates a daemon that has not been started. */
--- a/node/src/main/java/org/heatherspread/node/NodeMetrics.java
+++ b/node/src/main/java/org/heatherspread/node/NodeMetrics.java
@@ -38,6 +38,7 @@
     gauge(registry, "heatherspread.duties.held", control, c -> c.holdsDuties() ? 1 : 0);
     gauge(registry, "heatherspread.callers.connections", callers, CallerServer::connectionCount);
     gauge(registry, "heatherspread.callers.requests", callers, CallerServer::requestsInProgress);
+    gauge(registry, "heatherspread.buffers.bytes", state, s -> s.buffers().usedBytes());
     NodeMetrics metrics = new NodeMetrics();
     gauge(registry, "heatherspread.log.dropped", metrics, m -> BoundedAsyncAppender.droppedCount());
     metrics.scheduleDropCheck(state.loop());
--- a/node/src/test/java/org/heatherspread/node/RelayStateFixtures.java
+++ b/node/src/test/java/org/heatherspread/node/RelayStateFixtures.java
@@ -11,6 +11,7 @@
 import org.heatherspread.core.time.ManualClock;
 import org.heatherspread.core.usage.UsageWindows;
 import org.heatherspread.platform.PlatformHeaders;
+import org.heatherspread.relay.buffer.BufferBudget;
 import org.heatherspread.relay.call.CallMetrics;
 import org.heatherspread.relay.call.EndpointLimits;
 import org.heatherspread.relay.call.EndpointNotices;
@@ -58,6 +59,7 @@
             LimitAdmission.create(
                 PartitionedLimiter.create("self", clock, new OvershootAllowance(4, 0.5, 5)), null)),
         EndpointNotices.create(PlatformHeaders.relayHeaderNames(), clock, new SplittableRandom(2)),
-        null);
+        null,
+        BufferBudget.forProcess());
   }
 }
--- a/relay/src/main/java/org/heatherspread/relay/call/Attempt.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/Attempt.java
@@ -19,6 +19,7 @@
 import org.heatherspread.core.serving.Route;
 import org.heatherspread.core.stream.EventSplitter;
 import org.heatherspread.core.stream.StreamOrigin;
+import org.heatherspread.relay.buffer.BufferBudget;
 import org.heatherspread.relay.caller.ResponseWriter;
 import org.heatherspread.relay.endpoint.ConnectionPool;
 import org.heatherspread.relay.endpoint.EndpointConnection;
@@ -327,7 +328,7 @@
       rejectResponse("response exceeds " + MAX_BODY_READS + " chunks");
       return;
     }
-    if (!state.responseBuffers().reserve(this, chunk.length)) {
+    if (!state.buffers().reserve(this, chunk.length)) {
       evict();
       return;
     }
@@ -667,7 +668,7 @@
 
   private void close() {
     closed = true;
-    state.responseBuffers().release(this);
+    state.buffers().release(this);
     trackedRequest.end();
     state.unregisterStream(endpoint.id(), this);
     if (silenceTimer != null) {
--- a/relay/src/main/java/org/heatherspread/relay/call/CallSuspects.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/CallSuspects.java
@@ -45,7 +45,7 @@
                   callerRequest.method().name(),
                   callerRequest.target(),
                   account,
-                  callerRequest.body()));
+                  callerRequest.content().nioBuffer()));
     }
     return request;
   }
--- a/relay/src/main/java/org/heatherspread/relay/call/HeaderRewriter.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/HeaderRewriter.java
@@ -1,6 +1,5 @@
 package org.heatherspread.relay.call;
 
-import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -68,14 +67,13 @@
             HttpVersion.HTTP_1_1,
             received.method(),
             received.target(),
-            Unpooled.wrappedBuffer(received.body()),
+            received.content().retainedDuplicate(),
             copyExcept(received.headers(), strippedHeaders),
             new DefaultHttpHeaders());
     HttpHeaders headers = request.headers();
-    boolean hasBody =
-        received.body().length > 0 || received.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
-    if (hasBody) {
-      headers.set(HttpHeaderNames.CONTENT_LENGTH, received.body().length);
+    int length = received.content().readableBytes();
+    if (length > 0 || received.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
+      headers.set(HttpHeaderNames.CONTENT_LENGTH, length);
     }
     headers.set(headerNames.deadline(), Long.toString(remainingMillis));
     headers.set(headerNames.expectedEndpoint(), endpoint.id());
--- a/relay/src/main/java/org/heatherspread/relay/call/Refusal.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/Refusal.java
@@ -8,6 +8,8 @@
   NOT_READY(503),
   /** This daemon stops, and the request may not end before it does. */
   STOPPING(503),
+  /** The body does not fit into the memory that is left for bodies. */
+  BUFFERS_FULL(503),
   /** No route matches the host and path. */
   NO_ROUTE(404),
   /** The event after which the caller resumes a stream is not named by a number. */
--- a/relay/src/main/java/org/heatherspread/relay/call/RelayCall.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/RelayCall.java
@@ -127,6 +127,9 @@
     call.progress.origin = origin.orElse(null);
     state.shutdown().add(call);
     responseWriter.onDisconnect(call::onDisconnect);
+    if (call.finished) {
+      return;
+    }
     state.retryBudget(context.service()).onRequest();
     call.selectAndSend();
   }
--- a/relay/src/main/java/org/heatherspread/relay/call/RelayHandler.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/RelayHandler.java
@@ -38,6 +38,14 @@
   /** Share of the remaining time within which callers of resumed streams return. */
   private static final double RESUMED_RETRY_SHARE = 1.0 / 3;
 
+  /**
+   * Range of the {@code Retry-After} of bodies that do not fit: about the time of a large upload,
+   * spread so that not all return at once.
+   */
+  private static final double MIN_BUFFERS_RETRY_AFTER_SECONDS = 0.5;
+
+  private static final double MAX_BUFFERS_RETRY_AFTER_SECONDS = 2;
+
   private static final double MILLIS_PER_SECOND = 1_000;
 
   private static final Pattern EVENT_ID = Pattern.compile("\\d{1,18}");
@@ -113,6 +121,16 @@
             });
   }
 
+  @Override
+  public void refuseBody(CallerRequest head, ResponseWriter responseWriter) {
+    String id = head.headers().get(headerNames.requestId(), "");
+    double spreadSeconds = MAX_BUFFERS_RETRY_AFTER_SECONDS - MIN_BUFFERS_RETRY_AFTER_SECONDS;
+    new RefusalResponder(state, id, head, responseWriter)
+        .refuse(
+            Refusal.BUFFERS_FULL,
+            MIN_BUFFERS_RETRY_AFTER_SECONDS + spreadSeconds * state.random().nextDouble());
+  }
+
   private boolean hasValidEventId(CallerRequest request) {
     String eventId = request.headers().get(headerNames.lastEventId());
     return eventId == null || EVENT_ID.matcher(eventId.trim()).matches();
--- a/relay/src/main/java/org/heatherspread/relay/call/RelayState.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/RelayState.java
@@ -37,6 +37,7 @@
 import org.heatherspread.core.serving.ServingConfig;
 import org.heatherspread.core.time.MonotonicClock;
 import org.heatherspread.core.usage.UsageWindows;
+import org.heatherspread.relay.buffer.BufferBudget;
 import org.heatherspread.relay.endpoint.ConnectionPool;
 import org.heatherspread.relay.endpoint.EndpointConnection;
 
@@ -56,9 +57,6 @@
       new CrashPolicy(
           3, 4, Duration.ofMinutes(2), Duration.ofMinutes(30), Duration.ofMinutes(1), 1_000);
 
-  /** Maximum size of all buffered response bodies, a small part of the heap. */
-  private static final long MAX_BUFFERED_BYTES = 24 << 20;
-
   /** Pause before an endpoint is probed again that did not respond to a probe. */
   private static final long PROBE_PAUSE_MILLIS = 250;
 
@@ -94,7 +92,7 @@
   private final StreamMigrator migrator;
   private final Map<String, Set<MigratableStream>> streamsByEndpoint = new HashMap<>();
   private final PoisonRequestFilter poisonFilter;
-  private final BufferBudget responseBuffers = BufferBudget.create(MAX_BUFFERED_BYTES);
+  private final BufferBudget buffers;
   private final AnswerLengthEstimator answerLengths = AnswerLengthEstimator.create();
   private final Shutdown shutdown;
   private ServingConfig config;
@@ -108,6 +106,7 @@
    * @param endpointLimits limits that endpoints name
    * @param endpointNotices what endpoints say of themselves besides
    * @param streamOrigins origins of streams of all daemons
+   * @param buffers budget for the bytes that are held for callers and endpoints
    */
   public RelayState(
       EventLoop loop,
@@ -124,7 +123,8 @@
       LimitAdmission accountAdmission,
       EndpointLimits endpointLimits,
       EndpointNotices endpointNotices,
-      StreamOrigins streamOrigins) {
+      StreamOrigins streamOrigins,
+      BufferBudget buffers) {
     this.loop = loop;
     this.clock = clock;
     this.random = random;
@@ -141,6 +141,7 @@
     this.endpointLimits = endpointLimits;
     this.endpointNotices = endpointNotices;
     this.streamOrigins = streamOrigins;
+    this.buffers = buffers;
     this.shutdown = Shutdown.create(clock);
     this.endpoints = EndpointTable.create(health, this::cacheTokens);
   }
@@ -365,9 +366,9 @@
     return shutdown;
   }
 
-  /** Returns the budget for buffered response bodies. */
-  BufferBudget responseBuffers() {
-    return responseBuffers;
+  /** Returns the budget for the bytes that are held for callers and endpoints. */
+  public BufferBudget buffers() {
+    return buffers;
   }
 
   /** Returns the estimator of answer lengths. */
--- a/relay/src/main/java/org/heatherspread/relay/caller/CallerConnection.java
+++ b/relay/src/main/java/org/heatherspread/relay/caller/CallerConnection.java
@@ -1,7 +1,8 @@
 package org.heatherspread.relay.caller;
 
-import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -24,10 +25,10 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
-import java.io.ByteArrayOutputStream;
 import java.util.ArrayDeque;
 import java.util.concurrent.TimeUnit;
 import org.heatherspread.core.serving.ClientLimits;
+import org.heatherspread.relay.buffer.BufferBudget;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -38,8 +39,10 @@
  * <p>Invariants: one request is in progress at a time; messages are processed in the order in which
  * they were read, those that were read during a response before any later ones; a request with
  * ambiguous framing is rejected and closes the connection, which prevents request smuggling; a
- * connection that closes after its response is shut down for output first, so that a reset cannot
- * discard the response. Confined to its event loop.
+ * connection that closes after its response is shut down for output first, and the rest of a body
+ * whose request was refused is read, so that a reset cannot discard the response; the bytes of a
+ * body are reserved before they are read, and released when the response is complete. Confined to
+ * its event loop.
  */
 final class CallerConnection extends ChannelInboundHandlerAdapter {
   private static final Logger log = LoggerFactory.getLogger(CallerConnection.class);
@@ -50,6 +53,9 @@
   /** Time that the caller has to close a connection that was shut down for output. */
   private static final long LINGER_MILLIS = 500;
 
+  /** Size of the first buffer of a body without a declared length. */
+  private static final int MIN_CHUNKED_BODY_BYTES = 4_096;
+
   private enum State {
     IDLE,
     READING,
@@ -64,7 +70,9 @@
   private ChannelHandlerContext context;
   private State state = State.IDLE;
   private HttpRequest requestHead;
-  private ByteArrayOutputStream requestBody;
+  private ByteBuf requestBody = Unpooled.EMPTY_BUFFER;
+  private int reservedBytes;
+  private boolean discardingBody;
   private long headReceivedMillis;
   private long firstByteMillis = -1;
   private long idleSinceMillis;
@@ -94,20 +102,49 @@
 
   @Override
   public void channelRead(ChannelHandlerContext unused, Object message) {
-    if (state == State.CLOSING) {
-      ReferenceCountUtil.release(message);
+    if (state == State.CLOSING || discardingBody) {
+      discard(message);
       return;
     }
     if (state == State.RESPONDING || state == State.WRITING || !readAhead.isEmpty()) {
-      readAhead.add(message);
-      if (readAhead.size() > MAX_READ_AHEAD) {
-        context.channel().config().setAutoRead(false);
-      }
+      keep(message);
       return;
     }
     process(message);
   }
 
+  /** Keeps a message until the response in progress is written. */
+  private void keep(Object message) {
+    readAhead.add(message);
+    int size = contentSize(message);
+    server.buffers().hold(size);
+    if (readAhead.size() > MAX_READ_AHEAD || server.buffers().isFull()) {
+      context.channel().config().setAutoRead(false);
+    }
+  }
+
+  private Object pollReadAhead() {
+    Object message = readAhead.poll();
+    int size = contentSize(message);
+    server.buffers().release(size);
+    return message;
+  }
+
+  private static int contentSize(Object message) {
+    return message instanceof HttpContent content ? content.content().readableBytes() : 0;
+  }
+
+  /** Discards a message; the end of a refused body lets the connection close. */
+  private void discard(Object message) {
+    if (discardingBody && message instanceof LastHttpContent) {
+      discardingBody = false;
+      if (state == State.CLOSING) {
+        closeAfterLinger();
+      }
+    }
+    ReferenceCountUtil.release(message);
+  }
+
   private void process(Object message) {
     try {
       if (message instanceof DecoderResultProvider decoded && decoded.decoderResult().isFailure()) {
@@ -143,17 +180,51 @@
       reject(413, "body larger than " + limits.maxBodyBytes() + " bytes");
       return;
     }
+    requestHead = request;
+    keepAlive = HttpUtil.isKeepAlive(request);
+    int length = (int) HttpUtil.getContentLength(request, 0L);
+    if (!reserveBody(length)) {
+      refuseBody(!HttpUtil.is100ContinueExpected(request));
+      return;
+    }
     if (HttpUtil.is100ContinueExpected(request)) {
       context.writeAndFlush(
           new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
     }
-    requestHead = request;
-    keepAlive = HttpUtil.isKeepAlive(request);
-    requestBody = new ByteArrayOutputStream();
     state = State.READING;
     scheduleTimeoutCheck();
   }
 
+  /** Reserves bytes for the body that is being read; returns false if there are none. */
+  private boolean reserveBody(int nextBytes) {
+    if (nextBytes <= reservedBytes) {
+      return true;
+    }
+    if (!server.buffers().reserveRequest(reservedBytes, nextBytes)) {
+      return false;
+    }
+    reservedBytes = nextBytes;
+    return true;
+  }
+
+  /** Refuses a request; the rest of its body, if it is still coming, is read and discarded. */
+  private void refuseBody(boolean bodyExpected) {
+    cancelTimeoutCheck();
+    releaseBody();
+    keepAlive = false;
+    discardingBody = bodyExpected;
+    state = State.RESPONDING;
+    responseWriter = new ConnectionResponseWriter();
+    server.handler().refuseBody(createRequest(), responseWriter);
+  }
+
+  private void releaseBody() {
+    requestBody.release();
+    requestBody = Unpooled.EMPTY_BUFFER;
+    server.buffers().releaseRequest(reservedBytes);
+    reservedBytes = 0;
+  }
+
   private static String framingError(HttpRequest request) {
     HttpHeaders headers = request.headers();
     if (!request.protocolVersion().equals(HttpVersion.HTTP_1_1)) {
@@ -182,19 +253,67 @@
   }
 
   private void onContent(HttpContent content) {
-    int size = content.content().readableBytes();
-    if (requestBody.size() + size > server.limits().maxBodyBytes()) {
-      reject(413, "body larger than " + server.limits().maxBodyBytes() + " bytes");
+    int maxBytes = server.limits().maxBodyBytes();
+    int size = requestBody.readableBytes() + content.content().readableBytes();
+    if (size > maxBytes) {
+      reject(413, "body larger than " + maxBytes + " bytes");
       return;
     }
-    requestBody.writeBytes(ByteBufUtil.getBytes(content.content()));
-    if (content instanceof LastHttpContent) {
+    boolean last = content instanceof LastHttpContent;
+    if (size > reservedBytes && !reserveBody(chunkedReservation(size, last, maxBytes))) {
+      refuseBody(!last);
+      return;
+    }
+    if (content.content().isReadable()) {
+      ensureBodyCapacity(size);
+      requestBody.writeBytes(content.content());
+    }
+    if (last) {
+      shrinkReservation();
       state = State.RESPONDING;
       cancelTimeoutCheck();
       context.executor().execute(this::dispatchRequest);
     }
   }
 
+  /**
+   * Returns the bytes to reserve for a body without a declared length: the limit once it is large,
+   * so that large bodies do not wait for each other's bytes when they are half read.
+   */
+  private static int chunkedReservation(int size, boolean last, int maxBytes) {
+    if (last) {
+      return size;
+    }
+    return size > BufferBudget.SMALL_BODY_BYTES ? maxBytes : BufferBudget.SMALL_BODY_BYTES;
+  }
+
+  /** Releases what was reserved for a body without a declared length beyond its buffer. */
+  private void shrinkReservation() {
+    int neededBytes = requestBody.capacity();
+    if (neededBytes < reservedBytes) {
+      server.buffers().releaseRequest(reservedBytes);
+      server.buffers().reserveRequest(0, neededBytes);
+      reservedBytes = neededBytes;
+    }
+  }
+
+  /** Enlarges the buffer of the body, that of a large one apart from the chunks of small ones. */
+  private void ensureBodyCapacity(int size) {
+    if (requestBody.capacity() >= size) {
+      return;
+    }
+    boolean chunked = !HttpUtil.isContentLengthSet(requestHead);
+    int doubledBytes = Math.max(MIN_CHUNKED_BODY_BYTES, 2 * requestBody.capacity());
+    int capacity = chunked ? Math.max(size, Math.min(reservedBytes, doubledBytes)) : reservedBytes;
+    ByteBuf larger =
+        capacity > BufferBudget.SMALL_BODY_BYTES
+            ? UnpooledByteBufAllocator.DEFAULT.directBuffer(capacity, capacity)
+            : context.alloc().directBuffer(capacity, capacity);
+    larger.writeBytes(requestBody);
+    requestBody.release();
+    requestBody = larger;
+  }
+
   /**
    * Passes the request to the handler, unless the same read found that the caller has closed the
    * connection, as for requests that have waited for this process.
@@ -208,16 +327,17 @@
       return;
     }
     responseWriter = new ConnectionResponseWriter();
-    CallerRequest request =
-        new CallerRequest(
-            requestHead.method(),
-            requestHead.uri(),
-            requestHead.headers(),
-            requestBody.toByteArray(),
-            context.channel().id().asShortText(),
-            headReceivedMillis);
-    requestBody = null;
-    server.handler().handle(request, responseWriter);
+    server.handler().handle(createRequest(), responseWriter);
+  }
+
+  private CallerRequest createRequest() {
+    return new CallerRequest(
+        requestHead.method(),
+        requestHead.uri(),
+        requestHead.headers(),
+        requestBody,
+        context.channel().id().asShortText(),
+        headReceivedMillis);
   }
 
   private void scheduleTimeoutCheck() {
@@ -296,6 +416,7 @@
         .addKeyValue("peer", String.valueOf(context.channel().remoteAddress()))
         .log("request refused before it was read");
     cancelTimeoutCheck();
+    releaseBody();
     keepAlive = false;
     state = State.RESPONDING;
     responseWriter = new ConnectionResponseWriter();
@@ -325,6 +446,7 @@
 
   private void onResponseComplete(ChannelFuture writeFuture) {
     responseWriter = null;
+    releaseBody();
     state = State.WRITING;
     pendingWriteBytes = Long.MAX_VALUE;
     writeFuture.addListener(written -> onResponseWritten(written.isSuccess()));
@@ -345,7 +467,15 @@
     if (!keepAlive || server.isDraining()) {
       state = State.CLOSING;
       ((SocketChannel) context.channel()).shutdownOutput();
-      context.executor().schedule(() -> context.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
+      discardReadAhead();
+      if (discardingBody) {
+        context
+            .executor()
+            .schedule(
+                () -> context.close(), server.limits().idleTimeoutMillis(), TimeUnit.MILLISECONDS);
+      } else {
+        closeAfterLinger();
+      }
       return;
     }
     state = State.IDLE;
@@ -357,9 +487,28 @@
     scheduleTimeoutCheck();
   }
 
+  private void closeAfterLinger() {
+    context.executor().schedule(() -> context.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Discards what was read ahead, and goes on reading if a refused body is not complete. */
+  private void discardReadAhead() {
+    boolean wasDiscarding = discardingBody;
+    while (!readAhead.isEmpty()) {
+      Object message = pollReadAhead();
+      if (message instanceof LastHttpContent) {
+        discardingBody = false;
+      }
+      ReferenceCountUtil.release(message);
+    }
+    if (wasDiscarding) {
+      context.channel().config().setAutoRead(true);
+    }
+  }
+
   private void processReadAhead() {
     while (!readAhead.isEmpty() && (state == State.IDLE || state == State.READING)) {
-      process(readAhead.poll());
+      process(pollReadAhead());
     }
     if (readAhead.size() <= MAX_READ_AHEAD && state != State.CLOSING) {
       context.channel().config().setAutoRead(true);
@@ -375,13 +524,14 @@
     state = State.CLOSING;
     server.connectionClosed(this);
     while (!readAhead.isEmpty()) {
-      ReferenceCountUtil.release(readAhead.poll());
+      ReferenceCountUtil.release(pollReadAhead());
     }
     ConnectionResponseWriter pendingResponse = responseWriter;
     responseWriter = null;
     if (pendingResponse != null) {
       pendingResponse.onCallerDisconnected();
     }
+    releaseBody();
   }
 
   @Override
@@ -451,7 +601,7 @@
       response.headers().set(headers);
       response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
       setConnectionHeader(response);
-      onResponseComplete(context.writeAndFlush(response));
+      onResponseComplete(holdUntilWritten(context.writeAndFlush(response), body.length));
     }
 
     @Override
@@ -470,8 +620,19 @@
     @Override
     public void write(byte[] bytes) {
       if (isCurrent()) {
-        context.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)));
+        holdUntilWritten(
+            context.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes))),
+            bytes.length);
+      }
+    }
+
+    /** Counts bytes that the connection could not write at once, as the caller reads slowly. */
+    private ChannelFuture holdUntilWritten(ChannelFuture writeFuture, int bytes) {
+      if (!writeFuture.isDone()) {
+        server.buffers().hold(bytes);
+        writeFuture.addListener(written -> server.buffers().release(bytes));
       }
+      return writeFuture;
     }
 
     @Override
--- a/relay/src/main/java/org/heatherspread/relay/caller/CallerServer.java
+++ b/relay/src/main/java/org/heatherspread/relay/caller/CallerServer.java
@@ -23,6 +23,7 @@
 import org.heatherspread.core.serving.ClientLimits;
 import org.heatherspread.core.serving.HostPort;
 import org.heatherspread.core.time.MonotonicClock;
+import org.heatherspread.relay.buffer.BufferBudget;
 
 /** HTTP server that passes complete requests to a handler. Confined to its event loop. */
 public final class CallerServer {
@@ -37,6 +38,7 @@
   private final MonotonicClock clock;
   private final Supplier<ClientLimits> limits;
   private final CallerRequestHandler handler;
+  private final BufferBudget buffers;
   private final Set<CallerConnection> connections = new HashSet<>();
   private Channel listener;
   private boolean draining;
@@ -45,20 +47,27 @@
       EventLoop loop,
       MonotonicClock clock,
       Supplier<ClientLimits> limits,
-      CallerRequestHandler handler) {
+      CallerRequestHandler handler,
+      BufferBudget buffers) {
     this.loop = loop;
     this.clock = clock;
     this.limits = limits;
     this.handler = handler;
+    this.buffers = buffers;
   }
 
-  /** Creates a server that is not bound yet. */
+  /**
+   * Creates a server that is not bound yet.
+   *
+   * @param buffers budget for the bytes that are held for callers, shared by all servers
+   */
   public static CallerServer create(
       EventLoop loop,
       MonotonicClock clock,
       Supplier<ClientLimits> limits,
-      CallerRequestHandler handler) {
-    return new CallerServer(loop, clock, limits, handler);
+      CallerRequestHandler handler,
+      BufferBudget buffers) {
+    return new CallerServer(loop, clock, limits, handler, buffers);
   }
 
   /** Binds the address and accepts connections. Must not be called on the event loop. */
@@ -134,6 +143,10 @@
     return handler;
   }
 
+  BufferBudget buffers() {
+    return buffers;
+  }
+
   long nowMillis() {
     return clock.millis();
   }
--- a/relay/src/test/java/org/heatherspread/relay/RelayHarness.java
+++ b/relay/src/test/java/org/heatherspread/relay/RelayHarness.java
@@ -37,6 +37,7 @@
 import org.heatherspread.core.stream.StreamOriginTable;
 import org.heatherspread.core.time.MonotonicClock;
 import org.heatherspread.core.usage.UsageWindows;
+import org.heatherspread.relay.buffer.BufferBudget;
 import org.heatherspread.relay.call.CallMetrics;
 import org.heatherspread.relay.call.EndpointLimits;
 import org.heatherspread.relay.call.EndpointNotices;
@@ -57,6 +58,8 @@
   /** Name of the daemon that the relay belongs to. */
   public static final String SELF = "self";
 
+  private static final int SHORT_TIMEOUT_MILLIS = 800;
+
   private static final Optional<EngineConfig> ENGINE =
       Optional.of(new EngineConfig(6, 10_000, 1, true));
   private static final HostPort LOOPBACK = new HostPort("127.0.0.1", 0);
@@ -85,7 +88,8 @@
   private final StoreFreshness storeFreshness;
   private final CallerServer server;
 
-  private RelayHarness(StreamMigrator migrator, LimitOwnerClient ownerClient) throws Exception {
+  private RelayHarness(StreamMigrator migrator, LimitOwnerClient ownerClient, BufferBudget buffers)
+      throws Exception {
     MonotonicClock clock = MonotonicClock.system();
     PartitionedLimiter limits =
         PartitionedLimiter.create(SELF, clock, new OvershootAllowance(8, 0.1, 1_000));
@@ -110,10 +114,15 @@
                     PartitionedLimiter.create(SELF, clock, new OvershootAllowance(4, 0.5, 5)),
                     ownerClient)),
             EndpointNotices.create(HEADER_NAMES, clock, new SplittableRandom(2)),
-            new LocalStreamOrigins(StreamOriginTable.create(clock, 100), this::versions));
+            new LocalStreamOrigins(StreamOriginTable.create(clock, 100), this::versions),
+            buffers);
     server =
         CallerServer.create(
-            loop, clock, state::clientLimits, RelayHandler.create(state, HEADER_NAMES));
+            loop,
+            clock,
+            state::clientLimits,
+            RelayHandler.create(state, HEADER_NAMES),
+            state.buffers());
     server.listen(LOOPBACK);
   }
 
@@ -128,18 +137,19 @@
 
   /** Starts the same relay with a stream migrator. */
   public static RelayHarness start(StreamMigrator migrator) throws Exception {
-    return start(
-        migrator,
-        new FixedOwnerClient(
-            request ->
-                CompletableFuture.failedFuture(new IllegalStateException("no other daemons"))),
-        SELF);
+    return start(migrator, noOwnerClient(), SELF);
   }
 
   /** Starts the same relay with limits that are owned by the given daemon. */
   public static RelayHarness start(
       StreamMigrator migrator, LimitOwnerClient ownerClient, String owner) throws Exception {
-    RelayHarness rig = new RelayHarness(migrator, ownerClient);
+    return start(migrator, ownerClient, owner, BufferBudget.forProcess());
+  }
+
+  private static RelayHarness start(
+      StreamMigrator migrator, LimitOwnerClient ownerClient, String owner, BufferBudget buffers)
+      throws Exception {
+    RelayHarness rig = new RelayHarness(migrator, ownerClient, buffers);
     ServingConfig config = config(1, 1_000_000);
     rig.onLoop(state -> state.updateConfig(config));
     rig.onLoop(
@@ -156,13 +166,28 @@
     return rig;
   }
 
+  /** Starts the same relay with the buffers of a process with the given maximum heap. */
+  public static RelayHarness startWithHeap(long heapBytes) throws Exception {
+    return start(null, noOwnerClient(), SELF, BufferBudget.forHeap(heapBytes));
+  }
+
+  private static LimitOwnerClient noOwnerClient() {
+    return new FixedOwnerClient(
+        request -> CompletableFuture.failedFuture(new IllegalStateException("no other daemons")));
+  }
+
   /** Creates a configuration whose account has a limit in tokens per second. */
   public static ServingConfig config(long version, double limit) {
+    return config(version, limit, SHORT_TIMEOUT_MILLIS);
+  }
+
+  /** Creates the same configuration with another timeout of the routes without streams. */
+  public static ServingConfig config(long version, double limit, int timeoutMillis) {
     return ServingConfig.create(
         version,
         List.of(
-            route("/read/", CallKind.IDEMPOTENT, 2, false, 800),
-            route("/write/", CallKind.NON_IDEMPOTENT, 1, false, 800),
+            route("/read/", CallKind.IDEMPOTENT, 2, false, timeoutMillis),
+            route("/write/", CallKind.NON_IDEMPOTENT, 1, false, timeoutMillis),
             route("/draft/", CallKind.STREAM, 2, true, 5_000),
             route("/reply/", CallKind.STREAM, 1, false, 5_000),
             route("/once/", CallKind.STREAM, 2, false, 5_000)),
--- a/relay/src/test/java/org/heatherspread/relay/call/EndlessResponseTest.java
+++ b/relay/src/test/java/org/heatherspread/relay/call/EndlessResponseTest.java
@@ -82,12 +82,11 @@
         CompletableFuture.supplyAsync(() -> callAll("POST", "/write/a"));
     AtomicLong peakBytes = new AtomicLong();
     while (!responses.isDone()) {
-      harness.onLoop(
-          state -> peakBytes.accumulateAndGet(state.responseBuffers().usedBytes(), Math::max));
+      harness.onLoop(state -> peakBytes.accumulateAndGet(state.buffers().usedBytes(), Math::max));
     }
     assertThat(responses.get()).allMatch(text -> text.startsWith("HTTP/1.1 50"));
     assertThat(peakBytes.get()).isBetween(1L, 24L << 20);
-    harness.onLoop(state -> assertThat(state.responseBuffers().usedBytes()).isZero());
+    harness.onLoop(state -> assertThat(state.buffers().usedBytes()).isZero());
   }
 
   @Test
--- a/relay/src/test/java/org/heatherspread/relay/caller/CallerServerTest.java
+++ b/relay/src/test/java/org/heatherspread/relay/caller/CallerServerTest.java
@@ -14,6 +14,7 @@
 import org.heatherspread.core.serving.ClientLimits;
 import org.heatherspread.core.serving.HostPort;
 import org.heatherspread.core.time.MonotonicClock;
+import org.heatherspread.relay.buffer.BufferBudget;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -37,7 +38,8 @@
             }
             byte[] body = new byte[request.target().equals("/large") ? LARGE_BYTES : 0];
             writer.send(200, new DefaultHttpHeaders(), body);
-          });
+          },
+          BufferBudget.forProcess());
 
   @BeforeEach
   void listen() throws Exception {
--- a/relay/src/test/java/org/heatherspread/relay/caller/PipelinedRequestsTest.java
+++ b/relay/src/test/java/org/heatherspread/relay/caller/PipelinedRequestsTest.java
@@ -15,6 +15,7 @@
 import java.util.SplittableRandom;
 import org.heatherspread.core.serving.ClientLimits;
 import org.heatherspread.core.time.MonotonicClock;
+import org.heatherspread.relay.buffer.BufferBudget;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -45,7 +46,8 @@
             Pending next = new Pending(request, writer);
             pending.add(next);
             handled.add(next.text());
-          });
+          },
+          BufferBudget.forProcess());
 
   private static String letters(SplittableRandom random, int length) {
     StringBuilder text = new StringBuilder();
