--- a/node/src/test/java/org/heatherspread/node/soak/FaultKind.java
+++ b/node/src/test/java/org/heatherspread/node/soak/FaultKind.java
@@ -1,5 +1,8 @@
 package org.heatherspread.node.soak;
 
+import java.util.EnumSet;
+import java.util.Set;
+
 /** Faults and changes that a soak run injects. The constants appear by name in the run's result. */
 enum FaultKind {
   /** A daemon is killed and restarted. */
@@ -42,5 +45,44 @@
   /** A new configuration version is written. */
   CONFIGURATION,
   /** An API key is revoked. */
-  KEY_REVOKED
+  KEY_REVOKED,
+  /** Callers send several requests on a connection before the response to the first one. */
+  REQUESTS_SENT_AHEAD,
+  /** Callers read large responses slowly, and a daemon is stopped with SIGTERM meanwhile. */
+  SLOW_READERS,
+  /** Callers send many bodies of almost the permitted size at the same time. */
+  UPLOADS,
+  /** The store returns from an old copy twice in a row. */
+  STORE_RESTORED_TWICE,
+  /** The store returns from an old copy while a daemon starts. */
+  STORE_RESTORED_AT_START,
+  /** The store returns from a copy in which an endpoint that has left is still registered. */
+  LEFT_ENDPOINT_RESTORED,
+  /** Endpoints of a service repeat answers, cut heads, or resume streams at a wrong event. */
+  ENDPOINTS_STUTTER,
+  /** A service is added and, while callers leave its streams, retired with its endpoints. */
+  SERVICE_RETIRED,
+  /** While the store fails, endpoints start as another version under their ids and addresses. */
+  RELEASED_IN_PLACE,
+  /** Registrations appear that are nested deeply or have values out of range. */
+  ODD_REGISTRATIONS,
+  /** The holder of the duty lease is suspended with SIGSTOP and resumed later. */
+  DUTY_HOLDER_PAUSED;
+
+  /** The kinds of the first version of the soak, whose seeds keep their meaning. */
+  static final Set<FaultKind> BASE = EnumSet.range(DAEMON_KILLED, KEY_REVOKED);
+
+  /** The kinds that were added later. */
+  static final Set<FaultKind> FURTHER = EnumSet.range(REQUESTS_SENT_AHEAD, DUTY_HOLDER_PAUSED);
+
+  /** Kinds that, without others, are no reason to lose a request. */
+  static final Set<FaultKind> WITHOUT_LOSS =
+      EnumSet.of(
+          REQUESTS_SENT_AHEAD,
+          SLOW_READERS,
+          UPLOADS,
+          STORE_RESTORED_TWICE,
+          LEFT_ENDPOINT_RESTORED,
+          SERVICE_RETIRED,
+          ODD_REGISTRATIONS);
 }
--- a/node/src/test/java/org/heatherspread/node/soak/RequestHistory.java
+++ b/node/src/test/java/org/heatherspread/node/soak/RequestHistory.java
@@ -27,6 +27,17 @@
   private static final long KEY_PROPAGATION_NANOS = 10_000_000_000L;
 
   private static final int OK = 200;
+  private static final int REFUSED = 503;
+  private static final int SERVER_ERROR = 500;
+
+  /** Time before and after a stop of a daemon in which it may close kept connections. */
+  private static final long STOP_RACE_NANOS = 500_000_000L;
+
+  /** Time after which a request may have expired, just below the shortest timeout of a route. */
+  private static final long EXPIRY_NANOS = 1_900_000_000L;
+
+  /** Time after a stop of a daemon in which it may cut responses that it cannot finish. */
+  private static final long STOP_NANOS = 6_000_000_000L;
 
   /** Start of the ids of requests that end each endpoint that begins their answers. */
   static final String CRASHING = "crash-";
@@ -34,6 +45,9 @@
   private final Map<String, SentRequest> sent = new ConcurrentHashMap<>();
   private final Queue<Execution> executions = new ConcurrentLinkedQueue<>();
   private final Queue<String> reportedViolations = new ConcurrentLinkedQueue<>();
+  private final Queue<String> lateArrivals = new ConcurrentLinkedQueue<>();
+  private final Queue<Long> stopsNanos = new ConcurrentLinkedQueue<>();
+  private volatile boolean losesNothing;
 
   /**
    * A request sent by a caller.
@@ -86,6 +100,7 @@
   record Response(int status, boolean complete, String fault) {}
 
   private final Map<String, Response> responses = new ConcurrentHashMap<>();
+  private final Map<String, Long> responseNanos = new ConcurrentHashMap<>();
 
   void recordSent(SentRequest request) {
     sent.put(request.id(), request);
@@ -97,6 +112,7 @@
 
   void recordResponse(String id, Response response) {
     responses.put(id, response);
+    responseNanos.put(id, System.nanoTime());
   }
 
   /** Records a violation that was detected elsewhere. */
@@ -104,6 +120,65 @@
     reportedViolations.add(text);
   }
 
+  /** Records that a request reached an endpoint some time after it had said that it leaves. */
+  void recordLateArrival(String id) {
+    lateArrivals.add(id);
+  }
+
+  /** Records that a daemon is told to stop. */
+  void recordStop() {
+    stopsNanos.add(System.nanoTime());
+  }
+
+  /**
+   * Requires that each request is answered and that no request reaches an endpoint that has left,
+   * as none of the run's faults is a reason to lose one.
+   */
+  void expectNoLoss() {
+    losesNothing = true;
+  }
+
+  /** Returns the violations of what {@link #expectNoLoss} requires. */
+  private List<String> losses() {
+    List<String> losses = new ArrayList<>();
+    if (!losesNothing) {
+      return losses;
+    }
+    lateArrivals.forEach(id -> losses.add("was sent to an endpoint that had left: " + id));
+    responses.forEach(
+        (id, response) -> {
+          SentRequest request = sent.get(id);
+          if (request == null) {
+            // The connection could not be opened.
+            return;
+          }
+          int status = response.status();
+          boolean lost = status == 0 || !response.complete() || status > SERVER_ERROR;
+          if (lost && status != REFUSED && !mayBeLost(request, response)) {
+            losses.add("was lost, " + response + ": " + request);
+          }
+        });
+    return losses;
+  }
+
+  /**
+   * A stopping daemon closes connections; it cuts only what was sent to it late. Requests that last
+   * until their timeout do not count, as that depends on the speed of the machine.
+   */
+  private boolean mayBeLost(SentRequest request, Response response) {
+    if (responseNanos.get(request.id()) - request.sentNanos() > EXPIRY_NANOS) {
+      return true;
+    }
+    long cutAfterNanos = response.status() == OK ? STOP_RACE_NANOS : -STOP_RACE_NANOS;
+    for (long stopNanos : stopsNanos) {
+      long sinceStop = request.sentNanos() - stopNanos;
+      if (sinceStop >= cutAfterNanos && sinceStop <= STOP_NANOS) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Returns the number of responses by status; 0 stands for no response. */
   Map<Integer, Integer> statusCounts() {
     Map<Integer, Integer> counts = new TreeMap<>();
@@ -170,6 +245,7 @@
     responses.forEach(
         (id, response) ->
             checkResponse(violations, sent.get(id), response, executedIds.contains(id)));
+    violations.addAll(losses());
     return violations;
   }
 
--- a/node/src/test/java/org/heatherspread/node/soak/SoakCaller.java
+++ b/node/src/test/java/org/heatherspread/node/soak/SoakCaller.java
@@ -1,11 +1,14 @@
 package org.heatherspread.node.soak;
 
 import java.io.ByteArrayOutputStream;
+import java.io.FilterInputStream;
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.InterruptedIOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -20,8 +23,9 @@
 import org.heatherspread.relay.FakeEndpoint;
 
 /**
- * Caller that sends requests one after the other on a persistent connection and checks each
- * response. The prompts of all callers begin with the same segment. Confined to one thread.
+ * Caller that sends requests on a persistent connection, one after the other or several ahead of
+ * their responses, and checks each response. The prompts of all callers begin with the same
+ * segment. Confined to one thread.
  */
 final class SoakCaller implements Runnable {
   private static final Set<String> RETRYABLE_ROUTES = Set.of("read", "draft");
@@ -33,6 +37,18 @@
   private static final double DISCONNECT_PROBABILITY = 0.02;
   private static final String CRASHING_PATH = "/draft/crash";
 
+  /** Largest number of requests that are sent before the response to the first one. */
+  private static final int MAX_AHEAD = 6;
+
+  private static final int MAX_SMALL_BODY_BYTES = 300;
+
+  /** Time for a transfer of a large body, which route "bulk" permits. */
+  static final int BULK_MILLIS = 8_000;
+
+  private static final int MIN_BYTES_PER_MILLI = 500;
+  private static final int MAX_BYTES_PER_MILLI = 2_000;
+  private static final int BLOCK_BYTES = 1 << 14;
+
   /** Comment in each event that names the version of the endpoint. */
   private static final Pattern VERSION_LINE = Pattern.compile("(?m)^: ([^\n]*)\n");
 
@@ -45,7 +61,13 @@
     /** They are identical and end each endpoint that begins their answers. */
     CRASHING_REQUEST,
     /** They have a segment in their prompts that does so. */
-    CRASHING_SEGMENT
+    CRASHING_SEGMENT,
+    /** Several are sent at a time before their responses, some of them with bodies. */
+    SENT_AHEAD,
+    /** Their responses are large and are read slowly. */
+    READ_SLOWLY,
+    /** Their bodies have almost the permitted size and are sent slowly to one daemon. */
+    UPLOADED
   }
 
   private final String name;
@@ -85,7 +107,12 @@
   public void run() {
     while (!stopped.get()) {
       try {
-        sendRequest();
+        switch (kind) {
+          case SENT_AHEAD -> sendAhead();
+          case READ_SLOWLY -> sendBulk("download", "");
+          case UPLOADED -> sendBulk("upload", largeBody());
+          default -> sendRequest();
+        }
         int maxPauseMillis = kind == Kind.SOUND ? MAX_PAUSE_MILLIS : CRASHING_PAUSE_MILLIS;
         TimeUnit.MILLISECONDS.sleep(random.nextInt(maxPauseMillis));
       } catch (InterruptedException e) {
@@ -104,38 +131,14 @@
     String id = name + "-" + sentCount++;
     AccountKeys.Key key = keys.get();
     boolean disconnects = random.nextDouble() < DISCONNECT_PROBABILITY;
-    Socket connection;
-    try {
-      connection = obtainConnection();
-    } catch (IOException e) {
-      // Nothing was sent; the next request opens a connection to a random daemon.
-      closeConnection();
-      TimeUnit.MILLISECONDS.sleep(MAX_PAUSE_MILLIS);
+    Socket connection = tryConnection();
+    if (connection == null) {
       return;
     }
     try {
-      history.recordSent(
-          new RequestHistory.SentRequest(
-              id,
-              route.equals("write") || route.equals("read") ? "plain" : "model",
-              key.account(),
-              RETRYABLE_ROUTES.contains(route),
-              System.nanoTime(),
-              key));
-      String head =
-          (route.equals("read") ? "GET" : "POST")
-              + " "
-              + (kind == Kind.CRASHING_REQUEST ? CRASHING_PATH : "/" + route + "/x")
-              + " HTTP/1.1\r\nHost: soak.example\r\nAttempt-Id: "
-              + id
-              + "\r\nDeadline-Remaining: "
-              + DEADLINE_MILLIS
-              + "\r\nToken-Counts: 100,20\r\nPrompt-Prefix: "
-              + prompt()
-              + resumptionHeaders()
-              + "\r\nAuthorization: Bearer "
-              + key.value()
-              + "\r\nContent-Length: 0\r\n\r\n";
+      recordSent(id, route, key);
+      String path = kind == Kind.CRASHING_REQUEST ? CRASHING_PATH : "/" + route + "/x";
+      String head = head(id, route, path, key, DEADLINE_MILLIS, resumptionHeaders(), "");
       connection.getOutputStream().write(head.getBytes(StandardCharsets.UTF_8));
       if (disconnects) {
         TimeUnit.MILLISECONDS.sleep(random.nextInt(MAX_PAUSE_MILLIS));
@@ -152,6 +155,151 @@
     }
   }
 
+  private void recordSent(String id, String route, AccountKeys.Key key) {
+    history.recordSent(
+        new RequestHistory.SentRequest(
+            id,
+            route.equals("draft") || route.equals("reply") ? "model" : "plain",
+            key.account(),
+            RETRYABLE_ROUTES.contains(route),
+            System.nanoTime(),
+            key));
+  }
+
+  private String head(
+      String id,
+      String route,
+      String path,
+      AccountKeys.Key key,
+      int deadlineMillis,
+      String furtherHeaders,
+      String body) {
+    return (route.equals("read") ? "GET " : "POST ")
+        + path
+        + " HTTP/1.1\r\nHost: soak.example\r\nAttempt-Id: "
+        + id
+        + "\r\nDeadline-Remaining: "
+        + deadlineMillis
+        + "\r\nToken-Counts: 100,20\r\nPrompt-Prefix: "
+        + prompt()
+        + furtherHeaders
+        + "\r\nAuthorization: Bearer "
+        + key.value()
+        + "\r\nContent-Length: "
+        + body.length()
+        + "\r\n\r\n";
+  }
+
+  private static String bodyHeader(String body) {
+    return "\r\n" + SoakEndpoint.BODY_CHECK + ": " + SoakEndpoint.checkValue(body);
+  }
+
+  private String largeBody() {
+    int missing = 1 + random.nextInt(BLOCK_BYTES);
+    return (name + sentCount + ';')
+        .repeat(SoakEndpoint.MAX_BODY_BYTES)
+        .substring(0, SoakEndpoint.MAX_BODY_BYTES - missing);
+  }
+
+  /** Sends several requests, divided into parts at random, and then reads their responses. */
+  private void sendAhead() throws InterruptedException {
+    int count = 2 + random.nextInt(MAX_AHEAD - 1);
+    List<String> ids = new ArrayList<>();
+    List<String> routes = new ArrayList<>();
+    StringBuilder text = new StringBuilder();
+    AccountKeys.Key key = keys.get();
+    for (int i = 0; i < count; i++) {
+      String route = ROUTES.get(random.nextInt(ROUTES.size()));
+      String id = name + "-" + sentCount++;
+      String body =
+          route.equals("read") ? "" : "b".repeat(random.nextInt(MAX_SMALL_BODY_BYTES)) + id;
+      text.append(
+          head(id, route, "/" + route + "/x", key, DEADLINE_MILLIS, bodyHeader(body), body));
+      text.append(body);
+      ids.add(id);
+      routes.add(route);
+    }
+    Socket connection = tryConnection();
+    if (connection == null) {
+      return;
+    }
+    for (int i = 0; i < count; i++) {
+      recordSent(ids.get(i), routes.get(i), key);
+    }
+    int answered = 0;
+    try {
+      writeParts(connection, text.toString(), 1 + random.nextInt(text.length()), 0);
+      for (; answered < count && socket != null; answered++) {
+        String id = ids.get(answered);
+        history.recordResponse(
+            id, readResponse(id, routes.get(answered), connection.getInputStream()));
+      }
+    } catch (IOException e) {
+      closeConnection();
+      TimeUnit.MILLISECONDS.sleep(MAX_PAUSE_MILLIS);
+    }
+    broken = null;
+    for (String id : ids.subList(answered, count)) {
+      history.recordResponse(id, new RequestHistory.Response(0, false, ""));
+    }
+  }
+
+  /** Sends a request with a large body or a large response at the speed of a slow line. */
+  private void sendBulk(String operation, String body) throws InterruptedException {
+    int bytesPerMilli =
+        MIN_BYTES_PER_MILLI + random.nextInt(MAX_BYTES_PER_MILLI - MIN_BYTES_PER_MILLI);
+    String id = name + "-" + sentCount++;
+    AccountKeys.Key key = keys.get();
+    Socket connection = tryConnection();
+    if (connection == null) {
+      return;
+    }
+    recordSent(id, "bulk", key);
+    try {
+      String path = "/bulk/" + operation;
+      String head = head(id, "bulk", path, key, BULK_MILLIS, bodyHeader(body), body);
+      writeParts(connection, head + body, BLOCK_BYTES, bytesPerMilli);
+      InputStream slow = new SlowInputStream(connection.getInputStream(), bytesPerMilli);
+      history.recordResponse(id, readResponse(id, "bulk", slow));
+    } catch (IOException e) {
+      history.recordResponse(id, new RequestHistory.Response(0, false, ""));
+      closeConnection();
+      TimeUnit.MILLISECONDS.sleep(MAX_PAUSE_MILLIS);
+    }
+  }
+
+  /** Writes text in parts; {@code bytesPerMilli} is 0 for no limit of the speed. */
+  private static void writeParts(Socket to, String text, int maxPartBytes, int bytesPerMilli)
+      throws IOException, InterruptedException {
+    byte[] bytes = text.getBytes(StandardCharsets.US_ASCII);
+    for (int from = 0; from < bytes.length; from += maxPartBytes) {
+      int length = Math.min(maxPartBytes, bytes.length - from);
+      to.getOutputStream().write(bytes, from, length);
+      TimeUnit.MILLISECONDS.sleep(bytesPerMilli == 0 ? 1 : length / bytesPerMilli);
+    }
+  }
+
+  /** Stream that is read at a limited speed. */
+  private static final class SlowInputStream extends FilterInputStream {
+    private final int bytesPerMilli;
+
+    SlowInputStream(InputStream in, int bytesPerMilli) {
+      super(in);
+      this.bytesPerMilli = bytesPerMilli;
+    }
+
+    @Override
+    public int read(byte[] target, int offset, int length) throws IOException {
+      int read = super.read(target, offset, Math.min(length, BLOCK_BYTES));
+      try {
+        TimeUnit.MILLISECONDS.sleep(Math.max(0, read) / bytesPerMilli);
+      } catch (InterruptedException e) {
+        throw new InterruptedIOException();
+      }
+      return read;
+    }
+  }
+
   private String resumptionHeaders() {
     return resumed == null
         ? ""
@@ -170,6 +318,18 @@
     return request.requestLine().contains(CRASHING_PATH) || prompt.contains(CRASHING_SEGMENT);
   }
 
+  /** Returns the open connection or a new one, null if it cannot be opened. */
+  private Socket tryConnection() throws InterruptedException {
+    try {
+      return obtainConnection();
+    } catch (IOException e) {
+      // Nothing was sent; the next request opens a connection to a random daemon.
+      closeConnection();
+      TimeUnit.MILLISECONDS.sleep(MAX_PAUSE_MILLIS);
+      return null;
+    }
+  }
+
   private Socket obtainConnection() throws IOException {
     if (socket == null) {
       List<Integer> ports = daemons.get();
@@ -177,10 +337,13 @@
         throw new IOException("no daemon addresses are known");
       }
       socket = new Socket();
-      int port = ports.get(random.nextInt(ports.size()));
+      if (kind == Kind.READ_SLOWLY) {
+        socket.setReceiveBufferSize(BLOCK_BYTES);
+      }
+      int port = ports.get(kind == Kind.UPLOADED ? 0 : random.nextInt(ports.size()));
       socket.connect(new InetSocketAddress("127.0.0.1", port), 500);
       socket.setTcpNoDelay(true);
-      socket.setSoTimeout(2 * DEADLINE_MILLIS);
+      socket.setSoTimeout(kind == Kind.UPLOADED ? 2 * BULK_MILLIS : 2 * DEADLINE_MILLIS);
     }
     return socket;
   }
@@ -219,6 +382,13 @@
     if (!complete && status == 200 && isStream && route.equals(RESUMABLE_ROUTE)) {
       recordBreak(id, text);
     }
+    String signature = headers.getOrDefault("server-signature", "");
+    if (signature.startsWith(SoakEndpoint.LATE_SIGNATURE)) {
+      return new RequestHistory.Response(
+          status,
+          complete,
+          "received " + status + " of the second answer of an endpoint: " + headers);
+    }
     return new RequestHistory.Response(
         status, complete, status == 200 ? findViolation(id, headers, text, complete) : "");
   }
@@ -246,7 +416,12 @@
       return "received a response without the headers of its request: " + headers;
     }
     if (!headers.containsKey("transfer-encoding")) {
-      return !complete || body.equals("ok-" + id) ? "" : "received an unexpected body: " + body;
+      String whole = kind == Kind.READ_SLOWLY ? SoakEndpoint.largeBody(id) : "ok-" + id;
+      boolean expected = complete ? body.equals(whole) : whole.startsWith(body);
+      return expected
+          ? ""
+          : "received an unexpected body: "
+              + body.substring(0, Math.min(MAX_SMALL_BODY_BYTES, body.length()));
     }
     StringBuilder expected = new StringBuilder();
     int firstEvent = resumed == null ? 1 : resumed.lastEvent + 1;
--- a/node/src/test/java/org/heatherspread/node/soak/SoakDaemon.java
+++ b/node/src/test/java/org/heatherspread/node/soak/SoakDaemon.java
@@ -106,6 +106,25 @@
     return folder.resolve(name + "." + startCount + ".log");
   }
 
+  /** Returns the size of all logs of the daemon in bytes. */
+  long logBytes() throws IOException {
+    long bytes = 0;
+    for (int i = 1; i <= startCount; i++) {
+      bytes += Files.size(folder.resolve(name + "." + i + ".log"));
+    }
+    return bytes;
+  }
+
+  /** Returns whether any of the processes of the daemon logged a text. */
+  boolean hasLogged(String text) throws IOException {
+    for (int i = 1; i <= startCount; i++) {
+      if (Files.readString(folder.resolve(name + "." + i + ".log")).contains(text)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Returns the last lines of the log of the process. */
   String logTail() throws IOException {
     List<String> lines = Files.readAllLines(logFile());
--- a/node/src/test/java/org/heatherspread/node/soak/SoakEndpoint.java
+++ b/node/src/test/java/org/heatherspread/node/soak/SoakEndpoint.java
@@ -19,6 +19,21 @@
   /** Number of events in a complete stream. */
   static final int EVENT_COUNT = 6;
 
+  /** Limit of the bodies of requests that the configuration names. */
+  static final int MAX_BODY_BYTES = 2 << 20;
+
+  /** Header of requests that describes their bodies by {@link #checkValue}. */
+  static final String BODY_CHECK = "Body-Check";
+
+  /** Start of the signatures of further answers to a request, which no caller may receive. */
+  static final String LATE_SIGNATURE = "late-";
+
+  private static final int LARGE_RESPONSE_BYTES = 1 << 20;
+  private static final int MAX_LATE_MILLIS = 80;
+
+  /** Time after which no request may reach an endpoint that said that it leaves. */
+  private static final long LEAVING_NANOS = 2_000_000_000L;
+
   private static final long HEARTBEAT_INTERVAL_MILLIS = 500;
 
   /** Time after its last heartbeat at which the registration of a crashed endpoint expires. */
@@ -37,6 +52,8 @@
   private final FakeEndpoint endpoint;
   private final FaultProxy proxy;
   private volatile double faultShare;
+  private volatile double stutterShare;
+  private volatile long leftAtNanos = Long.MAX_VALUE;
   private volatile boolean draining;
   private volatile boolean closed;
   private volatile boolean crashed;
@@ -105,6 +122,40 @@
     faultShare = share;
   }
 
+  /** Sets the fraction of requests with answers that are repeated, cut, or do not go on. */
+  void setStutterShare(double share) {
+    stutterShare = share;
+  }
+
+  /** Returns the value of {@link #BODY_CHECK} for a body. */
+  static String checkValue(String body) {
+    return body.length() + "/" + body.hashCode();
+  }
+
+  /** Returns the response body of requests whose path ends with "download". */
+  static String largeBody(String attemptId) {
+    String line = "ok-" + attemptId + '\n';
+    return line.repeat(LARGE_RESPONSE_BYTES / line.length());
+  }
+
+  /** Says in all responses that the endpoint leaves, and no longer renews its registration. */
+  void leaveByResponses() {
+    leftAtNanos = System.nanoTime();
+  }
+
+  /** Deletes the registration. */
+  synchronized void deleteRegistration() {
+    platform.delete(FakePlatform.ENDPOINTS, id);
+  }
+
+  /** Starts at once as another version under the same id and address. */
+  void replaceInPlace(String nextVersion) {
+    version = nextVersion;
+    startedAtMillis = System.currentTimeMillis();
+    proxy.resetConnections();
+    register();
+  }
+
   /** Sets the requests that end the endpoint when it begins their answer. */
   void setCrashTrigger(Predicate<FakeEndpoint.Request> trigger) {
     crashTrigger = trigger;
@@ -199,7 +250,7 @@
   }
 
   private synchronized void register() {
-    if (!closed && !crashed) {
+    if (!closed && !crashed && leftAtNanos == Long.MAX_VALUE) {
       platform.registerEndpoint(id, service, proxy.port(), draining, startedAtMillis, version);
     }
   }
@@ -210,6 +261,8 @@
 
   private void handle(FakeEndpoint.Request request, FakeEndpoint.Connection connection)
       throws Exception {
+    // The script keeps the requests, whose bodies may be large.
+    endpoint.requests().clear();
     NamedLimit limit = namedLimit;
     limit.recordArrival();
     String attemptId = request.header("attempt-id");
@@ -223,6 +276,10 @@
       connection.send("HTTP/1.1 421 X\r\nRequest-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
       return;
     }
+    String check = request.header(BODY_CHECK);
+    if (check != null && !check.equals(checkValue(request.body()))) {
+      history.recordViolation("an endpoint received another body than was sent: " + attemptId);
+    }
     boolean faulty = nextDouble() < faultShare;
     double faultKind = nextDouble();
     if (faulty && faultKind < 0.25) {
@@ -238,6 +295,9 @@
             service,
             String.valueOf(request.header("tenant-name")),
             request.header("authorization") != null));
+    if (System.nanoTime() - leftAtNanos > LEAVING_NANOS) {
+      history.recordLateArrival(attemptId);
+    }
     TimeUnit.MILLISECONDS.sleep((long) (nextDouble() * MAX_WORK_MILLIS));
     if (crashTrigger.test(request)) {
       beginAnswerAndCrash(request, connection);
@@ -251,6 +311,14 @@
       sendWithoutEnd(attemptId, connection);
       return;
     }
+    if (stutterShare > 0 && nextDouble() < stutterShare) {
+      stutter(request, connection);
+      return;
+    }
+    if (request.requestLine().contains("/bulk/download")) {
+      connection.respond(200, attemptId, largeBody(attemptId), limit.headers());
+      return;
+    }
     boolean delimitedByClose = nextDouble() < DELIMITED_BY_CLOSE_PROBABILITY;
     if (request.requestLine().contains("/draft/") || request.requestLine().contains("/reply/")) {
       sendStream(request, connection, faulty, delimitedByClose);
@@ -267,6 +335,10 @@
       connection.socket().close();
       return;
     }
+    if (leftAtNanos != Long.MAX_VALUE) {
+      connection.respond(200, attemptId, "ok-" + attemptId, "Server-Leaving: 1");
+      return;
+    }
     connection.respond(200, attemptId, "ok-" + attemptId, limit.headers());
     if (faulty) {
       connection.respond(200, "other", "of-another-request");
@@ -290,6 +362,86 @@
     }
   }
 
+  private void stutter(FakeEndpoint.Request request, FakeEndpoint.Connection connection)
+      throws Exception {
+    String attemptId = request.header("attempt-id");
+    boolean stream = !request.requestLine().contains("/read/");
+    stream &= !request.requestLine().contains("/write/");
+    int form = (int) (nextDouble() * 7);
+    if (stream && form < 5) {
+      sendStutteringStream(request, connection, form);
+      return;
+    }
+    String idLine = "Attempt-Id: " + attemptId + "\r\n";
+    switch (form) {
+      case 0 -> connection.respond(200, attemptId, "ok-" + attemptId);
+      case 1 -> connection.respond(500, attemptId, "failed");
+      case 2 -> connection.send("HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n");
+      case 3 -> {
+        connection.send("HTTP/1.1 200 X\r\n" + idLine + "Server-Sig");
+        connection.socket().close();
+        return;
+      }
+      case 4 -> {
+        connection.send("HTTP/1.1 200 X\r\n" + idLine + "Content-Length: 50\r\n\r\nok-");
+        connection.socket().close();
+        return;
+      }
+      case 5 -> {
+        connection.send("HTTP/1.1 200 X\r\n" + idLine + "Server-Sig");
+        TimeUnit.MILLISECONDS.sleep(MAX_LATE_MILLIS);
+        connection.reset();
+        return;
+      }
+      default -> {
+        sendWithoutEnd(attemptId, connection);
+        return;
+      }
+    }
+    TimeUnit.MILLISECONDS.sleep((long) (nextDouble() * MAX_LATE_MILLIS));
+    int status = nextDouble() < 0.5 ? 200 : 500;
+    String line = "HTTP/1.1 " + status + " X\r\n" + (nextDouble() < 0.8 ? idLine : "");
+    String late = "Server-Signature: " + LATE_SIGNATURE + attemptId;
+    connection.send(line + late + "\r\nContent-Length: 4\r\n\r\nlate");
+  }
+
+  /** Breaks a stream that begins; answers a resumption with something that does not go on. */
+  private void sendStutteringStream(
+      FakeEndpoint.Request request, FakeEndpoint.Connection connection, int form) throws Exception {
+    String attemptId = request.header("attempt-id");
+    String lastEventId = request.header("last-event-id");
+    if (lastEventId == null) {
+      connection.startStream(attemptId);
+      for (int event = 1; event <= 1 + form; event++) {
+        connection.sendChunk(event(event));
+        TimeUnit.MILLISECONDS.sleep(EVENT_INTERVAL_MILLIS);
+      }
+      connection.reset();
+      return;
+    }
+    int next = Integer.parseInt(lastEventId) + 1;
+    if (form == 0) {
+      connection.respond(500, attemptId, "failed");
+      return;
+    }
+    connection.startStream(attemptId);
+    int first =
+        switch (form) {
+          case 1 -> next - 1;
+          case 2 -> next + 1;
+          case 3 -> 1;
+          default -> EVENT_COUNT + 1;
+        };
+    for (int event = first; event <= EVENT_COUNT; event++) {
+      connection.sendChunk(event(event));
+    }
+    connection.endStream();
+  }
+
+  private String event(int number) {
+    return "id: " + number + "\ndata: piece-" + number + "\n: " + version + "\n\n";
+  }
+
   /** Crashes before the answer, after its head, or within its first event. */
   private void beginAnswerAndCrash(FakeEndpoint.Request request, FakeEndpoint.Connection connection)
       throws IOException {
--- a/node/src/test/java/org/heatherspread/node/soak/SoakMain.java
+++ b/node/src/test/java/org/heatherspread/node/soak/SoakMain.java
@@ -46,6 +46,11 @@
             .accepts("out", "folder for settings and logs of the daemons")
             .withRequiredArg()
             .defaultsTo("out/soak");
+    final OptionSpec<String> kinds =
+        parser
+            .accepts("kinds", "base: faults of the first version only; all: all faults")
+            .withRequiredArg()
+            .defaultsTo("all");
     parser.accepts("help", "show this help").forHelp();
     OptionSet options;
     try {
@@ -70,7 +75,10 @@
               each,
               daemons.value(options),
               TimeUnit.SECONDS.toMillis(seconds.value(options)),
-              folder);
+              folder,
+              kinds.value(options).equals("base")
+                  ? FaultSchedule.base(each)
+                  : FaultSchedule.all(each));
       System.out.println(new ObjectMapper().writeValueAsString(result));
       failed += result.broken().isEmpty() ? 0 : 1;
     }
--- a/node/src/test/java/org/heatherspread/node/soak/SoakRun.java
+++ b/node/src/test/java/org/heatherspread/node/soak/SoakRun.java
@@ -1,10 +1,12 @@
 package org.heatherspread.node.soak;
 
 import java.io.IOException;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayDeque;
@@ -55,6 +57,29 @@
   /** Number of copies of the store; a restore uses the oldest. */
   private static final int BACKUPS = 6;
 
+  private static final int CALLERS_PER_KIND = 4;
+  private static final int UPLOADING_CALLER_COUNT = 40;
+  private static final int MAX_FURTHER_GAP_MILLIS = 3_000;
+  private static final int MAX_HOLDER_PAUSE_MILLIS = 7_000;
+
+  /** Time within which all daemons get a response of an endpoint that leaves. */
+  private static final long NOTICE_MILLIS = 700;
+
+  /** Time from the notice of an endpoint to the restore of the store. */
+  private static final long LEAVING_MILLIS = 1_500;
+
+  /** Time from a restore of an endpoint that has left to its end. */
+  private static final long LEFT_MILLIS = 3_000;
+
+  /** Time after the removal of a service in which daemons forget its streams. */
+  private static final long RETIREMENT_MILLIS = 45_000;
+
+  private static final long SERVICE_START_MILLIS = 1_200;
+  private static final int MAX_RELEASE_MILLIS = 1_500;
+
+  /** Size of the logs of a daemon that no run reaches with bounded repetitions. */
+  private static final long MAX_LOG_BYTES = 20L << 20;
+
   private static final String CRASHING_REQUESTS = RequestHistory.CRASHING + "request";
   private static final String CRASHING_SEGMENTS = RequestHistory.CRASHING + "segment";
 
@@ -78,15 +103,25 @@
        "service": "%s", "timeout-ms": 2000, "max-attempts": %d, "stream-resumption": %b}
       """;
 
+  private static final String BULK_ROUTE =
+      """
+      {"name": "bulk", "hostname": "soak.example", "prefix": "/bulk/", "route-kind":
+       "non_idempotent", "service": "plain", "timeout-ms": 8000, "max-attempts": 2}
+      """;
+
   private final long seed;
   private final long faultMillis;
   private final SplittableRandom random;
+  private final SplittableRandom furtherRandom;
+  private final FaultSchedule schedule;
   private final RequestHistory history = new RequestHistory();
   private final AccountKeys keys = new AccountKeys("acme", KEY_COUNT);
   private final FakePlatform platform;
   private final List<SoakDaemon> daemons = new ArrayList<>();
   private final List<SoakEndpoint> endpoints = new CopyOnWriteArrayList<>();
   private final AtomicBoolean stopped = new AtomicBoolean();
+  private final AtomicBoolean faultsOver = new AtomicBoolean();
+  private final List<RetiringService> retiring = new ArrayList<>();
   private final PriorityQueue<ScheduledAction> pendingActions =
       new PriorityQueue<>(Comparator.comparingLong(ScheduledAction::atMillis));
   private final Deque<FakePlatform.Backup> backups = new ArrayDeque<>();
@@ -97,6 +132,10 @@
   private volatile List<Integer> addresses = List.of();
   private long configVersion = 1;
   private int createdEndpoints;
+  private int createdCallers;
+
+  /** Source of the choices of the current fault. */
+  private SplittableRandom actionRandom;
 
   /**
    * Result of a run, printed as JSON under the names of its components.
@@ -119,10 +158,17 @@
 
   private record ScheduledAction(long atMillis, FaultAction action) {}
 
-  private SoakRun(long seed, int daemons, long faultMillis, Path folder) throws IOException {
+  /** A service with its endpoints that is removed later. */
+  private record RetiringService(String name, List<SoakEndpoint> endpoints) {}
+
+  private SoakRun(long seed, int daemons, long faultMillis, Path folder, FaultSchedule schedule)
+      throws IOException {
     this.seed = seed;
+    this.schedule = schedule;
     this.faultMillis = faultMillis;
     this.random = new SplittableRandom(seed);
+    this.furtherRandom = new SplittableRandom(~seed);
+    this.actionRandom = random;
     this.platform = FakePlatform.start();
     for (int i = 0; i < daemons; i++) {
       this.daemons.add(
@@ -135,9 +181,11 @@
    *
    * @param faultMillis duration of fault injection
    * @param folder folder for the settings and logs of the daemons
+   * @param schedule kinds of the faults
    */
-  static Result run(long seed, int daemons, long faultMillis, Path folder) throws Exception {
-    SoakRun run = new SoakRun(seed, daemons, faultMillis, folder);
+  static Result run(long seed, int daemons, long faultMillis, Path folder, FaultSchedule schedule)
+      throws Exception {
+    SoakRun run = new SoakRun(seed, daemons, faultMillis, folder, schedule);
     try {
       return run.execute();
     } finally {
@@ -157,6 +205,9 @@
   }
 
   private Result execute() throws Exception {
+    if (schedule.losesNothing()) {
+      history.expectNoLoss();
+    }
     writeConfiguration();
     for (int i = 0; i < ENDPOINTS_PER_SERVICE; i++) {
       addEndpoint("plain");
@@ -173,6 +224,9 @@
     injectFaults();
     clearFaults();
     TimeUnit.MILLISECONDS.sleep(RECOVERY_MILLIS);
+    if (!schedule.base() && injected.containsKey(FaultKind.SERVICE_RETIRED)) {
+      TimeUnit.MILLISECONDS.sleep(RETIREMENT_MILLIS - RECOVERY_MILLIS);
+    }
     final long measuredFromNanos = System.nanoTime();
     TimeUnit.MILLISECONDS.sleep(MEASURE_MILLIS);
     stopped.set(true);
@@ -187,6 +241,11 @@
       if (daemon.exitedUnexpectedly()) {
         violations.add(daemon.name() + " exited unexpectedly");
       }
+      if (daemon.logBytes() > MAX_LOG_BYTES) {
+        violations.add(daemon.name() + " wrote " + daemon.logBytes() + " bytes of log");
+      } else if (daemon.hasLogged("OutOfMemoryError")) {
+        violations.add(daemon.name() + " ran out of memory");
+      }
     }
     checkDuties(violations);
     checkCrashingRequests(violations, measuredFromNanos);
@@ -195,7 +254,7 @@
   }
 
   private void startCaller(String name, SoakCaller.Kind kind) {
-    SplittableRandom callerRandom = random.split();
+    SplittableRandom callerRandom = actionRandom.split();
     SoakCaller caller =
         new SoakCaller(
             name,
@@ -204,17 +263,21 @@
             callerRandom,
             () -> addresses,
             () -> keys.pick(callerRandom),
-            stopped);
+            kind == SoakCaller.Kind.UPLOADED ? faultsOver : stopped);
     DaemonThreads.start("caller-" + name, caller);
   }
 
   private void addEndpoint(String service) throws IOException {
+    endpoints.add(createEndpoint(service));
+  }
+
+  private SoakEndpoint createEndpoint(String service) throws IOException {
     String id = service + '-' + createdEndpoints++;
     String version = VERSIONS.get(createdEndpoints / 2 % VERSIONS.size());
     SoakEndpoint endpoint =
-        SoakEndpoint.start(id, service, version, history, random.split(), platform);
+        SoakEndpoint.start(id, service, version, history, actionRandom.split(), platform);
     endpoint.setCrashTrigger(SoakCaller::endsEndpoint);
-    endpoints.add(endpoint);
+    return endpoint;
   }
 
   /** Starts callers whose requests end endpoints; they send them until the end of the run. */
@@ -249,13 +312,24 @@
     for (String key : keys.activeValues()) {
       quotedKeys.append(quotedKeys.length() == 0 ? "\"" : ", \"").append(key).append('"');
     }
+    StringBuilder furtherRoutes = new StringBuilder();
+    StringBuilder furtherServices = new StringBuilder();
+    String limits = "";
+    if (!schedule.further().isEmpty()) {
+      furtherRoutes.append(',').append(BULK_ROUTE);
+      limits = "\"limits\": {\"max-body-bytes\": " + SoakEndpoint.MAX_BODY_BYTES + "},";
+    }
+    for (RetiringService each : retiring) {
+      furtherRoutes.append(',').append(route(each.name(), "streaming", each.name(), 2, true));
+      furtherServices.append(", {\"name\": \"").append(each.name()).append("\"}");
+    }
     platform.write(
         FakePlatform.OPERATORS,
         FakePlatform.CONFIGURATION_KEY,
         """
-        {"version": %d, "routes": [%s, %s, %s, %s],
+        {"version": %d, "routes": [%s, %s, %s, %s %s],
          "services": [{"name": "plain", "connection-limit": 200},
-           {"name": "model", "connection-limit": 200}],
+           {"name": "model", "connection-limit": 200} %s], %s
          "tenants": [{"name": "acme", "api-keys": [%s]}]}
         """
             .formatted(
@@ -264,6 +338,9 @@
                 route("write", "non_idempotent", "plain", 2, false),
                 route("draft", "streaming", "model", 3, true),
                 route("reply", "streaming", "model", 1, false),
+                furtherRoutes,
+                furtherServices,
+                limits,
                 quotedKeys));
   }
 
@@ -321,9 +398,9 @@
 
   private void injectFaults() throws Exception {
     long start = System.nanoTime();
-    FaultKind[] kinds = FaultKind.values();
+    FaultKind[] kinds = FaultKind.BASE.toArray(new FaultKind[0]);
     long startMillis = 0;
-    while (startMillis < faultMillis) {
+    while (schedule.base() && startMillis < faultMillis) {
       FaultKind kind = kinds[random.nextInt(kinds.length)];
       int burst = 1 + random.nextInt(3);
       for (int i = 0; i < burst && startMillis < faultMillis; i++) {
@@ -331,6 +408,13 @@
         startMillis += random.nextInt(MAX_GAP_MILLIS);
       }
     }
+    for (FaultKind kind : schedule.further()) {
+      for (long at = 0;
+          at < faultMillis;
+          at += 100 + furtherRandom.nextInt(MAX_FURTHER_GAP_MILLIS)) {
+        pendingActions.add(new ScheduledAction(at, () -> inject(kind)));
+      }
+    }
     while (!pendingActions.isEmpty()) {
       ScheduledAction next = pendingActions.poll();
       long now = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - start);
@@ -346,7 +430,8 @@
 
   private void scheduleRecovery(FaultAction action) {
     pendingActions.add(
-        new ScheduledAction(currentStepMillis + 100 + random.nextInt(MAX_FAULT_MILLIS), action));
+        new ScheduledAction(
+            currentStepMillis + 100 + actionRandom.nextInt(MAX_FAULT_MILLIS), action));
   }
 
   /** Reserves a random element that no other fault affects; returns null if there is none. */
@@ -355,12 +440,13 @@
     if (idle.isEmpty()) {
       return null;
     }
-    T acquired = idle.get(random.nextInt(idle.size()));
+    T acquired = idle.get(actionRandom.nextInt(idle.size()));
     affected.add(acquired);
     return acquired;
   }
 
   private void inject(FaultKind kind) throws Exception {
+    actionRandom = FaultKind.BASE.contains(kind) ? random : furtherRandom;
     keepBackup();
     boolean isInjected =
         switch (kind) {
@@ -377,12 +463,203 @@
           case ENDPOINT_LIMITED -> changeLimit();
           case ENDPOINT_REPLACED, ENDPOINT_LOST -> replaceEndpoint(kind);
           case CONFIGURATION, KEY_REVOKED -> changeConfiguration(kind);
+          case REQUESTS_SENT_AHEAD ->
+              startCallers(kind, SoakCaller.Kind.SENT_AHEAD, CALLERS_PER_KIND);
+          case SLOW_READERS -> {
+            startCallers(kind, SoakCaller.Kind.READ_SLOWLY, CALLERS_PER_KIND);
+            yield injectDaemonFault(FaultKind.DAEMON_STOPPED);
+          }
+          case UPLOADS -> startCallers(kind, SoakCaller.Kind.UPLOADED, UPLOADING_CALLER_COUNT);
+          case STORE_RESTORED_TWICE -> restoreTwice();
+          case STORE_RESTORED_AT_START ->
+              injectDaemonFault(FaultKind.DAEMON_KILLED)
+                  && injectStoreFault(FaultKind.STORE_RESTORED);
+          case LEFT_ENDPOINT_RESTORED -> restoreLeftEndpoint();
+          case ENDPOINTS_STUTTER -> stutter();
+          case SERVICE_RETIRED -> retireService();
+          case RELEASED_IN_PLACE -> releaseInPlace();
+          case ODD_REGISTRATIONS -> writeOddRegistrations();
+          case DUTY_HOLDER_PAUSED -> pauseDutyHolder();
         };
     if (isInjected) {
       injected.merge(kind, 1, Integer::sum);
     }
   }
 
+  /** Starts callers of a kind once in a run. */
+  private boolean startCallers(FaultKind fault, SoakCaller.Kind kind, int count) {
+    if (!affected.add(fault)) {
+      return false;
+    }
+    for (int i = 0; i < count; i++) {
+      startCaller("f" + createdCallers++, kind);
+    }
+    return true;
+  }
+
+  private void scheduleAfter(long millis, FaultAction action) {
+    pendingActions.add(new ScheduledAction(currentStepMillis + millis, action));
+  }
+
+  private boolean restoreTwice() {
+    if (!injectStoreFault(FaultKind.STORE_RESTORED)) {
+      return false;
+    }
+    scheduleAfter(
+        RESTORE_MILLIS + actionRandom.nextInt(MAX_GAP_MILLIS),
+        () -> injectStoreFault(FaultKind.STORE_RESTORED));
+    return true;
+  }
+
+  private boolean restoreLeftEndpoint() throws IOException {
+    SoakEndpoint endpoint =
+        acquireIdle(endpoints.stream().filter(each -> each.service().equals("plain")).toList());
+    if (endpoint == null || !affected.add(platform)) {
+      return false;
+    }
+    endpoints.remove(endpoint);
+    addEndpoint(endpoint.service());
+    FakePlatform.Backup backup = platform.backUp();
+    endpoint.leaveByResponses();
+    scheduleAfter(NOTICE_MILLIS, endpoint::deleteRegistration);
+    scheduleAfter(
+        LEAVING_MILLIS,
+        () -> {
+          platform.setFault(FakePlatform.Fault.UNAVAILABLE);
+          platform.restore(backup, FakePlatform.OPERATORS);
+          scheduleAfter(RESTORE_MILLIS, this::endFault);
+        });
+    scheduleAfter(LEAVING_MILLIS + RESTORE_MILLIS + LEFT_MILLIS, endpoint::close);
+    return true;
+  }
+
+  private boolean stutter() {
+    List<SoakEndpoint> stuttering =
+        endpoints.stream().filter(each -> !affected.contains(each)).toList();
+    for (SoakEndpoint endpoint : stuttering) {
+      affected.add(endpoint);
+      endpoint.setStutterShare(0.3);
+    }
+    scheduleRecovery(
+        () -> {
+          for (SoakEndpoint endpoint : stuttering) {
+            endpoint.setStutterShare(0);
+            affected.remove(endpoint);
+          }
+        });
+    return !stuttering.isEmpty();
+  }
+
+  private boolean retireService() throws IOException {
+    String name = "old" + retiring.size() + '-' + configVersion;
+    RetiringService service =
+        new RetiringService(name, List.of(createEndpoint(name), createEndpoint(name)));
+    retiring.add(service);
+    writeConfiguration();
+    scheduleAfter(
+        SERVICE_START_MILLIS,
+        () -> {
+          for (int port : addresses) {
+            leaveStream(name, port);
+          }
+          retire(service);
+        });
+    return true;
+  }
+
+  /** Sends the request of a stream and closes the connection after the head of the response. */
+  private void leaveStream(String service, int port) {
+    String id = service + '-' + port;
+    AccountKeys.Key key = keys.pick(actionRandom);
+    history.recordSent(
+        new RequestHistory.SentRequest(id, service, key.account(), true, System.nanoTime(), key));
+    String head =
+        "POST /%s/draft/x HTTP/1.1\r\nHost: soak.example\r\nAttempt-Id: %s\r\n"
+            + "Deadline-Remaining: 2000\r\nToken-Counts: 100,20\r\nPrompt-Prefix: a1:50\r\n"
+            + "Authorization: Bearer %s\r\nContent-Length: 0\r\n\r\n";
+    try (Socket socket = new Socket("127.0.0.1", port)) {
+      socket.setSoTimeout(500);
+      socket
+          .getOutputStream()
+          .write(head.formatted(service, id, key.value()).getBytes(StandardCharsets.US_ASCII));
+      socket.getInputStream().readNBytes(100);
+    } catch (IOException e) {
+      // The daemon is down, or does not know the service yet.
+    }
+  }
+
+  private void retire(RetiringService service) throws IOException {
+    retiring.remove(service);
+    writeConfiguration();
+    for (SoakEndpoint endpoint : service.endpoints()) {
+      endpoint.close();
+    }
+  }
+
+  private boolean releaseInPlace() {
+    if (!affected.add(platform)) {
+      return false;
+    }
+    platform.setFault(FakePlatform.Fault.UNAVAILABLE);
+    String version = "release-" + currentStepMillis;
+    for (SoakEndpoint endpoint : endpoints) {
+      if (endpoint.service().equals("model")) {
+        scheduleAfter(
+            RESTORE_MILLIS + actionRandom.nextInt(MAX_RELEASE_MILLIS),
+            () -> endpoint.replaceInPlace(version));
+      }
+    }
+    scheduleAfter(RESTORE_MILLIS + MAX_RELEASE_MILLIS, this::endFault);
+    return true;
+  }
+
+  private boolean writeOddRegistrations() {
+    String nested = "[".repeat(5_000) + "]".repeat(5_000);
+    List<String> values =
+        List.of(
+            registration("127.0.0.1:9", "\"zone\": " + nested),
+            registration("127.0.0.1:9", "\"concurrency-slots\": 1e999"),
+            registration("127.0.0.1:9", "\"born\": 99999999999999999999999999"),
+            registration("127.0.0.1:9", "\"sequence-number\": -1e400, \"version\": {}"),
+            registration("127.0.0.1:99999", "\"zone\": \"z\""),
+            registration("127.0.0.1:-1", "\"zone\": \"z\""),
+            registration("127.0.0.1:0", "\"zone\": \"z\""),
+            registration("", "\"zone\": null"),
+            nested,
+            "null",
+            "");
+    String key = "odd-" + actionRandom.nextInt(values.size());
+    platform.write(FakePlatform.ENDPOINTS, key, values.get(actionRandom.nextInt(values.size())));
+    scheduleRecovery(() -> platform.delete(FakePlatform.ENDPOINTS, key));
+    return true;
+  }
+
+  private static String registration(String address, String field) {
+    return "{\"service\": \"plain\", \"address\": \"%s\", \"state\": \"ready\", %s}"
+        .formatted(address, field);
+  }
+
+  private boolean pauseDutyHolder() throws Exception {
+    List<FakePlatform.DutyRequest> requests = List.copyOf(platform.dutyRequests());
+    if (requests.isEmpty()) {
+      return false;
+    }
+    String holder = requests.get(requests.size() - 1).holder();
+    for (SoakDaemon daemon : daemons) {
+      if (daemon.name().equals(holder) && affected.add(daemon)) {
+        daemon.signal("STOP");
+        scheduleAfter(
+            1 + actionRandom.nextInt(MAX_HOLDER_PAUSE_MILLIS),
+            () -> {
+              daemon.signal("CONT");
+              affected.remove(daemon);
+            });
+        return true;
+      }
+    }
+    return false;
+  }
+
   private boolean injectDaemonFault(FaultKind kind) throws Exception {
     SoakDaemon daemon = acquireIdle(daemons);
     if (daemon == null) {
@@ -395,6 +672,7 @@
         recovery = () -> restartDaemon(daemon);
       }
       case DAEMON_STOPPED -> {
+        history.recordStop();
         Thread stopping = DaemonThreads.start("stop-" + daemon.name(), () -> stopDaemon(daemon));
         recovery =
             () -> {
@@ -574,10 +852,15 @@
   }
 
   private void clearFaults() throws Exception {
+    faultsOver.set(true);
+    for (RetiringService service : List.copyOf(retiring)) {
+      retire(service);
+    }
     platform.setFault(FakePlatform.Fault.NONE);
     for (SoakEndpoint endpoint : endpoints) {
       endpoint.proxy().setMode(FaultProxy.Mode.PASS);
       endpoint.setFaultShare(0);
+      endpoint.setStutterShare(0);
     }
     for (SoakDaemon daemon : daemons) {
       daemon.storeProxy().setMode(FaultProxy.Mode.PASS);
--- a/node/src/test/java/org/heatherspread/node/soak/SoakTest.java
+++ b/node/src/test/java/org/heatherspread/node/soak/SoakTest.java
@@ -3,6 +3,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.nio.file.Path;
+import java.util.EnumSet;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -19,7 +21,8 @@
   @ParameterizedTest
   @ValueSource(longs = {1})
   void keepsAllInvariantsUnderFaults(long seed) throws Exception {
-    SoakRun.Result result = SoakRun.run(seed, DAEMONS, FAULT_MILLIS, folder);
+    SoakRun.Result result =
+        SoakRun.run(seed, DAEMONS, FAULT_MILLIS, folder, FaultSchedule.base(seed));
     assertThat(result.broken()).isEmpty();
     assertThat(result.statuses().get(200)).isGreaterThan(100);
     assertThat(result.faults()).hasSizeGreaterThan(4);
@@ -61,6 +64,50 @@
     assertThat(history.violations()).hasSize(6);
   }
 
+  @Test
+  void findsLostRequestsOnlyIfNoFaultIsReasonToLoseThem() {
+    RequestHistory history = new RequestHistory();
+    AccountKeys.Key key = new AccountKeys.Key("key", "acme", Long.MIN_VALUE / 2);
+    history.recordSent(
+        new RequestHistory.SentRequest("id", "plain", "acme", false, System.nanoTime(), key));
+    history.recordResponse("id", new RequestHistory.Response(200, false, ""));
+    history.recordLateArrival("id");
+    assertThat(history.violations()).isEmpty();
+    history.expectNoLoss();
+    assertThat(history.violations()).hasSize(2);
+    history.recordResponse("id", new RequestHistory.Response(503, true, ""));
+    assertThat(history.violations()).hasSize(1);
+  }
+
+  @Test
+  void permitsLossesOfRequestsSentAfterStopOfDaemon() {
+    RequestHistory history = new RequestHistory();
+    history.expectNoLoss();
+    history.recordStop();
+    AccountKeys.Key key = new AccountKeys.Key("key", "acme", Long.MIN_VALUE / 2);
+    long sentNanos = System.nanoTime() + 100_000_000;
+    history.recordSent(
+        new RequestHistory.SentRequest("id", "plain", "acme", false, sentNanos, key));
+    history.recordResponse("id", new RequestHistory.Response(0, false, ""));
+    assertThat(history.violations()).isEmpty();
+    history.recordResponse("id", new RequestHistory.Response(200, false, ""));
+    assertThat(history.violations()).hasSize(1);
+  }
+
+  @Test
+  void drawsEachFurtherKindAloneAndKeepsBaseFaults() {
+    Set<FaultKind> alone = EnumSet.noneOf(FaultKind.class);
+    for (long seed = 0; seed < 2L * FaultKind.FURTHER.size(); seed++) {
+      FaultSchedule schedule = FaultSchedule.all(seed);
+      assertThat(schedule.base()).isEqualTo(seed % 2 == 1);
+      assertThat(schedule.further()).isNotEmpty();
+      if (!schedule.base()) {
+        alone.addAll(schedule.further());
+      }
+    }
+    assertThat(alone).isEqualTo(FaultKind.FURTHER);
+  }
+
   @Test
   void findsValidRequestsThatWereRejected() {
     RequestHistory history = new RequestHistory();
