Let the soak's callers write and read at once, and read larger responses slowly

Callers that sent ahead wrote all requests before they read, so that none arrived while a response ended; responses of 1 MB fit into the buffers of the kernel, so that a daemon that exits early cut none. Streams that are left are read until their third event, so that daemons keep their origins.

--- a/node/src/test/java/org/heatherspread/node/soak/RequestHistory.java
+++ b/node/src/test/java/org/heatherspread/node/soak/RequestHistory.java
@@ -33,9 +33,11 @@
   /** Time before and after a stop of a daemon in which it may close kept connections. */
   private static final long STOP_RACE_NANOS = 500_000_000L;
 
-  /** Time after which a request may have expired, just below the shortest timeout of a route. */
+  /** Time after which a request may have expired, just below the timeout of its route. */
   private static final long EXPIRY_NANOS = 1_900_000_000L;
 
+  private static final long BULK_EXPIRY_NANOS = 7_900_000_000L;
+
   /** Time after a stop of a daemon in which it may cut responses that it cannot finish. */
   private static final long STOP_NANOS = 6_000_000_000L;
 
@@ -47,6 +49,7 @@
   private final Queue<String> reportedViolations = new ConcurrentLinkedQueue<>();
   private final Queue<String> lateArrivals = new ConcurrentLinkedQueue<>();
   private final Queue<Long> stopsNanos = new ConcurrentLinkedQueue<>();
+  private final Set<String> bulkIds = ConcurrentHashMap.newKeySet();
   private volatile boolean losesNothing;
 
   /**
@@ -125,6 +128,11 @@
     lateArrivals.add(id);
   }
 
+  /** Records that a request has a large body or response, for which its route gives more time. */
+  void recordBulk(String id) {
+    bulkIds.add(id);
+  }
+
   /** Records that a daemon is told to stop. */
   void recordStop() {
     stopsNanos.add(System.nanoTime());
@@ -166,7 +174,8 @@
    * until their timeout do not count, as that depends on the speed of the machine.
    */
   private boolean mayBeLost(SentRequest request, Response response) {
-    if (responseNanos.get(request.id()) - request.sentNanos() > EXPIRY_NANOS) {
+    long expiryNanos = bulkIds.contains(request.id()) ? BULK_EXPIRY_NANOS : EXPIRY_NANOS;
+    if (responseNanos.get(request.id()) - request.sentNanos() > expiryNanos) {
       return true;
     }
     long cutAfterNanos = response.status() == OK ? STOP_RACE_NANOS : -STOP_RACE_NANOS;
--- a/node/src/test/java/org/heatherspread/node/soak/SoakCaller.java
+++ b/node/src/test/java/org/heatherspread/node/soak/SoakCaller.java
@@ -38,15 +38,18 @@
   private static final String CRASHING_PATH = "/draft/crash";
 
   /** Largest number of requests that are sent before the response to the first one. */
-  private static final int MAX_AHEAD = 6;
+  private static final int MAX_AHEAD = 12;
+
+  private static final int MAX_PART_BYTES = 600;
+  private static final int MAX_PART_PAUSE_MILLIS = 30;
 
   private static final int MAX_SMALL_BODY_BYTES = 300;
 
   /** Time for a transfer of a large body, which route "bulk" permits. */
   static final int BULK_MILLIS = 8_000;
 
-  private static final int MIN_BYTES_PER_MILLI = 500;
-  private static final int MAX_BYTES_PER_MILLI = 2_000;
+  private static final int MIN_BYTES_PER_MILLI = 2_000;
+  private static final int MAX_BYTES_PER_MILLI = 4_000;
   private static final int BLOCK_BYTES = 1 << 14;
 
   /** Comment in each event that names the version of the endpoint. */
@@ -201,7 +204,7 @@
         .substring(0, SoakEndpoint.MAX_BODY_BYTES - missing);
   }
 
-  /** Sends several requests, divided into parts at random, and then reads their responses. */
+  /** Sends several requests, divided into parts at random, and reads responses meanwhile. */
   private void sendAhead() throws InterruptedException {
     int count = 2 + random.nextInt(MAX_AHEAD - 1);
     List<String> ids = new ArrayList<>();
@@ -227,8 +230,10 @@
       recordSent(ids.get(i), routes.get(i), key);
     }
     int answered = 0;
+    SplittableRandom writerRandom = random.split();
+    DaemonThreads.start(
+        "writer-" + name, () -> writeParts(connection, text.toString(), writerRandom));
     try {
-      writeParts(connection, text.toString(), 1 + random.nextInt(text.length()), 0);
       for (; answered < count && socket != null; answered++) {
         String id = ids.get(answered);
         history.recordResponse(
@@ -254,11 +259,12 @@
     if (connection == null) {
       return;
     }
+    history.recordBulk(id);
     recordSent(id, "bulk", key);
     try {
       String path = "/bulk/" + operation;
       String head = head(id, "bulk", path, key, BULK_MILLIS, bodyHeader(body), body);
-      writeParts(connection, head + body, BLOCK_BYTES, bytesPerMilli);
+      writeSlowly(connection, head + body, bytesPerMilli);
       InputStream slow = new SlowInputStream(connection.getInputStream(), bytesPerMilli);
       history.recordResponse(id, readResponse(id, "bulk", slow));
     } catch (IOException e) {
@@ -268,14 +274,29 @@
     }
   }
 
-  /** Writes text in parts; {@code bytesPerMilli} is 0 for no limit of the speed. */
-  private static void writeParts(Socket to, String text, int maxPartBytes, int bytesPerMilli)
+  private static void writeParts(Socket to, String text, SplittableRandom random) {
+    try {
+      int from = 0;
+      while (from < text.length()) {
+        int end = Math.min(text.length(), from + 1 + random.nextInt(MAX_PART_BYTES));
+        to.getOutputStream().write(text.substring(from, end).getBytes(StandardCharsets.US_ASCII));
+        from = end;
+        TimeUnit.MILLISECONDS.sleep(random.nextInt(MAX_PART_PAUSE_MILLIS));
+      }
+    } catch (IOException e) {
+      // The reader of the responses finds that the connection is closed.
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private static void writeSlowly(Socket to, String text, int bytesPerMilli)
       throws IOException, InterruptedException {
     byte[] bytes = text.getBytes(StandardCharsets.US_ASCII);
-    for (int from = 0; from < bytes.length; from += maxPartBytes) {
-      int length = Math.min(maxPartBytes, bytes.length - from);
+    for (int from = 0; from < bytes.length; from += BLOCK_BYTES) {
+      int length = Math.min(BLOCK_BYTES, bytes.length - from);
       to.getOutputStream().write(bytes, from, length);
-      TimeUnit.MILLISECONDS.sleep(bytesPerMilli == 0 ? 1 : length / bytesPerMilli);
+      TimeUnit.MILLISECONDS.sleep(length / bytesPerMilli);
     }
   }
 
--- a/node/src/test/java/org/heatherspread/node/soak/SoakEndpoint.java
+++ b/node/src/test/java/org/heatherspread/node/soak/SoakEndpoint.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Predicate;
 import org.heatherspread.platform.FakePlatform;
 import org.heatherspread.relay.FakeEndpoint;
@@ -28,7 +29,7 @@
   /** Start of the signatures of further answers to a request, which no caller may receive. */
   static final String LATE_SIGNATURE = "late-";
 
-  private static final int LARGE_RESPONSE_BYTES = 1 << 20;
+  private static final int LARGE_RESPONSE_BYTES = 5 << 20;
   private static final int MAX_LATE_MILLIS = 80;
 
   /** Time after which no request may reach an endpoint that said that it leaves. */
@@ -64,6 +65,7 @@
   private volatile long restartMillis = 1_000;
   private volatile boolean keepsId;
   private volatile NamedLimit namedLimit = NamedLimit.NONE;
+  private final AtomicInteger replacements = new AtomicInteger();
   private int incarnation;
 
   private SoakEndpoint(
@@ -150,6 +152,7 @@
 
   /** Starts at once as another version under the same id and address. */
   void replaceInPlace(String nextVersion) {
+    replacements.incrementAndGet();
     version = nextVersion;
     startedAtMillis = System.currentTimeMillis();
     proxy.resetConnections();
@@ -365,8 +368,8 @@
   private void stutter(FakeEndpoint.Request request, FakeEndpoint.Connection connection)
       throws Exception {
     String attemptId = request.header("attempt-id");
-    boolean stream = !request.requestLine().contains("/read/");
-    stream &= !request.requestLine().contains("/write/");
+    String line = request.requestLine();
+    boolean stream = line.contains("/draft/") || line.contains("/reply/");
     int form = (int) (nextDouble() * 7);
     if (stream && form < 5) {
       sendStutteringStream(request, connection, form);
@@ -400,9 +403,9 @@
     }
     TimeUnit.MILLISECONDS.sleep((long) (nextDouble() * MAX_LATE_MILLIS));
     int status = nextDouble() < 0.5 ? 200 : 500;
-    String line = "HTTP/1.1 " + status + " X\r\n" + (nextDouble() < 0.8 ? idLine : "");
+    String head = "HTTP/1.1 " + status + " X\r\n" + (nextDouble() < 0.8 ? idLine : "");
     String late = "Server-Signature: " + LATE_SIGNATURE + attemptId;
-    connection.send(line + late + "\r\nContent-Length: 4\r\n\r\nlate");
+    connection.send(head + late + "\r\nContent-Length: 4\r\n\r\nlate");
   }
 
   /** Breaks a stream that begins; answers a resumption with something that does not go on. */
@@ -470,9 +473,15 @@
       connection.startStream(request.header("attempt-id"), namedLimit.headers());
     }
     boolean interrupted = false;
+    final int startedAfterReplacements = replacements.get();
     for (int event = first; event <= EVENT_COUNT && !interrupted; event++) {
       interrupted = faulty && event > first + EVENT_COUNT / 2;
-      String piece = "ta: piece-" + event + "\n: " + version + "\n\n";
+      String currentVersion = version;
+      if (replacements.get() != startedAfterReplacements) {
+        connection.reset();
+        return;
+      }
+      String piece = "ta: piece-" + event + "\n: " + currentVersion + "\n\n";
       sender.send("id: " + event + "\nda" + (interrupted ? "" : piece));
       TimeUnit.MILLISECONDS.sleep(interrupted ? 0 : EVENT_INTERVAL_MILLIS);
     }
--- a/node/src/test/java/org/heatherspread/node/soak/SoakRun.java
+++ b/node/src/test/java/org/heatherspread/node/soak/SoakRun.java
@@ -1,6 +1,8 @@
 package org.heatherspread.node.soak;
 
+import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.InputStreamReader;
 import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -567,7 +569,7 @@
     return true;
   }
 
-  /** Sends the request of a stream and closes the connection after the head of the response. */
+  /** Sends the request of a stream and closes the connection after some events. */
   private void leaveStream(String service, int port) {
     String id = service + '-' + port;
     AccountKeys.Key key = keys.pick(actionRandom);
@@ -582,7 +584,13 @@
       socket
           .getOutputStream()
           .write(head.formatted(service, id, key.value()).getBytes(StandardCharsets.US_ASCII));
-      socket.getInputStream().readNBytes(100);
+      BufferedReader reader =
+          new BufferedReader(
+              new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
+      String line = reader.readLine();
+      while (line != null && !line.equals("data: piece-3")) {
+        line = reader.readLine();
+      }
     } catch (IOException e) {
       // The daemon is down, or does not know the service yet.
     }
