--- a/node/src/test/java/org/heatherspread/node/soak/SoakCaller.java
+++ b/node/src/test/java/org/heatherspread/node/soak/SoakCaller.java
@@ -118,6 +118,8 @@
     while (!stopped.get()) {
       try {
         while (paused.get()) {
+          // The pause may exceed the idle timeout of kept connections.
+          closeConnection();
           TimeUnit.MILLISECONDS.sleep(MAX_PAUSE_MILLIS);
         }
         switch (kind) {
