Fail a request whose failure without an id would be skipped

Callers got a success where the endpoint had answered 500: on a connection that had carried a request before, a response without an id was skipped as another request's, and a late second response with the right id, of another status, was taken for the answer.

A failure without an id on such a connection may be the answer or an earlier one once more, so the request now fails as lost and the connection is closed. Refusals are skipped as before: a request that was refused has no later response, and a repeated refusal must not be believed.

--- a/relay/src/main/java/org/heatherspread/relay/endpoint/EndpointConnection.java
+++ b/relay/src/main/java/org/heatherspread/relay/endpoint/EndpointConnection.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.util.Set;
 import org.heatherspread.core.serving.HostPort;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -25,12 +26,12 @@
  * that does not certainly belong to the request in progress is skipped and prevents further reuse,
  * since an endpoint may repeat an earlier response at any time: one with another request's id, a
  * success without an id, and any response without an id on a connection that carried a request
- * before; only so many responses and bytes are skipped before the request fails, since an endpoint
- * may send them without end; a head that is joined from two responses fails the request; a response
- * delimited by the end of the connection is complete only if the connection was not reset; a
- * connection that ends before its response is complete is reset, even if the process ends, so that
- * bytes of the request that a network partition holds up do not arrive after it was given up.
- * Confined to its event loop.
+ * before; of these, a failure that may be that of the request in progress fails it; only so many
+ * responses and bytes are skipped before the request fails, since an endpoint may send them without
+ * end; a head that is joined from two responses fails the request; a response delimited by the end
+ * of the connection is complete only if the connection was not reset; a connection that ends before
+ * its response is complete is reset, even if the process ends, so that bytes of the request that a
+ * network partition holds up do not arrive after it was given up. Confined to its event loop.
  */
 public final class EndpointConnection extends ChannelInboundHandlerAdapter {
   private static final Logger log = LoggerFactory.getLogger(EndpointConnection.class);
@@ -44,6 +45,9 @@
   /** Time before the peer's idle timeout from which the connection is no longer reused. */
   private static final long KEEP_ALIVE_MARGIN_MILLIS = 700;
 
+  /** Statuses that tell that a request was not executed. */
+  private static final Set<Integer> REFUSALS = Set.of(408, 421, 429, 503);
+
   /** Maximum number of responses skipped during a request. */
   private static final int MAX_SKIPPED_RESPONSES = 16;
 
@@ -179,6 +183,10 @@
       fail("invalid response: another response begins within its head");
       return;
     }
+    if (mayBeFailureOfRequest(head)) {
+      fail("failure without an id on a reused connection");
+      return;
+    }
     if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL || belongsToOtherRequest(head)) {
       skippingResponse = true;
       skippedResponses++;
@@ -199,6 +207,19 @@
     }
   }
 
+  /**
+   * Returns whether a response may be the failure of the request in progress, or an earlier one
+   * once more. A later success is no answer to a request that has failed, so neither is believed. A
+   * refusal is not concerned: a request that was refused has no later response.
+   */
+  private boolean mayBeFailureOfRequest(HttpResponse head) {
+    return expectedId != null
+        && reused
+        && head.headers().get(idHeader) == null
+        && head.status().code() >= 300
+        && !REFUSALS.contains(head.status().code());
+  }
+
   private boolean belongsToOtherRequest(HttpResponse head) {
     if (expectedId == null) {
       return false;
--- a/relay/src/test/java/org/heatherspread/relay/call/RepeatedResponseTest.java
+++ b/relay/src/test/java/org/heatherspread/relay/call/RepeatedResponseTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * A faulty endpoint writes an earlier response once more on a kept connection. The next request on
@@ -117,4 +118,21 @@
     assertThat(response.startsWith("HTTP/1.1 200") || response.startsWith("HTTP/1.1 502")).isTrue();
     assertThat(response).doesNotContain("full");
   }
+
+  /** A late second response must not turn a failure into a success. */
+  @ParameterizedTest
+  @ValueSource(ints = {400, 404, 500, 502, 504})
+  void failureWithoutIdIsNotSkippedForLaterSuccess(int status) throws Exception {
+    harness.register(
+        FakeEndpoint.start(
+            (request, connection) -> {
+              String id = request.header("attempt-id");
+              if (id.equals("second")) {
+                connection.send("HTTP/1.1 " + status + " X\r\nContent-Length: 2\r\n\r\nno");
+              }
+              connection.respond(200, id, "right");
+            }));
+    assertThat(harness.call("POST", "/write/a", "first")).startsWith("HTTP/1.1 200");
+    assertThat(harness.call("POST", "/write/a", "second")).startsWith("HTTP/1.1 502");
+  }
 }
