--- a/core/src/main/java/org/heatherspread/core/stream/EventSplitter.java
+++ b/core/src/main/java/org/heatherspread/core/stream/EventSplitter.java
@@ -11,6 +11,9 @@
   private static final byte[] ID_FIELD = {'i', 'd', ':'};
   private static final int INITIAL_BYTES = 256;
 
+  /** Ids above this one have too many digits to be read. */
+  private static final long MAX_ID = Long.MAX_VALUE / 10 - 1;
+
   private final int maxEventBytes;
   private byte[] buffer = new byte[INITIAL_BYTES];
   private int size;
@@ -107,6 +110,9 @@
     long value = -1;
     for (int i = from; i < to; i++) {
       int digit = event[i] - '0';
+      if (value > MAX_ID) {
+        return -1;
+      }
       if (digit >= 0 && digit <= 9) {
         value = Math.max(value, 0) * 10 + digit;
       } else if (event[i] != ' ' && event[i] != '\r') {
--- a/relay/src/main/java/org/heatherspread/relay/call/Attempt.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/Attempt.java
@@ -353,10 +353,10 @@
   }
 
   private void onEvent(byte[] bytes, long id) {
-    if (!isActive()) {
+    if (!isActive() || failureDuringMigration != null) {
       return;
     }
-    if (call.joinedContent().isJoined(bytes)) {
+    if (call.joinedContent().isJoinedEvent(bytes)) {
       rejectResponse("another response begins within an event");
       return;
     }
@@ -466,6 +466,11 @@
       completeStream();
       return;
     }
+    byte[] content = body.toByteArray();
+    if (call.joinedContent().isJoinedBody(content)) {
+      rejectResponse("another response begins within the body");
+      return;
+    }
     if (notExecuted) {
       onRefused();
       return;
@@ -474,10 +479,6 @@
       failResumedRun();
       return;
     }
-    if (call.joinedContent().isJoined(body.toByteArray())) {
-      rejectResponse("another response begins within the body");
-      return;
-    }
     long now = state.clock().millis();
     recordCompletion();
     boolean serverError = status >= 500 || status == 429 || status == 408;
@@ -491,10 +492,10 @@
     boolean attemptsRemain = progress.possibleExecutions < context.route().maxAttempts();
     if (serverError && context.route().kind() == CallKind.IDEMPOTENT && attemptsRemain) {
       logOutcome("error", "status " + status);
-      retryOr(RetryReason.ENDPOINT_ERROR, this::forwardResponse);
+      retryOr(RetryReason.ENDPOINT_ERROR, () -> forwardResponse(content));
       return;
     }
-    forwardResponse();
+    forwardResponse(content);
   }
 
   /** Ends a run that was to go on with a stream but was answered by another status. */
@@ -517,7 +518,7 @@
     call.selectAndSend();
   }
 
-  private void forwardResponse() {
+  private void forwardResponse(byte[] content) {
     boolean signalsNotExecuted = status == 429 || status == 503 || status == 408;
     if (signalsNotExecuted) {
       // These statuses promise the caller non-execution, which the endpoint did not declare.
@@ -530,7 +531,7 @@
     }
     state.metrics().recordResponse(context.service(), status, progress.firstResponseMillis);
     call.finish("answered", status, endpoint.id());
-    responseWriter.send(status, call.headerRewriter().callerHeaders(headers), body.toByteArray());
+    responseWriter.send(status, call.headerRewriter().callerHeaders(headers), content);
   }
 
   private void completeStream() {
--- a/relay/src/main/java/org/heatherspread/relay/endpoint/JoinedHeads.java
+++ b/relay/src/main/java/org/heatherspread/relay/endpoint/JoinedHeads.java
@@ -13,7 +13,7 @@
 final class JoinedHeads {
   private static final String PROTOCOL = "HTTP/";
 
-  private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d \\d{3}");
+  private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d\\s+\\d{3}");
 
   private JoinedHeads() {}
 
