Fail responses whose head was joined from two heads

Callers got a status that no endpoint had given to their request, with the id, signature and body of the right response: a success where the endpoint answered 500, or the reverse. A request that ran could run again if the parts declared it not executed.

Cause: an endpoint breaks a response off within its head and goes on with another one on the same connection, such as after a late second copy. The decoder takes the second status line as the rest of a reason phrase or of a header value; the id checked is that of the second response, the status taken that of the first.

JoinedHeads rejects a head with an unknown protocol version or with a status line in its reason phrase or in the value of a header, whichever request it belongs to, and the attempt ends as broken.

--- a/relay/src/main/java/org/heatherspread/relay/endpoint/EndpointConnection.java
+++ b/relay/src/main/java/org/heatherspread/relay/endpoint/EndpointConnection.java
@@ -25,8 +25,9 @@
  * since an endpoint may repeat an earlier response at any time: one with another request's id, a
  * success without an id, and any response without an id on a connection that carried a request
  * before; only so many responses and bytes are skipped before the request fails, since an endpoint
- * may send them without end; a response delimited by the end of the connection is complete only if
- * the connection was not reset. Confined to its event loop.
+ * may send them without end; a head that another head has broken into fails the request, whosever
+ * it is; a response delimited by the end of the connection is complete only if the connection was
+ * not reset. Confined to its event loop.
  */
 public final class EndpointConnection extends ChannelInboundHandlerAdapter {
   private static final Logger log = LoggerFactory.getLogger(EndpointConnection.class);
@@ -155,6 +156,11 @@
   }
 
   private void handleHead(HttpResponse head) {
+    if (JoinedHeads.isJoined(head)) {
+      // The status may belong to one response and the id to the other.
+      fail("invalid response: two heads joined");
+      return;
+    }
     if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL || belongsToOtherRequest(head)) {
       skippingResponse = true;
       skippedResponses++;
