Do not take an endpoint for stopped while an older connection to it lives on

A process that ends closes its connections, so one that was opened before the refusal and lives on proves that it runs. It is checked for refusals of this daemon and, with 1 s for their way, for reports of others. This replaces the proof by data of earlier responses, which says the same later.

streamIsResumedIfOnlyAnotherDaemonIsRefused and streamIsResumedOnConnectionThatLivesOnWhileNewOnesAreRefused fail without the check (503) and pass with it. Two tests changed: the report in eventsOfAnIncarnationThatIsReportedMeanwhileAreNotForwarded is 3 s old, since a stop after the connection was opened is now known to be none; an endpoint that goes on with an earlier stream must not be taken for stopped at any time, where before it could be for a while.

--- a/core/src/main/java/org/heatherspread/core/placement/TrackedEndpoint.java
+++ b/core/src/main/java/org/heatherspread/core/placement/TrackedEndpoint.java
@@ -168,16 +168,6 @@
     return stopped;
   }
 
-  /**
-   * Returns whether data at a time, for a request sent at an earlier one, prove that no other
-   * incarnation came in the place of this one between.
-   *
-   * @param marginMillis time by which both must differ from that at which nothing listened
-   */
-  public boolean wasRunningSince(long sentMillis, long dataMillis, long marginMillis) {
-    return sentMillis + marginMillis <= stoppedMillis && dataMillis - marginMillis >= stoppedMillis;
-  }
-
   /**
    * Records that the endpoint certainly was the registered incarnation, or another one of the same
    * version, at a time.
--- a/relay/src/main/java/org/heatherspread/relay/call/Attempt.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/Attempt.java
@@ -234,7 +234,7 @@
   @Override
   public void onConnectFailed(String reason, boolean refused) {
     if (refused) {
-      state.recordStopped(endpoint);
+      state.recordRefusedConnection(endpoint);
     }
     boolean wasActive = isActive();
     trackedRequest.recordFailure(state.clock().millis());
@@ -323,7 +323,6 @@
     }
     lastProgressMillis = state.clock().millis();
     endpoint.recordProgress(lastProgressMillis);
-    state.stoppedEndpoints().recordData(endpoint, sentMillis);
     byte[] chunk = ByteBufUtil.getBytes(bytes);
     if (streaming) {
       boolean fits = splitter.add(chunk, this::onEvent);
--- a/relay/src/main/java/org/heatherspread/relay/call/RelayState.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/RelayState.java
@@ -69,6 +69,9 @@
   /** Share of an endpoint's cache that is expected to retain prompts. */
   private static final double USABLE_CACHE_SHARE = 0.7;
 
+  /** Time for which the report of another daemon may have been on its way. */
+  private static final long MAX_REPORT_DELAY_MILLIS = 1_000;
+
   private final EventLoop loop;
   private final MonotonicClock clock;
   private final RandomGenerator random;
@@ -158,7 +161,7 @@
         () -> poisonFilter.connectionAccepted(endpoint),
         refused -> {
           if (refused) {
-            recordStopped(endpoint);
+            recordRefusedConnection(endpoint);
           } else {
             loop.schedule(() -> probe(endpoint), PROBE_PAUSE_MILLIS, TimeUnit.MILLISECONDS);
           }
@@ -465,16 +468,38 @@
     }
   }
 
-  /** Records that the incarnation of an endpoint has ended: it refused a connection. */
+  /**
+   * Records that an endpoint refused a connection. If one that was opened before lives on, the
+   * refusal came from the network or from a full endpoint, and the incarnation has not ended.
+   */
+  void recordRefusedConnection(TrackedEndpoint endpoint) {
+    if (isConnectedSince(endpoint, clock.millis())) {
+      poisonFilter.endpointCrashed(endpoint);
+      return;
+    }
+    recordStopped(endpoint);
+  }
+
+  private boolean isConnectedSince(TrackedEndpoint endpoint, long millis) {
+    return connectionPool.hasConnectionOpenSince(endpoint.registration().address(), millis);
+  }
+
+  /** Records that the incarnation of an endpoint has ended. */
   void recordStopped(TrackedEndpoint endpoint) {
     poisonFilter.endpointCrashed(endpoint);
     stoppedEndpoints.recordStopped(endpoint);
   }
 
-  /** Records that another daemon found that an incarnation has ended. */
+  /**
+   * Records that another daemon found that an incarnation has ended, unless a connection of this
+   * daemon proves that it has not, as if only the other one cannot reach it.
+   */
   public void mergeStopped(EndpointIncarnation stopped, String daemon, long ageMillis) {
     endpoints
         .get(stopped.id())
+        .filter(
+            endpoint ->
+                !isConnectedSince(endpoint, clock.millis() - ageMillis - MAX_REPORT_DELAY_MILLIS))
         .ifPresent(endpoint -> stoppedEndpoints.merge(endpoint, stopped, daemon, ageMillis));
   }
 
--- a/relay/src/main/java/org/heatherspread/relay/call/StoppedEndpoints.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/StoppedEndpoints.java
@@ -13,19 +13,12 @@
  * registration says. Until then no stream continues there, as what endpoints of different versions
  * generate does not fit together.
  *
- * <p>A network may refuse a connection, too, so an endpoint is trusted again once it proves that it
- * was running: by data for a request that was sent before the refusal. Confined to one event loop.
+ * <p>A network may refuse connections, too: callers do not record an endpoint as stopped while an
+ * older connection to it lives on. Confined to one event loop.
  */
 public final class StoppedEndpoints {
   private static final Logger log = LoggerFactory.getLogger(StoppedEndpoints.class);
 
-  /**
-   * Time before and after a refusal within which data prove nothing: another daemon may have been
-   * refused before this one knows it, and data of an incarnation that ended may still be on the
-   * way.
-   */
-  private static final long PROOF_MARGIN_MILLIS = 1_000;
-
   private final MonotonicClock clock;
   private Consumer<EndpointIncarnation> listener = stopped -> {};
 
@@ -62,18 +55,6 @@
     }
   }
 
-  /**
-   * Records data of a response.
-   *
-   * @param sentMillis time at which the request was sent
-   */
-  void recordData(TrackedEndpoint endpoint, long sentMillis) {
-    long now = clock.millis();
-    if (endpoint.hasStopped() && endpoint.wasRunningSince(sentMillis, now, PROOF_MARGIN_MILLIS)) {
-      confirmRunning(endpoint, now - PROOF_MARGIN_MILLIS);
-    }
-  }
-
   /**
    * Records that an endpoint was running, at the registered version.
    *
--- a/relay/src/main/java/org/heatherspread/relay/endpoint/ConnectionPool.java
+++ b/relay/src/main/java/org/heatherspread/relay/endpoint/ConnectionPool.java
@@ -79,6 +79,17 @@
     return openConnections.getOrDefault(address, Set.of()).size();
   }
 
+  /**
+   * Returns whether a connection to an address was opened before a time and is open still, which
+   * proves that the process at the other end has not ended since.
+   *
+   * @param millis time on the monotonic clock
+   */
+  public boolean hasConnectionOpenSince(HostPort address, long millis) {
+    return openConnections.getOrDefault(address, Set.of()).stream()
+        .anyMatch(connection -> connection.isOpenSince(millis));
+  }
+
   /**
    * Passes an idle connection to the listener at once, or opens a new one.
    *
@@ -138,7 +149,7 @@
     connectFuture.addListener(
         completed -> {
           if (completed.isSuccess()) {
-            connection.markIdle(clock.millis());
+            connection.markOpened(clock.millis());
             listener.onConnected(connection);
             return;
           }
--- a/relay/src/main/java/org/heatherspread/relay/endpoint/EndpointConnection.java
+++ b/relay/src/main/java/org/heatherspread/relay/endpoint/EndpointConnection.java
@@ -70,6 +70,7 @@
   private boolean reusable = true;
   private boolean connectionReset;
   private long keepAliveMillis = Long.MAX_VALUE;
+  private long openedMillis = Long.MAX_VALUE;
   private long idleSinceMillis;
 
   EndpointConnection(ConnectionPool pool, HostPort address, String idHeader) {
@@ -93,6 +94,16 @@
     return reusable && channel.isActive() && idle <= limit;
   }
 
+  void markOpened(long nowMillis) {
+    openedMillis = nowMillis;
+    markIdle(nowMillis);
+  }
+
+  /** Returns whether the connection was opened before a time and is open still. */
+  boolean isOpenSince(long millis) {
+    return openedMillis < millis && channel.isActive();
+  }
+
   void markIdle(long nowMillis) {
     idleSinceMillis = nowMillis;
   }
