--- a/relay/src/test/java/org/heatherspread/relay/call/CallModelTest.java
+++ b/relay/src/test/java/org/heatherspread/relay/call/CallModelTest.java
@@ -2,6 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.Logger;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
@@ -20,7 +22,10 @@
 import org.heatherspread.relay.FakeEndpoint;
 import org.heatherspread.relay.RelayHarness;
 import org.heatherspread.relay.call.ModelEndpoints.Execution;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
+import org.slf4j.LoggerFactory;
 
 /**
  * Random plays of callers and faulty endpoints, checked by what the callers receive: a whole answer
@@ -346,6 +351,21 @@
     }
   }
 
+  /** Silences the lines of each request, whose output would take most of the time. */
+  @BeforeAll
+  static void limitLogs() {
+    setLogLevel(Level.WARN);
+  }
+
+  @AfterAll
+  static void restoreLogs() {
+    setLogLevel(null);
+  }
+
+  private static void setLogLevel(Level level) {
+    ((Logger) LoggerFactory.getLogger("org.heatherspread.relay")).setLevel(level);
+  }
+
   /** Callers get parts of two answers, another status or events out of order from no fault. */
   @Test
   void callersGetOneWholeAnswerOrVisibleFailure() throws Exception {
