Log connections that callers leave open at the end of a stop

Callers lost responses around a stop, and the log of the daemon says nothing of it: a response counts as done once the kernel has it. No other change.

--- a/node/src/main/java/org/heatherspread/node/Node.java
+++ b/node/src/main/java/org/heatherspread/node/Node.java
@@ -389,7 +389,10 @@
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
-    log.atInfo().addKeyValue("open_requests", callers.requestsInProgress()).log("daemon stopped");
+    log.atInfo()
+        .addKeyValue("open_requests", callers.requestsInProgress())
+        .addKeyValue("open_connections", callers.connectionCount())
+        .log("daemon stopped");
   }
 
   /** Returns the event loop, for tests. */
--- a/relay/src/main/java/org/heatherspread/relay/caller/CallerConnection.java
+++ b/relay/src/main/java/org/heatherspread/relay/caller/CallerConnection.java
@@ -25,6 +25,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
+import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.concurrent.TimeUnit;
 import org.heatherspread.core.serving.ClientLimits;
@@ -545,8 +546,13 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext unused, Throwable cause) {
-    if (!(cause instanceof java.io.IOException)) {
+    if (!(cause instanceof IOException)) {
       log.atError().setCause(cause).log("connection of a caller failed");
+    } else if (state == State.WRITING || state == State.CLOSING) {
+      log.atInfo()
+          .addKeyValue("connection", context.channel().id().asShortText())
+          .addKeyValue("reason", cause.getMessage())
+          .log("connection failed before the caller had closed it after its response");
     }
     context.close();
   }
