--- a/node/src/test/java/org/heatherspread/node/LoopbackSupport.java
+++ b/node/src/test/java/org/heatherspread/node/LoopbackSupport.java
@@ -83,7 +83,7 @@
   }
 
   /** Returns the status of a request with a key, 0 if there was no response. */
-  static int requestStatus(int port, String path, String key) {
+  public static int requestStatus(int port, String path, String key) {
     HttpRequest request =
         HttpRequest.newBuilder(URI.create("http://localhost:" + port + path))
             .header("Authorization", "Bearer " + key)
@@ -100,11 +100,13 @@
   }
 
   /** A condition that is polled until it is met. */
-  interface Condition {
+  public interface Condition {
+    /** Returns whether the condition is met. */
     boolean isMet() throws Exception;
   }
 
-  static void await(Condition condition, long timeoutMillis) throws Exception {
+  /** Polls a condition until it is met; fails after the timeout. */
+  public static void await(Condition condition, long timeoutMillis) throws Exception {
     long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMillis);
     while (!condition.isMet()) {
       assertThat(System.nanoTime()).isLessThan(deadlineNanos);
--- a/node/src/test/java/org/heatherspread/node/soak/SoakDaemon.java
+++ b/node/src/test/java/org/heatherspread/node/soak/SoakDaemon.java
@@ -34,6 +34,8 @@
       usage_due = "4s"
       """;
 
+  private static final long START_MILLIS = 40_000;
+
   private final String name;
   private final Path folder;
   private final Path settingsFile;
@@ -102,6 +104,12 @@
     expectedToRun = true;
   }
 
+  /** Waits until a GET of a path gets a success. */
+  void awaitServing(String path) throws Exception {
+    LoopbackSupport.await(
+        () -> LoopbackSupport.requestStatus(callers, path, "") == 200, START_MILLIS);
+  }
+
   private Path logFile() {
     return folder.resolve(name + "." + startCount + ".log");
   }
