Let a stop wait until callers have received their responses

Callers that read slowly got a status and a part of the body, then a reset, if they sent their next request after the daemon had ended. Cause: a response counted as delivered once the kernel had its last byte. The process then ended, or the connection was closed after 500 ms, and the kernel answered the next byte of the caller with a reset, which discards what was not read.

A connection is now shut down for output after its last response, by a stop and by the idle timeout alike; what still comes is read and dropped, and a stop waits until the caller has closed or has acknowledged everything, until 0.6 s before the end of the grace period.

--- a/node/src/main/java/org/heatherspread/node/Node.java
+++ b/node/src/main/java/org/heatherspread/node/Node.java
@@ -93,11 +93,18 @@
   /** Share of the grace period in which requests are passed on whatever time they may take. */
   private static final double ACCEPTANCE_RATIO = 0.25;
 
-  /** Time for the responses that end the last requests of a stop to be written. */
-  private static final Duration LAST_RESPONSES = Duration.ofMillis(200);
+  /**
+   * Time before the end of the grace period at which requests without a response get one, so that
+   * callers can read it before the process ends.
+   */
+  private static final Duration LAST_RESPONSES_MARGIN = Duration.ofMillis(1_200);
 
-  /** Time before the end of the grace period at which a stop ends the requests in progress. */
-  private static final Duration SHUTDOWN_MARGIN = Duration.ofMillis(1_200);
+  /**
+   * Time before the end of the grace period at which a stop ends, whatever callers have not read:
+   * the process has to write its last log lines and to exit before it is killed, with a share of a
+   * core.
+   */
+  private static final Duration EXIT_MARGIN = Duration.ofMillis(600);
 
   /**
    * Maximum age of the newest store read with which the directory includes this daemon's address.
@@ -130,7 +137,7 @@
    * Time that a busy event loop may take beyond the end of a stop; a stop during a start may find
    * it busy for longer than the whole grace period.
    */
-  private static final Duration STOP_SLACK = Duration.ofMillis(400);
+  private static final Duration STOP_SLACK = Duration.ofMillis(300);
 
   private static final Duration IDLE_POLL_INTERVAL = Duration.ofMillis(50);
   private static final int RETAINED_USAGE_WINDOWS = 6;
@@ -371,13 +378,12 @@
   }
 
   /**
-   * Stops accepting connections and waits, within the grace period, for the requests in progress.
-   * Those that remain at its end get a response. Returns in time even if the event loop does not
-   * respond.
+   * Stops accepting connections and waits, within the grace period, until the requests in progress
+   * have ended and callers have received their responses. Requests that remain at its end get a
+   * response. Returns in time even if the event loop does not respond.
    */
   public void stop() {
-    long deadlineNanos =
-        System.nanoTime() + settings.bounds().grace().minus(SHUTDOWN_MARGIN).toNanos();
+    long deadlineNanos = System.nanoTime() + settings.bounds().grace().minus(EXIT_MARGIN).toNanos();
     log.atInfo().log("daemon stops");
     CountDownLatch finished = new CountDownLatch(1);
     loop.execute(() -> beginShutdown(deadlineNanos, finished));
@@ -402,35 +408,48 @@
 
   private void beginShutdown(long deadlineNanos, CountDownLatch finished) {
     daemonState = DaemonState.LEAVING;
-    long graceMillis = TimeUnit.NANOSECONDS.toMillis(deadlineNanos - System.nanoTime());
+    long lastResponsesNanos = deadlineNanos - LAST_RESPONSES_MARGIN.minus(EXIT_MARGIN).toNanos();
+    long graceMillis = TimeUnit.NANOSECONDS.toMillis(lastResponsesNanos - System.nanoTime());
     long acceptMillis = (long) (ACCEPTANCE_RATIO * settings.bounds().grace().toMillis());
     state.shutdown().begin(Math.max(acceptMillis, LISTEN_AFTER_STOP.toMillis()), graceMillis);
     control.leave();
     callers.closeConnectionsAfterResponse();
+    loop.schedule(this::endCalls, Math.max(0, graceMillis), TimeUnit.MILLISECONDS);
     loop.schedule(
         () -> {
           callers.drain();
-          awaitIdle(deadlineNanos, finished);
+          awaitDelivery(deadlineNanos, finished);
         },
         LISTEN_AFTER_STOP.toMillis(),
         TimeUnit.MILLISECONDS);
   }
 
-  private void awaitIdle(long deadlineNanos, CountDownLatch finished) {
-    if (callers.requestsInProgress() == 0) {
+  private void endCalls() {
+    if (callers.requestsInProgress() > 0) {
+      log.atWarn()
+          .addKeyValue("open_requests", callers.requestsInProgress())
+          .log("grace period ends; requests in progress are ended");
+    }
+    state.shutdown().endCalls();
+  }
+
+  /** Waits until all requests have ended and callers have received their responses. */
+  private void awaitDelivery(long deadlineNanos, CountDownLatch finished) {
+    if (callers.requestsInProgress() == 0 && callers.unacknowledgedResponses() == 0) {
       finished.countDown();
       return;
     }
     if (System.nanoTime() >= deadlineNanos) {
       log.atWarn()
           .addKeyValue("open_requests", callers.requestsInProgress())
-          .log("grace period ends; requests in progress are ended");
-      state.shutdown().endCalls();
-      loop.schedule(finished::countDown, LAST_RESPONSES.toMillis(), TimeUnit.MILLISECONDS);
+          .addKeyValue("unacknowledged", callers.unacknowledgedResponses())
+          .log("stop ends before callers have received their responses");
+      state.shutdown().cutStreams();
+      finished.countDown();
       return;
     }
     loop.schedule(
-        () -> awaitIdle(deadlineNanos, finished),
+        () -> awaitDelivery(deadlineNanos, finished),
         IDLE_POLL_INTERVAL.toMillis(),
         TimeUnit.MILLISECONDS);
   }
--- a/relay/src/main/java/org/heatherspread/relay/call/RelayCall.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/RelayCall.java
@@ -363,6 +363,10 @@
     end(Refusal.EXPIRED, Refusal.EXPIRED_UNSENT);
   }
 
+  boolean hasStreamStarted() {
+    return progress.streamStarted;
+  }
+
   /** Ends the request as the daemon stops. */
   void onShutdown() {
     end(Refusal.ANSWER_LOST, Refusal.STOPPING);
--- a/relay/src/main/java/org/heatherspread/relay/call/Shutdown.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/Shutdown.java
@@ -11,8 +11,9 @@
  * <p>Requests that were read in the first part of the grace period are passed on, as callers cannot
  * know of the stop yet. Later ones are passed on only if they certainly end within the grace period
  * and are refused otherwise, since the end of the process would cut them off after an endpoint may
- * have run them. At its end, each request that remains gets a response, which tells whether it may
- * have run. Confined to the event loop.
+ * have run them. At its end, each request without a response gets one, which tells whether it may
+ * have run; streams that have begun go on for as long as the process does. Confined to the event
+ * loop.
  */
 public final class Shutdown {
   private final MonotonicClock clock;
@@ -40,8 +41,15 @@
     endMillis = clock.millis() + graceMillis;
   }
 
-  /** Ends all requests in progress with a response; streams that have begun are cut. */
+  /** Ends the requests in progress that have no response yet with one. */
   public void endCalls() {
+    List.copyOf(calls).stream()
+        .filter(call -> !call.hasStreamStarted())
+        .forEach(RelayCall::onShutdown);
+  }
+
+  /** Ends all requests in progress, which cuts streams that have begun. */
+  public void cutStreams() {
     List.copyOf(calls).forEach(RelayCall::onShutdown);
   }
 
--- a/relay/src/main/java/org/heatherspread/relay/caller/CallerConnection.java
+++ b/relay/src/main/java/org/heatherspread/relay/caller/CallerConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.DecoderResultProvider;
 import io.netty.handler.codec.TooLongFrameException;
@@ -20,6 +21,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -40,10 +42,10 @@
  * <p>Invariants: one request is in progress at a time; messages are processed in the order in which
  * they were read, those that were read during a response before any later ones; a request with
  * ambiguous framing is rejected and closes the connection, which prevents request smuggling; a
- * connection that closes after its response is shut down for output first, and the rest of a body
- * whose request was refused is read, so that a reset cannot discard the response; the bytes of a
- * body are reserved before they are read, and released when the response is complete. Confined to
- * its event loop.
+ * connection that was idle or has written its last response is shut down for output, and what the
+ * caller still sends is read and discarded until the caller closes it or the idle timeout ends, so
+ * that a reset cannot discard a response; the bytes of a body are reserved before they are read,
+ * and released when the response is complete. Confined to its event loop.
  */
 final class CallerConnection extends ChannelInboundHandlerAdapter {
   private static final Logger log = LoggerFactory.getLogger(CallerConnection.class);
@@ -51,9 +53,6 @@
   /** Maximum number of messages buffered while a response is in progress. */
   private static final int MAX_READ_AHEAD = 64;
 
-  /** Time that the caller has to close a connection that was shut down for output. */
-  private static final long LINGER_MILLIS = 500;
-
   /** Size of the first buffer of a body without a declared length. */
   private static final int MIN_CHUNKED_BODY_BYTES = 4_096;
 
@@ -63,7 +62,9 @@
     RESPONDING,
     /** The response is complete, but not yet written to the connection. */
     WRITING,
-    CLOSING
+    /** The output is shut down; the caller may still be reading. */
+    CLOSING,
+    CLOSED
   }
 
   private final CallerServer server;
@@ -82,6 +83,9 @@
   private ConnectionResponseWriter responseWriter;
   private boolean keepAlive;
 
+  /** Whether a response has been written in full. */
+  private boolean responded;
+
   CallerConnection(CallerServer server) {
     this.server = server;
   }
@@ -103,7 +107,7 @@
 
   @Override
   public void channelRead(ChannelHandlerContext unused, Object message) {
-    if (state == State.CLOSING || discardingBody) {
+    if (state == State.CLOSING || state == State.CLOSED || discardingBody) {
       discard(message);
       return;
     }
@@ -135,13 +139,9 @@
     return message instanceof HttpContent content ? content.content().readableBytes() : 0;
   }
 
-  /** Discards a message; the end of a refused body lets the connection close. */
   private void discard(Object message) {
-    if (discardingBody && message instanceof LastHttpContent) {
+    if (message instanceof LastHttpContent) {
       discardingBody = false;
-      if (state == State.CLOSING) {
-        closeAfterLinger();
-      }
     }
     ReferenceCountUtil.release(message);
   }
@@ -388,7 +388,7 @@
             && firstByteMillis < 0
             && now - idleSinceMillis >= server.limits().idleTimeoutMillis();
     if (idleTimedOut) {
-      close();
+      shutDownOutput();
       return;
     }
     boolean timedOut = (state == State.READING || firstByteMillis >= 0) && now >= deadlineMillis();
@@ -424,11 +424,11 @@
     responseWriter.send(status, server.problemHeaders(), server.problemBody(status, reason));
   }
 
-  /** Closes the connection now if it is idle, otherwise after the response in progress. */
+  /** Shuts the connection down now if it is idle, otherwise after the response in progress. */
   void drain() {
     keepAlive = false;
     if (state == State.IDLE && firstByteMillis < 0) {
-      close();
+      shutDownOutput();
     }
   }
 
@@ -437,9 +437,18 @@
     return state == State.READING || state == State.RESPONDING || state == State.WRITING;
   }
 
+  /** Returns whether the output ended with a response that the caller may still be reading. */
+  boolean endedWithResponse() {
+    return state == State.CLOSING && responded;
+  }
+
+  SocketChannel channel() {
+    return (SocketChannel) context.channel();
+  }
+
   void close() {
     cancelTimeoutCheck();
-    state = State.CLOSING;
+    state = State.CLOSED;
     if (context != null) {
       context.close();
     }
@@ -465,18 +474,9 @@
       close();
       return;
     }
+    responded = true;
     if (!keepAlive || server.isDraining()) {
-      state = State.CLOSING;
-      ((SocketChannel) context.channel()).shutdownOutput();
-      discardReadAhead();
-      if (discardingBody) {
-        context
-            .executor()
-            .schedule(
-                () -> context.close(), server.limits().idleTimeoutMillis(), TimeUnit.MILLISECONDS);
-      } else {
-        closeAfterLinger();
-      }
+      shutDownOutput();
       return;
     }
     state = State.IDLE;
@@ -488,30 +488,31 @@
     scheduleTimeoutCheck();
   }
 
-  private void closeAfterLinger() {
-    context.executor().schedule(() -> context.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
-  }
-
-  /** Discards what was read ahead, and goes on reading if a refused body is not complete. */
-  private void discardReadAhead() {
-    boolean wasDiscarding = discardingBody;
+  /**
+   * Ends the output after what has been written. Goes on reading, as unread data would turn the
+   * close into a reset.
+   */
+  private void shutDownOutput() {
+    cancelTimeoutCheck();
+    state = State.CLOSING;
+    channel().shutdownOutput();
     while (!readAhead.isEmpty()) {
-      Object message = pollReadAhead();
-      if (message instanceof LastHttpContent) {
-        discardingBody = false;
-      }
-      ReferenceCountUtil.release(message);
-    }
-    if (wasDiscarding) {
-      context.channel().config().setAutoRead(true);
+      discard(pollReadAhead());
     }
+    // What still comes is not decoded, as the codec keeps state for each request.
+    context.pipeline().remove(HttpServerCodec.class);
+    context.channel().config().setAutoRead(true);
+    context
+        .executor()
+        .schedule(
+            () -> context.close(), server.limits().idleTimeoutMillis(), TimeUnit.MILLISECONDS);
   }
 
   private void processReadAhead() {
     while (!readAhead.isEmpty() && (state == State.IDLE || state == State.READING)) {
       process(pollReadAhead());
     }
-    if (readAhead.size() <= MAX_READ_AHEAD && state != State.CLOSING) {
+    if (readAhead.size() <= MAX_READ_AHEAD && state != State.CLOSED) {
       context.channel().config().setAutoRead(true);
     }
     if (state == State.IDLE) {
@@ -522,7 +523,7 @@
   @Override
   public void channelInactive(ChannelHandlerContext unused) {
     cancelTimeoutCheck();
-    state = State.CLOSING;
+    state = State.CLOSED;
     server.connectionClosed(this);
     while (!readAhead.isEmpty()) {
       ReferenceCountUtil.release(pollReadAhead());
@@ -535,6 +536,22 @@
     releaseBody();
   }
 
+  /**
+   * Handles the end of the caller's output. The caller has left, but one that is sent a complete
+   * response may have closed its side only.
+   */
+  @Override
+  public void userEventTriggered(ChannelHandlerContext unused, Object event) {
+    if (event != ChannelInputShutdownEvent.INSTANCE) {
+      return;
+    }
+    if (state == State.WRITING) {
+      keepAlive = false;
+    } else {
+      context.close();
+    }
+  }
+
   @Override
   public void channelWritabilityChanged(ChannelHandlerContext unused) {
     if (context.channel().isWritable()
--- a/relay/src/main/java/org/heatherspread/relay/caller/CallerServer.java
+++ b/relay/src/main/java/org/heatherspread/relay/caller/CallerServer.java
@@ -79,6 +79,7 @@
             .option(ChannelOption.SO_REUSEADDR, true)
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
             .childOption(ChannelOption.RCVBUF_ALLOCATOR, exhaustiveAllocator())
             .childHandler(
                 new ChannelInitializer<SocketChannel>() {
@@ -109,7 +110,7 @@
     return ((java.net.InetSocketAddress) listener.localAddress()).getPort();
   }
 
-  /** Stops accepting connections; closes idle ones now and the others after their response. */
+  /** Stops accepting connections; shuts idle ones down now and the others after their response. */
   public void drain() {
     draining = true;
     listener.close();
@@ -126,6 +127,19 @@
     return connections.stream().filter(CallerConnection::isRequestInProgress).count();
   }
 
+  /**
+   * Returns the number of responses that are written, but that their callers may not have received.
+   */
+  public long unacknowledgedResponses() {
+    List<CallerConnection> ended =
+        connections.stream().filter(CallerConnection::endedWithResponse).toList();
+    if (ended.isEmpty()) {
+      return 0;
+    }
+    AcknowledgedConnections acknowledged = AcknowledgedConnections.read();
+    return ended.stream().filter(one -> !acknowledged.contains(one.channel())).count();
+  }
+
   /** Returns the number of open connections. */
   public int connectionCount() {
     return connections.size();
