--- a/node/src/test/java/org/heatherspread/node/soak/FaultProxy.java
+++ b/node/src/test/java/org/heatherspread/node/soak/FaultProxy.java
@@ -3,10 +3,12 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.channels.SocketChannel;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -16,6 +18,8 @@
 final class FaultProxy implements AutoCloseable {
   private static final int BUFFER_BYTES = 8_192;
   private static final int POLL_INTERVAL_MILLIS = 20;
+  private static final int WAITING_CONNECTIONS = 8;
+  private static final long MAX_CLOSE_NANOS = 1_000_000_000;
 
   /** Treatment of forwarded bytes and new connections. */
   enum Mode {
@@ -37,6 +41,7 @@
   private final int targetPort;
   private final long delayMillis;
   private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+  private final Set<SocketChannel> waitingChannels = ConcurrentHashMap.newKeySet();
   private volatile ServerSocket listener;
   private volatile Mode mode = Mode.PASS;
 
@@ -83,6 +88,44 @@
     startAccepting();
   }
 
+  /** Refuses new connections; open ones live on. */
+  void refuseConnections() throws IOException {
+    listener.close();
+  }
+
+  /** Holds back all bytes, and leaves new connections without a response, as a partition does. */
+  void hang() throws IOException {
+    mode = Mode.STALL;
+    listener.close();
+    ServerSocket full = new ServerSocket();
+    full.setReuseAddress(true);
+    bindOnceFree(full);
+    listener = full;
+    // The system drops what opens further connections while this many wait to be accepted.
+    for (int i = 0; i < WAITING_CONNECTIONS; i++) {
+      SocketChannel waiting = SocketChannel.open();
+      waiting.configureBlocking(false);
+      waiting.connect(new InetSocketAddress("127.0.0.1", port));
+      waitingChannels.add(waiting);
+    }
+  }
+
+  /** Binds the port, which is in use while another thread still waits to accept. */
+  private void bindOnceFree(ServerSocket socket) throws IOException {
+    InetSocketAddress address = new InetSocketAddress(InetAddress.getByName("127.0.0.1"), port);
+    long deadlineNanos = System.nanoTime() + MAX_CLOSE_NANOS;
+    while (!socket.isBound()) {
+      try {
+        socket.bind(address, 1);
+      } catch (BindException e) {
+        if (System.nanoTime() > deadlineNanos) {
+          throw e;
+        }
+        Thread.onSpinWait();
+      }
+    }
+  }
+
   int port() {
     return port;
   }
@@ -186,6 +229,9 @@
 
   @Override
   public void close() throws IOException {
+    for (SocketChannel waiting : waitingChannels) {
+      waiting.close();
+    }
     shutDown();
   }
 }
