Forward requests that a daemon cut off from the endpoints cannot send

Cause: such a daemon knew no other way to serve than its own connections, so it refused what reached it, and callers keep its address for seconds. A daemon with few requests also found out late, as only failed requests told.

It now passes admitted requests to another daemon, which checks the key, chooses the endpoint, retries within the attempts that are left, and counts the usage; admission and the retry budget are counted once, the deadline and the end of the caller are handed on, nothing is passed on twice, and nothing is repeated that may have run. The same if two endpoints in a row accept no connection. While no endpoint sends anything although requests are in progress, the daemon tries to connect to some.

--- a/core/src/main/java/org/heatherspread/core/placement/IsolationDetector.java
+++ b/core/src/main/java/org/heatherspread/core/placement/IsolationDetector.java
@@ -1,7 +1,9 @@
 package org.heatherspread.core.placement;
 
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 
 /**
  * Detects that this daemon has lost the network path to all endpoints.
@@ -9,8 +11,9 @@
  * <p>A partition may separate daemons from the endpoints while callers, the store and the other
  * daemons still reach them. Each request would then wait for a timeout at one endpoint after the
  * other. The daemon is isolated if several endpoints failed and none has sent anything for a while.
- * It ceases to be as soon as one sends anything or accepts a connection, which it has to try, as it
- * gets no requests while it is isolated. Confined to one thread.
+ * While this is only suspected, the daemon has to try to connect to some, as requests tell late or,
+ * if there are few, not at all. It ceases to be isolated as soon as an endpoint sends anything or
+ * accepts a connection, which it has to try, too. Confined to one thread.
  */
 public final class IsolationDetector {
   /** Number of endpoints that must have failed, or all if there are fewer. */
@@ -25,6 +28,7 @@
   /** Age above which failures are no longer evidence. */
   private static final long MAX_FAILURE_AGE_MILLIS = 3_000;
 
+  private final Map<String, Long> unreachableMillis = new HashMap<>();
   private boolean isolated;
   private long connectedMillis = Long.MIN_VALUE;
 
@@ -44,21 +48,57 @@
   public void recordReached(long nowMillis) {
     connectedMillis = nowMillis;
     isolated = false;
+    unreachableMillis.clear();
+  }
+
+  /** Records that an endpoint did not accept a connection. */
+  public void recordUnreachable(TrackedEndpoint endpoint, long nowMillis) {
+    unreachableMillis.values().removeIf(at -> nowMillis - at > MAX_FAILURE_AGE_MILLIS);
+    unreachableMillis.put(endpoint.id(), nowMillis);
   }
 
   /**
-   * Evaluates the recent outcomes of this daemon's requests.
+   * Returns whether no endpoint has sent anything for a while although requests are in progress or
+   * have failed, so that connections should be tried.
    *
    * @param endpoints endpoints of all services
-   * @return whether the daemon is isolated
    */
-  public boolean update(Collection<TrackedEndpoint> endpoints, long nowMillis) {
+  public boolean isSuspected(Collection<TrackedEndpoint> endpoints, long nowMillis) {
+    long reachedMillis = reachedMillis(endpoints);
+    return isSilent(reachedMillis, nowMillis)
+        && endpoints.stream()
+            .anyMatch(
+                endpoint ->
+                    endpoint.running() > 0
+                        || isRecentFailure(endpoint.lastFailureMillis(), reachedMillis, nowMillis));
+  }
+
+  private long reachedMillis(Collection<TrackedEndpoint> endpoints) {
     long reachedMillis = connectedMillis;
     for (TrackedEndpoint endpoint : endpoints) {
       reachedMillis = Math.max(reachedMillis, endpoint.lastProgressMillis());
     }
-    boolean silent = reachedMillis == Long.MIN_VALUE || nowMillis - reachedMillis >= SILENCE_MILLIS;
-    isolated = silent && mayBeIsolated(endpoints, reachedMillis, nowMillis);
+    return reachedMillis;
+  }
+
+  private static boolean isSilent(long reachedMillis, long nowMillis) {
+    return reachedMillis == Long.MIN_VALUE || nowMillis - reachedMillis >= SILENCE_MILLIS;
+  }
+
+  private static boolean isRecentFailure(long failedMillis, long reachedMillis, long nowMillis) {
+    return failedMillis > reachedMillis && nowMillis - failedMillis <= MAX_FAILURE_AGE_MILLIS;
+  }
+
+  /**
+   * Evaluates the recent outcomes of this daemon's requests.
+   *
+   * @param endpoints endpoints of all services
+   * @return whether the daemon is isolated
+   */
+  public boolean update(Collection<TrackedEndpoint> endpoints, long nowMillis) {
+    long reachedMillis = reachedMillis(endpoints);
+    isolated =
+        isSilent(reachedMillis, nowMillis) && mayBeIsolated(endpoints, reachedMillis, nowMillis);
     return isolated;
   }
 
@@ -74,11 +114,15 @@
     return isolated || countFailed(usable, reachedMillis, nowMillis) >= required;
   }
 
-  private static long countFailed(
-      List<TrackedEndpoint> usable, long reachedMillis, long nowMillis) {
+  private long countFailed(List<TrackedEndpoint> usable, long reachedMillis, long nowMillis) {
     return usable.stream()
-        .mapToLong(TrackedEndpoint::lastFailureMillis)
-        .filter(failed -> failed > reachedMillis && nowMillis - failed <= MAX_FAILURE_AGE_MILLIS)
+        .mapToLong(this::lastFailureMillis)
+        .filter(failed -> isRecentFailure(failed, reachedMillis, nowMillis))
         .count();
   }
+
+  private long lastFailureMillis(TrackedEndpoint endpoint) {
+    long unreachable = unreachableMillis.getOrDefault(endpoint.id(), Long.MIN_VALUE);
+    return Math.max(endpoint.lastFailureMillis(), unreachable);
+  }
 }
--- a/core/src/test/java/org/heatherspread/core/placement/IsolationDetectorTest.java
+++ b/core/src/test/java/org/heatherspread/core/placement/IsolationDetectorTest.java
@@ -70,6 +70,40 @@
     assertThat(isIsolated()).isFalse();
   }
 
+  /** A daemon with few requests, which hang, would find out late. */
+  @Test
+  void connectionsThatFailOnSuspicionMeanPartition() {
+    List<TrackedEndpoint> endpoints = List.of(endpoint("a"), endpoint("b"), endpoint("c"));
+    endpoints.get(0).recordProgress(now);
+    endpoints.get(0).startRequest(Workload.NONE);
+    now += 500;
+    assertThat(detector.isSuspected(table.all(), now)).isFalse();
+    now += 100;
+    assertThat(detector.isSuspected(table.all(), now)).isTrue();
+    assertThat(isIsolated()).isFalse();
+    endpoints.forEach(endpoint -> detector.recordUnreachable(endpoint, now));
+    assertThat(isIsolated()).isTrue();
+  }
+
+  @Test
+  void acceptedConnectionEndsSuspicion() {
+    List<TrackedEndpoint> endpoints = List.of(endpoint("a"), endpoint("b"), endpoint("c"));
+    endpoints.get(0).startRequest(Workload.NONE);
+    endpoints.forEach(endpoint -> detector.recordUnreachable(endpoint, now));
+    detector.recordReached(now);
+    now += 100;
+    assertThat(detector.isSuspected(table.all(), now)).isFalse();
+    now += 600;
+    assertThat(isIsolated()).isFalse();
+  }
+
+  @Test
+  void idleDaemonSuspectsNothing() {
+    endpoint("a");
+    endpoint("b");
+    assertThat(detector.isSuspected(table.all(), now)).isFalse();
+  }
+
   /** An isolated daemon gets no requests, so that its failures grow old. */
   @Test
   void isolationEndsOnlyWithConnection() {
--- a/node/src/main/java/org/heatherspread/node/Node.java
+++ b/node/src/main/java/org/heatherspread/node/Node.java
@@ -38,6 +38,7 @@
 import org.heatherspread.core.usage.UsageWindows;
 import org.heatherspread.node.control.ControlPlane;
 import org.heatherspread.node.control.StreamReportView;
+import org.heatherspread.node.peer.DaemonRequestHandler;
 import org.heatherspread.node.peer.PeerClient;
 import org.heatherspread.node.peer.SharedStreamOrigins;
 import org.heatherspread.node.serve.DirectoryHandler;
@@ -139,6 +140,9 @@
    */
   private static final Duration STOP_SLACK = Duration.ofMillis(300);
 
+  /** Space for the headers that a daemon adds to a request that it forwards. */
+  private static final int FORWARD_HEADER_BYTES = 1_024;
+
   private static final Duration IDLE_POLL_INTERVAL = Duration.ofMillis(50);
   private static final int RETAINED_USAGE_WINDOWS = 6;
   private static final double MILLIS_PER_SECOND = 1_000;
@@ -244,7 +248,13 @@
             state.buffers());
     this.peerServer =
         CallerServer.create(
-            loop, clock, ClientLimits::defaults, control.peerHandler(), state.buffers());
+            loop,
+            clock,
+            this::peerLimits,
+            DaemonRequestHandler.create(
+                control.peerHandler(),
+                RelayHandler.createForDaemons(state, PlatformHeaders.relayHeaderNames())),
+            state.buffers());
     this.readiness =
         CallerServer.create(
             loop,
@@ -266,6 +276,17 @@
     return new Node(settings);
   }
 
+  /** Returns limits that let requests of callers through that other daemons forward. */
+  private ClientLimits peerLimits() {
+    ClientLimits defaults = ClientLimits.defaults();
+    ClientLimits callerLimits = state.clientLimits();
+    return new ClientLimits(
+        Math.max(defaults.maxHeaderBytes(), callerLimits.maxHeaderBytes() + FORWARD_HEADER_BYTES),
+        Math.max(defaults.maxBodyBytes(), callerLimits.maxBodyBytes()),
+        defaults.headerTimeoutMillis(),
+        defaults.idleTimeoutMillis());
+  }
+
   private static RelaySettings relaySettings(NodeSettings.Bounds bounds) {
     return new RelaySettings(
         (long) (KEY_ACCEPTANCE_RATIO * bounds.revocation().toMillis()),
@@ -414,6 +435,7 @@
     state.shutdown().begin(Math.max(acceptMillis, LISTEN_AFTER_STOP.toMillis()), graceMillis);
     control.leave();
     callers.closeConnectionsAfterResponse();
+    peerServer.closeConnectionsAfterResponse();
     loop.schedule(this::endCalls, Math.max(0, graceMillis), TimeUnit.MILLISECONDS);
     loop.schedule(
         () -> {
@@ -435,7 +457,10 @@
 
   /** Waits until all requests have ended and callers have received their responses. */
   private void awaitDelivery(long deadlineNanos, CountDownLatch finished) {
-    if (callers.requestsInProgress() == 0 && callers.unacknowledgedResponses() == 0) {
+    if (callers.requestsInProgress() == 0
+        && state.shutdown().isIdle()
+        && callers.unacknowledgedResponses() == 0
+        && peerServer.unacknowledgedResponses() == 0) {
       finished.countDown();
       return;
     }
--- a/node/src/main/java/org/heatherspread/node/control/ControlPlane.java
+++ b/node/src/main/java/org/heatherspread/node/control/ControlPlane.java
@@ -22,7 +22,9 @@
 import org.apache.pekko.actor.typed.javadsl.Behaviors;
 import org.heatherspread.core.duty.DutyClient;
 import org.heatherspread.core.fleet.DaemonReport;
+import org.heatherspread.core.fleet.DaemonState;
 import org.heatherspread.core.fleet.FleetView;
+import org.heatherspread.core.fleet.SilenceDetector;
 import org.heatherspread.core.freshness.StoreFreshness;
 import org.heatherspread.core.lease.LeaseClient;
 import org.heatherspread.core.lease.LeaseSettings;
@@ -30,6 +32,7 @@
 import org.heatherspread.core.limit.ReportSchedule;
 import org.heatherspread.core.poison.CrashEvidence;
 import org.heatherspread.core.poison.EndpointIncarnation;
+import org.heatherspread.core.serving.HostPort;
 import org.heatherspread.core.store.SharedStore;
 import org.heatherspread.core.store.TableStore;
 import org.heatherspread.node.peer.DomainReaderStore;
@@ -243,6 +246,22 @@
     return isolationMonitor.retainReachable(byDaemon);
   }
 
+  /** Returns the addresses for daemons of those others that can serve requests of callers. */
+  private Map<String, HostPort> forwardingTargets() {
+    Map<String, HostPort> targets = new HashMap<>();
+    for (DaemonReport daemon : fleet.liveReports()) {
+      boolean serves =
+          daemon.state() == DaemonState.READY
+              && !daemon.daemon().equals(settings.name())
+              && !daemon.peerAddress().isEmpty()
+              && !isolationMonitor.isIsolated(daemon.daemon());
+      if (serves) {
+        targets.put(daemon.daemon(), HostPort.parse(daemon.peerAddress()));
+      }
+    }
+    return SilenceDetector.retainHeard(targets, silentDaemons());
+  }
+
   /** Returns whether the endpoints and the daemon reports have been read at least once. */
   public boolean isFleetInitialized() {
     return endpointListener.isInitialized() && fleetListener.isInitialized();
@@ -324,6 +343,7 @@
     streamOrigins.onMisleadingReport(() -> reportWriter.tell(ReportWriter.Command.REPORT));
     shareFacts();
     isolationMonitor.start();
+    state.forwarding().setTargets(settings.name(), this::forwardingTargets);
     if (dutyClient != null) {
       dutyRunner = context.spawn(ActorRestarts.withPauses(createDutyRunner()), "duties");
     }
--- a/node/src/main/java/org/heatherspread/node/control/IsolationMonitor.java
+++ b/node/src/main/java/org/heatherspread/node/control/IsolationMonitor.java
@@ -22,7 +22,7 @@
 
   private static final long CHECK_MILLIS = 200;
 
-  /** Number of endpoints to which each check of an isolated daemon tries to connect. */
+  /** Number of endpoints to which a check tries to connect if the daemon may be isolated. */
   private static final int PROBED_ENDPOINTS = 3;
 
   private final RelayState state;
@@ -35,8 +35,8 @@
 
   /** Tries to connect to an endpoint. */
   interface PathProbe {
-    /** Starts to connect, and runs the action if the endpoint accepts. */
-    void connect(TrackedEndpoint endpoint, Runnable onReached);
+    /** Starts to connect, and runs the action for the outcome. */
+    void connect(TrackedEndpoint endpoint, Runnable onReached, Runnable onFailed);
   }
 
   private IsolationMonitor(RelayState state, SharedFacts facts, String self, PathProbe pathProbe) {
@@ -84,7 +84,7 @@
       if (isolated != announced || repeat) {
         announce(isolated, now);
       }
-      if (isolated) {
+      if (isolated || state.isolation().isSuspected(state.endpoints().all(), now)) {
         probe();
       }
     } catch (RuntimeException e) {
@@ -103,10 +103,18 @@
     List<TrackedEndpoint> endpoints = new ArrayList<>(state.endpoints().all());
     for (int i = 0; i < PROBED_ENDPOINTS && !endpoints.isEmpty(); i++) {
       TrackedEndpoint endpoint = endpoints.remove(state.random().nextInt(endpoints.size()));
-      pathProbe.connect(endpoint, () -> state.isolation().recordReached(state.clock().millis()));
+      pathProbe.connect(
+          endpoint,
+          () -> state.isolation().recordReached(state.clock().millis()),
+          () -> state.isolation().recordUnreachable(endpoint, state.clock().millis()));
     }
   }
 
+  /** Returns whether a daemon has said lately that it has no path to the endpoints. */
+  boolean isIsolated(String daemon) {
+    return isolatedDaemons.names(state.clock().millis()).contains(daemon);
+  }
+
   /** Returns the entries of daemons that have a path to the endpoints, or all if none has. */
   <V> Map<String, V> retainReachable(Map<String, V> byDaemon) {
     return isolatedDaemons.retainReachable(byDaemon, state.clock().millis());
--- a/node/src/test/java/org/heatherspread/node/control/IsolationMonitorTest.java
+++ b/node/src/test/java/org/heatherspread/node/control/IsolationMonitorTest.java
@@ -20,6 +20,7 @@
 /** A daemon that reaches no endpoint leaves the directory until it reaches one again. */
 class IsolationMonitorTest {
   private static final Map<String, String> ADDRESSES = Map.of("self", "1", "other", "2");
+  private static final List<String> IDS = List.of("a", "b", "c", "d");
   private static final HostPort ADDRESS = new HostPort("127.0.0.1", 1);
 
   private final ManualClock clock = ManualClock.create();
@@ -27,14 +28,28 @@
       RelayStateFixtures.create(clock, StoreFreshness.create(clock, InstantSource.system()), null);
   private final SharedFacts facts = SharedFacts.create("self", "9f2c", clock);
   private final List<Runnable> probes = new ArrayList<>();
+  private final List<Runnable> failures = new ArrayList<>();
   private final IsolationMonitor monitor =
-      IsolationMonitor.create(state, facts, "self", (endpoint, onReached) -> probes.add(onReached));
+      IsolationMonitor.create(
+          state,
+          facts,
+          "self",
+          (endpoint, onReached, onFailed) -> {
+            probes.add(onReached);
+            failures.add(onFailed);
+          });
 
-  private void failEndpoints() {
-    for (String id : List.of("a", "b", "c", "d")) {
+  private void putEndpoints() {
+    for (String id : IDS) {
       state
           .endpoints()
           .put(new RegisteredEndpoint(id, "s", ADDRESS, "z", 6, false, false, -1, "v1", 1));
+    }
+  }
+
+  private void failEndpoints() {
+    putEndpoints();
+    for (String id : IDS) {
       state
           .endpoints()
           .get(id)
@@ -59,6 +74,17 @@
     assertThat(probes).hasSize(3);
   }
 
+  @Test
+  void suspicionIsCheckedByConnections() {
+    putEndpoints();
+    state.endpoints().get("a").orElseThrow().startRequest(Workload.NONE);
+    monitor.check();
+    assertThat(failures).hasSize(3);
+    failures.forEach(Runnable::run);
+    monitor.check();
+    assertThat(monitor.isIsolated("self")).isTrue();
+  }
+
   @Test
   void isolationIsRepeatedWhileItLasts() {
     failEndpoints();
--- a/node/src/test/java/org/heatherspread/node/soak/CutOffDaemonTest.java
+++ b/node/src/test/java/org/heatherspread/node/soak/CutOffDaemonTest.java
@@ -21,7 +21,6 @@
 import org.heatherspread.platform.FakePlatform;
 import org.heatherspread.relay.FakeEndpoint;
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -240,19 +239,16 @@
   }
 
   @Test
-  @Tag("known-red")
   void callersAreServedWhileConnectionsToEndpointsHang() throws Exception {
     assertCallersServed(FaultProxy::hang);
   }
 
   @Test
-  @Tag("known-red")
   void callersAreServedWhileConnectionsToEndpointsAreReset() throws Exception {
     assertCallersServed(FaultProxy::shutDown);
   }
 
   @Test
-  @Tag("known-red")
   void callersAreServedWhileOnlyOldConnectionsToEndpointsLive() throws Exception {
     assertCallersServed(FaultProxy::refuseConnections);
   }
--- a/relay/src/main/java/org/heatherspread/relay/call/Attempt.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/Attempt.java
@@ -35,15 +35,16 @@
  * Confined to its event loop.
  */
 final class Attempt
-    implements ConnectionPool.ConnectionListener,
+    implements RunningAttempt,
+        ConnectionPool.ConnectionListener,
         ResponseListener,
         RelayState.MigratableStream,
         BufferBudget.Holder {
   private static final Logger log = LoggerFactory.getLogger(Attempt.class);
 
-  private static final int MAX_EVENT_BYTES = 1 << 18;
+  static final int MAX_EVENT_BYTES = 1 << 18;
 
-  private static final int MAX_BODY_BYTES = 8 << 20;
+  static final int MAX_BODY_BYTES = 8 << 20;
 
   /** Maximum number of reads of a body, which cost time however few bytes they bring. */
   private static final int MAX_BODY_READS = 1 << 16;
@@ -159,7 +160,8 @@
     state.connectionPool().acquire(endpoint.registration().address(), maxConnections, this);
   }
 
-  String endpointId() {
+  @Override
+  public String endpointId() {
     return endpoint.id();
   }
 
@@ -236,6 +238,17 @@
     if (refused) {
       state.recordRefusedConnection(endpoint);
     }
+    boolean wasActive = isActive();
+    trackedRequest.recordFailure(state.clock().millis());
+    close();
+    if (wasActive) {
+      logOutcome("not-connected", reason);
+      call.onUnreachable();
+    }
+  }
+
+  @Override
+  public void onLimitReached(String reason) {
     boolean wasActive = isActive();
     trackedRequest.recordFailure(state.clock().millis());
     close();
@@ -247,7 +260,7 @@
 
   private long initialSilenceTimeoutMillis() {
     Route route = context.route();
-    if (!route.isRepeatable() || progress.possibleExecutions >= route.maxAttempts()) {
+    if (!route.isRepeatable() || progress.possibleExecutions >= context.maxAttempts()) {
       return 0;
     }
     if (route.kind() == CallKind.STREAM) {
@@ -395,7 +408,7 @@
     if (!progress.streamStarted) {
       progress.streamStarted = true;
       recordOrigin();
-      responseWriter.start(status, call.headerRewriter().callerHeaders(headers));
+      responseWriter.start(status, call.headerRewriter().responseHeaders(context, headers));
       responseWriter.onWritable(call::onCallerWritable);
     }
     responseWriter.write(bytes);
@@ -403,8 +416,7 @@
       connection.setReading(false);
     }
     boolean canRetry =
-        context.route().isRepeatable()
-            && progress.possibleExecutions < context.route().maxAttempts();
+        context.route().isRepeatable() && progress.possibleExecutions < context.maxAttempts();
     scheduleSilenceCheck(canRetry ? ENDPOINT_SILENCE_MILLIS : 0);
   }
 
@@ -444,8 +456,8 @@
     }
   }
 
-  /** Resumes reading after the caller has caught up. */
-  void resumeReading() {
+  @Override
+  public void resumeReading() {
     if (isActive()) {
       connection.setReading(true);
     }
@@ -488,7 +500,7 @@
     }
     close();
     call.countUsage();
-    boolean attemptsRemain = progress.possibleExecutions < context.route().maxAttempts();
+    boolean attemptsRemain = progress.possibleExecutions < context.maxAttempts();
     if (serverError && context.route().kind() == CallKind.IDEMPOTENT && attemptsRemain) {
       logOutcome("error", "status " + status);
       retryOr(RetryReason.ENDPOINT_ERROR, () -> forwardResponse(content));
@@ -530,7 +542,7 @@
     }
     state.metrics().recordResponse(context.service(), status, progress.firstResponseMillis);
     call.finish("answered", status, endpoint.id());
-    responseWriter.send(status, call.headerRewriter().callerHeaders(headers), content);
+    responseWriter.send(status, call.headerRewriter().responseHeaders(context, headers), content);
   }
 
   private void completeStream() {
@@ -685,8 +697,8 @@
     call.retryOrFail(RetryReason.CONNECTION_LOST, Refusal.ANSWER_LOST);
   }
 
-  /** Ends the attempt and closes its connection. */
-  void abort() {
+  @Override
+  public void abort() {
     close();
     if (connection != null) {
       connection.abort();
--- a/relay/src/main/java/org/heatherspread/relay/call/CallContext.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/CallContext.java
@@ -21,6 +21,9 @@
  * @param resumeAfter id of the last event that the caller has of a stream that it resumes, -1 for
  *     other requests
  * @param configVersion version of the configuration that was applied
+ * @param forwardedBy name of the daemon that has admitted and forwarded the request, empty if it is
+ *     from a caller
+ * @param maxAttempts maximum number of endpoints to which the request may be sent
  */
 record CallContext(
     String id,
@@ -35,7 +38,9 @@
     long deadlineMillis,
     long callerDeadlineMillis,
     long resumeAfter,
-    long configVersion) {
+    long configVersion,
+    String forwardedBy,
+    int maxAttempts) {
   /** Returns the same request for another service of its route. */
   CallContext withService(String other) {
     return new CallContext(
@@ -51,7 +56,14 @@
         deadlineMillis,
         callerDeadlineMillis,
         resumeAfter,
-        configVersion);
+        configVersion,
+        forwardedBy,
+        maxAttempts);
+  }
+
+  /** Returns whether another daemon has admitted the request and counts it. */
+  boolean isForwarded() {
+    return !forwardedBy.isEmpty();
   }
 
   /** Returns the position of the caller in the stream before the first attempt. */
--- a/relay/src/main/java/org/heatherspread/relay/call/CallMetrics.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/CallMetrics.java
@@ -32,6 +32,11 @@
     counter("heatherspread.repeats", "reason", reason).increment();
   }
 
+  /** Counts a request that was forwarded to another daemon. */
+  void recordForward(Refusal reason) {
+    counter("heatherspread.forwards", "reason", reason.code()).increment();
+  }
+
   /** Counts a retry denied by the retry budget. */
   public void recordRetryDenied(String service) {
     counter("heatherspread.repeats.denied", "service", service).increment();
--- a/relay/src/main/java/org/heatherspread/relay/call/CallProgress.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/CallProgress.java
@@ -17,6 +17,9 @@
   /** Number of endpoints whose limits did not admit the request. */
   int limitedCount;
 
+  /** Number of endpoints to which no connection could be opened. */
+  int unreachableCount;
+
   /** Number of endpoints that may have executed the request. */
   int possibleExecutions;
 
--- a/relay/src/main/java/org/heatherspread/relay/call/HeaderRewriter.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/HeaderRewriter.java
@@ -32,17 +32,28 @@
           "expect",
           "content-length");
 
+  /** Headers between daemons, which neither endpoints nor callers get. */
+  private static final Set<String> DAEMON_HEADERS =
+      Set.of(
+          ForwardedRequests.FORWARDED_BY,
+          ForwardedRequests.REMAINING_ATTEMPTS,
+          ForwardedRequests.ACCEPTED);
+
   private final RelayHeaderNames headerNames;
   private final Set<String> strippedHeaders;
+  private final Set<String> strippedFromResponses;
 
   private HeaderRewriter(RelayHeaderNames headerNames, Set<String> strippedHeaders) {
     this.headerNames = headerNames;
+    this.strippedFromResponses = new HashSet<>(HOP_BY_HOP_HEADERS);
+    strippedFromResponses.add(ForwardedRequests.ACCEPTED.toLowerCase(Locale.ROOT));
     this.strippedHeaders = strippedHeaders;
   }
 
   static HeaderRewriter create(RelayHeaderNames headerNames) {
     Set<String> stripped = new HashSet<>(HOP_BY_HOP_HEADERS);
     stripped.add("authorization");
+    DAEMON_HEADERS.forEach(name -> stripped.add(name.toLowerCase(Locale.ROOT)));
     for (String reserved : headerNames.reserved()) {
       stripped.add(reserved.toLowerCase(Locale.ROOT));
     }
@@ -61,21 +72,8 @@
       long remainingMillis,
       long lastEventId,
       String cacheCopy) {
-    var received = context.request();
-    FullHttpRequest request =
-        new DefaultFullHttpRequest(
-            HttpVersion.HTTP_1_1,
-            received.method(),
-            received.target(),
-            received.content().retainedDuplicate(),
-            copyExcept(received.headers(), strippedHeaders),
-            new DefaultHttpHeaders());
+    FullHttpRequest request = copyRequest(context, strippedHeaders, remainingMillis);
     HttpHeaders headers = request.headers();
-    int length = received.content().readableBytes();
-    if (length > 0 || received.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
-      headers.set(HttpHeaderNames.CONTENT_LENGTH, length);
-    }
-    headers.set(headerNames.deadline(), Long.toString(remainingMillis));
     headers.set(headerNames.expectedEndpoint(), endpoint.id());
     if (!context.account().isEmpty()) {
       headers.set(headerNames.account(), context.account());
@@ -92,9 +90,47 @@
     return request;
   }
 
-  /** Returns the headers of an endpoint's response that are forwarded to the caller. */
-  HttpHeaders callerHeaders(HttpHeaders headers) {
-    return copyExcept(headers, HOP_BY_HOP_HEADERS);
+  /**
+   * Creates the request to another daemon, with the caller's credentials.
+   *
+   * @param remainingAttempts number of endpoints to which that daemon may send it
+   */
+  FullHttpRequest daemonRequest(
+      CallContext context, String daemon, long remainingMillis, int remainingAttempts) {
+    FullHttpRequest request = copyRequest(context, HOP_BY_HOP_HEADERS, remainingMillis);
+    request
+        .headers()
+        .set(ForwardedRequests.FORWARDED_BY, daemon)
+        .set(ForwardedRequests.REMAINING_ATTEMPTS, Integer.toString(remainingAttempts));
+    return request;
+  }
+
+  private FullHttpRequest copyRequest(
+      CallContext context, Set<String> excluded, long remainingMillis) {
+    var received = context.request();
+    FullHttpRequest request =
+        new DefaultFullHttpRequest(
+            HttpVersion.HTTP_1_1,
+            received.method(),
+            received.target(),
+            received.content().retainedDuplicate(),
+            copyExcept(received.headers(), excluded),
+            new DefaultHttpHeaders());
+    int length = received.content().readableBytes();
+    if (length > 0 || received.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
+      request.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
+    }
+    request.headers().set(headerNames.deadline(), Long.toString(remainingMillis));
+    return request;
+  }
+
+  /** Returns the headers of a response that are passed on to the caller or the other daemon. */
+  HttpHeaders responseHeaders(CallContext context, HttpHeaders headers) {
+    HttpHeaders result = copyExcept(headers, strippedFromResponses);
+    if (context.isForwarded()) {
+      result.set(ForwardedRequests.ACCEPTED, "1");
+    }
+    return result;
   }
 
   private static HttpHeaders copyExcept(HttpHeaders headers, Set<String> excluded) {
--- a/relay/src/main/java/org/heatherspread/relay/call/Refusal.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/Refusal.java
@@ -60,6 +60,14 @@
     return status;
   }
 
+  /** Returns whether another daemon may serve the request now. */
+  boolean concernsThisDaemonOnly() {
+    return switch (this) {
+      case NOT_READY, STOPPING, BUFFERS_FULL, KEYS_TOO_OLD, ISOLATED, UNREACHABLE -> true;
+      default -> false;
+    };
+  }
+
   /** Returns the name in responses, logs and metrics, such as {@code answer-lost}. */
   public String code() {
     return name().toLowerCase(Locale.ROOT).replace('_', '-');
--- a/relay/src/main/java/org/heatherspread/relay/call/RefusalResponder.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/RefusalResponder.java
@@ -69,6 +69,9 @@
       // The caller should connect to another daemon.
       headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
     }
+    if (!reason.concernsThisDaemonOnly() && ForwardedRequests.isForwarded(request.headers())) {
+      headers.set(ForwardedRequests.ACCEPTED, "1");
+    }
     if (retryAfterSeconds > 0) {
       headers.set(
           HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", retryAfterSeconds));
--- a/relay/src/main/java/org/heatherspread/relay/call/RelayCall.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/RelayCall.java
@@ -59,6 +59,12 @@
    */
   private static final int MAX_LIMITED_ENDPOINTS = 8;
 
+  /** Number of daemons to which a request may be forwarded one after the other. */
+  private static final int MAX_FORWARDS = 3;
+
+  /** Number of endpoints out of reach after which another daemon is tried. */
+  private static final int MIN_UNREACHABLE = 2;
+
   private static final double MILLIS_PER_SECOND = 1_000;
 
   /** Batch slots assumed for the work estimate if no endpoint is available. */
@@ -74,7 +80,8 @@
   private final RefusalResponder refusalResponder;
   private final Set<String> triedEndpoints = new HashSet<>();
   private final ScheduledFuture<?> deadlineTimer;
-  private Attempt currentAttempt;
+  private final Set<String> triedDaemons = new HashSet<>();
+  private RunningAttempt currentAttempt;
   private final CallProgress progress;
   private boolean finished;
   private boolean demandRecorded;
@@ -135,7 +142,9 @@
     if (call.finished) {
       return;
     }
-    state.retryBudget(context.service()).onRequest();
+    if (!call.context.isForwarded()) {
+      state.retryBudget(context.service()).onRequest();
+    }
     call.selectAndSend();
   }
 
@@ -144,7 +153,7 @@
       return;
     }
     if (state.isolation().isIsolated()) {
-      fail(Refusal.ISOLATED);
+      forwardOrFail(Refusal.ISOLATED);
       return;
     }
     Optional<Choice> choice = choose(excludedEndpoints());
@@ -227,6 +236,9 @@
   }
 
   private void failWithoutEndpoint() {
+    if (progress.unreachableCount > 0 && tryForward(Refusal.UNREACHABLE)) {
+      return;
+    }
     Set<String> full = endpointsWithoutRoom();
     full.addAll(triedEndpoints);
     Optional<Choice> limited = choose(full);
@@ -302,8 +314,9 @@
    */
   void send(Choice choice, String cacheCopy) {
     triedEndpoints.add(choice.endpoint().id());
-    currentAttempt = new Attempt(this, choice, cacheCopy);
-    currentAttempt.start();
+    Attempt attempt = new Attempt(this, choice, cacheCopy);
+    currentAttempt = attempt;
+    attempt.start();
   }
 
   private boolean isEngineRequest() {
@@ -329,11 +342,53 @@
     refusalResponder.refuse(Refusal.OVERLOADED, retryAfterSeconds);
   }
 
+  /** Passes the request to another daemon, or ends it with a refusal if there is none. */
+  void forwardOrFail(Refusal refusal) {
+    if (!tryForward(refusal)) {
+      fail(refusal);
+    }
+  }
+
+  /**
+   * Passes the request to another daemon that has a path to the endpoints. A request that was
+   * forwarded to this daemon is not passed on. Returns false if no daemon can be tried.
+   */
+  private boolean tryForward(Refusal refusal) {
+    boolean possible =
+        !context.isForwarded()
+            && !progress.streamStarted
+            && triedDaemons.size() < MAX_FORWARDS
+            && progress.possibleExecutions < context.maxAttempts()
+            && remainingMillis() > MIN_REMAINING_MILLIS;
+    Optional<Forwarding.Target> target =
+        possible ? state.forwarding().choose(triedDaemons) : Optional.empty();
+    if (target.isEmpty()) {
+      return false;
+    }
+    triedDaemons.add(target.get().daemon());
+    ForwardedAttempt attempt = new ForwardedAttempt(this, target.get(), refusal);
+    currentAttempt = attempt;
+    attempt.start();
+    return true;
+  }
+
+  /**
+   * Handles that no connection to an endpoint could be opened: tries another endpoint, or another
+   * daemon once it is likely that the network separates this one from the endpoints.
+   */
+  void onUnreachable() {
+    progress.unreachableCount++;
+    if (progress.unreachableCount >= MIN_UNREACHABLE && tryForward(Refusal.UNREACHABLE)) {
+      return;
+    }
+    retryOrFail(RetryReason.UNREACHABLE, Refusal.UNREACHABLE);
+  }
+
   /** Retries the request if its route, deadline and retry budget allow, else ends it. */
   void retryOrFail(RetryReason reason, Refusal refusal) {
     boolean timeRemains = remainingMillis() > MIN_REMAINING_MILLIS;
     boolean attemptsRemain =
-        progress.possibleExecutions < context.route().maxAttempts()
+        progress.possibleExecutions < context.maxAttempts()
             && progress.refusalCount <= MAX_REFUSALS;
     boolean repeatable = progress.possibleExecutions == 0 || context.route().isRepeatable();
     if (!timeRemains || !attemptsRemain || !repeatable || !progress.events.canResume()) {
@@ -377,7 +432,7 @@
     if (finished) {
       return;
     }
-    Attempt attempt = currentAttempt;
+    RunningAttempt attempt = currentAttempt;
     currentAttempt = null;
     if (attempt != null) {
       attempt.abort();
@@ -389,7 +444,7 @@
     if (finished) {
       return;
     }
-    Attempt attempt = currentAttempt;
+    RunningAttempt attempt = currentAttempt;
     currentAttempt = null;
     finish("caller-gone", 0, attempt == null ? "" : attempt.endpointId());
     if (attempt != null) {
@@ -444,6 +499,7 @@
         .addKeyValue("resume_after", context.resumeAfter())
         .addKeyValue("last_event", progress.events.lastId())
         .addKeyValue("connection", context.request().connection())
+        .addKeyValue("forwarded_by", context.forwardedBy())
         .addKeyValue("config", context.configVersion())
         .log("request ended");
   }
@@ -455,7 +511,7 @@
     }
   }
 
-  boolean isCurrent(Attempt attempt) {
+  boolean isCurrent(RunningAttempt attempt) {
     return !finished && currentAttempt == attempt;
   }
 
--- a/relay/src/main/java/org/heatherspread/relay/call/RelayHandler.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/RelayHandler.java
@@ -57,8 +57,10 @@
   private final RelayHeaderNames headerNames;
   private final HeaderRewriter headerRewriter;
   private final JoinedContent joinedContent;
+  private final boolean forDaemons;
 
-  private RelayHandler(RelayState state, RelayHeaderNames headerNames) {
+  private RelayHandler(RelayState state, RelayHeaderNames headerNames, boolean forDaemons) {
+    this.forDaemons = forDaemons;
     this.state = state;
     this.headerNames = headerNames;
     this.headerRewriter = HeaderRewriter.create(headerNames);
@@ -67,7 +69,15 @@
 
   /** Creates a handler that uses a state. */
   public static RelayHandler create(RelayState state, RelayHeaderNames headerNames) {
-    return new RelayHandler(state, headerNames);
+    return new RelayHandler(state, headerNames, false);
+  }
+
+  /**
+   * Creates a handler of requests that other daemons have admitted and forward. They are not
+   * counted again and not passed on to further daemons.
+   */
+  public static RelayHandler createForDaemons(RelayState state, RelayHeaderNames headerNames) {
+    return new RelayHandler(state, headerNames, true);
   }
 
   @Override
@@ -173,8 +183,8 @@
       Optional<AccountConfig> account,
       ResponseWriter responseWriter,
       RefusalResponder refusalResponder) {
-    if (account.isEmpty()) {
-      start(context, origin, false, responseWriter, refusalResponder);
+    if (account.isEmpty() || context.isForwarded()) {
+      start(context, origin, account.isPresent(), responseWriter, refusalResponder);
       return;
     }
     double amount = limitAmount(account.get(), context);
@@ -273,7 +283,11 @@
             ? Long.MAX_VALUE
             : request.receivedAtMillis() + requestedMillis,
         resumeAfter(request, route),
-        config.version());
+        config.version(),
+        forDaemons ? headers.get(ForwardedRequests.FORWARDED_BY, "") : "",
+        forDaemons
+            ? ForwardedRequests.remainingAttempts(headers, route.maxAttempts())
+            : route.maxAttempts());
   }
 
   private long resumeAfter(CallerRequest request, Route route) {
--- a/relay/src/main/java/org/heatherspread/relay/call/RelayState.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/RelayState.java
@@ -99,6 +99,7 @@
   private final AnswerLengthEstimator answerLengths = AnswerLengthEstimator.create();
   private final StoppedEndpoints stoppedEndpoints;
   private final Shutdown shutdown;
+  private final Forwarding forwarding;
   private ServingConfig config;
   private int daemonCount = 1;
 
@@ -148,6 +149,7 @@
     this.stoppedEndpoints = StoppedEndpoints.create(clock);
     this.buffers = buffers;
     this.shutdown = Shutdown.create(clock);
+    this.forwarding = Forwarding.create(loop, clock, random);
     this.endpoints = EndpointTable.create(health, this::cacheTokens);
   }
 
@@ -172,10 +174,10 @@
    * Tries to connect to an endpoint, to find out whether there is a path to it.
    *
    * @param onReached called if it accepts
+   * @param onFailed called if it does not, also if it refuses, as a partition may do that, too
    */
-  public void probePath(TrackedEndpoint endpoint, Runnable onReached) {
-    // A partition may refuse connections, too.
-    connect(endpoint, onReached, refused -> {});
+  public void probePath(TrackedEndpoint endpoint, Runnable onReached, Runnable onFailed) {
+    connect(endpoint, onReached, refused -> onFailed.run());
   }
 
   /**
@@ -371,6 +373,11 @@
     return shutdown;
   }
 
+  /** Returns the daemons that serve requests which this one cannot. */
+  public Forwarding forwarding() {
+    return forwarding;
+  }
+
   /** Returns the budget for the bytes that are held for callers and endpoints. */
   public BufferBudget buffers() {
     return buffers;
--- a/relay/src/main/java/org/heatherspread/relay/call/Shutdown.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/Shutdown.java
@@ -53,6 +53,11 @@
     List.copyOf(calls).forEach(RelayCall::onShutdown);
   }
 
+  /** Returns whether no request is in progress, from callers or other daemons. */
+  public boolean isIdle() {
+    return calls.isEmpty();
+  }
+
   /** Returns whether a request that ends by its deadline may be passed on now. */
   boolean accepts(long deadlineMillis) {
     return clock.millis() < acceptUntilMillis || deadlineMillis < endMillis;
--- a/relay/src/main/java/org/heatherspread/relay/endpoint/ConnectionPool.java
+++ b/relay/src/main/java/org/heatherspread/relay/endpoint/ConnectionPool.java
@@ -67,6 +67,11 @@
      *     address
      */
     void onConnectFailed(String reason, boolean refused);
+
+    /** Called if no connection was opened, as there are as many as permitted. */
+    default void onLimitReached(String reason) {
+      onConnectFailed(reason, false);
+    }
   }
 
   /** Returns the number of connections opened since the start. */
@@ -107,7 +112,7 @@
       connection.close();
     }
     if (openCount(address) >= maxConnections) {
-      listener.onConnectFailed("connection limit of the endpoint reached", false);
+      listener.onLimitReached("connection limit of the endpoint reached");
       return;
     }
     connect(address, listener);
--- a/relay/src/test/java/org/heatherspread/relay/RelayHarness.java
+++ b/relay/src/test/java/org/heatherspread/relay/RelayHarness.java
@@ -22,6 +22,8 @@
 import org.heatherspread.core.limit.LimitOwnerClient;
 import org.heatherspread.core.limit.OvershootAllowance;
 import org.heatherspread.core.limit.PartitionedLimiter;
+import org.heatherspread.core.placement.TrackedEndpoint;
+import org.heatherspread.core.placement.Workload;
 import org.heatherspread.core.routing.HealthPolicy;
 import org.heatherspread.core.serving.AccountConfig;
 import org.heatherspread.core.serving.CallKind;
@@ -87,6 +89,7 @@
   private final RelayState state;
   private final StoreFreshness storeFreshness;
   private final CallerServer server;
+  private final CallerServer daemonServer;
 
   private RelayHarness(StreamMigrator migrator, LimitOwnerClient ownerClient, BufferBudget buffers)
       throws Exception {
@@ -124,6 +127,14 @@
             RelayHandler.create(state, HEADER_NAMES),
             state.buffers());
     server.listen(LOOPBACK);
+    daemonServer =
+        CallerServer.create(
+            loop,
+            clock,
+            state::clientLimits,
+            RelayHandler.createForDaemons(state, HEADER_NAMES),
+            state.buffers());
+    daemonServer.listen(LOOPBACK);
   }
 
   private Set<String> versions(String service) {
@@ -247,11 +258,30 @@
         });
   }
 
+  /** Returns the address for other daemons. */
+  public HostPort daemonAddress() {
+    return new HostPort("127.0.0.1", daemonServer.port());
+  }
+
   /** Runs an action on the event loop and waits for its end. */
   public void onLoop(Consumer<RelayState> action) throws Exception {
     loop.submit(() -> action.accept(state)).sync();
   }
 
+  /** Lets all endpoints fail at a time after which none sends anything. */
+  public void isolate() throws Exception {
+    onLoop(
+        state -> {
+          long now = state.clock().millis();
+          for (TrackedEndpoint endpoint : state.endpoints().all()) {
+            endpoint.startRequest(Workload.NONE).recordFailure(now);
+          }
+          if (!state.isolation().update(state.endpoints().all(), now + 700)) {
+            throw new IllegalStateException("not isolated; endpoints: " + state.endpoints().all());
+          }
+        });
+  }
+
   /** Opens a connection of a caller. */
   public Caller caller() throws IOException {
     return new Caller(new Socket("127.0.0.1", server.port()));
--- a/relay/src/test/java/org/heatherspread/relay/call/IsolationTest.java
+++ b/relay/src/test/java/org/heatherspread/relay/call/IsolationTest.java
@@ -2,9 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.util.List;
-import org.heatherspread.core.placement.TrackedEndpoint;
-import org.heatherspread.core.placement.Workload;
 import org.heatherspread.relay.FakeEndpoint;
 import org.heatherspread.relay.RelayHarness;
 import org.junit.jupiter.api.AfterEach;
@@ -13,8 +10,6 @@
 
 /** A daemon that reaches no endpoint refuses requests at once, and sends callers elsewhere. */
 class IsolationTest {
-  private static final List<String> IDS = List.of("e0", "e1", "e2");
-
   private RelayHarness harness;
 
   @BeforeEach
@@ -37,17 +32,8 @@
     return endpoint;
   }
 
-  /** Lets all endpoints fail at a time after which none sends anything. */
   private void isolate() throws Exception {
-    harness.onLoop(
-        state -> {
-          long now = state.clock().millis();
-          for (String id : IDS) {
-            TrackedEndpoint endpoint = state.endpoints().get(id).orElseThrow();
-            endpoint.startRequest(Workload.NONE).recordFailure(now);
-          }
-          assertThat(state.isolation().update(state.endpoints().all(), now + 700)).isTrue();
-        });
+    harness.isolate();
   }
 
   @Test
@@ -71,7 +57,8 @@
           state ->
               state.probePath(
                   state.endpoints().get("e0").orElseThrow(),
-                  () -> state.isolation().recordReached(state.clock().millis())));
+                  () -> state.isolation().recordReached(state.clock().millis()),
+                  () -> {}));
       long end = System.nanoTime() + 5_000_000_000L;
       String response = "";
       while (!response.startsWith("HTTP/1.1 200") && System.nanoTime() < end) {
--- a/relay/src/test/java/org/heatherspread/relay/call/PoisonRequestFilterTest.java
+++ b/relay/src/test/java/org/heatherspread/relay/call/PoisonRequestFilterTest.java
@@ -54,7 +54,21 @@
         new CallerRequest(HttpMethod.POST, "/r/x", new DefaultHttpHeaders(), new byte[] {1}, "", 0);
     CallSuspects suspects = CallSuspects.of(request, "acme", Workload.NONE);
     return new CallContext(
-        "id", request, route, "s", "acme", suspects, Workload.NONE, 0, 0, 1_000, 1_000, -1, 1);
+        "id",
+        request,
+        route,
+        "s",
+        "acme",
+        suspects,
+        Workload.NONE,
+        0,
+        0,
+        1_000,
+        1_000,
+        -1,
+        1,
+        "",
+        1);
   }
 
   private static TrackedEndpoint endpoint(String id) {
