Do not pass on a refusal for a request that had run before

A request that was sent to an endpoint, whose connection then broke, and that was forwarded got the 503 of the other daemon, which promises that it was not run. Cause: that daemon knows its own attempts only. Its refusal is now reported as a lost answer if the request had been sent before.

ForwardingTest. refusalAfterRunAtAnEndpointIsNoPromise failed before and passes.

--- a/node/src/test/java/org/heatherspread/node/soak/CutOffDaemonTest.java
+++ b/node/src/test/java/org/heatherspread/node/soak/CutOffDaemonTest.java
@@ -63,6 +63,7 @@
        "services": [{"name": "s", "connection-limit": 200}]}
       """;
 
+  private static final String SHARED_SEGMENT = "a1:50";
   private static final List<String> ROUTES = List.of("read", "write", "draft");
 
   @TempDir private Path folder;
@@ -182,6 +183,9 @@
         HttpRequest.newBuilder(uri)
             .header("Attempt-Id", id)
             .header("Deadline-Remaining", "2000")
+            .header("Token-Counts", "100,20")
+            .header(
+                "Prompt-Prefix", SHARED_SEGMENT + "," + Integer.toHexString(id.hashCode()) + ":30")
             .timeout(Duration.ofSeconds(4))
             .POST(HttpRequest.BodyPublishers.ofString("body"))
             .build();
--- a/relay/src/main/java/org/heatherspread/relay/call/Attempt.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/Attempt.java
@@ -546,8 +546,7 @@
   }
 
   private void forwardResponse(byte[] content) {
-    boolean signalsNotExecuted = status == 429 || status == 503 || status == 408;
-    if (signalsNotExecuted) {
+    if (Refusal.promisesNoExecution(status)) {
       // These statuses promise the caller non-execution, which the endpoint did not declare.
       logOutcome("error", "status " + status);
       call.fail(Refusal.ANSWER_LOST);
--- a/relay/src/main/java/org/heatherspread/relay/call/ForwardedAttempt.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/ForwardedAttempt.java
@@ -178,6 +178,12 @@
       completeStream();
       return;
     }
+    if (executionsBefore > 0 && Refusal.promisesNoExecution(status)) {
+      // The other daemon does not know that this one had sent the request to an endpoint.
+      logFailure("refused", "status " + status);
+      call.fail(Refusal.ANSWER_LOST);
+      return;
+    }
     recordFirstResponse();
     state.metrics().recordResponse(context.service(), status, progress.firstResponseMillis);
     call.finish("answered", status, "");
--- a/relay/src/main/java/org/heatherspread/relay/call/Refusal.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/Refusal.java
@@ -55,6 +55,11 @@
     this.status = status;
   }
 
+  /** Returns whether a status promises callers that the request was not executed. */
+  static boolean promisesNoExecution(int status) {
+    return status == 429 || status == 503 || status == 408;
+  }
+
   /** Returns the HTTP status; 429 and 503 promise that the request is not executed. */
   public int status() {
     return status;
--- a/relay/src/test/java/org/heatherspread/relay/call/ForwardingTest.java
+++ b/relay/src/test/java/org/heatherspread/relay/call/ForwardingTest.java
@@ -127,6 +127,26 @@
     }
   }
 
+  /** The refusal of the other daemon holds for itself only. */
+  @Test
+  void refusalAfterRunAtAnEndpointIsNoPromise() throws Exception {
+    try (FakeEndpoint peer =
+            FakeEndpoint.start(
+                (request, connection) -> connection.respond(503, "x", "", ACCEPTED));
+        FakeEndpoint endpoint =
+            FakeEndpoint.start(
+                (request, connection) -> {
+                  isolated.isolate();
+                  connection.reset();
+                })) {
+      isolated.register(endpoint, endpoint, endpoint);
+      HostPort target = address(peer);
+      isolated.onLoop(state -> state.forwarding().setTargets("self", () -> Map.of("o", target)));
+      assertThat(isolated.call("GET", "/read/a", "id-1")).startsWith("HTTP/1.1 502");
+      assertThat(peer.requests()).hasSize(1);
+    }
+  }
+
   @Test
   void otherDaemonIsToldHowManyEndpointsRemain() throws Exception {
     try (FakeEndpoint peer = startEndpoint()) {
