Complete the postmortem of the daemons that are cut off

One way to end an attempt without a connection, and the length of a response read from its headers; no change of behaviour.

--- a/node/src/test/java/org/heatherspread/node/soak/CutOffDaemonTest.java
+++ b/node/src/test/java/org/heatherspread/node/soak/CutOffDaemonTest.java
@@ -238,6 +238,7 @@
     TimeUnit.SECONDS.sleep(3);
     long fromNanos = cutNanos + TimeUnit.MILLISECONDS.toNanos(NOTICE_MILLIS);
     assertPromisesKept();
+    assertThat(servedShare(false, fromNanos)).isGreaterThanOrEqualTo(MIN_RATIO);
     assertThat(servedShare(true, fromNanos))
         .isGreaterThanOrEqualTo(MIN_RATIO * servedShare(false, fromNanos));
   }
--- a/relay/src/main/java/org/heatherspread/relay/call/Attempt.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/Attempt.java
@@ -2,9 +2,9 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.io.ByteArrayOutputStream;
 import java.util.Optional;
@@ -84,7 +84,6 @@
   private TrackedEndpoint.TrackedRequest trackedRequest;
   private EndpointConnection connection;
   private ScheduledFuture<?> silenceTimer;
-  private HttpResponse responseHead;
   private HttpHeaders headers;
   private int status;
   private boolean notExecuted;
@@ -244,23 +243,21 @@
     if (refused) {
       state.recordRefusedConnection(endpoint);
     }
-    boolean wasActive = isActive();
-    trackedRequest.recordFailure(state.clock().millis());
-    close();
-    if (wasActive) {
-      logOutcome("not-connected", reason);
-      call.onUnreachable();
-    }
+    endUnconnected(reason, call::onUnreachable);
   }
 
   @Override
   public void onLimitReached(String reason) {
+    endUnconnected(reason, () -> call.retryOrFail(RetryReason.UNREACHABLE, Refusal.UNREACHABLE));
+  }
+
+  private void endUnconnected(String reason, Runnable next) {
     boolean wasActive = isActive();
     trackedRequest.recordFailure(state.clock().millis());
     close();
     if (wasActive) {
       logOutcome("not-connected", reason);
-      call.retryOrFail(RetryReason.UNREACHABLE, Refusal.UNREACHABLE);
+      next.run();
     }
   }
 
@@ -312,7 +309,6 @@
 
   @Override
   public void onHead(HttpResponse response) {
-    responseHead = response;
     status = response.status().code();
     headers = response.headers();
     notExecuted =
@@ -371,7 +367,7 @@
   public boolean mayEndWithinAnotherResponse() {
     return isActive()
         && !streaming
-        && HttpUtil.isContentLengthSet(responseHead)
+        && headers.contains(HttpHeaderNames.CONTENT_LENGTH)
         && call.joinedContent().endsWithinHead(bodyEnd);
   }
 
