Let slow readers of the soak send their next request while they read

The daemons to which requests can be forwarded are filtered by one set of names instead of one for each daemon; no change of behaviour.

--- a/node/src/main/java/org/heatherspread/node/control/ControlPlane.java
+++ b/node/src/main/java/org/heatherspread/node/control/ControlPlane.java
@@ -248,13 +248,14 @@
 
   /** Returns the addresses for daemons of those others that can serve requests of callers. */
   private Map<String, HostPort> forwardingTargets() {
+    Set<String> isolated = isolationMonitor.isolatedDaemons();
     Map<String, HostPort> targets = new HashMap<>();
     for (DaemonReport daemon : fleet.liveReports()) {
       boolean serves =
           daemon.state() == DaemonState.READY
               && !daemon.daemon().equals(settings.name())
               && !daemon.peerAddress().isEmpty()
-              && !isolationMonitor.isIsolated(daemon.daemon());
+              && !isolated.contains(daemon.daemon());
       if (serves) {
         targets.put(daemon.daemon(), HostPort.parse(daemon.peerAddress()));
       }
--- a/node/src/main/java/org/heatherspread/node/control/IsolationMonitor.java
+++ b/node/src/main/java/org/heatherspread/node/control/IsolationMonitor.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.heatherspread.core.fleet.IsolatedDaemons;
 import org.heatherspread.core.placement.TrackedEndpoint;
@@ -110,9 +111,9 @@
     }
   }
 
-  /** Returns whether a daemon has said lately that it has no path to the endpoints. */
-  boolean isIsolated(String daemon) {
-    return isolatedDaemons.names(state.clock().millis()).contains(daemon);
+  /** Returns the daemons that have said lately that they have no path to the endpoints. */
+  Set<String> isolatedDaemons() {
+    return isolatedDaemons.names(state.clock().millis());
   }
 
   /** Returns the entries of daemons that have a path to the endpoints, or all if none has. */
--- a/node/src/test/java/org/heatherspread/node/control/IsolationMonitorTest.java
+++ b/node/src/test/java/org/heatherspread/node/control/IsolationMonitorTest.java
@@ -82,7 +82,7 @@
     assertThat(failures).hasSize(3);
     failures.forEach(Runnable::run);
     monitor.check();
-    assertThat(monitor.isIsolated("self")).isTrue();
+    assertThat(monitor.isolatedDaemons()).containsExactly("self");
   }
 
   @Test
--- a/node/src/test/java/org/heatherspread/node/soak/SoakCaller.java
+++ b/node/src/test/java/org/heatherspread/node/soak/SoakCaller.java
@@ -51,6 +51,9 @@
   private static final int MIN_BYTES_PER_MILLI = 2_000;
   private static final int MAX_BYTES_PER_MILLI = 4_000;
 
+  /** Time in which callers that read slowly may send their next request on the connection. */
+  private static final int MAX_NEXT_REQUEST_MILLIS = 6_000;
+
   /** How much slower bodies are sent than large responses are read. */
   private static final int UPLOAD_DIVISOR = 4;
 
@@ -278,8 +281,23 @@
       String path = "/bulk/" + operation;
       String head = head(id, "bulk", path, key, BULK_MILLIS, bodyHeader(body), body);
       writeSlowly(connection, head + body, bytesPerMilli);
-      InputStream slow = new SlowInputStream(connection.getInputStream(), bytesPerMilli);
+      SlowInputStream slow = new SlowInputStream(connection.getInputStream(), bytesPerMilli);
+      String nextId = id + "-next";
+      if (kind == Kind.READ_SLOWLY) {
+        String next = head(nextId, "bulk", path, key, BULK_MILLIS, "", "");
+        slow.actOnceAfter(
+            random.nextInt(MAX_NEXT_REQUEST_MILLIS),
+            () -> {
+              history.recordBulk(nextId);
+              recordSent(nextId, "bulk", key);
+              connection.getOutputStream().write(next.getBytes(StandardCharsets.US_ASCII));
+            });
+      }
       history.recordResponse(id, readResponse(id, "bulk", slow));
+      // A daemon that stops closes the connection after the first response.
+      if (slow.hasActed() && socket == connection) {
+        history.recordResponse(nextId, readResponse(nextId, "bulk", slow));
+      }
     } catch (IOException e) {
       history.recordResponse(id, new RequestHistory.Response(0, false, ""));
       closeConnection();
@@ -316,6 +334,24 @@
   /** Stream that is read at a limited speed. */
   private static final class SlowInputStream extends FilterInputStream {
     private final int bytesPerMilli;
+    private long actionNanos = Long.MAX_VALUE;
+    private Action action;
+    private boolean acted;
+
+    /** Is carried out while the stream is read. */
+    private interface Action {
+      void run() throws IOException;
+    }
+
+    /** Runs an action in the first read after a time. */
+    void actOnceAfter(long millis, Action next) {
+      actionNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+      action = next;
+    }
+
+    boolean hasActed() {
+      return acted;
+    }
 
     SlowInputStream(InputStream in, int bytesPerMilli) {
       super(in);
@@ -324,6 +360,10 @@
 
     @Override
     public int read(byte[] target, int offset, int length) throws IOException {
+      if (!acted && action != null && System.nanoTime() >= actionNanos) {
+        acted = true;
+        action.run();
+      }
       int read = super.read(target, offset, Math.min(length, BLOCK_BYTES));
       try {
         TimeUnit.MILLISECONDS.sleep(Math.max(0, read) / bytesPerMilli);
