Leave half a second of the grace period to a stop whose loop is busy

Cause: the later end of a stop and the time for a busy loop were added up. A stop ends 0.8 s before the end of the grace period now, and 0.2 s later at most. NodeTest, NodeStopTest and SlowReaderStopTest pass.

--- a/node/src/main/java/org/heatherspread/node/Node.java
+++ b/node/src/main/java/org/heatherspread/node/Node.java
@@ -105,7 +105,7 @@
    * the process has to write its last log lines and to exit before it is killed, with a share of a
    * core.
    */
-  private static final Duration EXIT_MARGIN = Duration.ofMillis(600);
+  private static final Duration EXIT_MARGIN = Duration.ofMillis(800);
 
   /**
    * Maximum age of the newest store read with which the directory includes this daemon's address.
@@ -138,7 +138,7 @@
    * Time that a busy event loop may take beyond the end of a stop; a stop during a start may find
    * it busy for longer than the whole grace period.
    */
-  private static final Duration STOP_SLACK = Duration.ofMillis(300);
+  private static final Duration STOP_SLACK = Duration.ofMillis(200);
 
   /** Space for the headers that a daemon adds to a request that it forwards. */
   private static final int FORWARD_HEADER_BYTES = 1_024;
