Cancel the close of a shut-down connection once its caller has closed it

A connection that is shut down for output is closed when the idle timeout ends. It is the connection's timeout check now, which its end cancels; when it is closed stays the same. Found by reading. The tests of callers' connections and of stops pass.

--- a/relay/src/main/java/org/heatherspread/relay/caller/CallerConnection.java
+++ b/relay/src/main/java/org/heatherspread/relay/caller/CallerConnection.java
@@ -502,10 +502,10 @@
     // What still comes is not decoded, as the codec keeps state for each request.
     context.pipeline().remove(HttpServerCodec.class);
     context.channel().config().setAutoRead(true);
-    context
-        .executor()
-        .schedule(
-            () -> context.close(), server.limits().idleTimeoutMillis(), TimeUnit.MILLISECONDS);
+    timeoutCheck =
+        context
+            .executor()
+            .schedule(this::close, server.limits().idleTimeoutMillis(), TimeUnit.MILLISECONDS);
   }
 
   private void processReadAhead() {
