--- a/node/src/main/java/org/heatherspread/node/LoggingConfigurator.java
+++ b/node/src/main/java/org/heatherspread/node/LoggingConfigurator.java
@@ -7,8 +7,6 @@
 import ch.qos.logback.classic.spi.ILoggingEvent;
 import ch.qos.logback.core.ConsoleAppender;
 import ch.qos.logback.core.spi.ContextAwareBase;
-import net.logstash.logback.encoder.LogstashEncoder;
-import net.logstash.logback.fieldnames.LogstashFieldNames;
 
 /**
  * Configures logging: JSON lines on standard output, through a bounded queue that drops lines
@@ -20,16 +18,8 @@
 
   @Override
   public ExecutionStatus configure(LoggerContext context) {
-    LogstashFieldNames fieldNames = new LogstashFieldNames();
-    fieldNames.setTimestamp("time");
-    fieldNames.setVersion("[ignore]");
-    fieldNames.setLevelValue("[ignore]");
-    fieldNames.setThread("[ignore]");
-    fieldNames.setLogger("logger");
-    LogstashEncoder encoder = new LogstashEncoder();
+    JsonLineEncoder encoder = new JsonLineEncoder(LOGGER_NAME_LENGTH);
     encoder.setContext(context);
-    encoder.setFieldNames(fieldNames);
-    encoder.setShortenedLoggerNameLength(LOGGER_NAME_LENGTH);
     encoder.start();
     ConsoleAppender<ILoggingEvent> console = new ConsoleAppender<>();
     console.setContext(context);
