Look for failed requests before usable endpoints in the isolation check

Cause: a daemon that has had no response yet counts as silent, so it evaluated all endpoints five times a second although no request had failed: 4.6% of the processor time of an idle daemon in a profile of a fleet of 20.

Change: without two recent failures a daemon is not isolated, whatever endpoints are usable; failures are counted first. The result is the same, as the number of failures required is at least two and usable endpoints are a part of all.

IsolationDetectorTest, IsolationMonitorTest and CutOffDaemonTest pass.

--- a/core/src/main/java/org/heatherspread/core/placement/IsolationDetector.java
+++ b/core/src/main/java/org/heatherspread/core/placement/IsolationDetector.java
@@ -105,6 +105,9 @@
   /** Evaluates the endpoints while none sends anything. */
   private boolean mayBeIsolated(
       Collection<TrackedEndpoint> endpoints, long reachedMillis, long nowMillis) {
+    if (!isolated && countFailed(endpoints, reachedMillis, nowMillis) < MIN_ENDPOINTS) {
+      return false;
+    }
     List<TrackedEndpoint> usable =
         endpoints.stream().filter(endpoint -> endpoint.isUsable(nowMillis)).toList();
     if (usable.size() < MIN_ENDPOINTS) {
@@ -114,11 +117,15 @@
     return isolated || countFailed(usable, reachedMillis, nowMillis) >= required;
   }
 
-  private long countFailed(List<TrackedEndpoint> usable, long reachedMillis, long nowMillis) {
-    return usable.stream()
-        .mapToLong(this::lastFailureMillis)
-        .filter(failed -> isRecentFailure(failed, reachedMillis, nowMillis))
-        .count();
+  private long countFailed(
+      Collection<TrackedEndpoint> endpoints, long reachedMillis, long nowMillis) {
+    long count = 0;
+    for (TrackedEndpoint endpoint : endpoints) {
+      if (isRecentFailure(lastFailureMillis(endpoint), reachedMillis, nowMillis)) {
+        count++;
+      }
+    }
+    return count;
   }
 
   private long lastFailureMillis(TrackedEndpoint endpoint) {
