--- a/node/src/test/java/org/heatherspread/node/soak/SoakDaemon.java
+++ b/node/src/test/java/org/heatherspread/node/soak/SoakDaemon.java
@@ -3,6 +3,8 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.heatherspread.node.LoopbackSupport;
@@ -40,6 +42,7 @@
   private final Path folder;
   private final Path settingsFile;
   private final int callers = LoopbackSupport.freePort();
+  private final int readiness = LoopbackSupport.freePort();
   private final int directory = LoopbackSupport.freePort();
   private final FaultProxy storeProxy;
   private Process process;
@@ -58,7 +61,7 @@
             name,
             domain,
             callers,
-            LoopbackSupport.freePort(),
+            readiness,
             directory,
             LoopbackSupport.freePort(),
             LoopbackSupport.freePort(),
@@ -85,19 +88,24 @@
   }
 
   void start() throws IOException {
+    start(
+        List.of(
+            Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+            "-Xmx96m",
+            "-XX:+UseSerialGC",
+            "-XX:TieredStopAtLevel=1",
+            "-cp",
+            System.getProperty("java.class.path"),
+            NodeMain.class.getName()));
+  }
+
+  /** Starts the process by a command, which gets the option for the settings file. */
+  void start(List<String> command) throws IOException {
     startCount++;
+    List<String> words = new ArrayList<>(command);
+    words.addAll(List.of("--config", settingsFile.toAbsolutePath().toString()));
     process =
-        new ProcessBuilder(
-                List.of(
-                    Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                    "-Xmx96m",
-                    "-XX:+UseSerialGC",
-                    "-XX:TieredStopAtLevel=1",
-                    "-cp",
-                    System.getProperty("java.class.path"),
-                    NodeMain.class.getName(),
-                    "--config",
-                    settingsFile.toString()))
+        new ProcessBuilder(words)
             .redirectErrorStream(true)
             .redirectOutput(logFile().toFile())
             .start();
@@ -110,6 +118,17 @@
         () -> LoopbackSupport.requestStatus(callers, path, "") == 200, START_MILLIS);
   }
 
+  /** Waits until the readiness probe succeeds. */
+  void awaitReady() throws Exception {
+    LoopbackSupport.await(
+        () -> LoopbackSupport.requestStatus(readiness, "/", "") == 200, START_MILLIS);
+  }
+
+  /** Returns the processor time that the process has used. */
+  Duration processorTime() {
+    return process.info().totalCpuDuration().orElseThrow();
+  }
+
   private Path logFile() {
     return folder.resolve(name + "." + startCount + ".log");
   }
--- /dev/null
+++ b/node/src/test/java/org/heatherspread/node/soak/StartCost.java
@@ -0,0 +1,100 @@
+package org.heatherspread.node.soak;
+
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.heatherspread.platform.FakePlatform;
+
+/**
+ * Processor time of a daemon process in a fleet without requests. It is the time of the process and
+ * not of the clock, so other work on the machine changes it little.
+ *
+ * @param ready mean from the start until all daemons are ready
+ * @param idle mean of the time after that
+ */
+record StartCost(Duration ready, Duration idle) {
+  private static final int DOMAINS = 4;
+  private static final int ENDPOINT_PORT = 9;
+  private static final long HEARTBEAT_MILLIS = 1_200;
+  private static final long GRACE_MILLIS = 2_000;
+  private static final String CONFIGURATION =
+      """
+      {"version": 1,
+       "routes": [{"name": "draft", "hostname": "localhost", "prefix": "/draft/",
+         "route-kind": "streaming", "service": "model", "timeout-ms": 4000, "max-attempts": 2,
+         "stream-resumption": true}],
+       "services": [{"name": "model", "connection-limit": 200}],
+       "tenants": [{"name": "acme", "api-keys": ["key-1"]}]}
+      """;
+
+  /** Returns the processor time of a start and of the idle time after it. */
+  Duration total() {
+    return ready.plus(idle);
+  }
+
+  /**
+   * Starts daemons at the same time and measures them.
+   *
+   * @param command starts a daemon
+   * @param endpointCount number of endpoints that write their registrations again and again
+   * @param idleTime time for which the daemons are measured after all are ready
+   * @param folder for settings and logs
+   */
+  static StartCost measure(
+      List<String> command, int daemonCount, int endpointCount, Duration idleTime, Path folder)
+      throws Exception {
+    List<SoakDaemon> daemons = new ArrayList<>();
+    try (FakePlatform platform = FakePlatform.start()) {
+      platform.write(FakePlatform.OPERATORS, FakePlatform.CONFIGURATION_KEY, CONFIGURATION);
+      Thread heartbeats =
+          DaemonThreads.start("heartbeats", () -> writeRegistrations(platform, endpointCount));
+      try {
+        for (int i = 0; i < daemonCount; i++) {
+          SoakDaemon daemon =
+              new SoakDaemon(
+                  "daemon-" + i,
+                  "z" + i % DOMAINS,
+                  folder,
+                  platform.address().port(),
+                  GRACE_MILLIS);
+          daemons.add(daemon);
+          daemon.start(command);
+        }
+        for (SoakDaemon daemon : daemons) {
+          daemon.awaitReady();
+        }
+        Duration ready = mean(daemons);
+        TimeUnit.MILLISECONDS.sleep(idleTime.toMillis());
+        return new StartCost(ready, mean(daemons).minus(ready));
+      } finally {
+        heartbeats.interrupt();
+        for (SoakDaemon daemon : daemons) {
+          daemon.close();
+        }
+      }
+    }
+  }
+
+  private static Duration mean(List<SoakDaemon> daemons) {
+    Duration sum = Duration.ZERO;
+    for (SoakDaemon daemon : daemons) {
+      sum = sum.plus(daemon.processorTime());
+    }
+    return sum.dividedBy(daemons.size());
+  }
+
+  private static void writeRegistrations(FakePlatform platform, int count) {
+    try {
+      while (true) {
+        for (int i = 0; i < count; i++) {
+          platform.registerEndpoint("model-" + i, "model", ENDPOINT_PORT, false);
+          TimeUnit.MILLISECONDS.sleep(Math.max(1, HEARTBEAT_MILLIS / count));
+        }
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
