Read the daemon reports as a member every 600 ms

Candidates for the duties are daemons whose reports arrived within 2.2 s, and in fleets of up to 39 daemons reports are written every 1.5 s. A pause of 800 ms left too little of that for a read at the domain reader, so that ranks would change without cause. Found by reading; the lease decides in any case.

--- a/node/src/main/java/org/heatherspread/node/control/ControlPlane.java
+++ b/node/src/main/java/org/heatherspread/node/control/ControlPlane.java
@@ -97,7 +97,7 @@
   private static final Duration DOMAIN_MEMBER_ENDPOINT_PAUSE = Duration.ofMillis(400);
 
   /** Pause of such a daemon between two reads of the daemon reports. */
-  private static final Duration DOMAIN_MEMBER_FLEET_PAUSE = Duration.ofMillis(800);
+  private static final Duration DOMAIN_MEMBER_FLEET_PAUSE = Duration.ofMillis(600);
 
   /** Bounds the reports of all daemons to what the store carries beside its other load. */
   private static final ReportSchedule REPORT_SCHEDULE =
