--- a/node/src/test/java/org/heatherspread/node/soak/ProcessFleet.java
+++ b/node/src/test/java/org/heatherspread/node/soak/ProcessFleet.java
@@ -40,12 +40,13 @@
 
   private static final int MIN_CRASHES = 3;
   private static final long MAX_QUIET_MILLIS = 3_000;
-  private static final long GRACE_MILLIS = 2_000;
+  static final long GRACE_MILLIS = 2_000;
   private static final long READY_TIMEOUT_MILLIS = 40_000;
   private static final String SHARED_SEGMENT = "a1:50";
   private static final String KEY = "key-1";
 
-  private static final String CONFIGURATION =
+  /** Configuration with one streaming route to the service of all endpoints. */
+  static final String CONFIGURATION =
       """
       {"version": 1,
        "routes": [{"name": "draft", "hostname": "localhost", "prefix": "/draft/",
--- a/node/src/test/java/org/heatherspread/node/soak/StartCost.java
+++ b/node/src/test/java/org/heatherspread/node/soak/StartCost.java
@@ -18,16 +18,6 @@
   private static final int DOMAINS = 4;
   private static final int ENDPOINT_PORT = 9;
   private static final long HEARTBEAT_MILLIS = 1_200;
-  private static final long GRACE_MILLIS = 2_000;
-  private static final String CONFIGURATION =
-      """
-      {"version": 1,
-       "routes": [{"name": "draft", "hostname": "localhost", "prefix": "/draft/",
-         "route-kind": "streaming", "service": "model", "timeout-ms": 4000, "max-attempts": 2,
-         "stream-resumption": true}],
-       "services": [{"name": "model", "connection-limit": 200}],
-       "tenants": [{"name": "acme", "api-keys": ["key-1"]}]}
-      """;
 
   /** Returns the processor time of a start and of the idle time after it. */
   Duration total() {
@@ -47,7 +37,8 @@
       throws Exception {
     List<SoakDaemon> daemons = new ArrayList<>();
     try (FakePlatform platform = FakePlatform.start()) {
-      platform.write(FakePlatform.OPERATORS, FakePlatform.CONFIGURATION_KEY, CONFIGURATION);
+      platform.write(
+          FakePlatform.OPERATORS, FakePlatform.CONFIGURATION_KEY, ProcessFleet.CONFIGURATION);
       Thread heartbeats =
           DaemonThreads.start("heartbeats", () -> writeRegistrations(platform, endpointCount));
       try {
@@ -58,7 +49,7 @@
                   "z" + i % DOMAINS,
                   folder,
                   platform.address().port(),
-                  GRACE_MILLIS);
+                  ProcessFleet.GRACE_MILLIS);
           daemons.add(daemon);
           daemon.start(command);
         }
