Ask the owner of a limit again for requests that the reserve cannot admit

What callers saw: large requests were refused by account-limit although their account was below its limit.

Cause: an owner that does not answer within 150 ms is not asked for 500 ms. In this time each daemon admits only its part of a reserve, 1,000 to 4,000 tokens by the number of daemons, so that small requests pass and large ones never do. Daemons with a share of a core answer late in their first seconds: 83 requests of the first four seconds were decided without the owner, and 17 of the 20 refused requests over 8,000 tokens were refused by a daemon itself.

Change: a request that a daemon may not admit by itself is decided by the owner also in the pause after its first failure; an owner that fails again after the pause, or whose process has stopped, is not asked. The owner has 250 ms to answer.

requestLargerThanTheReserveIsDecidedByAnOwnerThatWasSlow fails without the change (429) and passes with it.

--- a/core/src/main/java/org/heatherspread/core/limit/PartitionedLimiter.java
+++ b/core/src/main/java/org/heatherspread/core/limit/PartitionedLimiter.java
@@ -321,6 +321,20 @@
     return isBackingOff(owner) ? Optional.empty() : Optional.of(owner);
   }
 
+  /**
+   * Returns the owner of a limit if it failed to answer a moment ago for the first time in a row,
+   * as a busy daemon does; empty if there is no such owner, or if it has stopped or failed since.
+   */
+  public Optional<String> slowOwner(String limit) {
+    String owner = owner(limit);
+    if (owner == null || owner.equals(self) || !isBackingOff(owner)) {
+      return Optional.empty();
+    }
+    OwnerFailure failure = failures.get(owner);
+    boolean slow = !failure.stopped && failure.backoffMillis == MIN_BACKOFF_MILLIS;
+    return slow ? Optional.of(owner) : Optional.empty();
+  }
+
   private boolean isBackingOff(String owner) {
     OwnerFailure failure = failures.get(owner);
     return failure != null && clock.millis() < failure.askAgainMillis;
--- a/core/src/test/java/org/heatherspread/core/limit/PartitionedLimiterTest.java
+++ b/core/src/test/java/org/heatherspread/core/limit/PartitionedLimiterTest.java
@@ -461,6 +461,23 @@
     assertThat(limits.remoteOwner("acme")).contains("daemon-1");
   }
 
+  @Test
+  void ownerIsSlowUntilItFailsAgainAfterItsBackoff() {
+    PartitionedLimiter limits = PartitionedLimiter.create("daemon-0", clock, ALLOWANCE);
+    limits.updateDaemons(List.of("daemon-1"), names(2), VIEW_MILLIS, List.of(account(10_000)));
+    assertThat(limits.slowOwner("acme")).isEmpty();
+    limits.ownerFailed("daemon-1", false);
+    assertThat(limits.slowOwner("acme")).contains("daemon-1");
+    limits.ownerFailed("daemon-1", false);
+    assertThat(limits.slowOwner("acme")).contains("daemon-1");
+    nowNanos += 600_000_000L;
+    limits.ownerFailed("daemon-1", false);
+    assertThat(limits.slowOwner("acme")).isEmpty();
+    limits.ownerAnswered("daemon-1");
+    limits.ownerFailed("daemon-1", true);
+    assertThat(limits.slowOwner("acme")).isEmpty();
+  }
+
   /** What an endpoint may get in any four seconds. */
   private static int permittedRequests(EndpointLimit limit) {
     return (int) (6 * limit.ratePerSecond()) + 5;
--- a/node/src/main/java/org/heatherspread/node/peer/PeerClient.java
+++ b/node/src/main/java/org/heatherspread/node/peer/PeerClient.java
@@ -32,7 +32,7 @@
    * Timeout of requests that calls of callers wait for: well above a round trip to a busy instance,
    * and small compared with the latency targets of requests.
    */
-  private static final Duration DECISION_TIMEOUT = Duration.ofMillis(150);
+  private static final Duration DECISION_TIMEOUT = Duration.ofMillis(250);
 
   /** Timeout of lookups of origins, less than the time after which refused callers return. */
   private static final Duration ORIGIN_TIMEOUT = Duration.ofMillis(400);
--- a/relay/src/main/java/org/heatherspread/relay/call/LimitAdmission.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/LimitAdmission.java
@@ -64,10 +64,16 @@
     limits.track(limit);
     takeOver(limit);
     Optional<String> owner = limits.remoteOwner(limit.name());
-    if (owner.isEmpty()) {
-      return CompletableFuture.completedFuture(decideLocally(limit, amount));
+    if (owner.isPresent()) {
+      return requestAdmission(owner.get(), limit, amount, true);
+    }
+    Decision local = decideLocally(limit, amount);
+    Optional<String> slowOwner = limits.slowOwner(limit.name());
+    // What this daemon may admit by itself is less than a large request.
+    if (local.waitSeconds().isPresent() && slowOwner.isPresent()) {
+      return requestAdmission(slowOwner.get(), limit, amount, false);
     }
-    return requestAdmission(owner.get(), limit, amount, true);
+    return CompletableFuture.completedFuture(local);
   }
 
   /**
--- a/relay/src/test/java/org/heatherspread/relay/call/LimitAdmissionTest.java
+++ b/relay/src/test/java/org/heatherspread/relay/call/LimitAdmissionTest.java
@@ -118,6 +118,24 @@
     assertThat(ownerRequests).containsExactly("owner acme 750 0", "owner acme 750 0");
   }
 
+  /**
+   * After a slow answer of the owner, large requests were refused for half a second while small
+   * ones were admitted.
+   */
+  @Test
+  void requestLargerThanTheReserveIsDecidedByAnOwnerThatWasSlow() throws Exception {
+    RelayHarness harness = startHarness();
+    harness.onLoop(state -> state.updateConfig(RelayHarness.config(2, 100)));
+    nextDecisions.add(CompletableFuture.failedFuture(new IOException("no response in time")));
+    nextDecisions.add(CompletableFuture.failedFuture(new IOException("no response in time")));
+    ownerDecision = CompletableFuture.completedFuture(Decision.decided(OptionalDouble.empty()));
+    assertThat(harness.call("GET", "/read/a", "id-1", "Token-Counts: 700,50"))
+        .startsWith("HTTP/1.1 429");
+    assertThat(harness.call("GET", "/read/a", "id-2", "Token-Counts: 700,50"))
+        .startsWith("HTTP/1.1 200");
+    assertThat(ownerRequests).hasSize(3);
+  }
+
   /** Where the daemon asked names another owner, that one decides. */
   @Test
   void asksTheOwnerThatTheOtherDaemonNames() throws Exception {
