Let members of a failure domain wait for changes as long as before

A longer wait reads the configuration less often, but a member then notices 0.2 s later that its reader hangs, of the 2 s in which a change must be in force.

--- a/node/src/main/java/org/heatherspread/node/control/ControlPlane.java
+++ b/node/src/main/java/org/heatherspread/node/control/ControlPlane.java
@@ -85,14 +85,8 @@
   private static final Duration DOMAIN_READER_FLEET_PAUSE = Duration.ofMillis(400);
 
   /**
-   * Maximum wait for changes of a daemon that reads from another one. Such a daemon notices within
-   * about a second that its reader does not respond, and then reads the store itself.
-   */
-  private static final Duration DOMAIN_MEMBER_WAIT = Duration.ofMillis(500);
-
-  /**
-   * Pause of such a daemon after a response about endpoints, whose registrations change all the
-   * time.
+   * Pause after a response about endpoints of a daemon that reads from another one. Registrations
+   * change all the time, so there is hardly a wait between two pauses.
    */
   private static final Duration DOMAIN_MEMBER_ENDPOINT_PAUSE = Duration.ofMillis(400);
 
@@ -332,7 +326,7 @@
         context,
         new TableWatcher.WatchSettings(
             PlatformTables.OPERATORS,
-            () -> select(DOMAIN_READER_WAIT, DOMAIN_MEMBER_WAIT, CONFIGURATION_WAIT),
+            () -> select(DOMAIN_READER_WAIT, DOMAIN_READER_WAIT, CONFIGURATION_WAIT),
             () -> select(DOMAIN_READER_PAUSE, DOMAIN_READER_PAUSE, Duration.ZERO),
             FULL_READ_INTERVAL),
         state.storeFreshness(),
@@ -342,7 +336,7 @@
         context,
         new TableWatcher.WatchSettings(
             PlatformTables.ENDPOINTS,
-            () -> select(DOMAIN_READER_WAIT, DOMAIN_MEMBER_WAIT, ENDPOINT_WAIT),
+            () -> select(DOMAIN_READER_WAIT, DOMAIN_READER_WAIT, ENDPOINT_WAIT),
             () -> select(DOMAIN_READER_PAUSE, DOMAIN_MEMBER_ENDPOINT_PAUSE, ENDPOINT_PAUSE),
             FULL_READ_INTERVAL),
         createFreshness(),
@@ -351,7 +345,7 @@
         context,
         new TableWatcher.WatchSettings(
             ReportWriter.TABLE,
-            () -> select(DOMAIN_READER_WAIT, DOMAIN_MEMBER_WAIT, Duration.ZERO),
+            () -> select(DOMAIN_READER_WAIT, DOMAIN_READER_WAIT, Duration.ZERO),
             this::fleetPause,
             FULL_READ_INTERVAL),
         createFreshness(),
