Simplify the decision on limits without the owner and the pauses of readers

LimitAdmission decided locally and then asked the owner in two places: decideLocallyOrAsk serves both. remoteOwner and slowOwner share the look-up of another owner. LoadExchange keeps whether it was idle instead of a copy of the loads. A comment says why two failures are too few for isolation.

--- a/core/src/main/java/org/heatherspread/core/limit/PartitionedLimiter.java
+++ b/core/src/main/java/org/heatherspread/core/limit/PartitionedLimiter.java
@@ -314,11 +314,7 @@
 
   /** Returns the owner to ask about a request; empty if this daemon has to decide. */
   public Optional<String> remoteOwner(String limit) {
-    String owner = owner(limit);
-    if (owner == null || owner.equals(self)) {
-      return Optional.empty();
-    }
-    return isBackingOff(owner) ? Optional.empty() : Optional.of(owner);
+    return otherOwner(limit).filter(owner -> !isBackingOff(owner));
   }
 
   /**
@@ -326,13 +322,16 @@
    * as a busy daemon does; empty if there is no such owner, or if it has stopped or failed since.
    */
   public Optional<String> slowOwner(String limit) {
-    String owner = owner(limit);
-    if (owner == null || owner.equals(self) || !isBackingOff(owner)) {
-      return Optional.empty();
-    }
+    return otherOwner(limit).filter(this::isBackingOff).filter(this::failedOnce);
+  }
+
+  private Optional<String> otherOwner(String limit) {
+    return Optional.ofNullable(owner(limit)).filter(owner -> !owner.equals(self));
+  }
+
+  private boolean failedOnce(String owner) {
     OwnerFailure failure = failures.get(owner);
-    boolean slow = !failure.stopped && failure.backoffMillis == MIN_BACKOFF_MILLIS;
-    return slow ? Optional.of(owner) : Optional.empty();
+    return !failure.stopped && failure.backoffMillis == MIN_BACKOFF_MILLIS;
   }
 
   private boolean isBackingOff(String owner) {
--- a/core/src/main/java/org/heatherspread/core/placement/IsolationDetector.java
+++ b/core/src/main/java/org/heatherspread/core/placement/IsolationDetector.java
@@ -105,6 +105,7 @@
   /** Evaluates the endpoints while none sends anything. */
   private boolean mayBeIsolated(
       Collection<TrackedEndpoint> endpoints, long reachedMillis, long nowMillis) {
+    // The failures required are never fewer than the endpoints required.
     if (!isolated && countFailed(endpoints, reachedMillis, nowMillis) < MIN_ENDPOINTS) {
       return false;
     }
--- a/node/src/main/java/org/heatherspread/node/control/ControlPlane.java
+++ b/node/src/main/java/org/heatherspread/node/control/ControlPlane.java
@@ -295,19 +295,8 @@
     return isReader() ? Optional.empty() : fleetListener.reader();
   }
 
-  /**
-   * Selects a duration by the source from which this daemon reads changes.
-   *
-   * @param asReader if it reads the store for its failure domain
-   * @param asMember if another daemon does
-   * @param alone if each daemon of the failure domain reads the store itself
-   */
-  private Duration select(Duration asReader, Duration asMember, Duration alone) {
-    Optional<String> reader = fleetListener.reader();
-    if (reader.isEmpty()) {
-      return alone;
-    }
-    return reader.get().equals(settings.name()) ? asReader : asMember;
+  private Duration select(Duration withReader, Duration withoutReader) {
+    return fleetListener.reader().isPresent() ? withReader : withoutReader;
   }
 
   /** Starts the actors. Must be called outside the event loop, as it waits for that loop. */
@@ -326,8 +315,8 @@
         context,
         new TableWatcher.WatchSettings(
             PlatformTables.OPERATORS,
-            () -> select(DOMAIN_READER_WAIT, DOMAIN_READER_WAIT, CONFIGURATION_WAIT),
-            () -> select(DOMAIN_READER_PAUSE, DOMAIN_READER_PAUSE, Duration.ZERO),
+            () -> select(DOMAIN_READER_WAIT, CONFIGURATION_WAIT),
+            () -> select(DOMAIN_READER_PAUSE, Duration.ZERO),
             FULL_READ_INTERVAL),
         state.storeFreshness(),
         new ConfigurationListener(
@@ -336,8 +325,11 @@
         context,
         new TableWatcher.WatchSettings(
             PlatformTables.ENDPOINTS,
-            () -> select(DOMAIN_READER_WAIT, DOMAIN_READER_WAIT, ENDPOINT_WAIT),
-            () -> select(DOMAIN_READER_PAUSE, DOMAIN_MEMBER_ENDPOINT_PAUSE, ENDPOINT_PAUSE),
+            () -> select(DOMAIN_READER_WAIT, ENDPOINT_WAIT),
+            () ->
+                select(
+                    isReader() ? DOMAIN_READER_PAUSE : DOMAIN_MEMBER_ENDPOINT_PAUSE,
+                    ENDPOINT_PAUSE),
             FULL_READ_INTERVAL),
         createFreshness(),
         endpointListener);
@@ -345,7 +337,7 @@
         context,
         new TableWatcher.WatchSettings(
             ReportWriter.TABLE,
-            () -> select(DOMAIN_READER_WAIT, DOMAIN_READER_WAIT, Duration.ZERO),
+            () -> select(DOMAIN_READER_WAIT, Duration.ZERO),
             this::fleetPause,
             FULL_READ_INTERVAL),
         createFreshness(),
@@ -503,9 +495,11 @@
     boolean configured =
         state.config().isPresent() || state.clock().millis() - createdMillis < MAX_START_MILLIS;
     boolean starting = !leaving && configured && !fleetListener.isOwnerCandidate();
-    return starting
-        ? START_FLEET_PAUSE
-        : select(DOMAIN_READER_FLEET_PAUSE, DOMAIN_MEMBER_FLEET_PAUSE, reportInterval());
+    if (starting) {
+      return START_FLEET_PAUSE;
+    }
+    return select(
+        isReader() ? DOMAIN_READER_FLEET_PAUSE : DOMAIN_MEMBER_FLEET_PAUSE, reportInterval());
   }
 
   /** Returns the time to the next report, which is shorter while reports name streams. */
--- a/node/src/main/java/org/heatherspread/node/peer/LoadExchange.java
+++ b/node/src/main/java/org/heatherspread/node/peer/LoadExchange.java
@@ -67,7 +67,7 @@
   private final Map<String, Position> receivedPositions = new HashMap<>();
   private final Map<String, Position> sentPositions = new HashMap<>();
   private boolean exchangeScheduled;
-  private Map<String, EndpointLoad> sentLoads = Map.of();
+  private boolean idle = true;
   private boolean skipped;
   private long exchangeCount;
   private long lastExchangeMillis = Long.MIN_VALUE;
@@ -233,10 +233,11 @@
    * nothing to the loads of others and places no request by theirs.
    */
   void runScheduled() {
-    Map<String, EndpointLoad> loads = state.endpoints().ownLoads();
-    skipped = loads.isEmpty() && sentLoads.isEmpty() && !skipped;
+    boolean wasIdle = idle;
+    idle = state.endpoints().ownLoads().isEmpty();
+    // The first exchange without requests takes back the loads that were sent before.
+    skipped = idle && wasIdle && !skipped;
     if (!skipped) {
-      sentLoads = loads;
       runNow();
     }
   }
--- a/relay/src/main/java/org/heatherspread/relay/call/LimitAdmission.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/LimitAdmission.java
@@ -67,11 +67,20 @@
     if (owner.isPresent()) {
       return requestAdmission(owner.get(), limit, amount, true);
     }
+    return decideLocallyOrAsk(limits.slowOwner(limit.name()), limit, amount);
+  }
+
+  /**
+   * Decides without the owner, but asks it once if this daemon may not admit the request: what it
+   * may admit by itself is less than a large request.
+   *
+   * @param owner the owner to ask, empty to ask none
+   */
+  private CompletableFuture<Decision> decideLocallyOrAsk(
+      Optional<String> owner, RateLimit limit, double amount) {
     Decision local = decideLocally(limit, amount);
-    Optional<String> slowOwner = limits.slowOwner(limit.name());
-    // What this daemon may admit by itself is less than a large request.
-    if (local.waitSeconds().isPresent() && slowOwner.isPresent()) {
-      return requestAdmission(slowOwner.get(), limit, amount, false);
+    if (local.waitSeconds().isPresent() && owner.isPresent()) {
+      return requestAdmission(owner.get(), limit, amount, false);
     }
     return CompletableFuture.completedFuture(local);
   }
@@ -124,11 +133,8 @@
     boolean stopped = isConnectionRefused(failure);
     limits.ownerFailed(owner, stopped);
     logUndecided(limit, owner, failure.getMessage());
-    Decision local = decideLocally(limit, amount);
-    if (local.waitSeconds().isPresent() && mayRetry && !stopped) {
-      return requestAdmission(owner, limit, amount, false);
-    }
-    return CompletableFuture.completedFuture(local);
+    Optional<String> askAgain = mayRetry && !stopped ? Optional.of(owner) : Optional.empty();
+    return decideLocallyOrAsk(askAgain, limit, amount);
   }
 
   private static void logUndecided(RateLimit limit, String owner, String reason) {
