Share options and the start command of the test programs

SoakMain and StartCostMain parsed help and invalid options with the same lines, and StartCostTest had a copy of the command of SoakDaemon. The comment of a test of the exchange named a share of the processor time that no run had shown.

--- a/node/src/test/java/org/heatherspread/node/peer/LoadExchangeTest.java
+++ b/node/src/test/java/org/heatherspread/node/peer/LoadExchangeTest.java
@@ -119,9 +119,7 @@
     }
   }
 
-  /**
-   * Calls between idle daemons were a third of the processor time of a fleet before its traffic.
-   */
+  /** The calls of idle daemons took much of the processor time before the traffic of a fleet. */
   @Test
   void daemonWithoutRequestsTakesPartInEverySecondExchange() {
     runScheduledRounds("a2", 8);
--- a/node/src/test/java/org/heatherspread/node/soak/SoakDaemon.java
+++ b/node/src/test/java/org/heatherspread/node/soak/SoakDaemon.java
@@ -87,23 +87,24 @@
     return storeProxy;
   }
 
+  /** Returns a command that starts a daemon from the classes of the tests. */
+  static List<String> command(String... javaOptions) {
+    List<String> words = new ArrayList<>();
+    words.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+    words.addAll(List.of(javaOptions));
+    words.addAll(List.of("-cp", System.getProperty("java.class.path"), NodeMain.class.getName()));
+    return words;
+  }
+
   void start() throws IOException {
-    start(
-        List.of(
-            Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-            "-Xmx96m",
-            "-XX:+UseSerialGC",
-            "-XX:TieredStopAtLevel=1",
-            "-cp",
-            System.getProperty("java.class.path"),
-            NodeMain.class.getName()));
+    start(command("-Xmx96m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1"));
   }
 
   /** Starts the process by a command, which gets the option for the settings file. */
   void start(List<String> command) throws IOException {
     startCount++;
     List<String> words = new ArrayList<>(command);
-    words.addAll(List.of("--config", settingsFile.toAbsolutePath().toString()));
+    words.addAll(List.of("--config", settingsFile.toString()));
     process =
         new ProcessBuilder(words)
             .redirectErrorStream(true)
--- a/node/src/test/java/org/heatherspread/node/soak/SoakMain.java
+++ b/node/src/test/java/org/heatherspread/node/soak/SoakMain.java
@@ -4,7 +4,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.TimeUnit;
-import joptsimple.OptionException;
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
 import joptsimple.OptionSpec;
@@ -14,8 +13,6 @@
  * for each. The exit status is 1 if any seed failed. Stateless.
  */
 final class SoakMain {
-  private static final int USAGE = 2;
-
   private SoakMain() {}
 
   /** Runs the requested seeds one after the other. */
@@ -51,20 +48,7 @@
             .accepts("kinds", "base: faults of the first version only; all: all faults")
             .withRequiredArg()
             .defaultsTo("all");
-    parser.accepts("help", "show this help").forHelp();
-    OptionSet options;
-    try {
-      options = parser.parse(arguments);
-    } catch (OptionException e) {
-      System.err.println(e.getMessage());
-      parser.printHelpOn(System.err);
-      System.exit(USAGE);
-      return;
-    }
-    if (options.has("help")) {
-      parser.printHelpOn(System.out);
-      return;
-    }
+    OptionSet options = CommandLine.parseOrExit(parser, arguments);
     int failed = 0;
     for (long each = seed.value(options);
         each < seed.value(options) + seeds.value(options);
--- a/node/src/test/java/org/heatherspread/node/soak/StartCostMain.java
+++ b/node/src/test/java/org/heatherspread/node/soak/StartCostMain.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
-import joptsimple.OptionException;
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
 import joptsimple.OptionSpec;
@@ -16,7 +15,6 @@
  * {@code deploy/system.toml} says, and prints one line of JSON. Stateless.
  */
 final class StartCostMain {
-  private static final int USAGE = 2;
   private static final Path DEPLOYMENT = Path.of("deploy", "system.toml");
   private static final Pattern COMMAND = Pattern.compile("(?m)^run = \"(.+)\"$");
 
@@ -33,20 +31,7 @@
             .accepts("out", "folder for settings and logs of the daemons")
             .withRequiredArg()
             .defaultsTo("out/start-cost");
-    parser.accepts("help", "show this help").forHelp();
-    OptionSet options;
-    try {
-      options = parser.parse(arguments);
-    } catch (OptionException e) {
-      System.err.println(e.getMessage());
-      parser.printHelpOn(System.err);
-      System.exit(USAGE);
-      return;
-    }
-    if (options.has("help")) {
-      parser.printHelpOn(System.out);
-      return;
-    }
+    OptionSet options = CommandLine.parseOrExit(parser, arguments);
     StartCost cost =
         StartCost.measure(
             command(),
--- a/node/src/test/java/org/heatherspread/node/soak/StartCostTest.java
+++ b/node/src/test/java/org/heatherspread/node/soak/StartCostTest.java
@@ -5,7 +5,6 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
-import org.heatherspread.node.NodeMain;
 import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -23,15 +22,7 @@
   @Tag("known-red")
   void startAndTwentyIdleSecondsTakeAtMostOneSecondOfProcessorTime() throws Exception {
     List<String> command =
-        List.of(
-            Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-            "-Xmx120m",
-            "-Xss256k",
-            "-XX:+UseSerialGC",
-            "-XX:TieredStopAtLevel=1",
-            "-cp",
-            System.getProperty("java.class.path"),
-            NodeMain.class.getName());
+        SoakDaemon.command("-Xmx120m", "-Xss256k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1");
     StartCost cost = StartCost.measure(command, DAEMONS, ENDPOINTS, IDLE_TIME, folder);
     assertThat(cost.total()).isLessThanOrEqualTo(BUDGET);
   }
