--- a/node/src/main/java/org/heatherspread/node/NodeMetrics.java
+++ b/node/src/main/java/org/heatherspread/node/NodeMetrics.java
@@ -33,6 +33,11 @@
     gauge(registry, "heatherspread.endpoints.requests", state, NodeMetrics::runningRequests);
     gauge(
         registry, "heatherspread.connections.opened", state, s -> s.connectionPool().openedCount());
+    gauge(
+        registry,
+        "heatherspread.responses.unexpected",
+        state,
+        s -> s.connectionPool().unexpectedResponseCount());
     gauge(registry, "heatherspread.suspects.refused", state, s -> s.poisonFilter().refusedCount());
     gauge(registry, "heatherspread.daemons.live", control, c -> c.fleet().liveReports().size());
     gauge(registry, "heatherspread.duties.held", control, c -> c.holdsDuties() ? 1 : 0);
--- a/relay/src/main/java/org/heatherspread/relay/endpoint/ConnectionPool.java
+++ b/relay/src/main/java/org/heatherspread/relay/endpoint/ConnectionPool.java
@@ -35,6 +35,7 @@
   private final Map<HostPort, Set<EndpointConnection>> openConnections = new HashMap<>();
   private final Set<HostPort> retiredAddresses = new HashSet<>();
   private long openedCount;
+  private long unexpectedResponseCount;
 
   private ConnectionPool(
       EventLoop loop, MonotonicClock clock, PoolSettings settings, String idHeader) {
@@ -79,6 +80,19 @@
     return openedCount;
   }
 
+  /** Returns the number of responses received that belong to no request in progress. */
+  public long unexpectedResponseCount() {
+    return unexpectedResponseCount;
+  }
+
+  void recordUnexpectedResponse() {
+    unexpectedResponseCount++;
+  }
+
+  long idleMillis(long idleSinceMillis) {
+    return clock.millis() - idleSinceMillis;
+  }
+
   /** Returns the number of open connections to an address. */
   public int openCount(HostPort address) {
     return openConnections.getOrDefault(address, Set.of()).size();
--- a/relay/src/main/java/org/heatherspread/relay/endpoint/EndpointConnection.java
+++ b/relay/src/main/java/org/heatherspread/relay/endpoint/EndpointConnection.java
@@ -66,6 +66,7 @@
   private Channel channel;
   private ResponseListener listener;
   private String expectedId;
+  private int requestCount;
   private ChannelFuture writeFuture;
   private boolean unused = true;
   private boolean reused;
@@ -89,10 +90,21 @@
     this.idHeader = idHeader;
   }
 
-  HostPort address() {
+  /** Returns the address that the connection was opened to. */
+  public HostPort address() {
     return address;
   }
 
+  /** Returns an id for log lines. */
+  public String id() {
+    return channel.id().asShortText();
+  }
+
+  /** Returns the number of requests sent so far. */
+  public int requestCount() {
+    return requestCount;
+  }
+
   void setChannel(Channel opened) {
     channel = opened;
   }
@@ -126,6 +138,7 @@
   public void send(FullHttpRequest request, String requestId, ResponseListener responseListener) {
     reused = !unused;
     unused = false;
+    requestCount++;
     reusable &= HttpUtil.isKeepAlive(request);
     listener = responseListener;
     expectedId = requestId;
@@ -182,7 +195,7 @@
   public void channelRead(ChannelHandlerContext context, Object message) {
     try {
       if (listener == null) {
-        close();
+        closeAsUnexpected(message);
         return;
       }
       if (delayedCompletion != null) {
@@ -204,6 +217,27 @@
     }
   }
 
+  /** Closes the connection, which received data without a request in progress. */
+  private void closeAsUnexpected(Object message) {
+    if (reusable) {
+      pool.recordUnexpectedResponse();
+      HttpResponse head = message instanceof HttpResponse response ? response : null;
+      log.atInfo()
+          .addKeyValue("endpoint", address.toString())
+          .addKeyValue("connection", id())
+          .addKeyValue("received_id", head == null ? null : receivedId(head))
+          .addKeyValue("status", head == null ? 0 : head.status().code())
+          .addKeyValue("last_id", expectedId)
+          .addKeyValue("idle_ms", pool.idleMillis(idleSinceMillis))
+          .log("response without a request");
+    }
+    close();
+  }
+
+  private String receivedId(HttpResponse head) {
+    return idHeader == null ? null : head.headers().get(idHeader);
+  }
+
   private void handleHead(HttpResponse head) {
     if (JoinedHeads.isJoined(head)) {
       fail("invalid response: another response begins within its head");
@@ -241,7 +275,7 @@
   private boolean mayBeFailureOfRequest(HttpResponse head) {
     return expectedId != null
         && reused
-        && head.headers().get(idHeader) == null
+        && receivedId(head) == null
         && head.status().code() >= 300
         && !REFUSALS.contains(head.status().code());
   }
@@ -250,16 +284,18 @@
     if (expectedId == null) {
       return false;
     }
-    String id = head.headers().get(idHeader);
+    String id = receivedId(head);
     boolean success = head.status().codeClass() == HttpStatusClass.SUCCESS;
     boolean mismatch = id == null ? success || reused : !id.equals(expectedId);
     if (mismatch) {
       reusable = false;
+      pool.recordUnexpectedResponse();
       log.atInfo()
           .addKeyValue("id", expectedId)
           .addKeyValue("received_id", id)
           .addKeyValue("status", head.status().code())
           .addKeyValue("endpoint", address.toString())
+          .addKeyValue("connection", id())
           .log("response of another request skipped");
     }
     return mismatch;
