Set the account limit of the relay's test harness out of reach

The harness gave its account 1,000,000 tokens a second, 5,000 requests of 200 tokens, and a limit that a daemon has just learnt admits nothing in advance, so a caller that sends one request after the other on a fast machine reaches it. These tests are not about limits; those that are set their own.

The harness has a limit of 1e9 tokens a second. No check changed.

--- a/relay/src/test/java/org/heatherspread/relay/RelayHarness.java
+++ b/relay/src/test/java/org/heatherspread/relay/RelayHarness.java
@@ -62,6 +62,9 @@
 
   private static final int SHORT_TIMEOUT_MILLIS = 800;
 
+  /** Tokens per second that callers do not reach, however fast the machine is. */
+  private static final double UNREACHED_LIMIT = 1e9;
+
   private static final Optional<EngineConfig> ENGINE =
       Optional.of(new EngineConfig(6, 10_000, 1, true));
   private static final HostPort LOOPBACK = new HostPort("127.0.0.1", 0);
@@ -161,7 +164,7 @@
       StreamMigrator migrator, LimitOwnerClient ownerClient, String owner, BufferBudget buffers)
       throws Exception {
     RelayHarness rig = new RelayHarness(migrator, ownerClient, buffers);
-    ServingConfig config = config(1, 1_000_000);
+    ServingConfig config = config(1, UNREACHED_LIMIT);
     rig.onLoop(state -> state.updateConfig(config));
     rig.onLoop(
         state ->
