Send no two requests with one id on a connection

What callers saw (in our reproduction; the users' runs left no logs): requests told 503 that ran, and requests that ran at two endpoints. Cause: a response was taken for that to the request in progress if it repeated its id. The same id comes to a connection twice if one address is registered under two ids (an endpoint replaced in place, whose former entry has not lapsed), as the endpoints tried are known by id and connections by address, or if a caller repeats an attempt with its id. Then a copy of the first refusal has the right id.

The pool knows which ids a connection has carried and hands out another one, so that no response to an earlier request can have the id of the one in progress, whatever made the request come again. A request without an id gets an unused connection. If no further connection may be opened, an idle one is closed for it. A send that goes round the pool fails without reaching the endpoint. "connection not used, as it has carried the request before" and heatherspread.connections.avoided tell of it.

--- a/node/src/main/java/org/heatherspread/node/NodeMetrics.java
+++ b/node/src/main/java/org/heatherspread/node/NodeMetrics.java
@@ -33,6 +33,11 @@
     gauge(registry, "heatherspread.endpoints.requests", state, NodeMetrics::runningRequests);
     gauge(
         registry, "heatherspread.connections.opened", state, s -> s.connectionPool().openedCount());
+    gauge(
+        registry,
+        "heatherspread.connections.avoided",
+        state,
+        s -> s.connectionPool().avoidedCount());
     gauge(
         registry,
         "heatherspread.responses.unexpected",
--- a/relay/src/main/java/org/heatherspread/relay/call/Attempt.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/Attempt.java
@@ -162,7 +162,12 @@
 
   private void acquireConnection() {
     int maxConnections = state.connectionLimit(context.service());
-    state.connectionPool().acquire(endpoint.registration().address(), maxConnections, this);
+    HostPort address = endpoint.registration().address();
+    state.connectionPool().acquire(address, requestId(), maxConnections, this);
+  }
+
+  private String requestId() {
+    return context.id().isEmpty() ? null : context.id();
   }
 
   @Override
@@ -225,7 +230,7 @@
         call.headerRewriter()
             .endpointRequest(
                 context, endpoint.registration(), call.remainingMillis(), resumeAfter, cacheCopy),
-        context.id().isEmpty() ? null : context.id(),
+        requestId(),
         this);
     scheduleSilenceCheck(initialSilenceTimeoutMillis());
     if (context.route().kind() == CallKind.STREAM) {
--- a/relay/src/main/java/org/heatherspread/relay/call/ForwardedAttempt.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/ForwardedAttempt.java
@@ -58,7 +58,7 @@
   }
 
   void start() {
-    state.forwarding().connections().acquire(target.address(), Integer.MAX_VALUE, this);
+    state.forwarding().connections().acquire(target.address(), null, Integer.MAX_VALUE, this);
   }
 
   private boolean isActive() {
--- a/relay/src/main/java/org/heatherspread/relay/endpoint/ConnectionPool.java
+++ b/relay/src/main/java/org/heatherspread/relay/endpoint/ConnectionPool.java
@@ -13,7 +13,9 @@
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.heatherspread.core.serving.HostPort;
 import org.heatherspread.core.time.MonotonicClock;
@@ -23,6 +25,8 @@
  * open and requests do not get stale ones. Confined to its event loop.
  */
 public final class ConnectionPool {
+  private static final ArrayDeque<EndpointConnection> NO_CONNECTIONS = new ArrayDeque<>(0);
+
   private static final int MAX_LINE_BYTES = 8_192;
   private static final int MAX_HEADER_BYTES = 32_768;
   private static final int MAX_CHUNK_BYTES = 16_384;
@@ -36,6 +40,7 @@
   private final Set<HostPort> retiredAddresses = new HashSet<>();
   private long openedCount;
   private long unexpectedResponseCount;
+  private long avoidedCount;
 
   private ConnectionPool(
       EventLoop loop, MonotonicClock clock, PoolSettings settings, String idHeader) {
@@ -85,6 +90,14 @@
     return unexpectedResponseCount;
   }
 
+  /**
+   * Returns how often an idle connection was not used for a request, as it had carried one with the
+   * same id before.
+   */
+  public long avoidedCount() {
+    return avoidedCount;
+  }
+
   void recordUnexpectedResponse() {
     unexpectedResponseCount++;
   }
@@ -110,28 +123,61 @@
   }
 
   /**
-   * Passes an idle connection to the listener at once, or opens a new one.
+   * Passes an idle connection to the listener at once, or opens a new one. The connection has not
+   * carried a request with the given id, so that a late copy of an earlier response is not taken
+   * for the response to this one.
    *
+   * @param requestId id of the request that the connection is for, null if it has none
    * @param maxConnections maximum number of connections to the address
    */
-  public void acquire(HostPort address, int maxConnections, ConnectionListener listener) {
-    ArrayDeque<EndpointConnection> idle = idleConnections.get(address);
-    long now = clock.millis();
-    while (idle != null && !idle.isEmpty()) {
-      EndpointConnection connection = idle.pop();
-      if (connection.isUsable(now, settings.maxIdleMillis())) {
-        listener.onConnected(connection);
-        return;
-      }
-      connection.close();
+  public void acquire(
+      HostPort address, String requestId, int maxConnections, ConnectionListener listener) {
+    Optional<EndpointConnection> idle = takeIdle(address, requestId);
+    if (idle.isPresent()) {
+      listener.onConnected(idle.get());
+      return;
     }
-    if (openCount(address) >= maxConnections) {
+    if (openCount(address) >= maxConnections && !closeLeastRecentlyUsed(address)) {
       listener.onLimitReached("connection limit of the endpoint reached");
       return;
     }
     connect(address, listener);
   }
 
+  private Optional<EndpointConnection> takeIdle(HostPort address, String requestId) {
+    Iterator<EndpointConnection> idle =
+        idleConnections.getOrDefault(address, NO_CONNECTIONS).iterator();
+    long now = clock.millis();
+    boolean avoided = false;
+    while (idle.hasNext()) {
+      EndpointConnection connection = idle.next();
+      if (!connection.isUsable(now, settings.maxIdleMillis())) {
+        idle.remove();
+        connection.close();
+      } else if (connection.canCarry(requestId)) {
+        idle.remove();
+        return Optional.of(connection);
+      } else if (!avoided) {
+        avoided = true;
+        avoidedCount++;
+        connection.logAvoided(requestId);
+      }
+    }
+    return Optional.empty();
+  }
+
+  /** Closes an idle connection if there is one, and returns whether there was. */
+  private boolean closeLeastRecentlyUsed(HostPort address) {
+    EndpointConnection connection =
+        idleConnections.getOrDefault(address, NO_CONNECTIONS).pollLast();
+    if (connection == null) {
+      return false;
+    }
+    connectionClosed(connection);
+    connection.close();
+    return true;
+  }
+
   /**
    * Opens a connection even if another one is idle, to find out whether a peer still listens. The
    * listener must use or release it.
--- a/relay/src/main/java/org/heatherspread/relay/endpoint/EndpointConnection.java
+++ b/relay/src/main/java/org/heatherspread/relay/endpoint/EndpointConnection.java
@@ -24,17 +24,21 @@
 /**
  * A persistent connection that carries one request at a time.
  *
- * <p>Invariants: data received while no request is in progress closes the connection; a response
- * that does not certainly belong to the request in progress is skipped and prevents further reuse,
- * since an endpoint may repeat an earlier response at any time: one with another request's id, a
- * success without an id, and any response without an id on a connection that carried a request
- * before; of these, a failure that may be that of the request in progress fails it; only so many
- * responses and bytes are skipped before the request fails, since an endpoint may send them without
- * end; a head that is joined from two responses fails the request; a body that seems to end within
- * the head of another response fails it if more bytes follow; a response delimited by the end of
- * the connection is complete only if the connection was not reset; a connection that ends before
- * its response is complete is reset, even if the process ends, so that bytes of the request that a
- * network partition holds up do not arrive after it was given up. Confined to its event loop.
+ * <p>Invariants: a response with the id of the request in progress is the response to it, as no two
+ * requests with one id are sent on a connection: the endpoint may write any earlier response once
+ * more, and a copy of the first one could not be told from the response to the second; therefore a
+ * request without an id is sent on a connection without earlier requests only. Data received while
+ * no request is in progress closes the connection; a response that does not certainly belong to the
+ * request in progress is skipped and prevents further reuse, since an endpoint may repeat an
+ * earlier response at any time: one with another request's id, a success without an id, and any
+ * response without an id on a connection that carried a request before; of these, a failure that
+ * may be that of the request in progress fails it; only so many responses and bytes are skipped
+ * before the request fails, since an endpoint may send them without end; a head that is joined from
+ * two responses fails the request; a body that seems to end within the head of another response
+ * fails it if more bytes follow; a response delimited by the end of the connection is complete only
+ * if the connection was not reset; a connection that ends before its response is complete is reset,
+ * even if the process ends, so that bytes of the request that a network partition holds up do not
+ * arrive after it was given up. Confined to its event loop.
  */
 public final class EndpointConnection extends ChannelInboundHandlerAdapter {
   private static final Logger log = LoggerFactory.getLogger(EndpointConnection.class);
@@ -65,6 +69,7 @@
   private final String idHeader;
   private Channel channel;
   private ResponseListener listener;
+  private final SentRequestIds sentIds = new SentRequestIds();
   private String expectedId;
   private int requestCount;
   private ChannelFuture writeFuture;
@@ -109,6 +114,27 @@
     channel = opened;
   }
 
+  /**
+   * Returns whether no response to an earlier request can be taken for that to a request with the
+   * given id, null for none. Always true if the peer's responses have no ids.
+   */
+  boolean canCarry(String requestId) {
+    if (unused || idHeader == null) {
+      return true;
+    }
+    return requestId != null && !sentIds.mayContain(requestId);
+  }
+
+  void logAvoided(String requestId) {
+    log.atInfo()
+        .addKeyValue("id", requestId)
+        .addKeyValue("endpoint", address.toString())
+        .addKeyValue("connection", id())
+        .addKeyValue("last_id", expectedId)
+        .addKeyValue("idle_ms", pool.idleMillis(idleSinceMillis))
+        .log("connection not used, as it has carried the request before");
+  }
+
   /** Returns whether the connection can carry a request now. */
   boolean isUsable(long nowMillis, long maxIdleMillis) {
     long idle = nowMillis - idleSinceMillis;
@@ -131,15 +157,31 @@
   }
 
   /**
-   * Sends a request.
+   * Sends a request. It fails without being sent if the connection has carried its id before, which
+   * {@link ConnectionPool#acquire} prevents.
    *
    * @param requestId id that the response must repeat, null if responses have none
    */
   public void send(FullHttpRequest request, String requestId, ResponseListener responseListener) {
+    if (!canCarry(requestId)) {
+      log.atError()
+          .addKeyValue("id", requestId)
+          .addKeyValue("endpoint", address.toString())
+          .addKeyValue("connection", id())
+          .log("request not sent, as its connection has carried it before");
+      request.release();
+      listener = responseListener;
+      headReceived = false;
+      close();
+      return;
+    }
     reused = !unused;
     unused = false;
     requestCount++;
-    reusable &= HttpUtil.isKeepAlive(request);
+    if (requestId != null) {
+      sentIds.add(requestId);
+    }
+    reusable &= HttpUtil.isKeepAlive(request) && !sentIds.isFull();
     listener = responseListener;
     expectedId = requestId;
     headReceived = false;
--- a/relay/src/main/java/org/heatherspread/relay/rpc/RpcClient.java
+++ b/relay/src/main/java/org/heatherspread/relay/rpc/RpcClient.java
@@ -149,7 +149,7 @@
     private void acquireConnection() {
       started = true;
       callsInProgress++;
-      pool.acquire(address, MAX_CONNECTIONS, this);
+      pool.acquire(address, null, MAX_CONNECTIONS, this);
     }
 
     private void onTimeout() {
--- a/relay/src/test/java/org/heatherspread/relay/RelayHarness.java
+++ b/relay/src/test/java/org/heatherspread/relay/RelayHarness.java
@@ -238,13 +238,18 @@
   /** Registers endpoints named e0, e1 and so on. */
   public void register(FakeEndpoint... endpoints) throws Exception {
     for (int i = 0; i < endpoints.length; i++) {
-      HostPort address = new HostPort("127.0.0.1", endpoints[i].port());
-      RegisteredEndpoint endpoint =
-          new RegisteredEndpoint("e" + i, "s", address, "a", 6, false, false, -1, "v1", 1);
-      onLoop(state -> state.endpoints().put(endpoint));
+      register("e" + i, endpoints[i]);
     }
   }
 
+  /** Registers an endpoint under an id, of which several may have the same address. */
+  public void register(String id, FakeEndpoint endpoint) throws Exception {
+    HostPort address = new HostPort("127.0.0.1", endpoint.port());
+    RegisteredEndpoint registration =
+        new RegisteredEndpoint(id, "s", address, "a", 6, false, false, -1, "v1", 1);
+    onLoop(state -> state.endpoints().put(registration));
+  }
+
   /** Registers e0 as leaving and e1 as remaining, and migrates the streams of e0. */
   public void registerLeaving(FakeEndpoint leaving, FakeEndpoint remaining) throws Exception {
     HostPort other = new HostPort("127.0.0.1", remaining.port());
--- a/relay/src/test/java/org/heatherspread/relay/endpoint/AbandonedRequestTest.java
+++ b/relay/src/test/java/org/heatherspread/relay/endpoint/AbandonedRequestTest.java
@@ -119,7 +119,7 @@
         ConnectionPool.create(
             loop, MonotonicClock.system(), new PoolSettings(1_000, 8_000), "Attempt-Id");
     CompletableFuture<EndpointConnection> connected = new CompletableFuture<>();
-    loop.execute(() -> pool.acquire(address(), 1, new SendingListener(connected)));
+    loop.execute(() -> pool.acquire(address(), "id", 1, new SendingListener(connected)));
     EndpointConnection connection = connected.get(TIMEOUT.toSeconds(), TimeUnit.SECONDS);
     try (Socket socket = accept()) {
       assertThat(socket.getInputStream().read()).isEqualTo('P');
