--- a/relay/src/test/java/org/heatherspread/relay/RelayHarness.java
+++ b/relay/src/test/java/org/heatherspread/relay/RelayHarness.java
@@ -63,7 +63,7 @@
   private static final int SHORT_TIMEOUT_MILLIS = 800;
 
   /** Tokens per second that callers do not reach, however fast the machine is. */
-  private static final double UNREACHED_LIMIT = 1e9;
+  public static final double UNREACHED_LIMIT = 1e9;
 
   private static final Optional<EngineConfig> ENGINE =
       Optional.of(new EngineConfig(6, 10_000, 1, true));
--- a/relay/src/test/java/org/heatherspread/relay/call/LargeBodiesTest.java
+++ b/relay/src/test/java/org/heatherspread/relay/call/LargeBodiesTest.java
@@ -42,7 +42,7 @@
   @BeforeEach
   void start() throws Exception {
     harness = RelayHarness.startWithHeap(HEAP_BYTES);
-    ServingConfig config = RelayHarness.config(2, 1_000_000, TIMEOUT_MILLIS);
+    ServingConfig config = RelayHarness.config(2, RelayHarness.UNREACHED_LIMIT, TIMEOUT_MILLIS);
     harness.onLoop(state -> state.updateConfig(config));
     endpoint =
         FakeEndpoint.start(
