Let a response that keeps arriving outlive the timeout of its call

A call failed at its timeout even while its response arrived. A configuration of 1,728 routes is 0.5 MB as the store sends it: more than a daemon behind a slow link receives within the 900 ms of a call to the store, so that it was cut and read again from the start.

A call times out if its response does not begin to arrive or stops arriving for the timeout; it takes at most four timeouts. RpcClientTest's responseThatArrivesSlowlyOutlivesTheTimeout and responseThatArrivesTooSlowlyFails failed before (0.2 and 0.3 s after the start) and pass.

--- a/relay/src/main/java/org/heatherspread/relay/rpc/RpcClient.java
+++ b/relay/src/main/java/org/heatherspread/relay/rpc/RpcClient.java
@@ -34,10 +34,10 @@
 
 /**
  * Makes short HTTP calls to one address over pooled connections, with responses of limited size.
- * Calls beyond the maximum in progress wait in order, within their timeouts. A call that times out
- * resets its connection, so that it is not executed once a partition has ended, and closes the idle
- * ones, which the partition may have made unresponsive as well. Futures complete on the event loop;
- * confined to it.
+ * Calls beyond the maximum in progress wait in order, within their timeouts. A call whose response
+ * does not begin to arrive or stops arriving times out, which resets its connection, so that it is
+ * not executed once a partition has ended, and closes the idle ones, which the partition may have
+ * made unresponsive as well. Futures complete on the event loop; confined to it.
  */
 public final class RpcClient {
   private static final int MAX_CALLS_IN_PROGRESS = 8;
@@ -48,6 +48,12 @@
   private static final int CONNECT_TIMEOUT_MILLIS = 600;
   private static final long MAX_IDLE_MILLIS = 8_000;
 
+  /**
+   * Duration of a call in timeouts up to which its response may go on arriving. A response of
+   * hundreds of kilobytes may take longer than one timeout over a slow link.
+   */
+  private static final int MAX_TIMEOUTS = 4;
+
   /** Maximum size of a response, several times that of the largest page of the store. */
   private static final int MAX_RESPONSE_BYTES = 4 << 20;
 
@@ -84,6 +90,8 @@
   /**
    * Makes a call.
    *
+   * @param timeout time until the response begins to arrive and between its parts; the call takes
+   *     at most {@value #MAX_TIMEOUTS} times as long
    * @return fails with kind {@code STORE_UNAVAILABLE} if nothing was sent, with {@code
    *     STORE_OUTCOME_UNKNOWN} if the call may have been executed; caused by a {@link
    *     ConnectException} if nothing listens at the address
@@ -133,6 +141,8 @@
     private int status;
     private HttpHeaders responseHeaders;
     private final long startMillis = clock.millis();
+    private long timeoutMillis;
+    private long lastProgressMillis;
 
     private PendingCall(FullHttpRequest request, CompletableFuture<RpcResponse> result) {
       this.request = request;
@@ -140,7 +150,9 @@
     }
 
     private void start(Duration timeout) {
-      timeoutTask = loop.schedule(this::onTimeout, timeout.toMillis(), TimeUnit.MILLISECONDS);
+      timeoutMillis = timeout.toMillis();
+      lastProgressMillis = startMillis;
+      scheduleTimeout(timeoutMillis);
       pendingCalls.add(this);
       waitingCalls.add(this);
       startWaitingCalls();
@@ -152,6 +164,21 @@
       pool.acquire(address, null, MAX_CONNECTIONS, this);
     }
 
+    private void scheduleTimeout(long millis) {
+      timeoutTask = loop.schedule(this::checkProgress, millis, TimeUnit.MILLISECONDS);
+    }
+
+    private void checkProgress() {
+      long endMillis = startMillis + MAX_TIMEOUTS * timeoutMillis;
+      long remainingMillis =
+          Math.min(lastProgressMillis + timeoutMillis, endMillis) - clock.millis();
+      if (remainingMillis > 0) {
+        scheduleTimeout(remainingMillis);
+      } else {
+        onTimeout();
+      }
+    }
+
     private void onTimeout() {
       if (connection != null) {
         pool.retire(address);
@@ -200,6 +227,7 @@
                 "response exceeds " + MAX_RESPONSE_BYTES + " bytes"));
         return;
       }
+      lastProgressMillis = clock.millis();
       body.writeBytes(ByteBufUtil.getBytes(bytes));
     }
 
--- a/relay/src/test/java/org/heatherspread/relay/rpc/RpcClientTest.java
+++ b/relay/src/test/java/org/heatherspread/relay/rpc/RpcClientTest.java
@@ -133,6 +133,51 @@
     }
   }
 
+  /** Starts an endpoint that sends a response of 20 bytes, one of them in each pause. */
+  private static FakeEndpoint startSlowResponse(int sentBytes, long pauseMillis) throws Exception {
+    return FakeEndpoint.start(
+        (request, connection) -> {
+          connection.send("HTTP/1.1 200 X\r\nContent-Length: 20\r\n\r\n");
+          for (int i = 0; i < sentBytes; i++) {
+            TimeUnit.MILLISECONDS.sleep(pauseMillis);
+            connection.send("x");
+          }
+          TimeUnit.SECONDS.sleep(60);
+        });
+  }
+
+  /** A large table over a slow link must not be read in vain again and again. */
+  @Test
+  void responseThatArrivesSlowlyOutlivesTheTimeout() throws Exception {
+    try (FakeEndpoint endpoint = startSlowResponse(20, 25)) {
+      CompletableFuture<RpcResponse> call =
+          callOnce(createClient(endpoint), Duration.ofMillis(300));
+      assertThat(call.get(TIMEOUT.toSeconds(), TimeUnit.SECONDS).body()).hasSize(20);
+    }
+  }
+
+  @Test
+  void responseThatNoLongerArrivesFailsAtTheTimeout() throws Exception {
+    try (FakeEndpoint endpoint = startSlowResponse(10, 25)) {
+      long startNanos = System.nanoTime();
+      CompletableFuture<RpcResponse> call =
+          callOnce(createClient(endpoint), Duration.ofMillis(300));
+      assertThat(call).failsWithin(TIMEOUT);
+      assertThat(System.nanoTime() - startNanos).isBetween(300_000_000L, 1_100_000_000L);
+    }
+  }
+
+  @Test
+  void responseThatArrivesTooSlowlyFails() throws Exception {
+    try (FakeEndpoint endpoint = startSlowResponse(20, 150)) {
+      long startNanos = System.nanoTime();
+      CompletableFuture<RpcResponse> call =
+          callOnce(createClient(endpoint), Duration.ofMillis(200));
+      assertThat(call).failsWithin(TIMEOUT);
+      assertThat(System.nanoTime() - startNanos).isBetween(400_000_000L, 1_500_000_000L);
+    }
+  }
+
   private CompletableFuture<RpcResponse> callOnce(RpcClient client, Duration timeout)
       throws Exception {
     return loop.submit(() -> client.call(HttpMethod.GET, "/", Map.of(), new byte[0], timeout))
