Replace connections that a repeated id cannot use instead of adding to them

A caller that sends requests one after the other with one id, or with none, got a connection for each, and all stayed open: 20 after 20 requests, 50 (the limit) after 60. An endpoint that accepts fewer reset the next ones: 2 of 12 calls were answered 200, 2 by 502 and 8 by 503.

If all idle connections have carried the id, the new one replaces the least recently used of them. Only ids are logged as avoided.

CopiedRefusalTest no longer waits without end if the code is wrong, and checks that its case came about.

--- a/relay/src/main/java/org/heatherspread/relay/endpoint/ConnectionPool.java
+++ b/relay/src/main/java/org/heatherspread/relay/endpoint/ConnectionPool.java
@@ -125,7 +125,8 @@
   /**
    * Passes an idle connection to the listener at once, or opens a new one. The connection has not
    * carried a request with the given id, so that a late copy of an earlier response is not taken
-   * for the response to this one.
+   * for the response to this one. If all idle connections have, the new one replaces one of them:
+   * endpoints accept a limited number.
    *
    * @param requestId id of the request that the connection is for, null if it has none
    * @param maxConnections maximum number of connections to the address
@@ -137,7 +138,7 @@
       listener.onConnected(idle.get());
       return;
     }
-    if (openCount(address) >= maxConnections && !closeLeastRecentlyUsed(address)) {
+    if (!closeLeastRecentlyUsed(address) && openCount(address) >= maxConnections) {
       listener.onLimitReached("connection limit of the endpoint reached");
       return;
     }
@@ -157,7 +158,7 @@
       } else if (connection.canCarry(requestId)) {
         idle.remove();
         return Optional.of(connection);
-      } else if (!avoided) {
+      } else if (!avoided && requestId != null) {
         avoided = true;
         avoidedCount++;
         connection.logAvoided(requestId);
--- a/relay/src/test/java/org/heatherspread/relay/call/CopiedRefusalTest.java
+++ b/relay/src/test/java/org/heatherspread/relay/call/CopiedRefusalTest.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 import org.heatherspread.core.limit.LimitObservation;
 import org.heatherspread.core.limit.LimitOwnerClient.Decision;
@@ -118,6 +119,13 @@
     return endpoint;
   }
 
+  /** Without it the copy came too late for the case. */
+  private void assertConnectionAvoided() throws Exception {
+    AtomicLong count = new AtomicLong();
+    harness.onLoop(state -> count.set(state.connectionPool().avoidedCount()));
+    assertThat(count).hasPositiveValue();
+  }
+
   @ParameterizedTest
   @ValueSource(strings = {"/write/a", "/reply/a"})
   void copiedRefusalIsNoPromiseForTheRequestUnderWayAtTheSameAddress(String path) throws Exception {
@@ -126,6 +134,7 @@
     nameLimit("e1");
     assertThat(harness.call("POST", path, "id-1")).startsWith("HTTP/1.1 200");
     assertThat(runs).hasValue(1);
+    assertConnectionAvoided();
   }
 
   @ParameterizedTest
@@ -144,12 +153,13 @@
                 throw new IllegalStateException(e);
               }
             });
-    while (runs.get() == 0) {
+    while (runs.get() == 0 && !answer.isDone()) {
       Thread.onSpinWait();
     }
     harness.register("e2", other);
     assertThat(answer.get(10, TimeUnit.SECONDS)).startsWith("HTTP/1.1 200");
     assertThat(runs).hasValue(1);
+    assertConnectionAvoided();
   }
 
   /** Starts an endpoint that refuses the first request and runs later ones. */
@@ -174,5 +184,6 @@
     assertThat(harness.call("POST", "/write/a", "id-1")).startsWith("HTTP/1.1 503");
     assertThat(harness.call("POST", "/write/a", "id-1")).startsWith("HTTP/1.1 200");
     assertThat(runs).hasValue(1);
+    assertConnectionAvoided();
   }
 }
