Take only refusals of other daemons for declines

But a promise must not rest on what a header lacks.

A decline needs one of the statuses with which daemons refuse before execution; anything else is a lost answer (502). ForwardingTest .requestThatWasNotRefusedIsNotRepeated failed for 7 of 7 statuses before and passes.

--- a/relay/src/main/java/org/heatherspread/relay/call/ForwardedAttempt.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/ForwardedAttempt.java
@@ -169,6 +169,11 @@
     }
     close();
     if (!headers.contains(ForwardedRequests.ACCEPTED)) {
+      if (!ForwardedRequests.isDecline(status)) {
+        logFailure("broken", "status " + status + " without a header of the outcome");
+        call.fail(Refusal.ANSWER_LOST);
+        return;
+      }
       progress.possibleExecutions = executionsBefore;
       logFailure("declined", "status " + status);
       call.forwardOrFail(reason);
--- a/relay/src/test/java/org/heatherspread/relay/call/ForwardingTest.java
+++ b/relay/src/test/java/org/heatherspread/relay/call/ForwardingTest.java
@@ -11,6 +11,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** A daemon without a path to the endpoints passes requests to others that have one. */
 class ForwardingTest {
@@ -108,6 +110,28 @@
     }
   }
 
+  /** A response that is no refusal may be the outcome of a run, whatever header it lacks. */
+  @ParameterizedTest
+  @ValueSource(ints = {200, 204, 302, 409, 500, 502, 504})
+  void requestThatWasNotRefusedIsNotRepeated(int status) throws Exception {
+    try (FakeEndpoint peer =
+            FakeEndpoint.start(
+                (request, connection) ->
+                    connection.respond(status, request.header("attempt-id"), ""));
+        FakeEndpoint endpoint = startEndpoint()) {
+      third.register(endpoint);
+      isolate(isolated, address(peer), third.daemonAddress());
+      for (int i = 0; i < 12; i++) {
+        int before = peer.requests().size();
+        String response = isolated.call("POST", "/write/a", "id-" + i);
+        boolean reachedPeer = peer.requests().size() > before;
+        assertThat(response).startsWith(reachedPeer ? "HTTP/1.1 502" : "HTTP/1.1 200");
+      }
+      assertThat(peer.requests()).isNotEmpty();
+      assertThat(peer.requests().size() + endpoint.requests().size()).isEqualTo(12);
+    }
+  }
+
   /** The other daemon may have had it run. */
   @Test
   void requestWhoseResponseIsLostIsNotRepeated() throws Exception {
