--- a/relay/src/test/java/org/heatherspread/relay/call/ModelEndpoints.java
+++ b/relay/src/test/java/org/heatherspread/relay/call/ModelEndpoints.java
@@ -32,6 +32,7 @@
   /** One execution of a request and its first answer; events only if it is a stream. */
   record Execution(
       String id,
+      int attempt,
       int number,
       int status,
       String signature,
@@ -77,10 +78,17 @@
     return FakeEndpoint.start(this::respond);
   }
 
-  List<Execution> executions(String id) {
+  private List<Execution> executions(String id) {
     return executions.stream().filter(execution -> execution.id().equals(id)).toList();
   }
 
+  /** Returns the executions of a caller's attempt so far, in their order. */
+  List<Execution> executions(ModelRequest request) {
+    return executions(request.id()).stream()
+        .filter(execution -> execution.attempt() == request.attempt())
+        .toList();
+  }
+
   private synchronized int nextNumber(String id) {
     return executions(id).size();
   }
@@ -125,6 +133,7 @@
         execution =
             new Execution(
                 id,
+                Integer.parseInt(request.header(ModelRequest.ATTEMPT_HEADER)),
                 number,
                 status,
                 signature,
@@ -229,6 +238,7 @@
       int status = execution.status() == 200 ? 500 : 200;
       return new Execution(
           execution.id(),
+          execution.attempt(),
           execution.number(),
           status,
           "again/" + execution.id(),
