--- a/relay/src/test/java/org/heatherspread/relay/RelayHarness.java
+++ b/relay/src/test/java/org/heatherspread/relay/RelayHarness.java
@@ -14,12 +14,18 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.function.LongSupplier;
 import org.heatherspread.core.engine.StreamMigrator;
 import org.heatherspread.core.freshness.StoreFreshness;
 import org.heatherspread.core.freshness.UnixTimeEstimator;
 import org.heatherspread.core.limit.EndpointLimitTable;
+import org.heatherspread.core.limit.LimitObservation;
 import org.heatherspread.core.limit.LimitOwnerClient;
+import org.heatherspread.core.limit.LimitOwnerClient.Decision;
 import org.heatherspread.core.limit.OvershootAllowance;
 import org.heatherspread.core.limit.PartitionedLimiter;
 import org.heatherspread.core.placement.TrackedEndpoint;
@@ -39,6 +45,7 @@
 import org.heatherspread.core.stream.StreamOriginTable;
 import org.heatherspread.core.time.MonotonicClock;
 import org.heatherspread.core.usage.UsageWindows;
+import org.heatherspread.relay.FixedOwnerClient.AdmissionRequest;
 import org.heatherspread.relay.buffer.BufferBudget;
 import org.heatherspread.relay.call.CallMetrics;
 import org.heatherspread.relay.call.EndpointLimits;
@@ -185,6 +192,28 @@
     return start(null, noOwnerClient(), SELF, BufferBudget.forHeap(heapBytes));
   }
 
+  /**
+   * Starts the same relay with limits that are owned by another daemon, which answers late.
+   *
+   * @param delayMillis times until its answers, taken on the event loop
+   * @param decisions its answers, taken on the event loop
+   */
+  public static RelayHarness startWithSlowOwner(
+      LongSupplier delayMillis, Function<AdmissionRequest, Decision> decisions) throws Exception {
+    AtomicReference<EventLoop> loop = new AtomicReference<>();
+    FixedOwnerClient owner =
+        new FixedOwnerClient(
+            request -> {
+              CompletableFuture<Decision> decision = new CompletableFuture<>();
+              Runnable decide = () -> decision.complete(decisions.apply(request));
+              loop.get().schedule(decide, delayMillis.getAsLong(), TimeUnit.MILLISECONDS);
+              return decision;
+            });
+    RelayHarness harness = start(null, owner, "owner");
+    loop.set(harness.loop);
+    return harness;
+  }
+
   private static LimitOwnerClient noOwnerClient() {
     return new FixedOwnerClient(
         request -> CompletableFuture.failedFuture(new IllegalStateException("no other daemons")));
@@ -250,6 +279,12 @@
     onLoop(state -> state.endpoints().put(registration));
   }
 
+  /** Merges the limit of an endpoint as another daemon observed it, in requests per second. */
+  public void nameLimit(String endpoint, double ratePerSecond) throws Exception {
+    LimitObservation limit = new LimitObservation(endpoint, 1, ratePerSecond, 0);
+    onLoop(state -> state.endpointLimits().merge("d", List.of(limit), 0));
+  }
+
   /** Registers e0 as leaving and e1 as remaining, and migrates the streams of e0. */
   public void registerLeaving(FakeEndpoint leaving, FakeEndpoint remaining) throws Exception {
     HostPort other = new HostPort("127.0.0.1", remaining.port());
@@ -305,7 +340,7 @@
 
   @Override
   public void close() {
-    group.shutdownGracefully(0, 100, java.util.concurrent.TimeUnit.MILLISECONDS);
+    group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
   }
 
   /** A caller's connection. */
--- a/relay/src/test/java/org/heatherspread/relay/call/CopiedRefusalTest.java
+++ b/relay/src/test/java/org/heatherspread/relay/call/CopiedRefusalTest.java
@@ -3,7 +3,6 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
-import java.util.List;
 import java.util.Map;
 import java.util.OptionalDouble;
 import java.util.concurrent.CompletableFuture;
@@ -11,12 +10,10 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
-import org.heatherspread.core.limit.LimitObservation;
 import org.heatherspread.core.limit.LimitOwnerClient.Decision;
 import org.heatherspread.relay.FakeEndpoint;
 import org.heatherspread.relay.FakeEndpoint.Connection;
 import org.heatherspread.relay.FakeEndpoint.Request;
-import org.heatherspread.relay.FixedOwnerClient;
 import org.heatherspread.relay.RelayHarness;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -33,7 +30,6 @@
   private static final double RATE_PER_SECOND = 1_000;
 
   private final AtomicInteger runs = new AtomicInteger();
-  private final AtomicReference<RelayState> relayState = new AtomicReference<>();
   private RelayHarness harness;
 
   @AfterEach
@@ -43,21 +39,9 @@
 
   /** Starts a relay whose limits belong to another daemon, which admits all requests, but late. */
   private void startWithSlowOwner() throws Exception {
-    FixedOwnerClient owner =
-        new FixedOwnerClient(
-            request -> {
-              CompletableFuture<Decision> decision = new CompletableFuture<>();
-              Runnable admit = () -> decision.complete(Decision.decided(OptionalDouble.empty()));
-              relayState.get().loop().schedule(admit, OWNER_DELAY_MILLIS, TimeUnit.MILLISECONDS);
-              return decision;
-            });
-    harness = RelayHarness.start(null, owner, "owner");
-    harness.onLoop(relayState::set);
-  }
-
-  private void nameLimit(String endpoint) throws Exception {
-    LimitObservation limit = new LimitObservation(endpoint, 1, RATE_PER_SECOND, 0);
-    harness.onLoop(state -> state.endpointLimits().merge("d", List.of(limit), 0));
+    harness =
+        RelayHarness.startWithSlowOwner(
+            () -> OWNER_DELAY_MILLIS, request -> Decision.decided(OptionalDouble.empty()));
   }
 
   private static String refusal(int status, String id) {
@@ -123,7 +107,7 @@
   void copiedRefusalIsNoPromiseForTheRequestUnderWayAtTheSameAddress(String path) throws Exception {
     startWithSlowOwner();
     harness.register("e0", startReplacement());
-    nameLimit("e1");
+    harness.nameLimit("e1", RATE_PER_SECOND);
     assertThat(harness.call("POST", path, "id-1")).startsWith("HTTP/1.1 200");
     assertThat(runs).hasValue(1);
   }
@@ -133,7 +117,7 @@
   void copiedRefusalSendsTheRequestUnderWayToNoOtherEndpoint(String path) throws Exception {
     startWithSlowOwner();
     harness.register("e0", startReplacement());
-    nameLimit("e1");
+    harness.nameLimit("e1", RATE_PER_SECOND);
     FakeEndpoint other = FakeEndpoint.start(this::run);
     CompletableFuture<String> answer =
         CompletableFuture.supplyAsync(
--- a/relay/src/test/java/org/heatherspread/relay/call/ModelChecks.java
+++ b/relay/src/test/java/org/heatherspread/relay/call/ModelChecks.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Queue;
+import java.util.Set;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import org.heatherspread.relay.call.ModelEndpoints.Execution;
 
@@ -11,6 +12,8 @@
  * Thread-safe.
  */
 final class ModelChecks {
+  private static final Set<Integer> NOT_EXECUTED_STATUSES = Set.of(408, 421, 429, 503);
+
   private final ModelEndpoints model;
   private final ModelPlays.Outcomes outcomes;
   private final Queue<String> violations = new ConcurrentLinkedQueue<>();
@@ -37,9 +40,11 @@
             + ": "
             + sent
             + "\n  received "
-            + received.toString().replace("\n", "\\n").replace("\r", "\\r")
+            + String.valueOf(received).replace("\n", "\\n").replace("\r", "\\r")
             + "\n  of executions "
-            + model.executions(sent));
+            + model.executions(sent)
+            + "\n  among "
+            + model.executions(sent.id()));
   }
 
   /** Checks a response as soon as the caller has received it. */
@@ -132,6 +137,25 @@
     }
   }
 
+  /**
+   * Checks an attempt once nothing of it can be under way: a request that is not repeatable runs
+   * once at most, and not at all if its caller received a promise that it does not.
+   *
+   * @param received what the caller received, null if it received no response
+   */
+  void checkEnded(ModelRequest sent, CallerResponse received) {
+    long executed = model.executions(sent).stream().filter(Execution::executed).count();
+    if (sent.isRepeatable()) {
+      return;
+    }
+    if (executed > 1) {
+      violate("TWICE executed more than once", sent, received);
+    }
+    if (received != null && NOT_EXECUTED_STATUSES.contains(received.status()) && executed > 0) {
+      violate("REFUSED executed though refused", sent, received);
+    }
+  }
+
   private static Optional<Execution> find(List<Execution> executions, int number) {
     return executions.stream().filter(execution -> execution.number() == number).findFirst();
   }
--- a/relay/src/test/java/org/heatherspread/relay/call/ModelEndpoints.java
+++ b/relay/src/test/java/org/heatherspread/relay/call/ModelEndpoints.java
@@ -78,7 +78,8 @@
     return FakeEndpoint.start(this::respond);
   }
 
-  private List<Execution> executions(String id) {
+  /** Returns the executions of all attempts with an id so far. */
+  List<Execution> executions(String id) {
     return executions.stream().filter(execution -> execution.id().equals(id)).toList();
   }
 
@@ -94,12 +95,22 @@
   }
 
   private void respond(Request request, Connection connection) throws Exception {
-    new Answer(request, connection).send();
+    begin(request, connection, List.of()).send();
+  }
+
+  /**
+   * Begins the execution of a request.
+   *
+   * @param extraHeaders lines of all answers of the endpoint
+   */
+  Answer begin(Request request, Connection connection, List<String> extraHeaders) {
+    return new Answer(request, connection, extraHeaders);
   }
 
   /** The answer to one request. */
-  private final class Answer {
+  final class Answer {
     private final Connection connection;
+    private final List<String> extraHeaders;
     private final boolean isHead;
     private final boolean isStream;
     private final SplittableRandom random;
@@ -107,8 +118,9 @@
     private final Fault fault;
     private final Execution execution;
 
-    private Answer(Request request, Connection connection) {
+    private Answer(Request request, Connection connection, List<String> extraHeaders) {
       this.connection = connection;
+      this.extraHeaders = extraHeaders;
       String id = request.header("attempt-id");
       isHead = request.requestLine().startsWith("HEAD");
       boolean streamRoute =
@@ -197,6 +209,7 @@
       if (random.nextBoolean()) {
         lines.add(lines.remove(0));
       }
+      lines.addAll(extraHeaders);
       if (!of.executed()) {
         lines.add("Request-Not-Executed: 1");
       }
@@ -253,7 +266,8 @@
       return message.indexOf("\r\n\r\n") + 4;
     }
 
-    private void send() throws Exception {
+    /** Sends what the fault makes of the answer; throws to close the connection. */
+    void send() throws Exception {
       String late = lateBytes.remove(connection.socket());
       String first = message(execution, execution.id());
       boolean isCutLate = late != null && !late.isEmpty() && late.charAt(0) == '!';
--- a/relay/src/test/java/org/heatherspread/relay/call/ModelRequest.java
+++ b/relay/src/test/java/org/heatherspread/relay/call/ModelRequest.java
@@ -37,6 +37,11 @@
     return new ModelRequest(id, attempt + 1, method, route, resumeAfter, expects);
   }
 
+  /** Returns the same request with another id. */
+  ModelRequest withId(String otherId) {
+    return new ModelRequest(otherId, 0, method, route, resumeAfter, expects);
+  }
+
   boolean isHead() {
     return method.equals("HEAD");
   }
