Log the loss of all connections to an endpoint

Nothing in the log told whether a daemon that sent a stream on to an endpoint could know that its process had ended: connections that end while idle were not logged. ConnectionPool reports an address once the last connection ended that was open at the first of a series of losses; connections that the daemon closes are none. The line on a registration has version and incarnation.

--- a/node/src/main/java/org/heatherspread/node/control/EndpointListener.java
+++ b/node/src/main/java/org/heatherspread/node/control/EndpointListener.java
@@ -171,6 +171,8 @@
           .addKeyValue("service", next.service())
           .addKeyValue("address", next.address().toString())
           .addKeyValue("domain", next.domain())
+          .addKeyValue("version", next.version())
+          .addKeyValue("incarnation", next.startedAtMillis())
           .addKeyValue("leaving", next.leaving())
           .addKeyValue("reclaimable", next.reclaimable())
           .addKeyValue("leaves_in_ms", next.remainingMillis())
--- a/relay/src/main/java/org/heatherspread/relay/call/RelayState.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/RelayState.java
@@ -33,6 +33,7 @@
 import org.heatherspread.core.routing.HealthPolicy;
 import org.heatherspread.core.serving.ClientLimits;
 import org.heatherspread.core.serving.EngineConfig;
+import org.heatherspread.core.serving.HostPort;
 import org.heatherspread.core.serving.ServiceConfig;
 import org.heatherspread.core.serving.ServingConfig;
 import org.heatherspread.core.time.MonotonicClock;
@@ -151,6 +152,16 @@
     this.shutdown = Shutdown.create(clock);
     this.forwarding = Forwarding.create(loop, clock, random);
     this.endpoints = EndpointTable.create(health, this::cacheTokens);
+    connectionPool.onDisconnected(this::recordDisconnected);
+  }
+
+  /** Records that all connections to an address were lost. */
+  private void recordDisconnected(HostPort address) {
+    for (TrackedEndpoint endpoint : endpoints.all()) {
+      if (endpoint.registration().address().equals(address)) {
+        stoppedEndpoints.recordDisconnected(endpoint);
+      }
+    }
   }
 
   /** Connects to an endpoint until it accepts or refuses, or its loss is resolved otherwise. */
--- a/relay/src/main/java/org/heatherspread/relay/call/StoppedEndpoints.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/StoppedEndpoints.java
@@ -43,6 +43,15 @@
     }
   }
 
+  /** Records that all connections of this daemon to an endpoint were lost. */
+  void recordDisconnected(TrackedEndpoint endpoint) {
+    log.atInfo()
+        .addKeyValue("endpoint", endpoint.id())
+        .addKeyValue("incarnation", endpoint.registration().startedAtMillis())
+        .addKeyValue("version", endpoint.registration().version())
+        .log("all connections to the endpoint were lost");
+  }
+
   /**
    * Records that another daemon found that an incarnation has ended.
    *
--- a/relay/src/main/java/org/heatherspread/relay/endpoint/ConnectionPool.java
+++ b/relay/src/main/java/org/heatherspread/relay/endpoint/ConnectionPool.java
@@ -17,6 +17,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.heatherspread.core.serving.HostPort;
 import org.heatherspread.core.time.MonotonicClock;
 
@@ -38,6 +39,8 @@
   private final Map<HostPort, ArrayDeque<EndpointConnection>> idleConnections = new HashMap<>();
   private final Map<HostPort, Set<EndpointConnection>> openConnections = new HashMap<>();
   private final Set<HostPort> retiredAddresses = new HashSet<>();
+  private final ConnectionLosses losses = new ConnectionLosses();
+  private Consumer<HostPort> disconnectionListener = address -> {};
   private long openedCount;
   private long unexpectedResponseCount;
   private long avoidedCount;
@@ -80,6 +83,14 @@
     }
   }
 
+  /**
+   * Sets a listener to addresses to which all connections were lost, so that the process at the
+   * other end may have ended.
+   */
+  public void onDisconnected(Consumer<HostPort> listener) {
+    disconnectionListener = listener;
+  }
+
   /** Returns the number of connections opened since the start. */
   public long openedCount() {
     return openedCount;
@@ -173,7 +184,7 @@
     if (connection == null) {
       return false;
     }
-    connectionClosed(connection);
+    connectionClosed(connection, false);
     connection.close();
     return true;
   }
@@ -218,7 +229,7 @@
             listener.onConnected(connection);
             return;
           }
-          connectionClosed(connection);
+          connectionClosed(connection, false);
           Throwable cause = completed.cause();
           boolean refused =
               cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
@@ -237,15 +248,25 @@
         .push(connection);
   }
 
-  void connectionClosed(EndpointConnection connection) {
-    Set<EndpointConnection> connections = openConnections.get(connection.address());
-    if (connections != null && connections.remove(connection) && connections.isEmpty()) {
-      openConnections.remove(connection.address());
+  /**
+   * Removes a connection.
+   *
+   * @param lost whether it was not this daemon that closed it
+   */
+  void connectionClosed(EndpointConnection connection, boolean lost) {
+    HostPort address = connection.address();
+    Set<EndpointConnection> connections = openConnections.get(address);
+    boolean removed = connections != null && connections.remove(connection);
+    if (removed && connections.isEmpty()) {
+      openConnections.remove(address);
     }
     ArrayDeque<EndpointConnection> idle = idleConnections.get(connection.address());
     if (idle != null) {
       idle.remove(connection);
     }
+    if (removed && losses.recordEnd(connection, lost, connections, clock.millis())) {
+      disconnectionListener.accept(address);
+    }
   }
 
   /** Closes the idle connections to an address now, and those in use after their response. */
--- a/relay/src/main/java/org/heatherspread/relay/endpoint/EndpointConnection.java
+++ b/relay/src/main/java/org/heatherspread/relay/endpoint/EndpointConnection.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
+import java.io.IOException;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.heatherspread.core.serving.HostPort;
@@ -82,6 +83,12 @@
   private boolean reusable = true;
   private boolean connectionReset;
 
+  /** Whether this daemon closes the connection. */
+  private boolean closing;
+
+  /** Whether the peer or the network ended the connection. */
+  private boolean lost;
+
   /** Completes the response unless further bytes come first, null if none is waiting. */
   private ScheduledFuture<?> delayedCompletion;
 
@@ -147,9 +154,14 @@
     markIdle(nowMillis);
   }
 
+  /** Returns whether the connection was opened before a time. */
+  boolean isOpenedBefore(long millis) {
+    return openedMillis < millis;
+  }
+
   /** Returns whether the connection was opened before a time and is open still. */
   boolean isOpenSince(long millis) {
-    return openedMillis < millis && channel.isActive();
+    return isOpenedBefore(millis) && channel.isActive();
   }
 
   void markIdle(long nowMillis) {
@@ -216,7 +228,7 @@
     cancelDelayedCompletion();
     listener = null;
     reusable = false;
-    channel.close();
+    closeChannel();
   }
 
   /** Returns a connection to the pool that carried no request since it was acquired. */
@@ -226,6 +238,11 @@
 
   void close() {
     reusable = false;
+    closeChannel();
+  }
+
+  private void closeChannel() {
+    closing = true;
     channel.close();
   }
 
@@ -406,14 +423,14 @@
     if (reusable) {
       pool.release(this);
     } else {
-      channel.close();
+      closeChannel();
     }
   }
 
   private void fail(String reason) {
     cancelDelayedCompletion();
     reusable = false;
-    channel.close();
+    closeChannel();
     ResponseListener failed = listener;
     listener = null;
     if (failed != null) {
@@ -431,12 +448,13 @@
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
     connectionReset = true;
+    lost |= !closing && cause instanceof IOException;
     fail("connection failed: " + cause.getMessage());
   }
 
   @Override
   public void channelInactive(ChannelHandlerContext context) {
-    pool.connectionClosed(this);
+    pool.connectionClosed(this, lost || !closing && delayedCompletion == null);
     if (delayedCompletion != null) {
       // Nothing followed.
       cancelDelayedCompletion();
