Report the loss of connections that end together once

Of connections that were reset together, the first one's end found that none was active any longer and reported the address, and so did each further end. The last one alone reports it now.

--- a/relay/src/main/java/org/heatherspread/relay/endpoint/ConnectionLosses.java
+++ b/relay/src/main/java/org/heatherspread/relay/endpoint/ConnectionLosses.java
@@ -46,6 +46,6 @@
       return false;
     }
     long firstMillis = series.firstMillis();
-    return remaining.stream().noneMatch(connection -> connection.isOpenSince(firstMillis));
+    return remaining.stream().noneMatch(connection -> connection.isOpenedBefore(firstMillis));
   }
 }
