Continue no stream at an endpoint whose connections were all lost unseen by the store

Cause: a daemon took only a refused connection for the end of an incarnation. An endpoint that is replaced in place and listens again at once refuses none; its connections all end, also the idle ones, which the daemon ignored. While the store is away the registration still has the former version, so retries of streams that broke elsewhere, and resumed streams, were sent there.

Change: an endpoint is in doubt if all connections of a daemon to it were lost since it certainly ran, and registrations cannot be read. No stream continues there, and one that begins there has no known version, until the endpoint is registered with another start time or its registration is written again later than 3 s after the loss. New streams still begin there, as the network resets connections, too. Nothing changes while registrations can be read.

--- a/core/src/main/java/org/heatherspread/core/placement/TrackedEndpoint.java
+++ b/core/src/main/java/org/heatherspread/core/placement/TrackedEndpoint.java
@@ -41,6 +41,8 @@
   private boolean stopped;
   private long stoppedMillis;
   private long runningSinceMillis = Long.MIN_VALUE;
+  private long disconnectedMillis = Long.MIN_VALUE;
+  private boolean doubtful;
 
   private TrackedEndpoint(
       RegisteredEndpoint registration, EndpointHealth health, PromptCacheEstimate promptCache) {
@@ -163,22 +165,47 @@
     return changed;
   }
 
-  /** Returns whether another incarnation may be in the place of this one. */
+  /** Returns whether this incarnation has ended. */
   public boolean hasStopped() {
     return stopped;
   }
 
+  /**
+   * Records that all connections of this daemon were lost, so that this incarnation may have ended.
+   */
+  public void recordDisconnection(long atMillis) {
+    disconnectedMillis = atMillis;
+  }
+
+  /**
+   * Records that another incarnation would not be known by its registration. This one is in doubt
+   * if all connections were lost since it certainly ran.
+   *
+   * @return whether that is new
+   */
+  public boolean markUnverifiable() {
+    boolean changed = !doubtful && disconnectedMillis > runningSinceMillis;
+    doubtful |= changed;
+    return changed;
+  }
+
+  /** Returns whether another incarnation may be in the place of this one. */
+  public boolean mayHaveStopped() {
+    return stopped || doubtful;
+  }
+
   /**
    * Records that the endpoint certainly was the registered incarnation, or another one of the same
    * version, at a time.
    *
-   * @return whether it was taken for stopped
+   * @return whether it was taken for stopped or was in doubt, and no longer is
    */
   public boolean confirmRunning(long atMillis) {
     runningSinceMillis = Math.max(runningSinceMillis, atMillis);
-    boolean changed = stopped && stoppedMillis <= atMillis;
-    stopped &= !changed;
-    return changed;
+    final boolean before = mayHaveStopped();
+    stopped &= stoppedMillis > atMillis;
+    doubtful &= disconnectedMillis > atMillis;
+    return before && !mayHaveStopped();
   }
 
   /** Records that the endpoint wants no requests of this daemon for some time. */
--- a/node/src/main/java/org/heatherspread/node/control/EndpointListener.java
+++ b/node/src/main/java/org/heatherspread/node/control/EndpointListener.java
@@ -129,6 +129,7 @@
   }
 
   private void recordRecovery() {
+    state.recordRegistrationsReadable(true);
     if (failing) {
       failing = false;
       recoveredMillis = state.clock().millis();
@@ -216,5 +217,6 @@
   @Override
   public void onFailure(String reason) {
     failing = true;
+    state.recordRegistrationsReadable(false);
   }
 }
--- a/node/src/test/java/org/heatherspread/node/control/EndpointListenerTest.java
+++ b/node/src/test/java/org/heatherspread/node/control/EndpointListenerTest.java
@@ -156,6 +156,44 @@
     assertThat(hasStopped()).isFalse();
   }
 
+  private void loseConnections() {
+    state.endpoints().get("e1").orElseThrow().recordDisconnection(clock.millis());
+  }
+
+  private boolean mayHaveStopped() {
+    return state.endpoints().get("e1").orElseThrow().mayHaveStopped();
+  }
+
+  @Test
+  void endpointWhoseConnectionsWereLostBeforeAnOutageIsInDoubtUntilItRegistersAgain() {
+    clock.advance(Duration.ofMinutes(1));
+    read(1, 3, registrationOfVersion(3));
+    loseConnections();
+    assertThat(mayHaveStopped()).isFalse();
+    listener.onFailure("no response");
+    assertThat(mayHaveStopped()).isTrue();
+    assertThat(hasStopped()).isFalse();
+    clock.advance(Duration.ofSeconds(4));
+    read(1, 3, registrationOfVersion(3));
+    assertThat(mayHaveStopped()).isTrue();
+    clock.advance(Duration.ofSeconds(1));
+    read(1, 4, registrationOfVersion(4));
+    assertThat(mayHaveStopped()).isFalse();
+  }
+
+  @Test
+  void endpointThatRegisteredAfterItsConnectionsWereLostIsNotInDoubt() {
+    clock.advance(Duration.ofMinutes(1));
+    read(1, 3, registrationOfVersion(3));
+    loseConnections();
+    clock.advance(Duration.ofSeconds(4));
+    read(1, 4, registrationOfVersion(4));
+    clock.advance(Duration.ofSeconds(1));
+    read(1, 5, registrationOfVersion(5));
+    listener.onFailure("no response");
+    assertThat(mayHaveStopped()).isFalse();
+  }
+
   private void recoverFromOutage(SharedRow... rows) {
     clock.advance(Duration.ofMinutes(1));
     read(1, 3, registration("ready"));
--- a/relay/src/main/java/org/heatherspread/relay/call/Attempt.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/Attempt.java
@@ -240,7 +240,7 @@
 
   /** Returns whether the endpoint may no longer be of the version at which the stream began. */
   private boolean continuesElsewhere() {
-    return progress.origin != null && endpoint.hasStopped();
+    return progress.origin != null && endpoint.mayHaveStopped();
   }
 
   @Override
@@ -463,7 +463,7 @@
   private void recordOrigin() {
     if (progress.origin == null) {
       progress.origin =
-          endpoint.hasStopped()
+          endpoint.mayHaveStopped()
               ? StreamOrigin.ofUnknownVersion(context.service(), endpoint.id())
               : new StreamOrigin(context.service(), endpoint.registration().version());
     }
--- a/relay/src/main/java/org/heatherspread/relay/call/RelayCall.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/RelayCall.java
@@ -8,6 +8,7 @@
 import java.util.OptionalInt;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import org.heatherspread.core.admission.LoadShedder;
 import org.heatherspread.core.placement.EndpointChooser.Choice;
 import org.heatherspread.core.placement.EnginePerformance;
@@ -184,7 +185,7 @@
   private List<TrackedEndpoint> candidates() {
     List<TrackedEndpoint> all = state.endpoints().forService(context.service());
     if (progress.origin != null) {
-      return ofVersion(withoutStopped(all), progress.origin.version());
+      return ofVersion(without(all, TrackedEndpoint::mayHaveStopped), progress.origin.version());
     }
     boolean resumable = context.route().kind() == CallKind.STREAM && context.route().isRepeatable();
     List<TrackedEndpoint> endpoints = resumable ? preferRunning(all) : all;
@@ -206,15 +207,16 @@
    */
   private List<TrackedEndpoint> preferRunning(List<TrackedEndpoint> endpoints) {
     long now = state.clock().millis();
-    List<TrackedEndpoint> running = withoutStopped(endpoints);
+    List<TrackedEndpoint> running = without(endpoints, TrackedEndpoint::hasStopped);
     boolean available = running.stream().anyMatch(endpoint -> endpoint.isUsable(now));
     return available ? running : endpoints;
   }
 
-  private static List<TrackedEndpoint> withoutStopped(List<TrackedEndpoint> endpoints) {
-    return endpoints.stream().noneMatch(TrackedEndpoint::hasStopped)
+  private static List<TrackedEndpoint> without(
+      List<TrackedEndpoint> endpoints, Predicate<TrackedEndpoint> excluded) {
+    return endpoints.stream().noneMatch(excluded)
         ? endpoints
-        : endpoints.stream().filter(endpoint -> !endpoint.hasStopped()).toList();
+        : endpoints.stream().filter(excluded.negate()).toList();
   }
 
   private static List<TrackedEndpoint> ofVersion(List<TrackedEndpoint> endpoints, String version) {
--- a/relay/src/main/java/org/heatherspread/relay/call/RelayState.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/RelayState.java
@@ -152,14 +152,14 @@
     this.shutdown = Shutdown.create(clock);
     this.forwarding = Forwarding.create(loop, clock, random);
     this.endpoints = EndpointTable.create(health, this::cacheTokens);
-    connectionPool.onDisconnected(this::recordDisconnected);
+    connectionPool.onDisconnected(this::recordDisconnection);
   }
 
   /** Records that all connections to an address were lost. */
-  private void recordDisconnected(HostPort address) {
+  private void recordDisconnection(HostPort address) {
     for (TrackedEndpoint endpoint : endpoints.all()) {
       if (endpoint.registration().address().equals(address)) {
-        stoppedEndpoints.recordDisconnected(endpoint);
+        stoppedEndpoints.recordDisconnection(endpoint);
       }
     }
   }
@@ -521,6 +521,11 @@
         .ifPresent(endpoint -> stoppedEndpoints.merge(endpoint, stopped, daemon, ageMillis));
   }
 
+  /** Records whether the registrations of the endpoints can be read. */
+  public void recordRegistrationsReadable(boolean readable) {
+    stoppedEndpoints.recordRegistrationsReadable(readable, endpoints.all());
+  }
+
   /** Returns which registered incarnations of endpoints have ended. */
   public StoppedEndpoints stoppedEndpoints() {
     return stoppedEndpoints;
--- a/relay/src/main/java/org/heatherspread/relay/call/StoppedEndpoints.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/StoppedEndpoints.java
@@ -8,19 +8,22 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Finds out which registered incarnations of endpoints have ended: nothing listened at their
- * addresses. What listens there later under the same id may have another version, which its next
+ * Finds out which registered incarnations of endpoints have ended or may have: nothing listened at
+ * their addresses, or all connections to them were lost and their next registration would not be
+ * seen. What listens there later under the same id may have another version, which its next
  * registration says. Until then no stream continues there, as what endpoints of different versions
  * generate does not fit together.
  *
- * <p>A network may refuse connections, too: callers do not record an endpoint as stopped while an
- * older connection to it lives on. Confined to one event loop.
+ * <p>A network may refuse and reset connections, too: callers do not record an endpoint as stopped
+ * while an older connection to it lives on, and one that is merely in doubt still gets its share of
+ * new streams. Confined to one event loop.
  */
 public final class StoppedEndpoints {
   private static final Logger log = LoggerFactory.getLogger(StoppedEndpoints.class);
 
   private final MonotonicClock clock;
   private Consumer<EndpointIncarnation> listener = stopped -> {};
+  private boolean registrationsReadable = true;
 
   private StoppedEndpoints(MonotonicClock clock) {
     this.clock = clock;
@@ -43,13 +46,40 @@
     }
   }
 
+  /**
+   * Records whether the registrations of the endpoints can be read.
+   *
+   * @param endpoints all endpoints
+   */
+  void recordRegistrationsReadable(boolean readable, Iterable<TrackedEndpoint> endpoints) {
+    boolean failed = registrationsReadable && !readable;
+    registrationsReadable = readable;
+    if (failed) {
+      endpoints.forEach(StoppedEndpoints::markUnverifiable);
+    }
+  }
+
   /** Records that all connections of this daemon to an endpoint were lost. */
-  void recordDisconnected(TrackedEndpoint endpoint) {
+  void recordDisconnection(TrackedEndpoint endpoint) {
     log.atInfo()
         .addKeyValue("endpoint", endpoint.id())
         .addKeyValue("incarnation", endpoint.registration().startedAtMillis())
         .addKeyValue("version", endpoint.registration().version())
         .log("all connections to the endpoint were lost");
+    endpoint.recordDisconnection(clock.millis());
+    if (!registrationsReadable) {
+      markUnverifiable(endpoint);
+    }
+  }
+
+  private static void markUnverifiable(TrackedEndpoint endpoint) {
+    if (endpoint.markUnverifiable()) {
+      log.atInfo()
+          .addKeyValue("endpoint", endpoint.id())
+          .addKeyValue("incarnation", endpoint.registration().startedAtMillis())
+          .addKeyValue("version", endpoint.registration().version())
+          .log("endpoint may have stopped; its next registration tells its version");
+    }
   }
 
   /**
--- a/relay/src/test/java/org/heatherspread/relay/call/StoppedEndpointPathsTest.java
+++ b/relay/src/test/java/org/heatherspread/relay/call/StoppedEndpointPathsTest.java
@@ -2,6 +2,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.heatherspread.core.poison.EndpointIncarnation;
@@ -21,6 +24,7 @@
  */
 class StoppedEndpointPathsTest {
   private static final long STARTED = 1;
+  private static final int SETTLING_MILLIS = 100;
   private static final String[] RESUMPTION = {"Resumes: id-1", "Last-Event-Id: 1"};
 
   private RelayHarness harness;
@@ -227,4 +231,125 @@
         state -> state.recordRefusedConnection(state.endpoints().get("e0").orElseThrow()));
     assertThat(harness.call("POST", "/draft/a", "id-2", RESUMPTION)).contains("piece-3");
   }
+
+  /** Loses all connections to an endpoint that listens on, as if it was replaced at once. */
+  private FakeEndpoint replaceInPlace(String id) throws Exception {
+    CopyOnWriteArrayList<FakeEndpoint.Connection> opened = new CopyOnWriteArrayList<>();
+    FakeEndpoint endpoint =
+        FakeEndpoint.start(
+            (request, connection) -> {
+              opened.add(connection);
+              String lastEventId = request.header("last-event-id");
+              connection.startStream(request.header("attempt-id"));
+              connection.sendEvent(lastEventId == null ? 1 : Integer.parseInt(lastEventId) + 1);
+              connection.endStream();
+            });
+    register(id, endpoint.port(), "v1", STARTED);
+    assertThat(harness.call("POST", "/draft/a", "id-0")).startsWith("HTTP/1.1 200");
+    for (FakeEndpoint.Connection each : opened) {
+      each.reset();
+    }
+    TimeUnit.MILLISECONDS.sleep(SETTLING_MILLIS);
+    endpoint.requests().clear();
+    return endpoint;
+  }
+
+  private void setRegistrationsReadable(boolean readable) throws Exception {
+    harness.onLoop(state -> state.recordRegistrationsReadable(readable));
+  }
+
+  private void assertRefusesToResume(FakeEndpoint endpoint, String attemptId) throws Exception {
+    assertThat(harness.call("POST", "/draft/a", attemptId, RESUMPTION))
+        .startsWith("HTTP/1.1 503")
+        .contains("stream-version-gone")
+        .containsIgnoringCase("retry-after");
+    assertThat(endpoint.requests()).isEmpty();
+  }
+
+  @Test
+  void streamIsNotResumedWhereAllConnectionsWereLostWhileRegistrationsCannotBeRead()
+      throws Exception {
+    setRegistrationsReadable(false);
+    assertRefusesToResume(replaceInPlace("e0"), "id-2");
+  }
+
+  @Test
+  void streamIsNotResumedWhereAllConnectionsWereLostJustBeforeRegistrationsCouldNotBeRead()
+      throws Exception {
+    FakeEndpoint replacement = replaceInPlace("e0");
+    setRegistrationsReadable(false);
+    assertRefusesToResume(replacement, "id-2");
+  }
+
+  /** What is registered when the store returns may have been written before its failure. */
+  @Test
+  void streamIsNotResumedThereUntilTheEndpointRegistersAgain() throws Exception {
+    setRegistrationsReadable(false);
+    FakeEndpoint replacement = replaceInPlace("e0");
+    setRegistrationsReadable(true);
+    assertRefusesToResume(replacement, "id-2");
+    harness.onLoop(
+        state ->
+            state
+                .stoppedEndpoints()
+                .confirmRunning(state.endpoints().get("e0").orElseThrow(), state.clock().millis()));
+    assertThat(harness.call("POST", "/draft/a", "id-3", RESUMPTION)).startsWith("HTTP/1.1 200");
+  }
+
+  /** The registration tells whether the endpoint was replaced. */
+  @Test
+  void streamIsResumedWhereAllConnectionsWereLostWhileRegistrationsCanBeRead() throws Exception {
+    replaceInPlace("e0");
+    assertThat(harness.call("POST", "/draft/a", "id-2", RESUMPTION)).startsWith("HTTP/1.1 200");
+  }
+
+  @Test
+  void streamIsResumedWhereConnectionsLiveOnWhileRegistrationsCannotBeRead() throws Exception {
+    FakeEndpoint endpoint = soundEndpoint(3);
+    register("e0", endpoint.port(), "v1", STARTED);
+    assertThat(harness.call("POST", "/draft/a", "id-0")).startsWith("HTTP/1.1 200");
+    setRegistrationsReadable(false);
+    assertThat(harness.call("POST", "/draft/a", "id-2", RESUMPTION)).startsWith("HTTP/1.1 200");
+  }
+
+  @Test
+  void streamThatBeginsWhereAllConnectionsWereLostDoesNotContinueAtTheRegisteredVersion()
+      throws Exception {
+    setRegistrationsReadable(false);
+    replaceInPlace("e0");
+    assertThat(harness.call("POST", "/draft/a", "id-2")).startsWith("HTTP/1.1 200");
+    FakeEndpoint former = soundEndpoint(4);
+    register("e1", former.port(), "v1", STARTED);
+    assertThat(harness.call("POST", "/draft/a", "id-3", "Resumes: id-2", "Last-Event-Id: 1"))
+        .startsWith("HTTP/1.1 503");
+    assertThat(former.requests()).isEmpty();
+  }
+
+  /** The network may have reset the connections, so that the endpoint takes its share. */
+  @Test
+  void streamsGoOnToBeginWhereAllConnectionsWereLost() throws Exception {
+    setRegistrationsReadable(false);
+    final FakeEndpoint disconnected = replaceInPlace("e0");
+    CountDownLatch busy = new CountDownLatch(1);
+    FakeEndpoint connected =
+        FakeEndpoint.start(
+            (request, connection) -> {
+              connection.startStream(request.header("attempt-id"));
+              connection.sendEvent(1);
+              busy.await(10, TimeUnit.SECONDS);
+              connection.endStream();
+            });
+    register("e1", connected.port(), "v1", STARTED);
+    List<RelayHarness.Caller> callers = new ArrayList<>();
+    for (int i = 0; i < 8; i++) {
+      callers.add(harness.caller());
+      callers.get(i).request("POST", "/draft/a", "new-" + i, "Connection: close");
+      callers.get(i).readUntil("piece-1");
+    }
+    busy.countDown();
+    for (RelayHarness.Caller each : callers) {
+      each.close();
+    }
+    assertThat(disconnected.requests()).isNotEmpty();
+  }
 }
