Take a connection opened just before others were lost for no proof that the process runs

The ends of the former process's connections may come a little after a connection to the next one was opened, so a connection refutes the loss of the others only if it was opened 200 ms before the first of them.

--- a/relay/src/test/java/org/heatherspread/relay/endpoint/ConnectionLossesTest.java
+++ b/relay/src/test/java/org/heatherspread/relay/endpoint/ConnectionLossesTest.java
@@ -22,6 +22,9 @@
 class ConnectionLossesTest {
   private static final int SETTLING_MILLIS = 100;
 
+  /** Age from which a connection shows that its process runs. */
+  private static final int AGE_MILLIS = 250;
+
   private final NioEventLoopGroup group = new NioEventLoopGroup(1);
   private final EventLoop loop = group.next();
   private final ConnectionPool pool =
@@ -99,6 +102,7 @@
   void connectionThatLivesOnShowsThatThePeerRuns() throws Exception {
     Pair first = open();
     open();
+    TimeUnit.MILLISECONDS.sleep(AGE_MILLIS);
     first.reset();
     assertReports(0);
   }
@@ -107,6 +111,7 @@
   void connectionToTheNextProcessDoesNotShowThatTheFormerOneRuns() throws Exception {
     Pair first = open();
     final Pair second = open();
+    TimeUnit.MILLISECONDS.sleep(AGE_MILLIS);
     first.reset();
     TimeUnit.MILLISECONDS.sleep(SETTLING_MILLIS);
     open();
@@ -114,6 +119,16 @@
     assertReports(1);
   }
 
+  /** The ends of the former process's connections may come after the start of the next one. */
+  @Test
+  void connectionThatWasOpenedJustBeforeTheLossesDoesNotShowThatThePeerRuns() throws Exception {
+    Pair first = open();
+    TimeUnit.MILLISECONDS.sleep(AGE_MILLIS);
+    open();
+    first.reset();
+    assertReports(1);
+  }
+
   @Test
   void connectionsThatThisDaemonClosesAreNotLost() throws Exception {
     Pair first = open();
@@ -127,7 +142,8 @@
   @Test
   void connectionThatThisDaemonClosesAmidLossesProvesNothingLater() throws Exception {
     Pair first = open();
-    Pair second = open();
+    final Pair second = open();
+    TimeUnit.MILLISECONDS.sleep(AGE_MILLIS);
     first.reset();
     TimeUnit.MILLISECONDS.sleep(SETTLING_MILLIS);
     loop.submit(second.connection()::close).get();
