Let no connection of the soak outlive the process that it was opened to

Cause: an endpoint that was replaced in place changed its version first and reset its connections then, and connections that its proxy had not forwarded yet were not reset at all. A process that ends takes its connections with it, also those that wait to be accepted.

Change: FaultProxy.replaceProcess resets the connections, passes those that still wait, resets them too, and replaces the process before it forwards a later connection. The check of streams is as before; no connection is refused, as before.

--- a/node/src/test/java/org/heatherspread/node/soak/FaultProxy.java
+++ b/node/src/test/java/org/heatherspread/node/soak/FaultProxy.java
@@ -4,14 +4,19 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.BindException;
+import java.net.ConnectException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.channels.SocketChannel;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 import org.heatherspread.node.LoopbackSupport;
 
 /** TCP proxy on loopback that injects faults into the connections through it. Thread-safe. */
@@ -20,6 +25,7 @@
   private static final int POLL_INTERVAL_MILLIS = 20;
   private static final int WAITING_CONNECTIONS = 8;
   private static final long MAX_CLOSE_NANOS = 1_000_000_000;
+  private static final int MAX_ACCEPT_MILLIS = 1_000;
 
   /** Treatment of forwarded bytes and new connections. */
   enum Mode {
@@ -44,6 +50,8 @@
   private final Set<SocketChannel> waitingChannels = ConcurrentHashMap.newKeySet();
   private volatile ServerSocket listener;
   private volatile Mode mode = Mode.PASS;
+  private final AtomicReference<Replacement> replacement = new AtomicReference<>();
+  private final AtomicInteger generation = new AtomicInteger();
 
   private FaultProxy(ServerSocket listener, int targetPort, long delayMillis) {
     this.listener = listener;
@@ -139,6 +147,56 @@
     sockets.forEach(this::reset);
   }
 
+  /** The replacement of the process behind the proxy, which begins with a connection of its own. */
+  private record Replacement(int localPort, Runnable action, CountDownLatch done) {}
+
+  /**
+   * Lets another process take the place of the one behind the proxy. As the system does when a
+   * process ends, resets all its connections, also those that wait to be accepted; refuses none.
+   *
+   * @param action replaces the process, before any later connection is forwarded
+   */
+  void replaceProcess(Runnable action) throws IOException {
+    resetConnections();
+    try (Socket last = new Socket()) {
+      last.bind(new InetSocketAddress("127.0.0.1", 0));
+      Replacement next = new Replacement(last.getLocalPort(), action, new CountDownLatch(1));
+      replacement.set(next);
+      // Connections are accepted in the order in which they were opened.
+      last.connect(new InetSocketAddress("127.0.0.1", port), MAX_ACCEPT_MILLIS);
+      next.done().await(MAX_ACCEPT_MILLIS, TimeUnit.MILLISECONDS);
+    } catch (ConnectException | SocketTimeoutException e) {
+      // Nothing accepts connections, so that there are none.
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    Replacement left = replacement.getAndSet(null);
+    if (left != null) {
+      replace(left);
+    }
+  }
+
+  private void replace(Replacement next) {
+    generation.incrementAndGet();
+    resetConnections();
+    next.action().run();
+    next.done().countDown();
+  }
+
+  /**
+   * Returns whether a connection was opened by {@link #replaceProcess}, and replaces the process.
+   */
+  private boolean replacesProcess(Socket client) {
+    Replacement next = replacement.get();
+    if (next == null
+        || next.localPort() != client.getPort()
+        || !replacement.compareAndSet(next, null)) {
+      return false;
+    }
+    replace(next);
+    return true;
+  }
+
   private void reset(Socket socket) {
     sockets.remove(socket);
     try {
@@ -153,24 +211,35 @@
     while (!accepting.isClosed()) {
       try {
         Socket client = accepting.accept();
-        if (mode == Mode.REFUSE) {
+        if (replacesProcess(client) || mode == Mode.REFUSE) {
           client.close();
           continue;
         }
-        DaemonThreads.start("proxied-" + targetPort, () -> connect(client));
+        int accepted = generation.get();
+        DaemonThreads.start("proxied-" + targetPort, () -> connect(client, accepted));
       } catch (IOException e) {
         return;
       }
     }
   }
 
-  private void connect(Socket client) {
+  /**
+   * Forwards a connection.
+   *
+   * @param accepted generation of the process to which it was opened
+   */
+  private void connect(Socket client, int accepted) {
     try (client;
         Socket server = new Socket("127.0.0.1", targetPort)) {
       client.setTcpNoDelay(true);
       server.setTcpNoDelay(true);
       sockets.add(client);
       sockets.add(server);
+      if (accepted != generation.get()) {
+        reset(client);
+        reset(server);
+        return;
+      }
       Thread responses =
           DaemonThreads.start(
               "responses-" + targetPort, () -> copy(server, client, Mode.STALL_TO_CLIENT));
--- a/node/src/test/java/org/heatherspread/node/soak/SoakEndpoint.java
+++ b/node/src/test/java/org/heatherspread/node/soak/SoakEndpoint.java
@@ -151,11 +151,13 @@
   }
 
   /** Starts at once as another version under the same id and address. */
-  void replaceInPlace(String nextVersion) {
-    replacements.incrementAndGet();
-    version = nextVersion;
-    startedAtMillis = System.currentTimeMillis();
-    proxy.resetConnections();
+  void replaceInPlace(String nextVersion) throws IOException {
+    proxy.replaceProcess(
+        () -> {
+          replacements.incrementAndGet();
+          version = nextVersion;
+          startedAtMillis = System.currentTimeMillis();
+        });
     register();
   }
 
