--- a/node/src/main/java/org/heatherspread/node/control/EndpointListener.java
+++ b/node/src/main/java/org/heatherspread/node/control/EndpointListener.java
@@ -129,6 +129,7 @@
   }
 
   private void recordRecovery() {
+    state.recordRegistrationsReadable(true);
     if (failing) {
       failing = false;
       recoveredMillis = state.clock().millis();
@@ -171,6 +172,8 @@
           .addKeyValue("service", next.service())
           .addKeyValue("address", next.address().toString())
           .addKeyValue("domain", next.domain())
+          .addKeyValue("version", next.version())
+          .addKeyValue("incarnation", next.startedAtMillis())
           .addKeyValue("leaving", next.leaving())
           .addKeyValue("reclaimable", next.reclaimable())
           .addKeyValue("leaves_in_ms", next.remainingMillis())
@@ -214,5 +217,6 @@
   @Override
   public void onFailure(String reason) {
     failing = true;
+    state.recordRegistrationsReadable(false);
   }
 }
