Do not count connections that were closed after their idle timeout as lost

Endpoints close idle connections after the timeout that they state, whether they run on or not, so such a close shows no end of their process; while the store is away it would have put each endpoint that a daemon does not use in doubt. And a line for each such close would come as often as requests on large fleets: "all connections to the endpoint were lost" is logged only while it matters, that is, while registrations cannot be read.

ConnectionLossesTest.connectionThatThePeerClosesAfterItsIdleTimeoutIsNotLost passes; the other tests of losses, stopped endpoints and pools do, too.

--- a/relay/src/main/java/org/heatherspread/relay/call/StoppedEndpoints.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/StoppedEndpoints.java
@@ -61,13 +61,13 @@
 
   /** Records that all connections of this daemon to an endpoint were lost. */
   void recordDisconnection(TrackedEndpoint endpoint) {
-    log.atInfo()
-        .addKeyValue("endpoint", endpoint.id())
-        .addKeyValue("incarnation", endpoint.registration().startedAtMillis())
-        .addKeyValue("version", endpoint.registration().version())
-        .log("all connections to the endpoint were lost");
     endpoint.recordDisconnection(clock.millis());
     if (!registrationsReadable) {
+      log.atInfo()
+          .addKeyValue("endpoint", endpoint.id())
+          .addKeyValue("incarnation", endpoint.registration().startedAtMillis())
+          .addKeyValue("version", endpoint.registration().version())
+          .log("all connections to the endpoint were lost");
       markUnverifiable(endpoint);
     }
   }
--- a/relay/src/main/java/org/heatherspread/relay/endpoint/EndpointConnection.java
+++ b/relay/src/main/java/org/heatherspread/relay/endpoint/EndpointConnection.java
@@ -164,6 +164,12 @@
     return isOpenedBefore(millis) && channel.isActive();
   }
 
+  /** Returns whether the connection has been idle until about the timeout that the peer stated. */
+  private boolean hasIdleTimeoutPassed() {
+    long reuseMillis = keepAliveMillis - KEEP_ALIVE_MARGIN_MILLIS;
+    return listener == null && pool.idleMillis(idleSinceMillis) >= reuseMillis;
+  }
+
   void markIdle(long nowMillis) {
     idleSinceMillis = nowMillis;
   }
@@ -455,7 +461,8 @@
 
   @Override
   public void channelInactive(ChannelHandlerContext context) {
-    pool.connectionClosed(this, lost || !closing && delayedCompletion == null);
+    boolean closedByPeer = !closing && delayedCompletion == null && !hasIdleTimeoutPassed();
+    pool.connectionClosed(this, lost || closedByPeer);
     if (delayedCompletion != null) {
       // Nothing followed.
       cancelDelayedCompletion();
--- a/relay/src/test/java/org/heatherspread/relay/endpoint/ConnectionLossesTest.java
+++ b/relay/src/test/java/org/heatherspread/relay/endpoint/ConnectionLossesTest.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.TimeUnit;
 import org.heatherspread.core.serving.HostPort;
 import org.heatherspread.core.time.MonotonicClock;
+import org.heatherspread.relay.FakeEndpoint;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -98,6 +99,27 @@
     assertReports(1);
   }
 
+  /** Endpoints close connections that were idle for long, whether they run on or not. */
+  @Test
+  void connectionThatThePeerClosesAfterItsIdleTimeoutIsNotLost() throws Exception {
+    FakeEndpoint endpoint =
+        FakeEndpoint.start(
+            (request, connection) -> {
+              connection.respond(200, "id", "hello", "Keep-Alive: timeout=1");
+              TimeUnit.SECONDS.sleep(1);
+              throw new IOException("the idle timeout is over");
+            });
+    CompletableFuture<EndpointConnection> responded = new CompletableFuture<>();
+    HostPort peer = new HostPort("127.0.0.1", endpoint.port());
+    loop.execute(
+        () -> pool.acquire(peer, "id", 1, new ConnectionPoolTest.SendingListener("id", responded)));
+    responded.get(5, TimeUnit.SECONDS);
+    TimeUnit.MILLISECONDS.sleep(1_200);
+    assertThat(pool.openCount(peer)).isZero();
+    assertThat(reported).isEmpty();
+    endpoint.close();
+  }
+
   @Test
   void connectionThatLivesOnShowsThatThePeerRuns() throws Exception {
     Pair first = open();
--- a/relay/src/test/java/org/heatherspread/relay/endpoint/ConnectionPoolTest.java
+++ b/relay/src/test/java/org/heatherspread/relay/endpoint/ConnectionPoolTest.java
@@ -139,7 +139,7 @@
   }
 
   /** Sends a request on the connection and completes with it. */
-  private record SendingListener(String id, CompletableFuture<EndpointConnection> responded)
+  record SendingListener(String id, CompletableFuture<EndpointConnection> responded)
       implements ConnectionPool.ConnectionListener {
     @Override
     public void onConnected(EndpointConnection connection) {
