Count the idle time of a connection from its last response

A connection that was acquired and released without a request counted as idle from its release, so that it could be used again after the endpoint's idle timeout, which runs from the last response. A request that crosses the endpoint's close is lost, and answered by 502 if it cannot be repeated.

ConnectionPoolTest.connectionThatIsReleasedUnusedIsIdleSinceItsLastResponse failed before and passes.

--- a/relay/src/main/java/org/heatherspread/relay/endpoint/ConnectionPool.java
+++ b/relay/src/main/java/org/heatherspread/relay/endpoint/ConnectionPool.java
@@ -113,8 +113,8 @@
     unexpectedResponseCount++;
   }
 
-  long idleMillis(long idleSinceMillis) {
-    return clock.millis() - idleSinceMillis;
+  long nowMillis() {
+    return clock.millis();
   }
 
   /** Returns the number of open connections to an address. */
@@ -243,7 +243,6 @@
       connection.close();
       return;
     }
-    connection.markIdle(clock.millis());
     idleConnections
         .computeIfAbsent(connection.address(), key -> new ArrayDeque<>())
         .push(connection);
--- a/relay/src/main/java/org/heatherspread/relay/endpoint/EndpointConnection.java
+++ b/relay/src/main/java/org/heatherspread/relay/endpoint/EndpointConnection.java
@@ -138,7 +138,7 @@
         .addKeyValue("endpoint", address.toString())
         .addKeyValue("connection", id())
         .addKeyValue("last_id", expectedId)
-        .addKeyValue("idle_ms", pool.idleMillis(idleSinceMillis))
+        .addKeyValue("idle_ms", idleMillis())
         .log("connection not used, as it has carried the request before");
   }
 
@@ -151,7 +151,7 @@
 
   void markOpened(long nowMillis) {
     openedMillis = nowMillis;
-    markIdle(nowMillis);
+    idleSinceMillis = nowMillis;
   }
 
   /** Returns whether the connection was opened before a time. */
@@ -167,11 +167,11 @@
   /** Returns whether the connection has been idle until about the timeout that the peer stated. */
   private boolean hasIdleTimeoutPassed() {
     long reuseMillis = keepAliveMillis - KEEP_ALIVE_MARGIN_MILLIS;
-    return listener == null && pool.idleMillis(idleSinceMillis) >= reuseMillis;
+    return listener == null && idleMillis() >= reuseMillis;
   }
 
-  void markIdle(long nowMillis) {
-    idleSinceMillis = nowMillis;
+  private long idleMillis() {
+    return pool.nowMillis() - idleSinceMillis;
   }
 
   /**
@@ -238,7 +238,10 @@
     closeChannel();
   }
 
-  /** Returns a connection to the pool that carried no request since it was acquired. */
+  /**
+   * Returns a connection to the pool that carried no request since it was acquired. It is idle
+   * since its last response, as for the endpoint.
+   */
   public void releaseUnused() {
     pool.release(this);
   }
@@ -294,7 +297,7 @@
           .addKeyValue("received_id", head == null ? null : receivedId(head))
           .addKeyValue("status", head == null ? 0 : head.status().code())
           .addKeyValue("last_id", expectedId)
-          .addKeyValue("idle_ms", pool.idleMillis(idleSinceMillis))
+          .addKeyValue("idle_ms", idleMillis())
           .log("response without a request");
     }
     close();
@@ -428,6 +431,7 @@
     listener = null;
     completed.onComplete();
     if (reusable) {
+      idleSinceMillis = pool.nowMillis();
       pool.release(this);
     } else {
       closeChannel();
--- a/relay/src/test/java/org/heatherspread/relay/endpoint/ConnectionPoolTest.java
+++ b/relay/src/test/java/org/heatherspread/relay/endpoint/ConnectionPoolTest.java
@@ -26,6 +26,7 @@
 class ConnectionPoolTest {
   private static final String ID_HEADER = "Attempt-Id";
   private static final int MAX_CONNECTIONS = 4;
+  private static final long MAX_IDLE_MILLIS = 2_000;
 
   private final NioEventLoopGroup group = new NioEventLoopGroup(1);
   private final EventLoop loop = group.next();
@@ -42,7 +43,7 @@
   }
 
   private ConnectionPool createPool(String idHeader) {
-    PoolSettings settings = new PoolSettings(1_000, 8_000);
+    PoolSettings settings = new PoolSettings(1_000, MAX_IDLE_MILLIS);
     return ConnectionPool.create(loop, MonotonicClock.system(), settings, idHeader);
   }
 
@@ -52,12 +53,15 @@
     group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
   }
 
+  private HostPort address() {
+    return new HostPort("127.0.0.1", endpoint.port());
+  }
+
   /** Sends a request on a connection and returns that, once its response is complete. */
   private EndpointConnection send(String id, int maxConnections) throws Exception {
     CompletableFuture<EndpointConnection> responded = new CompletableFuture<>();
-    HostPort address = new HostPort("127.0.0.1", endpoint.port());
     loop.execute(
-        () -> pool.acquire(address, id, maxConnections, new SendingListener(id, responded)));
+        () -> pool.acquire(address(), id, maxConnections, new SendingListener(id, responded)));
     return awaitIdle(responded);
   }
 
@@ -90,7 +94,7 @@
   void connectionThatHasCarriedTheIdMakesRoomWhenNoMoreMayBeOpened() throws Exception {
     EndpointConnection first = send("a", 1);
     assertThat(send("a", 1)).isNotSameAs(first);
-    assertThat(pool.openCount(new HostPort("127.0.0.1", endpoint.port()))).isEqualTo(1);
+    assertThat(pool.openCount(address())).isEqualTo(1);
   }
 
   @Test
@@ -116,6 +120,28 @@
     assertThat(pool.openedCount()).isEqualTo(2);
   }
 
+  /** The endpoint closes a connection by the time since its last response. */
+  @Test
+  void connectionThatIsReleasedUnusedIsIdleSinceItsLastResponse() throws Exception {
+    final EndpointConnection first = send("a");
+    TimeUnit.MILLISECONDS.sleep(MAX_IDLE_MILLIS * 6 / 10);
+    loop.submit(() -> pool.acquire(address(), "b", 1, new ReleasingListener())).get();
+    TimeUnit.MILLISECONDS.sleep(MAX_IDLE_MILLIS * 6 / 10);
+    assertThat(send("c")).isNotSameAs(first);
+  }
+
+  private static final class ReleasingListener implements ConnectionPool.ConnectionListener {
+    @Override
+    public void onConnected(EndpointConnection connection) {
+      connection.releaseUnused();
+    }
+
+    @Override
+    public void onConnectFailed(String reason, boolean refused) {
+      throw new AssertionError(reason);
+    }
+  }
+
   /** Whatever hands out the connection, the second request does not reach the endpoint. */
   @Test
   void requestFailsOnConnectionThatHasCarriedItsId() throws Exception {
