Tell other daemons of endpoints that may have been replaced unseen

Cause: a daemon that has no connection to an endpoint loses none when it is replaced, and one whose read of the registrations hangs does not know yet that the store fails.

A daemon shares a doubt if it cannot read registrations either and has no connection that was open before, or if it lost all its connections, too; one that can read them and lost none does not.

--- a/core/src/main/java/org/heatherspread/core/placement/TrackedEndpoint.java
+++ b/core/src/main/java/org/heatherspread/core/placement/TrackedEndpoint.java
@@ -42,6 +42,7 @@
   private long stoppedMillis;
   private long runningSinceMillis = Long.MIN_VALUE;
   private long disconnectedMillis = Long.MIN_VALUE;
+  private long reportedMillis = Long.MIN_VALUE;
   private boolean doubtful;
 
   private TrackedEndpoint(
@@ -174,17 +175,32 @@
    * Records that all connections of this daemon were lost, so that this incarnation may have ended.
    */
   public void recordDisconnection(long atMillis) {
-    disconnectedMillis = atMillis;
+    disconnectedMillis = Math.max(disconnectedMillis, atMillis);
+  }
+
+  /** Returns whether all connections of this daemon were lost since the endpoint certainly ran. */
+  public boolean isDisconnected() {
+    return disconnectedMillis > runningSinceMillis;
+  }
+
+  /** Records that another daemon, which lost its connections, has this incarnation in doubt. */
+  public void recordReportedDoubt(long atMillis) {
+    reportedMillis = Math.max(reportedMillis, atMillis);
+  }
+
+  /** Returns whether another daemon had doubts since the endpoint certainly ran. */
+  public boolean isReportedDoubtful() {
+    return reportedMillis > runningSinceMillis;
   }
 
   /**
    * Records that another incarnation would not be known by its registration. This one is in doubt
-   * if all connections were lost since it certainly ran.
+   * if connections were lost since it certainly ran.
    *
    * @return whether that is new
    */
   public boolean markUnverifiable() {
-    boolean changed = !doubtful && disconnectedMillis > runningSinceMillis;
+    boolean changed = !doubtful && (isDisconnected() || isReportedDoubtful());
     doubtful |= changed;
     return changed;
   }
@@ -204,7 +220,7 @@
     runningSinceMillis = Math.max(runningSinceMillis, atMillis);
     final boolean before = mayHaveStopped();
     stopped &= stoppedMillis > atMillis;
-    doubtful &= disconnectedMillis > atMillis;
+    doubtful &= Math.max(disconnectedMillis, reportedMillis) > atMillis;
     return before && !mayHaveStopped();
   }
 
--- a/node/src/main/java/org/heatherspread/node/control/ControlPlane.java
+++ b/node/src/main/java/org/heatherspread/node/control/ControlPlane.java
@@ -385,6 +385,14 @@
         new TypeReference<List<EndpointIncarnation>>() {},
         (daemon, stopped, ageMillis) ->
             stopped.forEach(each -> state.mergeStopped(each, daemon, ageMillis)));
+    facts.onFact(
+        FactKinds.DOUBTFUL_ENDPOINTS,
+        new TypeReference<List<EndpointIncarnation>>() {},
+        (daemon, doubted, ageMillis) ->
+            doubted.forEach(each -> state.mergeDoubt(each, daemon, ageMillis)));
+    state
+        .stoppedEndpoints()
+        .onDoubt(each -> facts.publishUrgently(FactKinds.DOUBTFUL_ENDPOINTS, List.of(each)));
     state
         .stoppedEndpoints()
         .onStopped(each -> facts.publishUrgently(FactKinds.STOPPED_ENDPOINTS, List.of(each)));
--- a/node/src/main/java/org/heatherspread/node/peer/FactKinds.java
+++ b/node/src/main/java/org/heatherspread/node/peer/FactKinds.java
@@ -17,6 +17,9 @@
   /** Incarnations of endpoints that have ended. */
   public static final String STOPPED_ENDPOINTS = "stopped-endpoints";
 
+  /** Incarnations of endpoints that may have ended. */
+  public static final String DOUBTFUL_ENDPOINTS = "doubtful-endpoints";
+
   /** Whether the daemon has lost the path to all endpoints. */
   public static final String ISOLATED = "isolated";
 
--- a/relay/src/main/java/org/heatherspread/relay/call/RelayState.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/RelayState.java
@@ -523,7 +523,26 @@
 
   /** Records whether the registrations of the endpoints can be read. */
   public void recordRegistrationsReadable(boolean readable) {
-    stoppedEndpoints.recordRegistrationsReadable(readable, endpoints.all());
+    long sinceMillis = clock.millis() - MAX_REPORT_DELAY_MILLIS;
+    stoppedEndpoints.recordRegistrationsReadable(
+        readable,
+        () ->
+            endpoints.all().stream()
+                .filter(
+                    endpoint ->
+                        endpoint.isDisconnected() || !isConnectedSince(endpoint, sinceMillis))
+                .iterator());
+  }
+
+  /** Records that another daemon cannot tell whether an incarnation has ended. */
+  public void mergeDoubt(EndpointIncarnation doubted, String daemon, long ageMillis) {
+    long sinceMillis = clock.millis() - ageMillis - MAX_REPORT_DELAY_MILLIS;
+    endpoints
+        .get(doubted.id())
+        .ifPresent(
+            endpoint ->
+                stoppedEndpoints.mergeDoubt(
+                    endpoint, doubted, daemon, ageMillis, isConnectedSince(endpoint, sinceMillis)));
   }
 
   /** Returns which registered incarnations of endpoints have ended. */
--- a/relay/src/main/java/org/heatherspread/relay/call/StoppedEndpoints.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/StoppedEndpoints.java
@@ -23,6 +23,7 @@
 
   private final MonotonicClock clock;
   private Consumer<EndpointIncarnation> listener = stopped -> {};
+  private Consumer<EndpointIncarnation> doubtListener = doubted -> {};
   private boolean registrationsReadable = true;
 
   private StoppedEndpoints(MonotonicClock clock) {
@@ -38,6 +39,11 @@
     listener = stoppedListener;
   }
 
+  /** Sets a listener to incarnations that may have ended according to this daemon. */
+  public void onDoubt(Consumer<EndpointIncarnation> listener) {
+    doubtListener = listener;
+  }
+
   /** Records that nothing listens at the address of an endpoint, or another endpoint does. */
   void recordStopped(TrackedEndpoint endpoint) {
     if (endpoint.markStopped(clock.millis())) {
@@ -49,13 +55,13 @@
   /**
    * Records whether the registrations of the endpoints can be read.
    *
-   * @param endpoints all endpoints
+   * @param unconnected endpoints to which no connection has lived on since others were lost
    */
-  void recordRegistrationsReadable(boolean readable, Iterable<TrackedEndpoint> endpoints) {
+  void recordRegistrationsReadable(boolean readable, Iterable<TrackedEndpoint> unconnected) {
     boolean failed = registrationsReadable && !readable;
     registrationsReadable = readable;
     if (failed) {
-      endpoints.forEach(StoppedEndpoints::markUnverifiable);
+      unconnected.forEach(this::recordOwnDoubt);
     }
   }
 
@@ -68,18 +74,51 @@
         .log("all connections to the endpoint were lost");
     endpoint.recordDisconnection(clock.millis());
     if (!registrationsReadable) {
-      markUnverifiable(endpoint);
+      recordOwnDoubt(endpoint);
+    } else if (endpoint.isReportedDoubtful()) {
+      markUnverifiable(endpoint, "report");
+    }
+  }
+
+  private void recordOwnDoubt(TrackedEndpoint endpoint) {
+    boolean disconnected = endpoint.isDisconnected();
+    if (markUnverifiable(endpoint, "connection") && disconnected) {
+      doubtListener.accept(incarnation(endpoint));
+    }
+  }
+
+  /**
+   * Records that another daemon lost its connections to an incarnation and cannot read
+   * registrations. A daemon that can read them, and lost no connections, need not doubt it.
+   *
+   * @param connected whether a connection of this daemon shows that the incarnation runs
+   */
+  void mergeDoubt(
+      TrackedEndpoint endpoint,
+      EndpointIncarnation doubted,
+      String daemon,
+      long ageMillis,
+      boolean connected) {
+    if (!incarnation(endpoint).equals(doubted)) {
+      return;
+    }
+    endpoint.recordReportedDoubt(clock.millis() - ageMillis);
+    if (!connected && (!registrationsReadable || endpoint.isDisconnected())) {
+      markUnverifiable(endpoint, daemon);
     }
   }
 
-  private static void markUnverifiable(TrackedEndpoint endpoint) {
-    if (endpoint.markUnverifiable()) {
+  private static boolean markUnverifiable(TrackedEndpoint endpoint, String source) {
+    boolean changed = endpoint.markUnverifiable();
+    if (changed) {
       log.atInfo()
           .addKeyValue("endpoint", endpoint.id())
           .addKeyValue("incarnation", endpoint.registration().startedAtMillis())
           .addKeyValue("version", endpoint.registration().version())
+          .addKeyValue("source", source)
           .log("endpoint may have stopped; its next registration tells its version");
     }
+    return changed;
   }
 
   /**
--- a/relay/src/test/java/org/heatherspread/relay/call/StoppedEndpointPathsTest.java
+++ b/relay/src/test/java/org/heatherspread/relay/call/StoppedEndpointPathsTest.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import org.heatherspread.core.placement.TrackedEndpoint;
 import org.heatherspread.core.poison.EndpointIncarnation;
 import org.heatherspread.core.serving.HostPort;
 import org.heatherspread.core.serving.RegisteredEndpoint;
@@ -352,4 +353,61 @@
     }
     assertThat(disconnected.requests()).isNotEmpty();
   }
+
+  private void reportDoubt(String id) throws Exception {
+    EndpointIncarnation doubted = new EndpointIncarnation(id, STARTED);
+    harness.onLoop(state -> state.mergeDoubt(doubted, "other-daemon", 0));
+  }
+
+  @Test
+  void streamIsNotResumedWhereAnotherDaemonLostAllConnections() throws Exception {
+    FakeEndpoint replacement = soundEndpoint(3);
+    register("e0", replacement.port(), "v1", STARTED);
+    setRegistrationsReadable(false);
+    reportDoubt("e0");
+    assertRefusesToResume(replacement, "id-2");
+  }
+
+  /** A read that hangs has not failed yet, as that of the other daemon has. */
+  @Test
+  void streamIsNotResumedWhereThisDaemonAndOneThatCannotReadRegistrationsLostAllConnections()
+      throws Exception {
+    FakeEndpoint replacement = replaceInPlace("e0");
+    reportDoubt("e0");
+    assertRefusesToResume(replacement, "id-2");
+  }
+
+  @Test
+  void streamIsNotResumedWhereAllConnectionsAreLostAfterTheReportOfAnotherDaemon()
+      throws Exception {
+    register("e0", 1, "v1", STARTED);
+    harness.onLoop(
+        state -> {
+          TrackedEndpoint endpoint = state.endpoints().get("e0").orElseThrow();
+          state.mergeDoubt(new EndpointIncarnation("e0", STARTED), "other-daemon", 0);
+          assertThat(endpoint.mayHaveStopped()).isFalse();
+          state.stoppedEndpoints().recordDisconnection(endpoint);
+          assertThat(endpoint.mayHaveStopped()).isTrue();
+        });
+  }
+
+  /** The other daemon alone may be cut off from the store and the endpoint. */
+  @Test
+  void streamIsResumedDespiteTheReportOfAnotherDaemonIfRegistrationsCanBeRead() throws Exception {
+    FakeEndpoint endpoint = soundEndpoint(3);
+    register("e0", endpoint.port(), "v1", STARTED);
+    reportDoubt("e0");
+    assertThat(harness.call("POST", "/draft/a", "id-2", RESUMPTION)).startsWith("HTTP/1.1 200");
+  }
+
+  @Test
+  void streamIsResumedDespiteTheReportOfAnotherDaemonWhereConnectionsLiveOn() throws Exception {
+    FakeEndpoint endpoint = soundEndpoint(3);
+    register("e0", endpoint.port(), "v1", STARTED);
+    assertThat(harness.call("POST", "/draft/a", "id-0")).startsWith("HTTP/1.1 200");
+    TimeUnit.MILLISECONDS.sleep(1_100);
+    setRegistrationsReadable(false);
+    reportDoubt("e0");
+    assertThat(harness.call("POST", "/draft/a", "id-2", RESUMPTION)).startsWith("HTTP/1.1 200");
+  }
 }
