Copy refusals in the soak, and repeat attempts with their ids

The soak did not find that a refusal may be copied while the request that it refused is under way again: its endpoints repeated answers of requests that had run, no address had two registrations while an endpoint with a limit was asked for, and each attempt of its callers had an id of its own.

New kind REFUSALS_COPIED. They end and start again in place under new ids while their former entries stay until they expire. They name limits that requests do not reach, and daemons are suspended for 20 to 150 ms, so that the owners of the limits answer late. Four callers send an attempt again with its id after a refusal or no answer. Their attempts are counted one by one, so that the checks of the history hold for each: a request that must not be repeated runs at most once an attempt, and not at all if the attempt was answered 408, 421, 429 or 503.

Seeds below 17,000 draw from the kinds that they had. "--kinds KIND" runs one further kind alone. drawsEachFurtherKindAloneAndKeepsBaseFaults covers both ranges, and seedsKeepTheKindsThatTheyDrewBeforeFurtherOnes four seeds as they were drawn before this commit.

--- a/node/src/test/java/org/heatherspread/node/soak/FaultKind.java
+++ b/node/src/test/java/org/heatherspread/node/soak/FaultKind.java
@@ -67,13 +67,22 @@
   /** Registrations appear that are nested deeply or have values out of range. */
   ODD_REGISTRATIONS,
   /** The holder of the duty lease is suspended with SIGSTOP and resumed later. */
-  DUTY_HOLDER_PAUSED;
+  DUTY_HOLDER_PAUSED,
+  /**
+   * Endpoints refuse requests and copy the refusals, while they name limits whose owners answer
+   * late, are replaced in place under new ids, and callers repeat attempts with their ids.
+   */
+  REFUSALS_COPIED;
 
   /** The kinds of the first version of the soak, whose seeds keep their meaning. */
   static final Set<FaultKind> BASE = EnumSet.range(DAEMON_KILLED, KEY_REVOKED);
 
   /** The kinds that were added later. */
-  static final Set<FaultKind> FURTHER = EnumSet.range(REQUESTS_SENT_AHEAD, DUTY_HOLDER_PAUSED);
+  static final Set<FaultKind> FURTHER = EnumSet.range(REQUESTS_SENT_AHEAD, REFUSALS_COPIED);
+
+  /** The further kinds without the latest one, whose seeds keep their meaning as well. */
+  static final Set<FaultKind> FURTHER_OF_EARLIER_SEEDS =
+      EnumSet.range(REQUESTS_SENT_AHEAD, DUTY_HOLDER_PAUSED);
 
   /** Kinds that, without others, are no reason to lose a request. */
   static final Set<FaultKind> WITHOUT_LOSS =
--- a/node/src/test/java/org/heatherspread/node/soak/RequestHistory.java
+++ b/node/src/test/java/org/heatherspread/node/soak/RequestHistory.java
@@ -105,6 +105,16 @@
   private final Map<String, Response> responses = new ConcurrentHashMap<>();
   private final Map<String, Long> responseNanos = new ConcurrentHashMap<>();
 
+  /**
+   * Returns the name under which an attempt is recorded: callers may send several with one id, and
+   * the guarantees hold for each of them.
+   *
+   * @param repetition number of earlier attempts with the id
+   */
+  static String attempt(String id, int repetition) {
+    return repetition == 0 ? id : id + '#' + repetition;
+  }
+
   void recordSent(SentRequest request) {
     sent.put(request.id(), request);
   }
@@ -123,6 +133,11 @@
     reportedViolations.add(text);
   }
 
+  /** Returns whether a status guarantees that the request was not and will not be executed. */
+  static boolean promisesNoExecution(int status) {
+    return NOT_EXECUTED_STATUSES.contains(status);
+  }
+
   /** Records that a request reached an endpoint some time after it had said that it leaves. */
   void recordLateArrival(String id) {
     lateArrivals.add(id);
@@ -261,7 +276,7 @@
   private static void checkResponse(
       List<String> violations, SentRequest request, Response response, boolean executed) {
     check(violations, response.fault().isEmpty(), response.fault(), request);
-    boolean notExecuted = NOT_EXECUTED_STATUSES.contains(response.status());
+    boolean notExecuted = promisesNoExecution(response.status());
     check(
         violations,
         !notExecuted || !executed || request.repeatable(),
--- a/node/src/test/java/org/heatherspread/node/soak/SoakCaller.java
+++ b/node/src/test/java/org/heatherspread/node/soak/SoakCaller.java
@@ -59,6 +59,9 @@
 
   private static final int BLOCK_BYTES = 1 << 14;
 
+  /** How often a request is sent again with its id. */
+  private static final int MAX_REPETITIONS = 4;
+
   /** Comment in each event that names the version of the endpoint. */
   private static final Pattern VERSION_LINE = Pattern.compile("(?m)^: ([^\n]*)\n");
 
@@ -77,7 +80,9 @@
     /** Their responses are large and are read slowly. */
     READ_SLOWLY,
     /** Their bodies have almost the permitted size and are sent slowly to one daemon. */
-    UPLOADED
+    UPLOADED,
+    /** They are sound, and are sent again with their ids if they were refused or not answered. */
+    REPEATED
   }
 
   private final String name;
@@ -97,6 +102,9 @@
   /** Stream that the current request resumes, null if there is none. */
   private BrokenStream resumed;
 
+  /** Request to send again with its id, null if there is none. */
+  private RepeatedRequest repeated;
+
   SoakCaller(
       String name,
       Kind kind,
@@ -131,7 +139,8 @@
           case UPLOADED -> sendBulk("upload", largeBody());
           default -> sendRequest();
         }
-        int maxPauseMillis = kind == Kind.SOUND ? MAX_PAUSE_MILLIS : CRASHING_PAUSE_MILLIS;
+        int maxPauseMillis =
+            kind == Kind.SOUND || kind == Kind.REPEATED ? MAX_PAUSE_MILLIS : CRASHING_PAUSE_MILLIS;
         TimeUnit.MILLISECONDS.sleep(random.nextInt(maxPauseMillis));
       } catch (InterruptedException e) {
         return;
@@ -140,13 +149,25 @@
   }
 
   private void sendRequest() throws InterruptedException {
+    if (repeated != null) {
+      RepeatedRequest next = repeated;
+      repeated = null;
+      send(next.id, next.route, next.repetition);
+      return;
+    }
     resumed = broken;
     broken = null;
-    String route = kind == Kind.SOUND ? ROUTES.get(random.nextInt(ROUTES.size())) : "draft";
+    boolean anyRoute = kind == Kind.SOUND || kind == Kind.REPEATED;
+    String route = anyRoute ? ROUTES.get(random.nextInt(ROUTES.size())) : "draft";
     if (resumed != null) {
       route = RESUMABLE_ROUTE;
     }
-    String id = name + "-" + sentCount++;
+    send(name + "-" + sentCount++, route, 0);
+  }
+
+  /** Sends a request and reads its response. */
+  private void send(String id, String route, int repetition) throws InterruptedException {
+    final String attempt = RequestHistory.attempt(id, repetition);
     AccountKeys.Key key = keys.get();
     boolean disconnects = random.nextDouble() < DISCONNECT_PROBABILITY;
     Socket connection = tryConnection();
@@ -154,25 +175,44 @@
       return;
     }
     try {
-      recordSent(id, route, key);
+      recordSent(attempt, route, key);
       String path = kind == Kind.CRASHING_REQUEST ? CRASHING_PATH : "/" + route + "/x";
-      String head = head(id, route, path, key, DEADLINE_MILLIS, resumptionHeaders(), "");
+      String headers = resumptionHeaders();
+      if (repetition > 0) {
+        headers += "\r\n" + SoakEndpoint.REPETITION + ": " + repetition;
+      }
+      String head = head(id, route, path, key, DEADLINE_MILLIS, headers, "");
       connection.getOutputStream().write(head.getBytes(StandardCharsets.UTF_8));
       if (disconnects) {
         TimeUnit.MILLISECONDS.sleep(random.nextInt(MAX_PAUSE_MILLIS));
         closeConnection();
+        repeatLater(id, route, repetition);
         return;
       }
-      history.recordResponse(id, readResponse(id, route, connection.getInputStream()));
+      RequestHistory.Response response = readResponse(id, route, connection.getInputStream());
+      history.recordResponse(attempt, response);
+      if (RequestHistory.promisesNoExecution(response.status())) {
+        repeatLater(id, route, repetition);
+      }
     } catch (IOException e) {
       // Without a response the request may or may not have been executed; the next request opens a
       // connection to a random daemon.
-      history.recordResponse(id, new RequestHistory.Response(0, false, ""));
+      history.recordResponse(attempt, new RequestHistory.Response(0, false, ""));
       closeConnection();
+      repeatLater(id, route, repetition);
       TimeUnit.MILLISECONDS.sleep(MAX_PAUSE_MILLIS);
     }
   }
 
+  private void repeatLater(String id, String route, int repetition) {
+    if (kind == Kind.REPEATED && repetition < MAX_REPETITIONS) {
+      repeated = new RepeatedRequest(id, route, repetition + 1);
+    }
+  }
+
+  /** A request that has been sent and is sent again, as the given repetition. */
+  private record RepeatedRequest(String id, String route, int repetition) {}
+
   private void recordSent(String id, String route, AccountKeys.Key key) {
     history.recordSent(
         new RequestHistory.SentRequest(
--- a/node/src/test/java/org/heatherspread/node/soak/SoakEndpoint.java
+++ b/node/src/test/java/org/heatherspread/node/soak/SoakEndpoint.java
@@ -14,7 +14,8 @@
  * sends a further response that belongs to another request. Some of its responses end with their
  * connections. A request that matches the crash trigger ends the endpoint as soon as its answer
  * begins; a new incarnation starts at the same address later. It may name a limit of requests per
- * second in its responses, and records the requests that reach it meanwhile. Thread-safe.
+ * second in its responses, and records the requests that reach it meanwhile. It may refuse requests
+ * and copy the refusals. Thread-safe.
  */
 final class SoakEndpoint implements AutoCloseable {
   /** Number of events in a complete stream. */
@@ -26,6 +27,9 @@
   /** Header of requests that describes their bodies by {@link #checkValue}. */
   static final String BODY_CHECK = "Body-Check";
 
+  /** Header of requests with the number of earlier attempts that had the same id. */
+  static final String REPETITION = "Repetition";
+
   /** Start of the signatures of further answers to a request, which no caller may receive. */
   static final String LATE_SIGNATURE = "late-";
 
@@ -65,6 +69,10 @@
   private volatile long restartMillis = 1_000;
   private volatile boolean keepsId;
   private volatile NamedLimit namedLimit = NamedLimit.NONE;
+
+  /** Refusals that are copied, null if there are none. */
+  private volatile CopiedRefusals copiedRefusals;
+
   private final AtomicInteger replacements = new AtomicInteger();
   private int incarnation;
 
@@ -191,8 +199,32 @@
     namedLimit = NamedLimit.NONE;
   }
 
+  /** Refuses some of the requests, and copies all refusals; a second call has no effect. */
+  void copyRefusals(SplittableRandom choices) {
+    if (copiedRefusals == null) {
+      copiedRefusals = new CopiedRefusals(choices);
+    }
+  }
+
+  /** Refuses no requests any longer; copies of earlier refusals may still be written. */
+  void endCopiedRefusals() {
+    copiedRefusals = null;
+  }
+
   /** Ends all connections and refuses new ones until the next incarnation starts. */
   void crash() throws IOException {
+    end(restartMillis, keepsId);
+  }
+
+  /**
+   * Ends, and starts again at the same address under a new id. The former registration stays until
+   * it expires.
+   */
+  void replaceUnderNewId(long delayMillis) throws IOException {
+    end(delayMillis, false);
+  }
+
+  private void end(long delayMillis, boolean sameId) throws IOException {
     synchronized (this) {
       if (crashed || closed) {
         return;
@@ -200,30 +232,30 @@
       crashed = true;
     }
     proxy.shutDown();
-    DaemonThreads.start("restart-" + id, this::restart);
+    DaemonThreads.start("restart-" + id, () -> restart(delayMillis, sameId));
   }
 
   boolean isCrashed() {
     return crashed;
   }
 
-  private void restart() {
+  private void restart(long delayMillis, boolean sameId) {
     String crashedId = id;
     try {
-      TimeUnit.MILLISECONDS.sleep(restartMillis);
+      TimeUnit.MILLISECONDS.sleep(delayMillis);
       synchronized (this) {
         if (closed) {
           return;
         }
         incarnation++;
-        id = keepsId ? crashedId : name + '.' + incarnation;
+        id = sameId ? crashedId : name + '.' + incarnation;
         startedAtMillis = System.currentTimeMillis();
         proxy.restart();
         crashed = false;
         register();
       }
       if (!id.equals(crashedId)) {
-        TimeUnit.MILLISECONDS.sleep(Math.max(0, REGISTRATION_LIFETIME_MILLIS - restartMillis));
+        TimeUnit.MILLISECONDS.sleep(Math.max(0, REGISTRATION_LIFETIME_MILLIS - delayMillis));
         platform.delete(FakePlatform.ENDPOINTS, crashedId);
       }
     } catch (IOException e) {
@@ -275,7 +307,12 @@
       return;
     }
     String expectedInstance = request.header("expected-instance");
+    CopiedRefusals copies = copiedRefusals;
     if (expectedInstance != null && !expectedInstance.equals(id)) {
+      if (copies != null) {
+        copies.refuseMisdirected(attemptId, connection);
+        return;
+      }
       connection.send("HTTP/1.1 421 X\r\nRequest-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
       return;
     }
@@ -283,6 +320,10 @@
     if (check != null && !check.equals(checkValue(request.body()))) {
       history.recordViolation("an endpoint received another body than was sent: " + attemptId);
     }
+    if (copies != null && copies.refuses(attemptId)) {
+      copies.refuse(attemptId, connection, limit.headers());
+      return;
+    }
     boolean faulty = nextDouble() < faultShare;
     double faultKind = nextDouble();
     if (faulty && faultKind < 0.25) {
@@ -292,16 +333,35 @@
               + "\r\n");
       return;
     }
+    String repetition = request.header(REPETITION);
+    String attempt =
+        RequestHistory.attempt(attemptId, repetition == null ? 0 : Integer.parseInt(repetition));
     history.recordExecution(
         new RequestHistory.Execution(
-            attemptId,
+            attempt,
             service,
             String.valueOf(request.header("tenant-name")),
             request.header("authorization") != null));
     if (System.nanoTime() - leftAtNanos > LEAVING_NANOS) {
-      history.recordLateArrival(attemptId);
+      history.recordLateArrival(attempt);
     }
     TimeUnit.MILLISECONDS.sleep((long) (nextDouble() * MAX_WORK_MILLIS));
+    if (copies != null) {
+      TimeUnit.MILLISECONDS.sleep(copies.additionalRunMillis(attemptId));
+    }
+    synchronized (connection.socket()) {
+      answer(request, connection, limit, faulty, faultKind);
+    }
+  }
+
+  private void answer(
+      FakeEndpoint.Request request,
+      FakeEndpoint.Connection connection,
+      NamedLimit limit,
+      boolean faulty,
+      double faultKind)
+      throws Exception {
+    String attemptId = request.header("attempt-id");
     if (crashTrigger.test(request)) {
       beginAnswerAndCrash(request, connection);
       return;
--- a/node/src/test/java/org/heatherspread/node/soak/SoakMain.java
+++ b/node/src/test/java/org/heatherspread/node/soak/SoakMain.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
@@ -45,7 +46,9 @@
             .defaultsTo("out/soak");
     final OptionSpec<String> kinds =
         parser
-            .accepts("kinds", "base: faults of the first version only; all: all faults")
+            .accepts(
+                "kinds",
+                "base: faults of the first version only; all: all faults; or a further kind")
             .withRequiredArg()
             .defaultsTo("all");
     OptionSet options = CommandLine.parseOrExit(parser, arguments);
@@ -60,13 +63,19 @@
               daemons.value(options),
               TimeUnit.SECONDS.toMillis(seconds.value(options)),
               folder,
-              kinds.value(options).equals("base")
-                  ? FaultSchedule.base(each)
-                  : FaultSchedule.all(each));
+              schedule(kinds.value(options), each));
       System.out.println(new ObjectMapper().writeValueAsString(result));
       failed += result.broken().isEmpty() ? 0 : 1;
     }
     System.out.println("{\"seeds\":" + seeds.value(options) + ",\"failed\":" + failed + "}");
     System.exit(failed == 0 ? 0 : 1);
   }
+
+  private static FaultSchedule schedule(String kinds, long seed) {
+    return switch (kinds) {
+      case "base" -> FaultSchedule.base(seed);
+      case "all" -> FaultSchedule.all(seed);
+      default -> FaultSchedule.only(FaultKind.valueOf(kinds.toUpperCase(Locale.ROOT)));
+    };
+  }
 }
--- a/node/src/test/java/org/heatherspread/node/soak/SoakRun.java
+++ b/node/src/test/java/org/heatherspread/node/soak/SoakRun.java
@@ -98,6 +98,19 @@
   /** Software versions of successive endpoints of a service. */
   private static final List<String> VERSIONS = List.of("v1", "v1", "v2", "v2", "v1.1");
 
+  /** Limit that requests do not reach, but that its owner must admit them to. */
+  private static final double WIDE_LIMIT_PER_SECOND = 1_000;
+
+  private static final int MAX_REPLACEMENT_MILLIS = 300;
+
+  /** Time after which nothing of a replaced endpoint is registered. */
+  private static final long REPLACED_MILLIS = 2_000;
+
+  private static final int OWNER_PAUSES = 6;
+  private static final int OWNER_PAUSE_INTERVAL_MILLIS = 250;
+  private static final int MIN_OWNER_PAUSE_MILLIS = 20;
+  private static final int MAX_OWNER_PAUSE_MILLIS = 150;
+
   private static final double MAX_LIMIT_PER_SECOND = 8;
   private static final double LIMIT_END_PROBABILITY = 0.25;
 
@@ -512,6 +525,7 @@
           case RELEASED_IN_PLACE -> releaseInPlace();
           case ODD_REGISTRATIONS -> writeOddRegistrations();
           case DUTY_HOLDER_PAUSED -> pauseDutyHolder();
+          case REFUSALS_COPIED -> copyRefusals();
         };
     if (isInjected) {
       injected.merge(kind, 1, Integer::sum);
@@ -698,6 +712,42 @@
     return false;
   }
 
+  private boolean copyRefusals() throws IOException {
+    startCallers(FaultKind.REFUSALS_COPIED, SoakCaller.Kind.REPEATED, CALLERS_PER_KIND);
+    for (SoakEndpoint endpoint : endpoints) {
+      endpoint.copyRefusals(actionRandom.split());
+      if (endpoint.namedLimit() == NamedLimit.NONE) {
+        endpoint.nameLimit(WIDE_LIMIT_PER_SECOND);
+      }
+    }
+    for (int i = 0; i < OWNER_PAUSES; i++) {
+      scheduleAfter(i * OWNER_PAUSE_INTERVAL_MILLIS, this::pauseOwner);
+    }
+    SoakEndpoint replaced = acquireIdle(endpoints);
+    if (replaced != null) {
+      replaced.replaceUnderNewId(actionRandom.nextInt(MAX_REPLACEMENT_MILLIS));
+      scheduleAfter(REPLACED_MILLIS, () -> affected.remove(replaced));
+    }
+    return true;
+  }
+
+  /** Suspends a daemon for a moment, so that its decisions on the limits that it owns are late. */
+  private void pauseOwner() throws Exception {
+    actionRandom = furtherRandom;
+    SoakDaemon daemon = acquireIdle(daemons);
+    if (daemon == null) {
+      return;
+    }
+    daemon.signal("STOP");
+    scheduleAfter(
+        MIN_OWNER_PAUSE_MILLIS
+            + actionRandom.nextInt(MAX_OWNER_PAUSE_MILLIS - MIN_OWNER_PAUSE_MILLIS),
+        () -> {
+          daemon.signal("CONT");
+          affected.remove(daemon);
+        });
+  }
+
   private boolean injectDaemonFault(FaultKind kind) throws Exception {
     SoakDaemon daemon = acquireIdle(daemons);
     if (daemon == null) {
@@ -899,6 +949,7 @@
       endpoint.proxy().setMode(FaultProxy.Mode.PASS);
       endpoint.setFaultShare(0);
       endpoint.setStutterShare(0);
+      endpoint.endCopiedRefusals();
     }
     for (SoakDaemon daemon : daemons) {
       daemon.storeProxy().setMode(FaultProxy.Mode.PASS);
--- a/node/src/test/java/org/heatherspread/node/soak/SoakTest.java
+++ b/node/src/test/java/org/heatherspread/node/soak/SoakTest.java
@@ -15,6 +15,7 @@
 class SoakTest {
   private static final int DAEMONS = 3;
   private static final long FAULT_MILLIS = 8_000;
+  private static final long COPYING_MILLIS = 5_000;
 
   @TempDir private Path folder;
 
@@ -28,6 +29,16 @@
     assertThat(result.faults()).hasSizeGreaterThan(4);
   }
 
+  @ParameterizedTest
+  @ValueSource(longs = {1})
+  void keepsPromisesIfRefusalsAreCopied(long seed) throws Exception {
+    FaultSchedule schedule = FaultSchedule.only(FaultKind.REFUSALS_COPIED);
+    SoakRun.Result result = SoakRun.run(seed, DAEMONS, COPYING_MILLIS, folder, schedule);
+    assertThat(result.broken()).isEmpty();
+    assertThat(result.statuses().get(200)).isGreaterThan(100);
+    assertThat(result.faults().get(FaultKind.REFUSALS_COPIED)).isGreaterThan(1);
+  }
+
   private static RequestHistory.SentRequest sentRequest(
       boolean repeatable, long rejectedFromNanos) {
     AccountKeys.Key key = new AccountKeys.Key("key", "acme", Long.MIN_VALUE / 2);
@@ -96,8 +107,36 @@
 
   @Test
   void drawsEachFurtherKindAloneAndKeepsBaseFaults() {
+    assertThat(kindsDrawnAlone(0, FaultKind.FURTHER_OF_EARLIER_SEEDS.size()))
+        .isEqualTo(EnumSet.range(FaultKind.REQUESTS_SENT_AHEAD, FaultKind.DUTY_HOLDER_PAUSED));
+    assertThat(kindsDrawnAlone(FaultSchedule.FIRST_SEED_OF_ALL_KINDS, FaultKind.FURTHER.size()))
+        .isEqualTo(FaultKind.FURTHER);
+    assertThat(FaultKind.FURTHER).isEqualTo(EnumSet.complementOf(EnumSet.copyOf(FaultKind.BASE)));
+  }
+
+  @Test
+  void seedsKeepTheKindsThatTheyDrewBeforeFurtherOnes() {
+    assertThat(FaultSchedule.all(9_102)).isEqualTo(FaultSchedule.only(FaultKind.RELEASED_IN_PLACE));
+    assertThat(FaultSchedule.all(12_000))
+        .isEqualTo(FaultSchedule.only(FaultKind.LEFT_ENDPOINT_RESTORED));
+    assertThat(FaultSchedule.all(15_111).further())
+        .containsExactly(
+            FaultKind.SLOW_READERS,
+            FaultKind.STORE_RESTORED_TWICE,
+            FaultKind.RELEASED_IN_PLACE,
+            FaultKind.DUTY_HOLDER_PAUSED);
+    assertThat(FaultSchedule.all(16_999).further())
+        .containsExactly(
+            FaultKind.REQUESTS_SENT_AHEAD,
+            FaultKind.STORE_RESTORED_AT_START,
+            FaultKind.LEFT_ENDPOINT_RESTORED,
+            FaultKind.RELEASED_IN_PLACE);
+  }
+
+  /** Returns the kinds that the even seeds draw of twice as many seeds as there are kinds. */
+  private static Set<FaultKind> kindsDrawnAlone(long firstSeed, int kinds) {
     Set<FaultKind> alone = EnumSet.noneOf(FaultKind.class);
-    for (long seed = 0; seed < 2L * FaultKind.FURTHER.size(); seed++) {
+    for (long seed = firstSeed; seed < firstSeed + 2L * kinds; seed++) {
       FaultSchedule schedule = FaultSchedule.all(seed);
       assertThat(schedule.base()).isEqualTo(seed % 2 == 1);
       assertThat(schedule.further()).isNotEmpty();
@@ -105,7 +144,26 @@
         alone.addAll(schedule.further());
       }
     }
-    assertThat(alone).isEqualTo(FaultKind.FURTHER);
+    return alone;
+  }
+
+  @Test
+  void checksEachAttemptWithOneIdOnItsOwn() {
+    RequestHistory history = new RequestHistory();
+    AccountKeys.Key key = new AccountKeys.Key("key", "acme", Long.MIN_VALUE / 2);
+    for (int repetition = 0; repetition < 2; repetition++) {
+      String attempt = RequestHistory.attempt("id", repetition);
+      history.recordSent(
+          new RequestHistory.SentRequest(attempt, "plain", "acme", false, 1_000, key));
+    }
+    history.recordResponse("id", new RequestHistory.Response(503, true, ""));
+    history.recordExecution(execution("id#1", "plain", "acme"));
+    history.recordResponse("id#1", new RequestHistory.Response(200, true, ""));
+    assertThat(history.violations()).isEmpty();
+    history.recordExecution(execution("id#1", "plain", "acme"));
+    assertThat(history.violations()).hasSize(1);
+    history.recordExecution(execution("id", "plain", "acme"));
+    assertThat(history.violations()).hasSize(2);
   }
 
   @Test
