Let no response of a soak's endpoint fall into the copy of a refusal

Refusals of faulty endpoints were written without the monitor of the connection, so that one could fall between the two parts of a copy. Callers repeated unanswered streams that are resumed by their ids, which do not tell from which of two attempts a resumption goes on; they now repeat those only after refusals.

--- a/node/src/test/java/org/heatherspread/node/soak/SoakCaller.java
+++ b/node/src/test/java/org/heatherspread/node/soak/SoakCaller.java
@@ -186,7 +186,7 @@
       if (disconnects) {
         TimeUnit.MILLISECONDS.sleep(random.nextInt(MAX_PAUSE_MILLIS));
         closeConnection();
-        repeatLater(id, route, repetition);
+        repeatUnanswered(id, route, repetition);
         return;
       }
       RequestHistory.Response response = readResponse(id, route, connection.getInputStream());
@@ -199,7 +199,7 @@
       // connection to a random daemon.
       history.recordResponse(attempt, new RequestHistory.Response(0, false, ""));
       closeConnection();
-      repeatLater(id, route, repetition);
+      repeatUnanswered(id, route, repetition);
       TimeUnit.MILLISECONDS.sleep(MAX_PAUSE_MILLIS);
     }
   }
@@ -210,6 +210,13 @@
     }
   }
 
+  /** Repeats no stream that may have begun, as its id would not tell which one is resumed later. */
+  private void repeatUnanswered(String id, String route, int repetition) {
+    if (!route.equals(RESUMABLE_ROUTE)) {
+      repeatLater(id, route, repetition);
+    }
+  }
+
   /** A request that has been sent and is sent again, as the given repetition. */
   private record RepeatedRequest(String id, String route, int repetition) {}
 
--- a/node/src/test/java/org/heatherspread/node/soak/SoakEndpoint.java
+++ b/node/src/test/java/org/heatherspread/node/soak/SoakEndpoint.java
@@ -313,7 +313,7 @@
         copies.refuseMisdirected(attemptId, connection);
         return;
       }
-      connection.send("HTTP/1.1 421 X\r\nRequest-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+      refuse(421, connection);
       return;
     }
     String check = request.header(BODY_CHECK);
@@ -327,10 +327,7 @@
     boolean faulty = nextDouble() < faultShare;
     double faultKind = nextDouble();
     if (faulty && faultKind < 0.25) {
-      connection.send(
-          "HTTP/1.1 503 X\r\nRequest-Not-Executed: 1\r\nContent-Length: 0\r\n"
-              + FakeEndpoint.Connection.lines(limit.headers())
-              + "\r\n");
+      refuse(503, connection, limit.headers());
       return;
     }
     String repetition = request.header(REPETITION);
@@ -354,6 +351,14 @@
     }
   }
 
+  private static void refuse(int status, FakeEndpoint.Connection connection, String... headers)
+      throws IOException {
+    String head = "HTTP/1.1 " + status + " X\r\nRequest-Not-Executed: 1\r\nContent-Length: 0\r\n";
+    synchronized (connection.socket()) {
+      connection.send(head + FakeEndpoint.Connection.lines(headers) + "\r\n");
+    }
+  }
+
   private void answer(
       FakeEndpoint.Request request,
       FakeEndpoint.Connection connection,
