List the invariants of a connection, and create idle queues in one place

Read as a newcomer would: the invariants of EndpointConnection were one sentence of fourteen lines, and the pool shared a mutable empty queue. No change of behaviour.

Tests of pools, losses, copied refusals, repeated ids, abandoned requests and calls pass.

--- a/relay/src/main/java/org/heatherspread/relay/endpoint/ConnectionPool.java
+++ b/relay/src/main/java/org/heatherspread/relay/endpoint/ConnectionPool.java
@@ -26,8 +26,6 @@
  * open and requests do not get stale ones. Confined to its event loop.
  */
 public final class ConnectionPool {
-  private static final ArrayDeque<EndpointConnection> NO_CONNECTIONS = new ArrayDeque<>(0);
-
   private static final int MAX_LINE_BYTES = 8_192;
   private static final int MAX_HEADER_BYTES = 32_768;
   private static final int MAX_CHUNK_BYTES = 16_384;
@@ -157,8 +155,7 @@
   }
 
   private Optional<EndpointConnection> takeIdle(HostPort address, String requestId) {
-    Iterator<EndpointConnection> idle =
-        idleConnections.getOrDefault(address, NO_CONNECTIONS).iterator();
+    Iterator<EndpointConnection> idle = idleConnections(address).iterator();
     long now = clock.millis();
     boolean avoided = false;
     while (idle.hasNext()) {
@@ -178,10 +175,13 @@
     return Optional.empty();
   }
 
+  private ArrayDeque<EndpointConnection> idleConnections(HostPort address) {
+    return idleConnections.computeIfAbsent(address, key -> new ArrayDeque<>());
+  }
+
   /** Closes an idle connection if there is one, and returns whether there was. */
   private boolean closeLeastRecentlyUsed(HostPort address) {
-    EndpointConnection connection =
-        idleConnections.getOrDefault(address, NO_CONNECTIONS).pollLast();
+    EndpointConnection connection = idleConnections(address).pollLast();
     if (connection == null) {
       return false;
     }
@@ -243,9 +243,7 @@
       connection.close();
       return;
     }
-    idleConnections
-        .computeIfAbsent(connection.address(), key -> new ArrayDeque<>())
-        .push(connection);
+    idleConnections(connection.address()).push(connection);
   }
 
   /**
--- a/relay/src/main/java/org/heatherspread/relay/endpoint/EndpointConnection.java
+++ b/relay/src/main/java/org/heatherspread/relay/endpoint/EndpointConnection.java
@@ -23,23 +23,29 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * A persistent connection that carries one request at a time.
+ * A persistent connection that carries one request at a time. Confined to its event loop.
  *
- * <p>Invariants: a response with the id of the request in progress is the response to it, as no two
- * requests with one id are sent on a connection: the endpoint may write any earlier response once
- * more, and a copy of the first one could not be told from the response to the second; therefore a
- * request without an id has a connection to itself. Data received while no request is in progress
- * closes the connection; a response that does not certainly belong to the request in progress is
- * skipped and prevents further reuse, since an endpoint may repeat an earlier response at any time:
- * one with another request's id, a success without an id, and any response without an id on a
- * connection that carried a request before; of these, a failure that may be that of the request in
- * progress fails it; only so many responses and bytes are skipped before the request fails, since
- * an endpoint may send them without end; a head that is joined from two responses fails the
- * request; a body that seems to end within the head of another response fails it if more bytes
- * follow; a response delimited by the end of the connection is complete only if the connection was
- * not reset; a connection that ends before its response is complete is reset, even if the process
- * ends, so that bytes of the request that a network partition holds up do not arrive after it was
- * given up. Confined to its event loop.
+ * <p>An endpoint may repeat an earlier response at any time, or write parts of responses. Hence
+ * these invariants:
+ *
+ * <ul>
+ *   <li>No two requests with one id are sent on a connection, and one without an id has a
+ *       connection to itself. So a response with the id of the request in progress is the response
+ *       to it.
+ *   <li>Data received while no request is in progress closes the connection.
+ *   <li>A response that does not certainly belong to the request in progress is skipped and
+ *       prevents further reuse: one with another request's id, a success without an id, and any
+ *       response without an id on a connection that carried a request before. Of these, a failure
+ *       that may be that of the request in progress fails it. Only so many responses and bytes are
+ *       skipped before the request fails.
+ *   <li>A head that is joined from two responses fails the request. So does a body that seems to
+ *       end within the head of another response, if more bytes follow.
+ *   <li>A response delimited by the end of the connection is complete only if the connection was
+ *       not reset.
+ *   <li>A connection that ends before its response is complete is reset, even if the process ends,
+ *       so that bytes of the request that a network partition holds up do not arrive after it was
+ *       given up.
+ * </ul>
  */
 public final class EndpointConnection extends ChannelInboundHandlerAdapter {
   private static final Logger log = LoggerFactory.getLogger(EndpointConnection.class);
