--- a/node/src/test/java/org/heatherspread/node/soak/CrashingRequestTest.java
+++ b/node/src/test/java/org/heatherspread/node/soak/CrashingRequestTest.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.heatherspread.platform.FakePlatform;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -77,6 +78,7 @@
   }
 
   @Test
+  @Tag("known-red")
   void crashingRequestIsRefusedByAllDaemonsWhileTheStoreIsDown() throws Exception {
     try (ProcessFleet fleet = ProcessFleet.start(DAEMONS, ENDPOINTS, folder)) {
       checkRefusalWithoutStore(fleet);
@@ -85,6 +87,7 @@
 
   /** Without the store, daemons do not learn that an endpoint has started again under its id. */
   @Test
+  @Tag("known-red")
   void crashingRequestIsRefusedIfTheSameEndpointsEndAgainWhileTheStoreIsDown() throws Exception {
     try (ProcessFleet fleet = ProcessFleet.start(DAEMONS, 2, folder)) {
       checkRefusalWithoutStore(fleet);
