Run the control work as tasks on the event loop, without an actor system

Cause: a third of the processor time of a start went into the actor system of the control work, most of it into about 200 serializable lambdas of Pekko and Scala, which a class-data archive does not hold and which are linked and compiled at each start. The dispatcher of the actors was the event loop of the relay, so that a queue, timers and restarts were all that they added. SupervisedTask and TaskContext provide these.

PlatformIsolationTest keeps actor systems out of the daemon; it fails on the code before.

--- a/node/src/main/java/org/heatherspread/node/LoggingConfigurator.java
+++ b/node/src/main/java/org/heatherspread/node/LoggingConfigurator.java
@@ -32,7 +32,6 @@
     Logger root = context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
     root.setLevel(Level.INFO);
     root.addAppender(appender);
-    context.getLogger("org.apache.pekko").setLevel(Level.WARN);
     context.getLogger("io.netty").setLevel(Level.ERROR);
     return ExecutionStatus.DO_NOT_INVOKE_NEXT_IF_ANY;
   }
--- a/node/src/main/java/org/heatherspread/node/Node.java
+++ b/node/src/main/java/org/heatherspread/node/Node.java
@@ -1,7 +1,5 @@
 package org.heatherspread.node;
 
-import com.typesafe.config.Config;
-import com.typesafe.config.ConfigFactory;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.netty.channel.EventLoop;
@@ -404,8 +402,7 @@
 
   /** Starts the control plane and listens on all addresses. */
   public void start() throws InterruptedException {
-    Config config = ConfigFactory.load();
-    control.start(config);
+    control.start();
     callers.listen(settings.callers());
     directory.listen(settings.directory());
     readiness.listen(settings.readiness());
--- a/node/src/main/java/org/heatherspread/node/control/ControlPlane.java
+++ b/node/src/main/java/org/heatherspread/node/control/ControlPlane.java
@@ -1,7 +1,6 @@
 package org.heatherspread.node.control;
 
 import com.fasterxml.jackson.core.type.TypeReference;
-import com.typesafe.config.Config;
 import java.time.Clock;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -12,14 +11,8 @@
 import java.util.Set;
 import java.util.UUID;
 import java.util.function.BooleanSupplier;
+import java.util.function.Function;
 import java.util.function.Supplier;
-import org.apache.pekko.actor.BootstrapSetup;
-import org.apache.pekko.actor.setup.ActorSystemSetup;
-import org.apache.pekko.actor.typed.ActorRef;
-import org.apache.pekko.actor.typed.ActorSystem;
-import org.apache.pekko.actor.typed.Behavior;
-import org.apache.pekko.actor.typed.javadsl.ActorContext;
-import org.apache.pekko.actor.typed.javadsl.Behaviors;
 import org.heatherspread.core.duty.DutyClient;
 import org.heatherspread.core.fleet.DaemonReport;
 import org.heatherspread.core.fleet.DaemonState;
@@ -49,10 +42,9 @@
 import org.heatherspread.platform.RegistrationParser;
 import org.heatherspread.relay.call.RelayState;
 import org.heatherspread.relay.caller.CallerRequestHandler;
-import scala.concurrent.ExecutionContext;
 
 /**
- * Runs the control work of a daemon as actors on its event loop: follows the shared tables, writes
+ * Runs the control work of a daemon as tasks on its event loop: follows the shared tables, writes
  * this daemon's report and performs the duties while it holds their lease. Confined to the event
  * loop after {@link #start}.
  */
@@ -153,9 +145,8 @@
   private boolean reportedReady;
   private boolean leaving;
   private LeaseClient lease;
-  private ActorSystem<Void> system;
-  private ActorRef<ReportWriter.Command> reportWriter;
-  private ActorRef<DutyRunner.Command> dutyRunner;
+  private SupervisedTask<ReportWriter> reportWriter;
+  private SupervisedTask<DutyRunner> dutyRunner;
 
   private ControlPlane(
       NodeSettings settings,
@@ -305,20 +296,13 @@
     return fleetListener.reader().isPresent() ? withReader : withoutReader;
   }
 
-  /** Starts the actors. Must be called outside the event loop, as it waits for that loop. */
-  public void start(Config config) {
-    BootstrapSetup bootstrap =
-        BootstrapSetup.create()
-            .withConfig(config)
-            .withDefaultExecutionContext(ExecutionContext.fromExecutor(state.loop()));
-    system =
-        ActorSystem.create(
-            Behaviors.setup(this::guardian), "daemon", ActorSystemSetup.create(bootstrap));
+  /** Starts the tasks. Must be called outside the event loop, as it waits for that loop. */
+  public void start() {
+    state.loop().submit(this::startTasks).syncUninterruptibly();
   }
 
-  private Behavior<Void> guardian(ActorContext<Void> context) {
+  private void startTasks() {
     watch(
-        context,
         new TableWatcher.WatchSettings(
             PlatformTables.OPERATORS,
             () -> select(DOMAIN_READER_WAIT, CONFIGURATION_WAIT),
@@ -327,7 +311,6 @@
         state.storeFreshness(),
         rollouts.operatorsListener());
     watch(
-        context,
         new TableWatcher.WatchSettings(
             PlatformTables.ENDPOINTS,
             () -> select(DOMAIN_READER_WAIT, ENDPOINT_WAIT),
@@ -339,7 +322,6 @@
         createFreshness(),
         endpointListener);
     watch(
-        context,
         new TableWatcher.WatchSettings(
             ReportWriter.TABLE,
             () -> select(DOMAIN_READER_WAIT, Duration.ZERO),
@@ -348,25 +330,29 @@
         createFreshness(),
         rollouts.reportsListener(fleetListener));
     reportWriter =
-        context.spawn(
-            ActorRestarts.withPauses(
-                ReportWriter.create(
+        startTask(
+            "reporter",
+            context ->
+                ReportWriter.start(
+                    context,
                     settings.name() + '/' + incarnation,
                     report,
                     store,
                     this::reportPause,
-                    reportWritten)),
-            "reporter");
+                    reportWritten));
     loadExchange.start();
-    streamOrigins.onMisleadingReport(() -> reportWriter.tell(ReportWriter.Command.REPORT));
+    streamOrigins.onMisleadingReport(() -> reportWriter.tell(ReportWriter::report));
     shareFacts();
     isolationMonitor.start();
-    rollouts.start(() -> reportWriter.tell(ReportWriter.Command.REPORT));
+    rollouts.start(() -> reportWriter.tell(ReportWriter::report));
     state.forwarding().setTargets(settings.name(), this::forwardingTargets);
     if (dutyClient != null || rollouts.isEnabled()) {
-      dutyRunner = context.spawn(ActorRestarts.withPauses(createDutyRunner()), "duties");
+      dutyRunner = startTask("duties", this::startDutyRunner);
     }
-    return Behaviors.empty();
+  }
+
+  private <T> SupervisedTask<T> startTask(String name, Function<TaskContext, T> factory) {
+    return SupervisedTask.start(state.loop(), state.random(), name, factory);
   }
 
   /**
@@ -418,7 +404,7 @@
     if (!content.isEmpty()) {
       facts.publishUrgently(kind, content);
     }
-    reportWriter.tell(ReportWriter.Command.REPORT);
+    reportWriter.tell(ReportWriter::report);
   }
 
   private StoreFreshness createFreshness() {
@@ -426,18 +412,15 @@
   }
 
   private void watch(
-      ActorContext<Void> context,
-      TableWatcher.WatchSettings watchSettings,
-      StoreFreshness freshness,
-      TableListener listener) {
+      TableWatcher.WatchSettings watchSettings, StoreFreshness freshness, TableListener listener) {
     MirroredTable mirror = new MirroredTable(state.loop(), freshness);
     peerHandler.addTable(watchSettings.table(), mirror);
     TableListener mirroring =
         new MirroringListener(listener, mirror, this::reportOnceReady, this::reportNewVersions);
-    context.spawn(
-        ActorRestarts.withPauses(
-            TableWatcher.create(watchSettings, domainReaderStore, freshness, mirroring)),
-        "watch-" + watchSettings.table());
+    startTask(
+        "watch-" + watchSettings.table(),
+        context ->
+            TableWatcher.start(context, watchSettings, domainReaderStore, freshness, mirroring));
   }
 
   /**
@@ -453,7 +436,7 @@
     boolean known = versions.equals(reportedVersions);
     reportedVersions = versions;
     if (!known && reportWriter != null) {
-      reportWriter.tell(ReportWriter.Command.REPORT);
+      reportWriter.tell(ReportWriter::report);
     }
   }
 
@@ -465,11 +448,11 @@
     boolean ready = isFleetInitialized() && state.config().isPresent();
     if (ready && !reportedReady && reportWriter != null) {
       reportedReady = true;
-      reportWriter.tell(ReportWriter.Command.REPORT);
+      reportWriter.tell(ReportWriter::report);
     }
   }
 
-  private Behavior<DutyRunner.Command> createDutyRunner() {
+  private DutyRunner startDutyRunner(TaskContext context) {
     Supplier<String> writeIds = () -> UUID.randomUUID().toString();
     lease =
         LeaseClient.create(
@@ -502,7 +485,7 @@
     }
     PauseDetector pauseDetector = new PauseDetector(state.clock(), Clock.systemUTC());
     Runnable abortCalls = dutyClient == null ? () -> {} : dutyClient::abortCalls;
-    return DutyRunner.create(lease, abortCalls, new ReportRank(), duties, pauseDetector);
+    return DutyRunner.start(context, lease, abortCalls, new ReportRank(), duties, pauseDetector);
   }
 
   /**
@@ -562,10 +545,10 @@
   public void leave() {
     leaving = true;
     if (reportWriter != null) {
-      reportWriter.tell(ReportWriter.Command.REPORT);
+      reportWriter.tell(ReportWriter::report);
     }
     if (dutyRunner != null) {
-      dutyRunner.tell(DutyRunner.Command.STOP);
+      dutyRunner.tell(DutyRunner::stop);
     }
   }
 }
--- a/node/src/main/java/org/heatherspread/node/control/DutyRunner.java
+++ b/node/src/main/java/org/heatherspread/node/control/DutyRunner.java
@@ -2,23 +2,17 @@
 
 import java.time.Duration;
 import java.util.OptionalLong;
-import org.apache.pekko.actor.typed.Behavior;
-import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
-import org.apache.pekko.actor.typed.javadsl.ActorContext;
-import org.apache.pekko.actor.typed.javadsl.Behaviors;
-import org.apache.pekko.actor.typed.javadsl.Receive;
-import org.apache.pekko.actor.typed.javadsl.TimerScheduler;
 import org.heatherspread.core.lease.LeaseClient;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
- * Actor that competes for the duty lease and performs the duties while it certainly holds it.
- * Invariants: after a pause of the process, no duty is performed before the lease has been read
- * again; when the lease is lost or released, the calls in progress are given up first, so that none
- * arrives after those of the next holder.
+ * Competes for the duty lease and performs the duties while it certainly holds it. Invariants:
+ * after a pause of the process, no duty is performed before the lease has been read again; when the
+ * lease is lost or released, the calls in progress are given up first, so that none arrives after
+ * those of the next holder.
  */
-final class DutyRunner extends AbstractBehavior<DutyRunner.Command> {
+final class DutyRunner {
   private static final Logger log = LoggerFactory.getLogger(DutyRunner.class);
 
   private static final Duration TICK_INTERVAL = Duration.ofMillis(200);
@@ -35,14 +29,6 @@
    */
   private static final int STANDBY_TICKS_PER_DAEMON = 5;
 
-  /** Messages of the actor. */
-  enum Command {
-    /** Checks the lease and performs the duties that are due. */
-    TICK,
-    /** Releases the lease and performs no more duties. */
-    STOP
-  }
-
   /** A task that one daemon at a time performs for the fleet. */
   interface Duty {
     /** Updates the state that a lease holder needs; called whether or not the lease is held. */
@@ -68,6 +54,7 @@
     int daemonCount();
   }
 
+  private final TaskContext.Timer nextTick;
   private final LeaseClient lease;
   private final Runnable abortCalls;
   private final CandidateRank candidateRank;
@@ -78,56 +65,45 @@
   private boolean held;
 
   private DutyRunner(
-      ActorContext<Command> context,
-      TimerScheduler<Command> timers,
+      TaskContext context,
       LeaseClient lease,
       Runnable abortCalls,
       CandidateRank candidateRank,
       Iterable<Duty> duties,
       PauseDetector pauseDetector) {
-    super(context);
+    this.nextTick = context.createTimer(this::tick);
     this.lease = lease;
     this.abortCalls = abortCalls;
     this.candidateRank = candidateRank;
     this.duties = duties;
     this.pauseDetector = pauseDetector;
-    timers.startTimerWithFixedDelay(Command.TICK, TICK_INTERVAL);
+    nextTick.start(TICK_INTERVAL);
   }
 
   /**
-   * Creates a runner.
+   * Starts a runner.
    *
    * @param abortCalls gives up the calls of the duties in progress
    */
-  static Behavior<Command> create(
+  static DutyRunner start(
+      TaskContext context,
       LeaseClient lease,
       Runnable abortCalls,
       CandidateRank candidateRank,
       Iterable<Duty> duties,
       PauseDetector pauseDetector) {
-    return Behaviors.setup(
-        context ->
-            Behaviors.withTimers(
-                timers ->
-                    new DutyRunner(
-                        context, timers, lease, abortCalls, candidateRank, duties, pauseDetector)));
+    return new DutyRunner(context, lease, abortCalls, candidateRank, duties, pauseDetector);
   }
 
-  @Override
-  public Receive<Command> createReceive() {
-    return newReceiveBuilder()
-        .onMessageEquals(Command.TICK, this::onTick)
-        .onMessageEquals(Command.STOP, this::onStop)
-        .build();
-  }
-
-  private Behavior<Command> onTick() {
+  /** Checks the lease and performs the duties that are due. */
+  private void tick() {
+    nextTick.start(TICK_INTERVAL);
     if (pauseDetector.pausedSinceLastCheck()) {
       lease.invalidate();
       log.atInfo().log("process stood still; lease is read again");
     }
     if (stopped) {
-      return this;
+      return;
     }
     duties.forEach(Duty::observe);
     OptionalLong fencing = lease.fencingToken();
@@ -145,7 +121,6 @@
       skippedTicks = 0;
       lease.step(rank);
     }
-    return this;
   }
 
   private void updateHeld(OptionalLong fencing) {
@@ -167,12 +142,12 @@
     duties.forEach(Duty::onLeaseLost);
   }
 
-  private Behavior<Command> onStop() {
+  /** Releases the lease and performs no more duties. */
+  void stop() {
     if (!stopped) {
       stopped = true;
       giveUpDuties();
       lease.release();
     }
-    return this;
   }
 }
--- a/node/src/main/java/org/heatherspread/node/control/TableWatcher.java
+++ b/node/src/main/java/org/heatherspread/node/control/TableWatcher.java
@@ -2,12 +2,6 @@
 
 import java.time.Duration;
 import java.util.function.Supplier;
-import org.apache.pekko.actor.typed.Behavior;
-import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
-import org.apache.pekko.actor.typed.javadsl.ActorContext;
-import org.apache.pekko.actor.typed.javadsl.Behaviors;
-import org.apache.pekko.actor.typed.javadsl.Receive;
-import org.apache.pekko.actor.typed.javadsl.TimerScheduler;
 import org.heatherspread.core.freshness.StoreFreshness;
 import org.heatherspread.core.store.SharedReadResult;
 import org.heatherspread.core.store.SharedStore;
@@ -16,37 +10,25 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Actor that follows one shared table: reads the whole table, then waits for changes repeatedly.
+ * Follows one shared table: reads the whole table, then waits for changes repeatedly.
  *
  * <p>Tolerates stores that are slow, unavailable, restored from an earlier copy or without the
  * history, and watches that miss changes: each wait is short and has a timeout, and the whole table
  * is read again when history is lost, and at regular intervals regardless of the watch. Invariant:
  * at most one call is in progress.
  */
-final class TableWatcher extends AbstractBehavior<TableWatcher.Command> {
+final class TableWatcher {
   private static final Logger log = LoggerFactory.getLogger(TableWatcher.class);
 
   private static final Duration INITIAL_RETRY_PAUSE = Duration.ofMillis(100);
   private static final Duration MAX_RETRY_PAUSE = Duration.ofMillis(400);
 
-  /** Messages of the actor. */
-  sealed interface Command {}
-
-  private enum Timer implements Command {
-    NEXT_READ
-  }
-
-  private record ReadCompleted(
-      StoreFreshness.ClockReading start, boolean fullRead, SharedReadResult result)
-      implements Command {}
-
-  private record ReadFailed(Throwable cause) implements Command {}
-
+  private final TaskContext context;
+  private final TaskContext.Timer nextRead;
   private final WatchSettings settings;
   private final SharedStore store;
   private final StoreFreshness freshness;
   private final TableListener listener;
-  private final TimerScheduler<Command> timers;
   private boolean fullReadNeeded = true;
   private StorePosition position = new StorePosition(0, 0);
   private long lastFullReadMillis;
@@ -67,14 +49,13 @@
       Duration fullReadInterval) {}
 
   private TableWatcher(
-      ActorContext<Command> context,
-      TimerScheduler<Command> timers,
+      TaskContext context,
       WatchSettings settings,
       SharedStore store,
       StoreFreshness freshness,
       TableListener listener) {
-    super(context);
-    this.timers = timers;
+    this.context = context;
+    this.nextRead = context.createTimer(this::startRead);
     this.settings = settings;
     this.store = store;
     this.freshness = freshness;
@@ -83,31 +64,18 @@
   }
 
   /**
-   * Creates a watcher.
+   * Starts a watcher.
    *
    * @param freshness updated by each read; must not be shared between tables, since a read of one
    *     table says nothing about another
    */
-  static Behavior<Command> create(
-      WatchSettings settings, SharedStore store, StoreFreshness freshness, TableListener listener) {
-    return Behaviors.setup(
-        context ->
-            Behaviors.withTimers(
-                timers -> new TableWatcher(context, timers, settings, store, freshness, listener)));
-  }
-
-  @Override
-  public Receive<Command> createReceive() {
-    return newReceiveBuilder()
-        .onMessageEquals(
-            Timer.NEXT_READ,
-            () -> {
-              startRead();
-              return this;
-            })
-        .onMessage(ReadCompleted.class, this::onReadCompleted)
-        .onMessage(ReadFailed.class, this::onReadFailed)
-        .build();
+  static TableWatcher start(
+      TaskContext context,
+      WatchSettings settings,
+      SharedStore store,
+      StoreFreshness freshness,
+      TableListener listener) {
+    return new TableWatcher(context, settings, store, freshness, listener);
   }
 
   private void startRead() {
@@ -122,56 +90,57 @@
         fullRead
             ? store.read(settings.table())
             : store.changes(settings.table(), position, maxWait);
-    getContext()
-        .pipeToSelf(
-            future,
-            (result, failure) ->
-                failure == null
-                    ? new ReadCompleted(start, fullRead, result)
-                    : new ReadFailed(failure));
+    context.onCompletion(
+        future,
+        (result, failure) -> {
+          if (failure == null) {
+            onReadCompleted(start, fullRead, result);
+          } else {
+            onReadFailed(failure);
+          }
+        });
   }
 
-  private Behavior<Command> onReadCompleted(ReadCompleted read) {
-    final boolean restored = freshness.showsRestore(read.result);
-    if (!freshness.recordRead(read.start, read.result)) {
-      return onReadFailed(
-          new ReadFailed(
-              new IllegalStateException("store clock is behind that of an earlier read")));
+  private void onReadCompleted(
+      StoreFreshness.ClockReading start, boolean fullRead, SharedReadResult result) {
+    final boolean restored = freshness.showsRestore(result);
+    if (!freshness.recordRead(start, result)) {
+      onReadFailed(new IllegalStateException("store clock is behind that of an earlier read"));
+      return;
     }
     if (failing) {
       failing = false;
       log.atInfo().addKeyValue("table", settings.table()).log("store reached again");
     }
     retryPause = INITIAL_RETRY_PAUSE;
-    if (read.fullRead) {
+    if (fullRead) {
       fullReadNeeded = false;
-      lastFullReadMillis = read.start.monotonicMillis();
-      position = read.result.position();
-      listener.onFullRead(read.result, restored);
+      lastFullReadMillis = start.monotonicMillis();
+      position = result.position();
+      listener.onFullRead(result, restored);
     } else {
-      if (read.result.version() > position.version()) {
-        position = read.result.position();
+      if (result.version() > position.version()) {
+        position = result.position();
       }
-      listener.onChanges(read.result);
+      listener.onChanges(result);
     }
     Duration pause = settings.pause().get();
     if (pause.isZero()) {
       startRead();
     } else {
-      timers.startSingleTimer(Timer.NEXT_READ, pause);
+      nextRead.start(pause);
     }
-    return this;
   }
 
-  private Behavior<Command> onReadFailed(ReadFailed failure) {
-    Throwable cause = failure.cause.getCause() == null ? failure.cause : failure.cause.getCause();
+  private void onReadFailed(Throwable failure) {
+    Throwable cause = failure.getCause() == null ? failure : failure.getCause();
     if (cause instanceof SharedStore.HistoryLostException) {
       fullReadNeeded = true;
       log.atInfo()
           .addKeyValue("table", settings.table())
           .log("history lost; reading the whole table");
       startRead();
-      return this;
+      return;
     }
     if (!failing) {
       failing = true;
@@ -181,11 +150,10 @@
           .log("store cannot be read");
     }
     listener.onFailure(String.valueOf(cause.getMessage()));
-    timers.startSingleTimer(Timer.NEXT_READ, retryPause);
+    nextRead.start(retryPause);
     retryPause =
         retryPause.multipliedBy(2).compareTo(MAX_RETRY_PAUSE) > 0
             ? MAX_RETRY_PAUSE
             : retryPause.multipliedBy(2);
-    return this;
   }
 }
--- a/node/src/test/java/org/heatherspread/node/PlatformIsolationTest.java
+++ b/node/src/test/java/org/heatherspread/node/PlatformIsolationTest.java
@@ -46,6 +46,14 @@
           .dependOnClassesThat()
           .resideInAPackage("org.heatherspread.platform..");
 
+  /** A third of the processor time of a start went into an actor system. */
+  @ArchTest
+  static final ArchRule daemonsOfThePlatformStartNoActorSystem =
+      noClasses()
+          .should()
+          .dependOnClassesThat()
+          .resideInAnyPackage("org.apache.pekko..", "scala..", "com.typesafe..");
+
   @ArchTest
   static final ArchRule platformDoesNotDependOnDecisionLogic =
       noClasses()
--- a/node/src/test/java/org/heatherspread/node/control/DutyRunnerTest.java
+++ b/node/src/test/java/org/heatherspread/node/control/DutyRunnerTest.java
@@ -2,14 +2,17 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
 import java.time.Clock;
 import java.util.List;
 import java.util.Map;
+import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.apache.pekko.actor.typed.ActorSystem;
 import org.heatherspread.core.duty.DutyClient;
 import org.heatherspread.core.lease.LeaseClient;
 import org.heatherspread.core.lease.LeaseSettings;
@@ -28,7 +31,8 @@
   private final MonotonicClock clock = MonotonicClock.system();
   private final InMemoryTableStore store = InMemoryTableStore.create();
   private final LeaseClient lease = lease("d1");
-  private ActorSystem<DutyRunner.Command> runner;
+  private final EventLoopGroup group = new NioEventLoopGroup(1);
+  private SupervisedTask<DutyRunner> runner;
 
   /**
    * Records when the calls are given up, and whether the lease is free for the next holder then.
@@ -92,17 +96,31 @@
           }
         };
     PauseDetector pauseDetector = new PauseDetector(clock, Clock.systemUTC());
+    EventLoop loop = group.next();
     runner =
-        ActorSystem.create(
-            DutyRunner.create(lease, dutyClient::abortCalls, rank, List.of(duty), pauseDetector),
-            "test");
+        loop.submit(
+                () ->
+                    SupervisedTask.start(
+                        loop,
+                        new SplittableRandom(1),
+                        "test",
+                        context ->
+                            DutyRunner.start(
+                                context,
+                                lease,
+                                dutyClient::abortCalls,
+                                rank,
+                                List.of(duty),
+                                pauseDetector)))
+            .syncUninterruptibly()
+            .getNow();
     await("performed");
     assertThat(events).doesNotContain("aborted", "lost");
   }
 
   @AfterEach
   void terminate() {
-    runner.terminate();
+    group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
   }
 
   private void await(String event) throws InterruptedException {
@@ -122,7 +140,7 @@
 
   @Test
   void callsInProgressAreGivenUpBeforeTheLeaseIsReleased() throws Exception {
-    runner.tell(DutyRunner.Command.STOP);
+    runner.tell(DutyRunner::stop);
     await("lost");
     assertThat(events).containsSubsequence("performed", "aborted", "lost");
     LeaseClient next = lease("d2");
