Count reports of daemons that ended long ago as old after a start

Cause: a daemon that starts took each report that it read for the first time as written now, so that ended daemons were live to it for the validity of a report. It goes by the time at which each report was written now, on the store's clock. Reports from before an outage of the store stay live, as the validity counts from the newest report.

--- a/core/src/main/java/org/heatherspread/core/fleet/FleetView.java
+++ b/core/src/main/java/org/heatherspread/core/fleet/FleetView.java
@@ -23,7 +23,7 @@
   private long livenessTimeoutMillis;
   private final Map<String, ReceivedReport> rows = new HashMap<>();
   private long lastReadMillis;
-  private long newestReportMillis;
+  private long newestReportMillis = Long.MIN_VALUE / 2;
 
   private FleetView(long livenessTimeoutMillis) {
     this.livenessTimeoutMillis = livenessTimeoutMillis;
@@ -48,13 +48,25 @@
     lastReadMillis = nowMillis;
   }
 
+  /**
+   * Stores a report that may have been written long before it was read for the first time. It
+   * renews nothing: a process that starts finds the reports of daemons that ended before.
+   *
+   * @param ageMillis time since it was written
+   */
+  public void putOld(String row, DaemonReport report, long ageMillis, long nowMillis) {
+    long writtenMillis = nowMillis - ageMillis;
+    newestReportMillis = Math.max(newestReportMillis, writtenMillis);
+    rows.put(row, new ReceivedReport(report, writtenMillis, nowMillis));
+  }
+
   /** Stores a report that changed. */
   public void put(String row, DaemonReport report, long nowMillis) {
     if (nowMillis - newestReportMillis > livenessTimeoutMillis) {
       extendAfterOutage(nowMillis);
     }
     newestReportMillis = nowMillis;
-    rows.put(row, new ReceivedReport(report, nowMillis));
+    rows.put(row, new ReceivedReport(report, nowMillis, nowMillis));
   }
 
   /**
@@ -66,7 +78,7 @@
     rows.replaceAll(
         (row, received) ->
             newestReportMillis - received.receivedMillis <= livenessTimeoutMillis
-                ? new ReceivedReport(received.report, Math.max(received.receivedMillis, earliest))
+                ? received.receivedAtLeast(earliest)
                 : received);
   }
 
@@ -149,12 +161,22 @@
   public List<String> rowsUnchangedFor(long millis) {
     List<String> old = new ArrayList<>();
     for (Map.Entry<String, ReceivedReport> entry : rows.entrySet()) {
-      if (lastReadMillis - entry.getValue().receivedMillis > millis) {
+      if (lastReadMillis - entry.getValue().readMillis > millis) {
         old.add(entry.getKey());
       }
     }
     return old;
   }
 
-  private record ReceivedReport(DaemonReport report, long receivedMillis) {}
+  /**
+   * A report.
+   *
+   * @param receivedMillis time from which its validity counts
+   * @param readMillis time at which this process read it
+   */
+  private record ReceivedReport(DaemonReport report, long receivedMillis, long readMillis) {
+    private ReceivedReport receivedAtLeast(long millis) {
+      return new ReceivedReport(report, Math.max(receivedMillis, millis), readMillis);
+    }
+  }
 }
--- a/core/src/test/java/org/heatherspread/core/fleet/FleetViewTest.java
+++ b/core/src/test/java/org/heatherspread/core/fleet/FleetViewTest.java
@@ -55,4 +55,14 @@
     assertThat(fleet.hasReport("a/1", 8)).isTrue();
     assertThat(fleet.hasReport("a/1", 10)).isFalse();
   }
+
+  /** Rows of live daemons would be deleted by a daemon that starts after an outage of the store. */
+  @Test
+  void oldReportsCountAsUnchangedFromTheirFirstReadOnly() {
+    fleet.putOld("a/1", report("a", "1", 1), 60_000, 1_000);
+    fleet.markRead(5_000);
+    assertThat(fleet.rowsUnchangedFor(10_000)).isEmpty();
+    fleet.markRead(11_001);
+    assertThat(fleet.rowsUnchangedFor(10_000)).containsExactly("a/1");
+  }
 }
--- a/node/src/main/java/org/heatherspread/node/control/FleetListener.java
+++ b/node/src/main/java/org/heatherspread/node/control/FleetListener.java
@@ -97,12 +97,25 @@
       // After a restore of the store, daemons write the reports again that it lost.
       fleet.retainRows(present);
     }
+    boolean first = !initialized;
     initialized = true;
-    onChanges(result);
+    if (first) {
+      state.setDaemonCount(result.rows().size());
+    }
+    update(result, first);
   }
 
   @Override
   public void onChanges(SharedReadResult result) {
+    update(result, false);
+  }
+
+  /**
+   * Stores the reports that changed.
+   *
+   * @param first whether they are the first ones, so that some may be those of ended daemons
+   */
+  private void update(SharedReadResult result, boolean first) {
     long now = state.clock().millis();
     for (SharedRow row : result.rows()) {
       if (row.deleted()) {
@@ -115,7 +128,11 @@
         continue;
       }
       if (!fleet.hasReport(row.key(), report.get().sequence())) {
-        fleet.put(row.key(), report.get(), now);
+        if (first && report.get().atStoreMillis() > 0) {
+          fleet.putOld(row.key(), report.get(), ageMillis(report.get(), result), now);
+        } else {
+          fleet.put(row.key(), report.get(), now);
+        }
         mergeObservations(report.get(), result);
       }
     }
@@ -128,13 +145,17 @@
    * ended: after a restart of all daemons, only such reports have them.
    */
   private void mergeObservations(DaemonReport report, SharedReadResult result) {
-    long storeMillis = result.storeMillis() + result.ageMillis();
-    long ageMillis = Math.max(0, storeMillis - report.atStoreMillis());
+    long ageMillis = ageMillis(report, result);
     state.poisonFilter().mergeEvidence(report.suspects(), ageMillis);
     state.endpointLimits().merge(report.daemon(), report.endpointLimits(), ageMillis);
     state.adoptEngineEstimates(report.engines());
   }
 
+  private static long ageMillis(DaemonReport report, SharedReadResult result) {
+    long storeMillis = result.storeMillis() + result.ageMillis();
+    return Math.max(0, storeMillis - report.atStoreMillis());
+  }
+
   private void applyReports(long ageMillis) {
     fleet.setLivenessTimeout(reportSchedule.lifetime(state.daemonCount(), minLifetime).toMillis());
     List<DaemonReport> reports = fleet.liveReports();
--- a/node/src/test/java/org/heatherspread/node/control/FleetListenerTest.java
+++ b/node/src/test/java/org/heatherspread/node/control/FleetListenerTest.java
@@ -171,6 +171,31 @@
     assertThat(state.daemonCount()).isEqualTo(DAEMONS);
   }
 
+  /** A daemon that started named addresses of daemons that had been off for half a minute. */
+  @Test
+  void reportsOfDaemonsThatEndedLongAgoAreNotLiveAfterStart() {
+    List<SharedRow> rows = new ArrayList<>();
+    for (int i = 0; i < DAEMONS; i++) {
+      byte[] value =
+          ReportFormat.write(report("d" + i, i == 0 ? 10_000 : 39_000, DaemonState.READY));
+      rows.add(new SharedRow("d" + i, value, 1, false));
+    }
+    listener.onFullRead(new SharedReadResult(rows, new StorePosition(1, 1), 40_000, 0), false);
+    assertThat(state.daemonCount()).isEqualTo(DAEMONS - 1);
+  }
+
+  /** No daemon can write while the store is away, which says nothing about the daemons. */
+  @Test
+  void reportsFromBeforeOutageAreLiveAfterStart() {
+    List<SharedRow> rows = new ArrayList<>();
+    for (int i = 0; i < DAEMONS; i++) {
+      byte[] value = ReportFormat.write(report("d" + i, 10_000 + 100 * i, DaemonState.READY));
+      rows.add(new SharedRow("d" + i, value, 1, false));
+    }
+    listener.onFullRead(new SharedReadResult(rows, new StorePosition(1, 1), 40_000, 0), false);
+    assertThat(state.daemonCount()).isEqualTo(DAEMONS);
+  }
+
   /** A report that stays in the store must not renew the evidence in it. */
   @Test
   void ageOfReportCountsTowardsAgeOfItsEvidence() {
