Let small and reading daemons own no account limits

Cause: the work for the whole fleet was placed without regard to what a daemon carries already. Owners are now the daemons with the fastest links and no readers, if four or more of them are ready. The rule is part of the report, so that daemons of earlier versions and new ones agree on the owners.

--- a/core/src/test/java/org/heatherspread/core/fleet/DaemonReportBuilder.java
+++ b/core/src/test/java/org/heatherspread/core/fleet/DaemonReportBuilder.java
@@ -21,6 +21,7 @@
   private StreamReport streams;
   private EraObservation storeEra;
   private List<ServiceCounts> rollouts = List.of();
+  private int ownerRule;
 
   private DaemonReportBuilder(String daemon) {
     this.daemon = daemon;
@@ -97,6 +98,12 @@
     return this;
   }
 
+  /** Sets the rule by which the daemon selects owners of limits. */
+  public DaemonReportBuilder ownerRule(int value) {
+    ownerRule = value;
+    return this;
+  }
+
   /** Returns the report. */
   public DaemonReport build() {
     return new DaemonReport(
@@ -119,6 +126,7 @@
         Map.of(),
         streams,
         storeEra,
-        rollouts);
+        rollouts,
+        ownerRule);
   }
 }
--- a/node/src/main/java/org/heatherspread/node/Node.java
+++ b/node/src/main/java/org/heatherspread/node/Node.java
@@ -20,6 +20,7 @@
 import org.heatherspread.core.fleet.DaemonReport;
 import org.heatherspread.core.fleet.DaemonState;
 import org.heatherspread.core.fleet.FleetView;
+import org.heatherspread.core.fleet.LimitOwnerSelector;
 import org.heatherspread.core.fleet.SilenceDetector;
 import org.heatherspread.core.freshness.StoreFreshness;
 import org.heatherspread.core.freshness.UnixTimeEstimator;
@@ -382,7 +383,8 @@
         state.engineEstimates(),
         streamReport(),
         control.fleet().earliest(state.storeFreshness().eraObservation()),
-        state.versionRouting().meter().counts());
+        state.versionRouting().meter().counts(),
+        LimitOwnerSelector.CURRENT_RULE);
   }
 
   private StreamReport streamReport() {
--- a/node/src/main/java/org/heatherspread/node/control/FleetListener.java
+++ b/node/src/main/java/org/heatherspread/node/control/FleetListener.java
@@ -15,6 +15,7 @@
 import org.heatherspread.core.fleet.DomainReaderSelector;
 import org.heatherspread.core.fleet.EndpointLoad;
 import org.heatherspread.core.fleet.FleetView;
+import org.heatherspread.core.fleet.LimitOwnerSelector;
 import org.heatherspread.core.limit.ReportSchedule;
 import org.heatherspread.core.serving.AccountConfig;
 import org.heatherspread.core.serving.HostPort;
@@ -214,15 +215,16 @@
       }
       addresses.put(report.daemon(), HostPort.parse(report.peerAddress()));
     }
-    Set<String> possibleOwners = new TreeSet<>();
+    updateReaders(reports);
+    List<DaemonReport> recent = fleet.reportedWithin(maxAdmissionMillis());
     Set<String> admitting = new TreeSet<>();
-    for (DaemonReport report : fleet.reportedWithin(maxAdmissionMillis())) {
+    ownerCandidate = false;
+    for (DaemonReport report : recent) {
       admitting.add(report.daemon());
-      if (report.state() == DaemonState.READY) {
-        possibleOwners.add(report.daemon());
-      }
+      ownerCandidate |= report.daemon().equals(self) && report.state() == DaemonState.READY;
     }
-    ownerCandidate = possibleOwners.contains(self);
+    Set<String> possibleOwners =
+        LimitOwnerSelector.select(recent, Set.copyOf(readersByDomain.values()));
     peers.updateAddresses(addresses);
     List<AccountConfig> accounts = state.config().map(ServingConfig::accounts).orElse(List.of());
     state
@@ -232,6 +234,9 @@
         .endpointLimits()
         .updateDaemons(
             possibleOwners, admitting, leaseMillis() - ageMillis, state.endpoints().ids());
+  }
+
+  private void updateReaders(List<DaemonReport> reports) {
     Map<String, String> newReaders = new HashMap<>();
     for (DaemonReport report : reports) {
       if (!newReaders.containsKey(report.domain())) {
