Ask owners of limits whose reports are no longer valid

After a restart of all daemons, requests got 429 although their accounts were below their limits.

Cause: owners are chosen among the daemons whose reports are recent enough for them to admit requests, but only live daemons could be called. For all others the daemon decided by its part of the reserve, also where the owner's process had stopped and the whole limit could have been spent, which a refused connection shows. Daemons can now be called as long as they may own limits; copies of stream origins still go to live daemons only.

FleetListenerTest.silentLimitOwnerCanBeAsked failed before.

--- a/node/src/main/java/org/heatherspread/node/control/FleetListener.java
+++ b/node/src/main/java/org/heatherspread/node/control/FleetListener.java
@@ -178,11 +178,11 @@
     state.unixTime().updateOffsets(offsets);
     state.setDaemonCount(liveNow.size());
     state.endpointNotices().updateDaemons(self, liveNow);
-    updatePeers(reports, ageMillis);
     if (!liveNow.equals(liveNames)) {
       liveNames = liveNow;
       log.atInfo().addKeyValue("daemons", String.join(" ", liveNow)).log("live daemons changed");
     }
+    updatePeers(reports, ageMillis);
   }
 
   /**
@@ -208,24 +208,21 @@
    * @param ageMillis age of the reports
    */
   private void updatePeers(List<DaemonReport> reports, long ageMillis) {
-    Map<String, HostPort> addresses = new HashMap<>();
-    for (DaemonReport report : reports) {
-      if (report.peerAddress().isEmpty()) {
-        continue;
-      }
-      addresses.put(report.daemon(), HostPort.parse(report.peerAddress()));
-    }
     updateReaders(reports);
     List<DaemonReport> recent = fleet.reportedWithin(maxAdmissionMillis());
     Set<String> admitting = new TreeSet<>();
+    Map<String, HostPort> addresses = new HashMap<>();
     ownerCandidate = false;
     for (DaemonReport report : recent) {
       admitting.add(report.daemon());
+      if (!report.peerAddress().isEmpty()) {
+        addresses.put(report.daemon(), HostPort.parse(report.peerAddress()));
+      }
       ownerCandidate |= report.daemon().equals(self) && report.state() == DaemonState.READY;
     }
     Set<String> possibleOwners =
         LimitOwnerSelector.select(recent, Set.copyOf(readersByDomain.values()));
-    peers.updateAddresses(addresses);
+    peers.updateAddresses(addresses, liveNames);
     List<AccountConfig> accounts = state.config().map(ServingConfig::accounts).orElse(List.of());
     state
         .accountAdmission()
--- a/node/src/main/java/org/heatherspread/node/peer/PeerClient.java
+++ b/node/src/main/java/org/heatherspread/node/peer/PeerClient.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
 import org.heatherspread.core.error.ErrorKind;
@@ -52,6 +53,7 @@
   private final String self;
   private final Function<HostPort, RpcClient> clientFactory;
   private final Map<String, HostPort> addresses = new HashMap<>();
+  private List<String> liveDaemons = List.of();
   private final Map<HostPort, RpcClient> rpcClients = new HashMap<>();
 
   private PeerClient(String self, Function<HostPort, RpcClient> clientFactory) {
@@ -68,10 +70,16 @@
     return new PeerClient(self, clientFactory);
   }
 
-  /** Replaces the addresses of all daemons and drops the RPC clients of other addresses. */
-  public void updateAddresses(Map<String, HostPort> next) {
+  /**
+   * Replaces the addresses of all daemons and drops the RPC clients of other addresses.
+   *
+   * @param next addresses of all daemons that may be called, as they may still own limits
+   * @param live names of those that are live
+   */
+  public void updateAddresses(Map<String, HostPort> next, Set<String> live) {
     addresses.clear();
     addresses.putAll(next);
+    liveDaemons = next.keySet().stream().filter(live::contains).toList();
     rpcClients.keySet().retainAll(addresses.values());
   }
 
@@ -147,9 +155,9 @@
         .thenApply(response -> PeerFormat.readLoads(requireSuccess(reader, response).body()));
   }
 
-  /** Returns the names of the daemons that can be reached, which may include this one. */
+  /** Returns the names of the live daemons, which may include this one. */
   public Collection<String> daemons() {
-    return List.copyOf(addresses.keySet());
+    return liveDaemons;
   }
 
   /** Sends origins of streams to a daemon, which keeps a copy. */
--- a/node/src/test/java/org/heatherspread/node/control/FleetListenerTest.java
+++ b/node/src/test/java/org/heatherspread/node/control/FleetListenerTest.java
@@ -1,6 +1,7 @@
 package org.heatherspread.node.control;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -14,11 +15,15 @@
 import org.heatherspread.core.fleet.DaemonState;
 import org.heatherspread.core.fleet.FleetView;
 import org.heatherspread.core.freshness.StoreFreshness;
+import org.heatherspread.core.limit.LimitRequest;
 import org.heatherspread.core.limit.OvershootAllowance;
 import org.heatherspread.core.limit.PartitionedLimiter;
+import org.heatherspread.core.limit.RateLimit;
 import org.heatherspread.core.limit.ReportSchedule;
 import org.heatherspread.core.poison.CrashEvidence;
 import org.heatherspread.core.poison.Suspect;
+import org.heatherspread.core.serving.AccountConfig;
+import org.heatherspread.core.serving.HostPort;
 import org.heatherspread.core.store.SharedReadResult;
 import org.heatherspread.core.store.SharedRow;
 import org.heatherspread.core.store.StorePosition;
@@ -28,6 +33,7 @@
 import org.heatherspread.node.peer.PeerClient;
 import org.heatherspread.relay.call.LimitAdmission;
 import org.heatherspread.relay.call.RelayState;
+import org.heatherspread.relay.rpc.RpcClient;
 import org.junit.jupiter.api.Test;
 
 class FleetListenerTest {
@@ -39,7 +45,8 @@
   private final StoreFreshness freshness = StoreFreshness.create(clock, InstantSource.system());
   private final PartitionedLimiter limits =
       PartitionedLimiter.create(SELF, clock, new OvershootAllowance(8, 0, 0));
-  private final PeerClient peers = PeerClient.create(SELF, address -> null);
+  private final List<HostPort> called = new ArrayList<>();
+  private final PeerClient peers = PeerClient.create(SELF, this::recordCall);
   private final RelayState state =
       RelayStateFixtures.create(
           clock, freshness, LimitAdmission.create(limits, peers.accountLimits()));
@@ -55,6 +62,11 @@
           Duration.ofMillis(3_800));
   private long sequence;
 
+  private RpcClient recordCall(HostPort address) {
+    called.add(address);
+    throw new IllegalStateException("called");
+  }
+
   private static DaemonReport report(String daemon, long sequence, DaemonState state) {
     return report(daemon, sequence, state, List.of());
   }
@@ -128,6 +140,26 @@
     assertThat(limits.owner("acme")).isNotNull().isNotEqualTo(owner);
   }
 
+  /**
+   * A limit whose owner could not be asked was decided by the small reserve of each daemon, also if
+   * the owner's process had stopped, which a call would have shown.
+   */
+  @Test
+  void silentLimitOwnerCanBeAsked() {
+    runRound(Set.of(), null);
+    String owner = limits.owner("acme");
+    for (int i = 0; i < 4; i++) {
+      runRound(Set.of(owner), null);
+    }
+    assertThat(limits.owner("acme")).isEqualTo(owner);
+    assertThat(peers.daemons()).doesNotContain(owner);
+    RateLimit limit = new AccountConfig("acme", Set.of("k"), -1, true, 200, 1_000, 1_000);
+    LimitRequest request = LimitRequest.of(1);
+    assertThatThrownBy(() -> peers.accountLimits().requestAdmission(owner, limit, request, 0))
+        .hasMessage("called");
+    assertThat(called).hasSize(1);
+  }
+
   @Test
   void leavingLimitOwnerIsReplacedAtOnce() {
     runRound(Set.of(), null);
