Test successes that follow the first bytes of a failure

A version of the protocol that is joined from two heads was suspected; it is rejected at every position, so that this is not the cause.

--- a/relay/src/test/java/org/heatherspread/relay/call/PartialHeadTest.java
+++ b/relay/src/test/java/org/heatherspread/relay/call/PartialHeadTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** An endpoint stops within the head of its response; the caller must not get a success. */
 class PartialHeadTest {
@@ -96,6 +97,25 @@
     }
   }
 
+  /** A success that follows the first bytes of a failure must not take their place. */
+  @ParameterizedTest
+  @ValueSource(strings = {"/write/a", "/read/a", "/reply/a"})
+  void successAfterPartialHeadOfFailureIsNoResponse(String path) throws Exception {
+    String failure = "HTTP/1.1 503 Service Unavailable\r\nServer-Signature: sig\r\n";
+    harness.register(
+        FakeEndpoint.start(
+            (request, connection) -> {
+              String id = request.header("attempt-id");
+              connection.send(failure.substring(0, Integer.parseInt(id)));
+              connection.respond(200, id, "again");
+              throw new IOException("ends after the success");
+            }));
+    for (int sent = 1; sent < failure.length(); sent++) {
+      String response = harness.call("POST", path, String.format("%03d", sent));
+      assertThat(response).as("after %s bytes", sent).startsWith("HTTP/1.1 50");
+    }
+  }
+
   /** A late copy of the response before breaks off, and the response to the request follows. */
   @ParameterizedTest
   @CsvSource({"200,500", "200,404", "500,200", "503,200"})
