--- a/core/src/main/java/org/heatherspread/core/fleet/DaemonReport.java
+++ b/core/src/main/java/org/heatherspread/core/fleet/DaemonReport.java
@@ -36,8 +36,6 @@
  * @param storeEra earliest known observation of the store's era; null in reports of earlier
  *     versions
  * @param rollouts counts for moves of services to other versions
- * @param ownerRule rule by which the daemon selects the owners of limits, see {@link
- *     LimitOwnerSelector}; 0 in reports of earlier versions
  */
 public record DaemonReport(
     String daemon,
@@ -59,8 +57,7 @@
     Map<String, EnginePerformanceEstimator.Estimate> engines,
     StreamReport streams,
     EraObservation storeEra,
-    List<ServiceCounts> rollouts,
-    int ownerRule) {
+    List<ServiceCounts> rollouts) {
   /**
    * Checks the components and replaces those that daemons of earlier versions do not report.
    *
--- a/node/src/main/java/org/heatherspread/node/Node.java
+++ b/node/src/main/java/org/heatherspread/node/Node.java
@@ -20,7 +20,6 @@
 import org.heatherspread.core.fleet.DaemonReport;
 import org.heatherspread.core.fleet.DaemonState;
 import org.heatherspread.core.fleet.FleetView;
-import org.heatherspread.core.fleet.LimitOwnerSelector;
 import org.heatherspread.core.fleet.SilenceDetector;
 import org.heatherspread.core.freshness.StoreFreshness;
 import org.heatherspread.core.freshness.UnixTimeEstimator;
@@ -383,8 +382,7 @@
         state.engineEstimates(),
         streamReport(),
         control.fleet().earliest(state.storeFreshness().eraObservation()),
-        state.versionRouting().meter().counts(),
-        LimitOwnerSelector.CURRENT_RULE);
+        state.versionRouting().meter().counts());
   }
 
   private StreamReport streamReport() {
--- a/node/src/main/java/org/heatherspread/node/control/FleetListener.java
+++ b/node/src/main/java/org/heatherspread/node/control/FleetListener.java
@@ -15,7 +15,6 @@
 import org.heatherspread.core.fleet.DomainReaderSelector;
 import org.heatherspread.core.fleet.EndpointLoad;
 import org.heatherspread.core.fleet.FleetView;
-import org.heatherspread.core.fleet.LimitOwnerSelector;
 import org.heatherspread.core.limit.ReportSchedule;
 import org.heatherspread.core.serving.AccountConfig;
 import org.heatherspread.core.serving.HostPort;
@@ -208,20 +207,19 @@
    * @param ageMillis age of the reports
    */
   private void updatePeers(List<DaemonReport> reports, long ageMillis) {
-    updateReaders(reports);
-    List<DaemonReport> recent = fleet.reportedWithin(maxAdmissionMillis());
-    Set<String> admitting = new TreeSet<>();
     Map<String, HostPort> addresses = new HashMap<>();
-    ownerCandidate = false;
-    for (DaemonReport report : recent) {
+    Set<String> possibleOwners = new TreeSet<>();
+    Set<String> admitting = new TreeSet<>();
+    for (DaemonReport report : fleet.reportedWithin(maxAdmissionMillis())) {
       admitting.add(report.daemon());
+      if (report.state() == DaemonState.READY) {
+        possibleOwners.add(report.daemon());
+      }
       if (!report.peerAddress().isEmpty()) {
         addresses.put(report.daemon(), HostPort.parse(report.peerAddress()));
       }
-      ownerCandidate |= report.daemon().equals(self) && report.state() == DaemonState.READY;
     }
-    Set<String> possibleOwners =
-        LimitOwnerSelector.select(recent, Set.copyOf(readersByDomain.values()));
+    ownerCandidate = possibleOwners.contains(self);
     peers.updateAddresses(addresses, liveNames);
     List<AccountConfig> accounts = state.config().map(ServingConfig::accounts).orElse(List.of());
     state
@@ -231,9 +229,6 @@
         .endpointLimits()
         .updateDaemons(
             possibleOwners, admitting, leaseMillis() - ageMillis, state.endpoints().ids());
-  }
-
-  private void updateReaders(List<DaemonReport> reports) {
     Map<String, String> newReaders = new HashMap<>();
     for (DaemonReport report : reports) {
       if (!newReaders.containsKey(report.domain())) {
