Start tasks again that end with an error

A task of the control work that ended with an error, such as a stack overflow in a row of a table, was not started again: the event loop logs errors, and the table would not have been read any more. SupervisedTaskTest.taskThatFailsWithAnErrorIsStartedAgain.

--- a/node/src/main/java/org/heatherspread/node/control/SupervisedTask.java
+++ b/node/src/main/java/org/heatherspread/node/control/SupervisedTask.java
@@ -96,7 +96,7 @@
     }
   }
 
-  private void onFailure(RuntimeException cause) {
+  private void onFailure(Throwable cause) {
     task = null;
     if (System.nanoTime() - startedNanos >= RECOVERY.toNanos()) {
       pause = MIN_PAUSE;
--- a/node/src/main/java/org/heatherspread/node/control/TaskContext.java
+++ b/node/src/main/java/org/heatherspread/node/control/TaskContext.java
@@ -23,7 +23,7 @@
 
   private final EventLoop loop;
   private final long originNanos;
-  private final Consumer<RuntimeException> onFailure;
+  private final Consumer<Throwable> onFailure;
   private final List<Timer> timers = new ArrayList<>();
   private boolean ended;
 
@@ -33,7 +33,7 @@
    * @param originNanos start of the ticks, on the monotonic clock
    * @param onFailure called once, with the exception that ended the life
    */
-  TaskContext(EventLoop loop, long originNanos, Consumer<RuntimeException> onFailure) {
+  TaskContext(EventLoop loop, long originNanos, Consumer<Throwable> onFailure) {
     this.loop = loop;
     this.originNanos = originNanos;
     this.onFailure = onFailure;
@@ -46,7 +46,8 @@
     }
     try {
       action.run();
-    } catch (RuntimeException e) {
+    } catch (RuntimeException | Error e) {
+      // After an error, too: a watcher that does not go on would never read its table again.
       end();
       onFailure.accept(e);
     }
--- a/node/src/test/java/org/heatherspread/node/control/SupervisedTaskTest.java
+++ b/node/src/test/java/org/heatherspread/node/control/SupervisedTaskTest.java
@@ -88,6 +88,17 @@
     await(handled, 1);
   }
 
+  /** A stack overflow in a row of a table would end all reads of the table otherwise. */
+  @Test
+  void taskThatFailsWithAnErrorIsStartedAgain() throws Exception {
+    SupervisedTask<Work> task = start(context -> new Work());
+    task.tell(
+        work -> {
+          throw new StackOverflowError("in a row");
+        });
+    await(starts, 2);
+  }
+
   /** A request for a report that comes during a pause would be lost otherwise. */
   @Test
   void actionsWaitForTheNextInstanceAfterFailure() throws Exception {
