Keep silent daemons out of the directory until all have read that they are gone

Cause: the reader of a domain found the machine silent after 2.5 s and told its members. At 11.3 s its report was no longer valid to the reader, which then told that nothing is silent, while members with reads up to a second older still held the report valid until 12.3 s. A silent daemon stays silent for three seconds after it is no longer expected, unless it is expected again.

SilenceDetectorTest.silentDaemonStaysSilentUntilOthersHaveReadThatItIsGone: the detector forgot the daemon at once before.

--- a/core/src/main/java/org/heatherspread/core/fleet/SilenceDetector.java
+++ b/core/src/main/java/org/heatherspread/core/fleet/SilenceDetector.java
@@ -13,9 +13,17 @@
  * process stood still, as what they sent meanwhile was not read. Confined to one thread.
  */
 public final class SilenceDetector {
+  /**
+   * Time for which a silent daemon counts as such after it is no longer expected. Other daemons may
+   * still find it in an older read of the reports, which are up to about a second apart, and would
+   * name it to callers.
+   */
+  private static final long RETENTION_MILLIS = 3_000;
+
   private final long silenceMillis;
   private final long maxGapMillis;
   private final Map<String, Long> heardMillis = new HashMap<>();
+  private final Map<String, Long> goneUntilMillis = new HashMap<>();
   private long lastExpectedMillis;
 
   private SilenceDetector(long silenceMillis, long maxGapMillis) {
@@ -38,8 +46,13 @@
   public void expect(Collection<String> daemons, long nowMillis) {
     if (nowMillis - lastExpectedMillis > maxGapMillis) {
       heardMillis.clear();
+      goneUntilMillis.clear();
     }
     lastExpectedMillis = nowMillis;
+    for (String daemon : notHeard(nowMillis)) {
+      goneUntilMillis.put(daemon, nowMillis + RETENTION_MILLIS);
+    }
+    goneUntilMillis.keySet().removeAll(daemons);
     heardMillis.keySet().retainAll(daemons);
     for (String daemon : daemons) {
       heardMillis.putIfAbsent(daemon, nowMillis);
@@ -51,8 +64,20 @@
     heardMillis.replace(daemon, nowMillis);
   }
 
-  /** Returns the expected daemons that are silent. */
+  /** Returns the daemons that are silent, and those that were when they ceased to be expected. */
   public Set<String> silent(long nowMillis) {
+    Set<String> silent = notHeard(nowMillis);
+    silent.addAll(gone(nowMillis));
+    return silent;
+  }
+
+  /** Returns the daemons that were silent when they ceased to be expected, for some time. */
+  public Set<String> gone(long nowMillis) {
+    goneUntilMillis.values().removeIf(until -> nowMillis >= until);
+    return new TreeSet<>(goneUntilMillis.keySet());
+  }
+
+  private Set<String> notHeard(long nowMillis) {
     Set<String> silent = new TreeSet<>();
     heardMillis.forEach(
         (daemon, heard) -> {
--- a/core/src/test/java/org/heatherspread/core/fleet/SilenceDetectorTest.java
+++ b/core/src/test/java/org/heatherspread/core/fleet/SilenceDetectorTest.java
@@ -44,6 +44,25 @@
     assertThat(detector.silent(20_000)).containsExactly("b");
   }
 
+  /** Daemons with an older view named a daemon to callers that had been off for nine seconds. */
+  @Test
+  void silentDaemonStaysSilentUntilOthersHaveReadThatItIsGone() {
+    run(10_000, 13_000);
+    detector.expect(List.of("b"), 13_250);
+    detector.recordHeard("b", 13_250);
+    assertThat(detector.silent(14_500)).containsExactly("a");
+    assertThat(detector.gone(14_500)).containsExactly("a");
+    assertThat(detector.gone(16_250)).isEmpty();
+  }
+
+  @Test
+  void daemonThatIsExpectedAgainCountsAsHeard() {
+    run(10_000, 13_000);
+    detector.expect(List.of("b"), 13_250);
+    run(13_500, 13_500);
+    assertThat(detector.silent(13_750)).isEmpty();
+  }
+
   @Test
   void retainsAllDaemonsIfAllAreSilent() {
     Map<String, Integer> byDaemon = Map.of("a", 1, "b", 2);
--- a/node/src/main/java/org/heatherspread/node/peer/LoadExchange.java
+++ b/node/src/main/java/org/heatherspread/node/peer/LoadExchange.java
@@ -225,6 +225,7 @@
     LoadAggregator.addAll(sum, ownLoads());
     Set<String> silent = silence.silent(now());
     silent.retainAll(readers.get().members());
+    silent.addAll(silence.gone(now()));
     return new ExchangedLoads(sum, silent, facts.ofGroupAfter(received));
   }
 
