Admit small requests before the owner of their limit decides

Callers of the grown sites got answers a quarter or half a second late, or 429, for seconds after a restart of all daemons. Each request waited for the one daemon that owns the limit of its account. That daemon is cold too, gets the calls of all others at once and falls behind; what it did for a call after 250 ms was done in vain, and the call came again.

A daemon now admits requests that fit into half of its part of the reserve at once, and reports them to the owner in one call a second, or with the next request to it. The owner says whether half of its bucket is left; if not, daemons ask first. Larger requests wait 0.5 s for an owner instead of 0.25 s, reports 2 s, so that an owner's work for them is used. The reserve moves from PartitionedLimiter into a class of its own.

--- a/core/src/main/java/org/heatherspread/core/limit/LimitBucket.java
+++ b/core/src/main/java/org/heatherspread/core/limit/LimitBucket.java
@@ -14,6 +14,10 @@
   private static final double USE_SECONDS = 8;
 
   private static final double MIN_USE_SECONDS = 1;
+
+  /** Fraction of the capacity that covers what an order may hold for urgent requests. */
+  private static final double AMPLE_FRACTION = 0.5;
+
   private static final double MILLIS_PER_SECOND = 1_000;
 
   private final MonotonicClock clock;
@@ -90,6 +94,12 @@
     use.add(amount, clock.nanos());
   }
 
+  /** Returns whether so much is left that no request is held back for the sake of others. */
+  boolean isAmple() {
+    return rule.mayOverdraw()
+        && limiter.availableTokens(clock.nanos()) >= AMPLE_FRACTION * rate * burstSeconds(rule);
+  }
+
   /** Returns the part of the limit that was used recently, above 1 in a burst. */
   double usedRatio() {
     return use.perSecond(clock.nanos()) / rate;
--- a/core/src/main/java/org/heatherspread/core/limit/LimitOwnerClient.java
+++ b/core/src/main/java/org/heatherspread/core/limit/LimitOwnerClient.java
@@ -41,17 +41,37 @@
    * @param claimed whether the owner keeps tokens for the request until it returns after the wait;
    *     false from daemons of earlier versions
    * @param owner the owner by the view of a daemon that did not decide; empty if it knows none
+   * @param ample whether enough is left for daemons to admit requests in advance; false from
+   *     daemons of earlier versions
    */
   record Decision(
-      boolean decidedByOwner, OptionalDouble waitSeconds, boolean claimed, Optional<String> owner) {
+      boolean decidedByOwner,
+      OptionalDouble waitSeconds,
+      boolean claimed,
+      Optional<String> owner,
+      boolean ample) {
+    /** Creates a decision after which nothing may be admitted in advance. */
+    public Decision(
+        boolean decidedByOwner,
+        OptionalDouble waitSeconds,
+        boolean claimed,
+        Optional<String> owner) {
+      this(decidedByOwner, waitSeconds, claimed, owner, false);
+    }
+
     /** Returns the reply of the limit owner, which keeps no tokens. */
     public static Decision decided(OptionalDouble waitSeconds) {
       return new Decision(true, waitSeconds, false, Optional.empty());
     }
 
-    /** Returns the reply of the limit owner. */
-    public static Decision decided(SpendingDecision decision) {
-      return new Decision(true, decision.waitSeconds(), decision.claimed(), Optional.empty());
+    /**
+     * Returns the reply of the limit owner.
+     *
+     * @param ample whether enough is left for daemons to admit requests in advance
+     */
+    public static Decision decided(SpendingDecision decision, boolean ample) {
+      return new Decision(
+          true, decision.waitSeconds(), decision.claimed(), Optional.empty(), ample);
     }
 
     /** Returns the reply of a daemon that does not own the limit. */
--- a/core/src/main/java/org/heatherspread/core/limit/PartitionedLimiter.java
+++ b/core/src/main/java/org/heatherspread/core/limit/PartitionedLimiter.java
@@ -23,7 +23,8 @@
  * over the daemons that serve callers, so that they agree on it without communication.
  *
  * <p>A daemon that cannot reach the owner admits requests within its part of the overshoot
- * allowance, and reports their amounts to the owner later, which charges them to the limit.
+ * allowance, and reports their amounts to the owner later, which charges them to the limit. While
+ * the owner has enough left, small requests are admitted in the same way without waiting for it.
  *
  * <p>Daemons learn of a change of owner at different times. An owner therefore holds a lease on
  * each of its limits, which ends a fixed time after it last read that it is the owner, and a new
@@ -36,9 +37,6 @@
  * Confined to one thread.
  */
 public final class PartitionedLimiter {
-  /** Daemons assumed to share a limit before any are known; more than small fleets have. */
-  private static final int ASSUMED_DAEMONS = 12;
-
   /** Time for which an owner is not asked again after it declined or was found to be stopped. */
   private static final long SHORT_BACKOFF_MILLIS = 100;
 
@@ -58,8 +56,7 @@
   private final Supplier<SpendingOrder> orders;
   private final Map<String, LimitBucket> ownedBuckets = new HashMap<>();
   private final Map<String, LimitBucket> stoppedOwnerBuckets = new HashMap<>();
-  private final Map<String, SpendingOrder> unreportedOrders = new HashMap<>();
-  private final Map<String, UnreportedAmounts> unreportedAmounts = new HashMap<>();
+  private final LocalReserve reserve;
   private final Map<String, String> owners = new HashMap<>();
   private final Map<String, OwnerFailure> failures = new HashMap<>();
   private final Map<String, Long> leaseEndMillis = new HashMap<>();
@@ -90,6 +87,7 @@
     this.clock = clock;
     this.allowance = allowance;
     this.orders = orders;
+    this.reserve = LocalReserve.create(self, clock, allowance, orders);
   }
 
   /** Creates a limiter that admits requests in order of arrival. */
@@ -139,6 +137,7 @@
     recordFormerView();
     daemons = List.copyOf(daemonNames);
     admittingDaemons = Set.copyOf(admitting);
+    reserve.updateDaemons(admittingDaemons);
     viewLeaseEndMillis = clock.millis() + leaseMillis;
     owners.clear();
     redirects.clear();
@@ -153,8 +152,7 @@
     }
     ownedBuckets.keySet().removeIf(name -> !isOwner(name));
     stoppedOwnerBuckets.keySet().retainAll(previousOwners.keySet());
-    unreportedAmounts.keySet().retainAll(previousOwners.keySet());
-    unreportedOrders.keySet().retainAll(previousOwners.keySet());
+    reserve.retainLimits(previousOwners.keySet());
   }
 
   private void recordFormerView() {
@@ -428,7 +426,8 @@
       return bucket(stoppedOwnerBuckets, limit, share).admit(request);
     }
     stoppedOwnerBuckets.remove(limit.name());
-    return admitUnreported(limit, request, failure);
+    long untilAskedMillis = failure == null ? 0 : failure.askAgainMillis - clock.millis();
+    return reserve.admit(limit, request, untilAskedMillis / MILLIS_PER_SECOND);
   }
 
   /** Returns the part of each owned limit that was used recently, by the name of the limit. */
@@ -439,51 +438,28 @@
     return ratios;
   }
 
-  /** Returns what this daemon may admit in a window without the owner. */
-  private double reservePart(RateLimit limit) {
-    double reserve = allowance.fallbackReserve(limit.ratePerSecond(), limit.burst());
-    int daemonCount = admittingDaemons.isEmpty() ? ASSUMED_DAEMONS : admittingDaemons.size();
-    if (limit.mayOverdraw()) {
-      return reserve / daemonCount;
-    }
-    int wholeRequests = (int) reserve;
-    List<String> withExtraRequest =
-        RendezvousHash.select(admittingDaemons, limit.name(), wholeRequests % daemonCount);
-    return wholeRequests / daemonCount + (withExtraRequest.contains(self) ? 1 : 0);
+  /**
+   * Admits a request before its owner learns of it, by a report, so that the request need not wait.
+   *
+   * @return false if the owner has to decide, or this daemon as its owner
+   */
+  public boolean admitInAdvance(RateLimit limit, LimitRequest request) {
+    return remoteOwner(limit.name()).isPresent() && reserve.admitInAdvance(limit, request);
   }
 
-  private SpendingDecision admitUnreported(
-      RateLimit limit, LimitRequest request, OwnerFailure failure) {
-    long now = clock.millis();
-    UnreportedAmounts unreported =
-        unreportedAmounts.computeIfAbsent(
-            limit.name(), name -> new UnreportedAmounts(allowance.windowMillis()));
-    // Whole requests leave no room for what one report after the other would allow again.
-    double used = limit.mayOverdraw() ? unreported.total(now) : unreported.totalWithReported(now);
-    double reserve = reservePart(limit);
-    if (used + request.amount() > reserve || !ordered(limit, request, used, reserve)) {
-      long untilAskedMillis = failure == null ? 0 : failure.askAgainMillis - now;
-      return SpendingDecision.refused(
-          SpendingDecision.Cause.NO_OWNER, untilAskedMillis / MILLIS_PER_SECOND);
-    }
-    unreported.add(request.amount(), now);
-    return SpendingDecision.ADMITTED;
-  }
-
-  /** Returns whether a request comes before others for which the reserve is held. */
-  private boolean ordered(RateLimit limit, LimitRequest request, double used, double reserve) {
-    // The owner decides on the return of the caller, so that no tokens are kept for it here.
-    LimitRequest withoutClaim = new LimitRequest(request.amount(), request.urgency(), 0);
-    SpendingOrder.Balance balance =
-        new SpendingOrder.Balance(
-            reserve - used,
-            reserve / allowance.windowMillis() * MILLIS_PER_SECOND,
-            reserve,
-            clock.nanos());
-    return unreportedOrders
-        .computeIfAbsent(limit.name(), name -> orders.get())
-        .decide(withoutClaim, balance)
-        .admitted();
+  /** Returns whether the owner should learn at once of what was admitted in advance. */
+  public boolean needsPromptReport(RateLimit limit) {
+    return reserve.needsPromptReport(limit);
+  }
+
+  /** Records whether the owner of a limit said that enough is left to admit in advance. */
+  public void recordSupply(String limit, boolean ample) {
+    reserve.recordSupply(limit, ample);
+  }
+
+  /** Returns whether enough is left of an owned limit for daemons to admit in advance. */
+  public boolean isAmple(RateLimit limit) {
+    return isOwner(limit.name()) && bucket(ownedBuckets, limit, limit.ratePerSecond()).isAmple();
   }
 
   /**
@@ -492,8 +468,7 @@
    * @return the amount to report, 0 if there is none or a report is in progress
    */
   public double startReport(String limit) {
-    UnreportedAmounts unreported = unreportedAmounts.get(limit);
-    return unreported == null ? 0 : unreported.startReport(clock.millis());
+    return reserve.startReport(limit);
   }
 
   /**
@@ -502,10 +477,7 @@
    * @param charged whether the owner has charged the amount
    */
   public void endReport(String limit, boolean charged) {
-    UnreportedAmounts unreported = unreportedAmounts.get(limit);
-    if (unreported != null) {
-      unreported.endReport(charged, clock.millis());
-    }
+    reserve.endReport(limit, charged);
   }
 
   /** Charges an amount to an owned limit that another daemon has already admitted. */
--- a/node/src/main/java/org/heatherspread/node/AccountLimits.java
+++ b/node/src/main/java/org/heatherspread/node/AccountLimits.java
@@ -31,15 +31,22 @@
       NodeSettings settings,
       MonotonicClock clock,
       OvershootAllowance allowance,
-      LimitOwnerClient owners) {
+      LimitOwnerClient owners,
+      EventLoop loop) {
+    LimitAdmission.DelayedRunner reportRunner =
+        (millis, action) -> loop.schedule(action, millis, TimeUnit.MILLISECONDS);
     if (!settings.features().contains(Feature.QUEUEING)) {
       return LimitAdmission.create(
-          PartitionedLimiter.create(settings.name(), clock, allowance), owners);
+          PartitionedLimiter.create(settings.name(), clock, allowance),
+          owners,
+          LimitRefusalLog.none(),
+          reportRunner);
     }
     return LimitAdmission.create(
         PartitionedLimiter.create(settings.name(), clock, allowance, SpendingOrder::byUrgency),
         owners,
-        LimitRefusalLog.create(clock));
+        LimitRefusalLog.create(clock),
+        reportRunner);
   }
 
   /** Publishes the use of each limit that this daemon owns, and renews the list periodically. */
--- a/node/src/main/java/org/heatherspread/node/Node.java
+++ b/node/src/main/java/org/heatherspread/node/Node.java
@@ -204,7 +204,7 @@
             PlatformStreamMigrator.create(
                 address -> RpcClient.create(loop, clock, address, rpcMetrics), MIGRATION_TIMEOUT),
             AccountLimits.create(
-                settings, clock, overshootAllowance(bounds), peers.accountLimits()),
+                settings, clock, overshootAllowance(bounds), peers.accountLimits(), loop),
             EndpointLimits.create(
                 EndpointLimitTable.create(clock, MAX_REPORTED_LIMITS),
                 LimitAdmission.create(
--- a/node/src/main/java/org/heatherspread/node/peer/PeerClient.java
+++ b/node/src/main/java/org/heatherspread/node/peer/PeerClient.java
@@ -31,10 +31,14 @@
  */
 public final class PeerClient implements LoadExchange.LoadClient {
   /**
-   * Timeout of requests that calls of callers wait for: well above a round trip to a busy instance,
-   * and small compared with the latency targets of requests.
+   * Timeout of requests that calls of callers wait for: well above a round trip to an instance that
+   * has just started. What an instance does for a call that has timed out is done in vain, and the
+   * next call waits behind it.
    */
-  private static final Duration DECISION_TIMEOUT = Duration.ofMillis(250);
+  private static final Duration DECISION_TIMEOUT = Duration.ofMillis(500);
+
+  /** Timeout of reports to owners of limits, after which they are sent once more. */
+  private static final Duration LIMIT_REPORT_TIMEOUT = Duration.ofSeconds(2);
 
   /** Timeout of lookups of origins, less than the time after which refused callers return. */
   private static final Duration ORIGIN_TIMEOUT = Duration.ofMillis(400);
@@ -109,7 +113,8 @@
       byte[] body =
           PeerFormat.writeAdmissionRequest(
               PeerFormat.AdmissionRequest.of(limit, request, unreported));
-      return call(daemon, HttpMethod.POST, admissionPath, body, DECISION_TIMEOUT)
+      Duration timeout = request.amount() > 0 ? DECISION_TIMEOUT : LIMIT_REPORT_TIMEOUT;
+      return call(daemon, HttpMethod.POST, admissionPath, body, timeout)
           .thenApply(response -> PeerFormat.readDecision(requireSuccess(daemon, response).body()));
     }
 
--- a/node/src/main/java/org/heatherspread/node/peer/PeerFormat.java
+++ b/node/src/main/java/org/heatherspread/node/peer/PeerFormat.java
@@ -98,6 +98,7 @@
   private static final String URGENCY = "urgency";
   private static final String MAX_WAIT = "max-wait";
   private static final String CLAIMED = "claimed";
+  private static final String AMPLE = "ample";
 
   private static final TypeReference<List<SharedStreamOrigins.AttemptOrigin>> STREAM_ORIGINS =
       new TypeReference<>() {};
@@ -200,6 +201,9 @@
       node.put(CLAIMED, true);
     }
     decision.owner().ifPresent(owner -> node.put("owner", owner));
+    if (decision.ample()) {
+      node.put(AMPLE, true);
+    }
     return serialize(node);
   }
 
@@ -210,7 +214,8 @@
         node.path("keeps").asBoolean(),
         wait.isNumber() ? OptionalDouble.of(wait.asDouble()) : OptionalDouble.empty(),
         node.path(CLAIMED).asBoolean(),
-        readOwner(node));
+        readOwner(node),
+        node.path(AMPLE).asBoolean());
   }
 
   static String changesTarget(String table, StorePosition after, Duration wait) {
--- a/node/src/test/java/org/heatherspread/node/peer/PeerFormatTest.java
+++ b/node/src/test/java/org/heatherspread/node/peer/PeerFormatTest.java
@@ -137,6 +137,8 @@
         .isEqualTo("{\"keeps\":true,\"wait\":0.7}");
     var claimed = new Decision(true, OptionalDouble.of(0.7), true, Optional.empty());
     assertThat(PeerFormat.readDecision(PeerFormat.writeDecision(claimed))).isEqualTo(claimed);
+    var ample = new Decision(true, OptionalDouble.empty(), false, Optional.empty(), true);
+    assertThat(PeerFormat.readDecision(PeerFormat.writeDecision(ample))).isEqualTo(ample);
   }
 
   /** Daemons of earlier versions read the first two elements of a load, and write no others. */
--- a/relay/src/main/java/org/heatherspread/relay/call/LimitAdmission.java
+++ b/relay/src/main/java/org/heatherspread/relay/call/LimitAdmission.java
@@ -2,6 +2,7 @@
 
 import java.net.ConnectException;
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
@@ -28,15 +29,38 @@
   /** Maximum number of limits that a log line names. */
   private static final int MAX_LOGGED_LIMITS = 30;
 
+  /**
+   * Time in which what was admitted in advance is collected into one report. The owner's processor
+   * is scarcest when reports are most frequent, and requests to it carry them as well.
+   */
+  private static final long REPORT_DELAY_MILLIS = 1_000;
+
+  private static final Decision ADMITTED_IN_ADVANCE =
+      new Decision(OptionalDouble.empty(), false, "self");
+
   private final PartitionedLimiter limits;
   private final LimitOwnerClient ownerClient;
   private final LimitRefusalLog refusalLog;
+  private final Optional<DelayedRunner> reportRunner;
+
+  /** Limits of which a report is scheduled. */
+  private final Set<String> scheduledReports = new HashSet<>();
+
+  /** Runs actions later on the event loop. */
+  public interface DelayedRunner {
+    /** Runs an action after a time. */
+    void runAfter(long millis, Runnable action);
+  }
 
   private LimitAdmission(
-      PartitionedLimiter limits, LimitOwnerClient ownerClient, LimitRefusalLog refusalLog) {
+      PartitionedLimiter limits,
+      LimitOwnerClient ownerClient,
+      LimitRefusalLog refusalLog,
+      Optional<DelayedRunner> reportRunner) {
     this.limits = limits;
     this.ownerClient = ownerClient;
     this.refusalLog = refusalLog;
+    this.reportRunner = reportRunner;
   }
 
   /**
@@ -46,13 +70,22 @@
    * @param ownerClient client for the decisions of other daemons
    */
   public static LimitAdmission create(PartitionedLimiter limits, LimitOwnerClient ownerClient) {
-    return create(limits, ownerClient, LimitRefusalLog.none());
+    return new LimitAdmission(limits, ownerClient, LimitRefusalLog.none(), Optional.empty());
   }
 
-  /** Creates an admission control that logs for whose sake requests are refused. */
+  /**
+   * Creates an admission control that admits small requests in advance, and reports them to the
+   * owners of their limits.
+   *
+   * @param refusalLog tells for whose sake requests are refused
+   * @param reportRunner runs reports
+   */
   public static LimitAdmission create(
-      PartitionedLimiter limits, LimitOwnerClient ownerClient, LimitRefusalLog refusalLog) {
-    return new LimitAdmission(limits, ownerClient, refusalLog);
+      PartitionedLimiter limits,
+      LimitOwnerClient ownerClient,
+      LimitRefusalLog refusalLog,
+      DelayedRunner reportRunner) {
+    return new LimitAdmission(limits, ownerClient, refusalLog, Optional.of(reportRunner));
   }
 
   /**
@@ -67,7 +100,7 @@
   /**
    * Decides on a request.
    *
-   * @param request the request; the limit has the unit of its amount
+   * @param request the request, of a positive amount in the unit of the limit
    * @return completes immediately unless another daemon decides; never fails
    */
   CompletableFuture<Decision> admit(RateLimit limit, LimitRequest request) {
@@ -76,6 +109,10 @@
     }
     limits.track(limit);
     takeOver(limit);
+    if (reportRunner.isPresent() && limits.admitInAdvance(limit, request)) {
+      scheduleReport(reportRunner.get(), limit);
+      return CompletableFuture.completedFuture(ADMITTED_IN_ADVANCE);
+    }
     Optional<String> owner = limits.remoteOwner(limit.name());
     if (owner.isPresent()) {
       return requestAdmission(owner.get(), limit, request, true);
@@ -83,6 +120,63 @@
     return decideLocallyOrAsk(limits.slowOwner(limit.name()), limit, request);
   }
 
+  /** Reports what was admitted in advance, with what is admitted until then. */
+  private void scheduleReport(DelayedRunner runner, RateLimit limit) {
+    if (limits.needsPromptReport(limit)) {
+      report(limit);
+    } else if (scheduledReports.add(limit.name())) {
+      runner.runAfter(
+          REPORT_DELAY_MILLIS,
+          () -> {
+            scheduledReports.remove(limit.name());
+            report(limit);
+          });
+    }
+  }
+
+  private void report(RateLimit limit) {
+    Optional<String> owner = limits.remoteOwner(limit.name());
+    if (owner.isEmpty()) {
+      // What is not reported now goes with the next request to the owner.
+      return;
+    }
+    double unreported = limits.startReport(limit.name());
+    if (unreported <= 0) {
+      return;
+    }
+    ownerClient
+        .requestAdmission(owner.get(), limit, LimitRequest.of(0), unreported)
+        .whenComplete(
+            (reply, failure) -> {
+              if (onReply(owner.get(), limit, unreported, reply, failure)) {
+                return;
+              }
+              if (failure == null) {
+                limits.ownerDeclined(limit.name(), owner.get(), reply.owner().orElse(null));
+              } else {
+                limits.ownerFailed(owner.get(), isConnectionRefused(failure));
+              }
+            });
+  }
+
+  /** Records what an owner replied. Returns whether it decided. */
+  private boolean onReply(
+      String owner,
+      RateLimit limit,
+      double unreported,
+      LimitOwnerClient.Decision reply,
+      Throwable failure) {
+    boolean decided = failure == null && reply.decidedByOwner();
+    if (unreported > 0) {
+      limits.endReport(limit.name(), decided);
+    }
+    if (decided) {
+      limits.ownerAnswered(owner);
+      limits.recordSupply(limit.name(), reply.ample());
+    }
+    return decided;
+  }
+
   /**
    * Decides without the owner, but asks it once if this daemon may not admit the request: what it
    * may admit by itself is less than a large request.
@@ -111,12 +205,7 @@
         .requestAdmission(owner, limit, request, unreported)
         .handle(
             (ownerDecision, failure) -> {
-              boolean decided = failure == null && ownerDecision.decidedByOwner();
-              if (unreported > 0) {
-                limits.endReport(limit.name(), decided);
-              }
-              if (decided) {
-                limits.ownerAnswered(owner);
+              if (onReply(owner, limit, unreported, ownerDecision, failure)) {
                 return CompletableFuture.completedFuture(
                     new Decision(ownerDecision.waitSeconds(), ownerDecision.claimed(), owner));
               }
@@ -215,6 +304,7 @@
   /**
    * Decides on a request of another daemon, as the owner of the limit.
    *
+   * @param request amount 0 if the other daemon only reports
    * @param unreported amount that the other daemon has admitted without this one
    */
   public LimitOwnerClient.Decision decideAsOwner(
@@ -225,7 +315,9 @@
       return LimitOwnerClient.Decision.declined(Optional.ofNullable(limits.owner(limit.name())));
     }
     limits.chargeReported(limit, unreported);
-    return LimitOwnerClient.Decision.decided(decide(limit, request));
+    SpendingDecision decision =
+        request.amount() > 0 ? decide(limit, request) : SpendingDecision.ADMITTED;
+    return LimitOwnerClient.Decision.decided(decision, limits.isAmple(limit));
   }
 
   /** Returns the part of each owned limit that was used recently, by the name of the limit. */
