--- a/core/src/main/java/org/heatherspread/core/limit/LimitOwnerClient.java
+++ b/core/src/main/java/org/heatherspread/core/limit/LimitOwnerClient.java
@@ -13,7 +13,8 @@
    * Requests admission under a limit; the owner charges the amount if it admits.
    *
    * @param daemon name of the limit owner
-   * @param request the request; the limit has the unit of its amount
+   * @param request the request; the limit has the unit of its amount, which is 0 if only the
+   *     unreported amount is to be charged
    * @param unreported amount that this daemon admitted without the owner, which the owner charges
    *     in addition
    * @return fails if no reply arrives in time; the amounts may have been charged nevertheless
--- a/core/src/main/java/org/heatherspread/core/limit/LocalReserve.java
+++ b/core/src/main/java/org/heatherspread/core/limit/LocalReserve.java
@@ -20,9 +20,9 @@
  * otherwise.
  *
  * <p>Invariants: what a daemon has admitted within a window and the owner has not charged never
- * exceeds the daemon's part of the reserve; what it admits in advance after the owner said that
- * little is left is nothing. All daemons together therefore admit at most their parts of the
- * advance beyond what the owner's bucket held. Confined to one thread.
+ * exceeds the daemon's part of the reserve; nothing is admitted in advance after the owner said
+ * that little is left, so that all daemons together exceed what the owner's bucket held by their
+ * parts of the advance at most. Confined to one thread.
  */
 final class LocalReserve {
   /** Daemons assumed to share a limit before any are known; more than small fleets have. */
@@ -34,7 +34,7 @@
    */
   private static final double ADVANCE_FRACTION = 0.5;
 
-  /** Fraction of the advance from which it is reported at once. */
+  /** Fraction of the advance at which the owner learns of it at once. */
   private static final double PROMPT_REPORT_FRACTION = 0.75;
 
   private static final double MILLIS_PER_SECOND = 1_000;
--- a/node/src/main/java/org/heatherspread/node/peer/PeerClient.java
+++ b/node/src/main/java/org/heatherspread/node/peer/PeerClient.java
@@ -37,7 +37,7 @@
    */
   private static final Duration DECISION_TIMEOUT = Duration.ofMillis(500);
 
-  /** Timeout of reports to owners of limits, after which they are sent once more. */
+  /** Timeout of reports to owners of limits, for which no caller waits. */
   private static final Duration LIMIT_REPORT_TIMEOUT = Duration.ofSeconds(2);
 
   /** Timeout of lookups of origins, less than the time after which refused callers return. */
--- a/node/src/test/java/org/heatherspread/node/soak/RequestCost.java
+++ b/node/src/test/java/org/heatherspread/node/soak/RequestCost.java
@@ -30,7 +30,6 @@
   private static final int CALLERS_PER_DAEMON = 6;
   private static final int COLD_REQUESTS = 50;
   private static final int POLL_MILLIS = 5;
-
   private static final long SEED = 1;
 
   /**
@@ -56,20 +55,7 @@
       platform.write(
           FakePlatform.OPERATORS, FakePlatform.CONFIGURATION_KEY, MixedLoad.CONFIGURATION);
       try {
-        for (int i = 0; i < daemonCount; i++) {
-          SoakDaemon daemon =
-              new SoakDaemon(
-                  "daemon-" + i,
-                  "z" + i % DOMAINS,
-                  folder,
-                  platform.address().port(),
-                  ProcessFleet.GRACE_MILLIS);
-          daemons.add(daemon);
-          daemon.start(command);
-        }
-        for (SoakDaemon daemon : daemons) {
-          daemon.awaitReady();
-        }
+        StartCost.startDaemons(command, daemonCount, DOMAINS, folder, platform, daemons);
         final ThreadCosts ready = mean(daemons);
         TimeUnit.MILLISECONDS.sleep(idleTime.toMillis());
         final ThreadCosts idle = mean(daemons);
--- a/node/src/test/java/org/heatherspread/node/soak/StartCost.java
+++ b/node/src/test/java/org/heatherspread/node/soak/StartCost.java
@@ -42,20 +42,7 @@
       Thread heartbeats =
           DaemonThreads.start("heartbeats", () -> writeRegistrations(platform, endpointCount));
       try {
-        for (int i = 0; i < daemonCount; i++) {
-          SoakDaemon daemon =
-              new SoakDaemon(
-                  "daemon-" + i,
-                  "z" + i % DOMAINS,
-                  folder,
-                  platform.address().port(),
-                  ProcessFleet.GRACE_MILLIS);
-          daemons.add(daemon);
-          daemon.start(command);
-        }
-        for (SoakDaemon daemon : daemons) {
-          daemon.awaitReady();
-        }
+        startDaemons(command, daemonCount, DOMAINS, folder, platform, daemons);
         Duration ready = mean(daemons);
         TimeUnit.MILLISECONDS.sleep(idleTime.toMillis());
         return new StartCost(ready, mean(daemons).minus(ready));
@@ -68,6 +55,38 @@
     }
   }
 
+  /**
+   * Starts daemons at the same time and waits until all are ready.
+   *
+   * @param command starts a daemon
+   * @param domains number of failure domains
+   * @param folder for settings and logs
+   * @param started gets each daemon before it starts
+   */
+  static void startDaemons(
+      List<String> command,
+      int count,
+      int domains,
+      Path folder,
+      FakePlatform platform,
+      List<SoakDaemon> started)
+      throws Exception {
+    for (int i = 0; i < count; i++) {
+      SoakDaemon daemon =
+          new SoakDaemon(
+              "daemon-" + i,
+              "z" + i % domains,
+              folder,
+              platform.address().port(),
+              ProcessFleet.GRACE_MILLIS);
+      started.add(daemon);
+      daemon.start(command);
+    }
+    for (SoakDaemon daemon : started) {
+      daemon.awaitReady();
+    }
+  }
+
   private static Duration mean(List<SoakDaemon> daemons) {
     Duration sum = Duration.ZERO;
     for (SoakDaemon daemon : daemons) {
