Name the kinds of prompts of the measured load

MixedLoad passed nine numbers to one method for each kind of prompt. A record names them, and bodies are written in one place. Ids of prompt parts begin with a letter for shared and for session parts; sizes and shares are the same.

--- a/node/src/test/java/org/heatherspread/node/soak/MixedLoad.java
+++ b/node/src/test/java/org/heatherspread/node/soak/MixedLoad.java
@@ -57,6 +57,42 @@
   private static final long HEARTBEAT_MILLIS = 1_200;
   private static final String EVENT_DATA = "x".repeat(75);
 
+  private static final int TOKENS_PER_EVENT = 6;
+
+  /** Parts of a kind of prompt that many of its sessions share. */
+  private static final int SHARED_PARTS = 3;
+
+  private static final int RESERVATION_BYTES = 600;
+
+  /** Share of the reservations among all requests; the rest are reads. */
+  private static final double RESERVATION_SHARE = 0.19;
+
+  private static final List<PromptKind> PROMPTS =
+      List.of(
+          new PromptKind("draft", 0.19, 42, 11_500, 512, 4_870, 6_610, 900),
+          new PromptKind("draft", 0.17, 32, 830, 119, 79, 628, 800),
+          new PromptKind("tag", 0.38, 3, 2_400, 341, 227, 1_800, 1_800));
+
+  /**
+   * A kind of prompt.
+   *
+   * @param share share among all requests
+   * @param events length of its responses
+   * @param sharedTokens tokens that prompts of several sessions share
+   * @param sessionTokens tokens that the prompts of a session share
+   * @param ownTokens tokens of each prompt alone
+   * @param sessions number of sessions
+   */
+  private record PromptKind(
+      String route,
+      double share,
+      int events,
+      int bodyBytes,
+      int sharedTokens,
+      int sessionTokens,
+      int ownTokens,
+      int sessions) {}
+
   private final FakePlatform platform;
   private final List<FakeEndpoint> endpoints = new ArrayList<>();
   private final AtomicBoolean stopped = new AtomicBoolean();
@@ -177,47 +213,39 @@
   private static String request(SplittableRandom random) {
     double kind = random.nextDouble();
     String id = Long.toHexString(random.nextLong());
-    if (kind < 0.19) {
-      return prompt("draft", id, 42, 11_500, 512, 4_870, 6_610, random.nextInt(900), random);
-    }
-    if (kind < 0.36) {
-      return prompt("draft", id, 32, 830, 119, 79, 628, random.nextInt(800), random);
-    }
-    if (kind < 0.74) {
-      return prompt("tag", id, 3, 2_400, 341, 227, 1_800, random.nextInt(1_800), random);
+    for (PromptKind prompt : PROMPTS) {
+      if (kind < prompt.share) {
+        return prompt(prompt, id, random);
+      }
+      kind -= prompt.share;
     }
-    return kind < 0.93
-        ? head("POST", "reserve", id, random) + "Content-Length: 600\r\n\r\n" + "b".repeat(600)
+    return kind < RESERVATION_SHARE
+        ? head("POST", "reserve", id, random) + body(RESERVATION_BYTES)
         : head("GET", "read", id, random) + "\r\n";
   }
 
-  private static String prompt(
-      String route,
-      String id,
-      int events,
-      int bodyBytes,
-      int shared,
-      int session,
-      int own,
-      int sessionId,
-      SplittableRandom random) {
-    return head("POST", route, id, random)
+  private static String prompt(PromptKind kind, String id, SplittableRandom random) {
+    int answerTokens = kind.events * TOKENS_PER_EVENT;
+    int promptTokens = kind.sharedTokens + kind.sessionTokens + kind.ownTokens;
+    int sharedId = kind.sharedTokens + random.nextInt(SHARED_PARTS);
+    int sessionId = random.nextInt(kind.sessions);
+    return head("POST", kind.route, id, random)
         + "Events: %d\r\nModel-Name: m\r\nToken-Counts: %d,%d\r\nOutput-Length-Hint: %d\r\n"
-            .formatted(events, shared + session + own, events * 6, events * 6)
-        + "Prompt-Prefix: %s%x:%d,%s%x:%d,%s:%d\r\n"
+            .formatted(kind.events, promptTokens, answerTokens, answerTokens)
+        + "Prompt-Prefix: a%x:%d,b%x%x:%d,%s:%d\r\n"
             .formatted(
-                Integer.toHexString(route.length()),
-                shared + random.nextInt(3),
-                shared,
-                Integer.toHexString(shared),
+                sharedId,
+                kind.sharedTokens,
+                kind.sharedTokens,
                 sessionId,
-                session,
+                kind.sessionTokens,
                 id,
-                own)
-        + "Content-Length: "
-        + bodyBytes
-        + "\r\n\r\n"
-        + "b".repeat(bodyBytes);
+                kind.ownTokens)
+        + body(kind.bodyBytes);
+  }
+
+  private static String body(int bytes) {
+    return "Content-Length: " + bytes + "\r\n\r\n" + "b".repeat(bytes);
   }
 
   private static String head(String method, String route, String id, SplittableRandom random) {
